--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/__init__.py
@@ -0,0 +1,3 @@
+"""
+Stand-ins for the platform, scenarios of both fleets, and the benches.
+"""
--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/run_tests.py
@@ -0,0 +1,106 @@
+"""
+Runs every package's test functions through `unittest`.
+
+A test is a plain function whose name starts with ``test_``. Its parameters name fixtures, which
+are plain functions or generator functions listed in the module's ``FIXTURES`` mapping.
+"""
+
+import contextlib
+import importlib.util
+import inspect
+import sys
+import unittest
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from types import ModuleType
+
+REPOSITORY = Path(__file__).resolve().parents[4]
+
+
+def load_module(path: Path) -> ModuleType:
+    """
+    Import a test file under a name of its own.
+
+    :param path: the file.
+    :returns: the module.
+    """
+    package = path.parents[1].name.replace("-", "_")
+    name = f"{package}_tests_{path.stem}"
+    spec = importlib.util.spec_from_file_location(name, path)
+    if spec is None or spec.loader is None:
+        raise ImportError(f"cannot load {path}")
+    module = importlib.util.module_from_spec(spec)
+    sys.modules[name] = module
+    spec.loader.exec_module(module)
+    return module
+
+
+def with_fixtures(function: Callable[..., None], fixtures: dict[str, Callable]) -> Callable:
+    """
+    Bind the fixtures that a test function names as parameters.
+
+    :param function: the test function.
+    :param fixtures: fixture functions by name; generators are closed after the test.
+    :returns: a function without parameters.
+    """
+    names = list(inspect.signature(function).parameters)
+
+    def run() -> None:
+        with contextlib.ExitStack() as stack:
+            function(**{name: enter(stack, fixtures[name]) for name in names})
+
+    return run
+
+
+def enter(stack: contextlib.ExitStack, fixture: Callable) -> object:
+    """
+    Build one fixture's value, and schedule its clean-up when it is a generator function.
+
+    :param stack: receives the clean-up.
+    :param fixture: the fixture function.
+    :returns: the value handed to the test.
+    """
+    if inspect.isgeneratorfunction(fixture):
+        return stack.enter_context(contextlib.contextmanager(fixture)())
+    return fixture()
+
+
+def collect(paths: list[Path], pattern: str) -> Iterator[unittest.TestCase]:
+    """
+    Find the test functions of the given files.
+
+    :param paths: test files.
+    :param pattern: only tests whose file and function name contain it are taken.
+    :returns: one test case per function.
+    """
+    for path in paths:
+        module = load_module(path)
+        fixtures = getattr(module, "FIXTURES", {})
+        for name, function in inspect.getmembers(module, inspect.isfunction):
+            label = f"{path.parents[1].name}/{path.stem}.{name}"
+            if not name.startswith("test_") or function.__module__ != module.__name__:
+                continue
+            if pattern in label:
+                yield unittest.FunctionTestCase(
+                    with_fixtures(function, fixtures), description=label
+                )
+
+
+def main() -> int:
+    """
+    Run the tests, optionally only those whose name contains the first argument.
+
+    :returns: 0 when all passed and at least one ran, else 1.
+    """
+    pattern = sys.argv[1] if len(sys.argv) > 1 else ""
+    paths = sorted(REPOSITORY.glob("packages/*/tests/test_*.py"))
+    suite = unittest.TestSuite(collect(paths, pattern))
+    result = unittest.TextTestRunner(verbosity=1).run(suite)
+    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
+    skipped = len(result.skipped)
+    print(f"{result.testsRun - failed - skipped} passed, {failed} failed, {skipped} skipped")
+    return 0 if failed == 0 and result.testsRun > 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
