--- /dev/null
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/__init__.py
@@ -0,0 +1,3 @@
+"""
+The operators' command-line client.
+"""
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
@@ -0,0 +1,3 @@
+"""
+Decisions of eelgrassdrum, with no I/O.
+"""
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_lines.py
@@ -0,0 +1,162 @@
+"""
+Finds the line on which each value of a TOML text stands, which `tomllib` does not tell.
+"""
+
+import re
+import tomllib
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+Path = tuple[str | int, ...]
+"""Keys and list positions that lead from the top of a document to a value."""
+
+_SYNTAX_ERROR_LINE = re.compile(r"\(at line (\d+), column \d+\)")
+
+
+class Source(NamedTuple):
+    """
+    A text and the name of the file that it came from.
+    """
+
+    file: str
+    text: str
+
+
+class Fault(NamedTuple):
+    """
+    Something wrong with a document: where it stands and why it is refused.
+
+    ``line`` is 0 when the document did not come from a file.
+    """
+
+    file: str
+    line: int
+    path: str
+    message: str
+
+
+class Statement(NamedTuple):
+    """
+    One table header or one assignment, and the line on which it starts.
+    """
+
+    line: int
+    text: str
+
+
+def dotted(path: Path) -> str:
+    """
+    Write a path the way that operators read it.
+
+    :param path: keys and list positions.
+    :returns: for example ``services[0].executors``.
+    """
+    text = ""
+    for part in path:
+        if isinstance(part, int):
+            text += f"[{part}]"
+        else:
+            text += f".{part}" if text else part
+    return text
+
+
+def parse_toml(source: Source) -> dict[str, Any] | Fault:
+    """
+    Parse a TOML text.
+
+    :param source: the text and its file.
+    :returns: the tables, or where the syntax is broken.
+    """
+    try:
+        return tomllib.loads(source.text)
+    except tomllib.TOMLDecodeError as exc:
+        found = _SYNTAX_ERROR_LINE.search(str(exc))
+        line = int(found[1]) if found else len(source.text.splitlines())
+        return Fault(source.file, line, "", f"not TOML: {_SYNTAX_ERROR_LINE.sub('', str(exc))}")
+
+
+def index_lines(text: str) -> dict[Path, int]:
+    """
+    Map the path of each value to the line of the statement that sets it.
+
+    :param text: a text that `parse_toml` accepts.
+    :returns: lines, counted from 1.
+    """
+    lines: dict[Path, int] = {}
+    lengths: dict[Path, int] = {}
+    table: Path = ()
+    for statement in _statements(text):
+        parsed = tomllib.loads(statement.text)
+        if statement.text.lstrip().startswith("["):
+            table = _enter_table(parsed, lengths)
+            lines.setdefault(table, statement.line)
+        else:
+            for path in _paths(parsed):
+                lines.setdefault(table + path, statement.line)
+    return lines
+
+
+def line_of(lines: dict[Path, int], path: Path) -> int:
+    """
+    Find the line of a value, or of the nearest table around it.
+
+    :param lines: from `index_lines`.
+    :param path: the value's path; it may lead to a field that is missing.
+    :returns: a line, counted from 1.
+    """
+    for end in range(len(path), 0, -1):
+        if path[:end] in lines:
+            return lines[path[:end]]
+    return 1
+
+
+def _statements(text: str) -> Iterator[Statement]:
+    """
+    Split a text into statements, by adding lines until what was gathered parses.
+    """
+    gathered = ""
+    start = 1
+    for number, line in enumerate(text.splitlines(keepends=True), start=1):
+        if not gathered:
+            start = number
+        gathered += line
+        if not _parses(gathered):
+            continue
+        if tomllib.loads(gathered):
+            yield Statement(start, gathered)
+        gathered = ""
+
+
+def _parses(text: str) -> bool:
+    try:
+        tomllib.loads(text)
+    except tomllib.TOMLDecodeError:
+        return False
+    return True
+
+
+def _enter_table(header: dict[str, Any], lengths: dict[Path, int]) -> Path:
+    """
+    Work out the path of a table header, counting the elements of lists of tables.
+    """
+    path: Path = ()
+    value: Any = header
+    while isinstance(value, dict) and value:
+        key, value = next(iter(value.items()))
+        path += (key,)
+        if isinstance(value, list):
+            lengths[path] = lengths.get(path, 0) + 1
+        if path in lengths:
+            path += (lengths[path] - 1,)
+    return path
+
+
+def _paths(value: Any, prefix: Path = ()) -> Iterator[Path]:
+    if prefix:
+        yield prefix
+    if isinstance(value, dict):
+        for key, item in value.items():
+            yield from _paths(item, (*prefix, key))
+    elif isinstance(value, list):
+        for position, item in enumerate(value):
+            yield from _paths(item, (*prefix, position))
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_schema.py
@@ -0,0 +1,192 @@
+"""
+The shape of configuration documents.
+
+The fleet has one document, and each workspace has one. The fields that may be left out are marked
+``NotRequired`` and are filled in by `eelgrassdrum_core._config_validate`.
+"""
+
+from typing import Annotated, Literal, NotRequired
+
+from pydantic import Field, TypeAdapter
+from typing_extensions import TypedDict
+
+FLEET = "fleet"
+"""The name of the fleet's document, and the prefix of references to its services."""
+
+ANY_WORKSPACE = "*"
+"""The scope of an operator who may act on each workspace."""
+
+_NAME = "[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?"
+
+NAME_PATTERN = f"^{_NAME}$"
+"""Names take part in subjects, URLs and key texts, so they hold no slash, blank or underscore."""
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+ServiceReference = Annotated[str, Field(pattern=f"^({FLEET}/)?{_NAME}$")]
+OptionalServiceReference = Annotated[str, Field(pattern=f"^(({FLEET}/)?{_NAME})?$")]
+Scope = Annotated[str, Field(pattern=rf"^(\*|{_NAME})$")]
+Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Count = Annotated[int, Field(ge=0, le=1_000_000)]
+PositiveCount = Annotated[int, Field(ge=1, le=1_000_000)]
+ByteCount = Annotated[int, Field(ge=1, le=1 << 40)]
+Seconds = Annotated[float, Field(ge=0, le=604_800, allow_inf_nan=False)]
+PositiveSeconds = Annotated[float, Field(gt=0, le=604_800, allow_inf_nan=False)]
+Weight = Annotated[float, Field(ge=0, le=1_000, allow_inf_nan=False)]
+Share = Annotated[float, Field(gt=0, le=1_000_000, allow_inf_nan=False)]
+Fraction = Annotated[float, Field(gt=0, lt=1, allow_inf_nan=False)]
+
+
+class AvailabilityBudget(TypedDict):
+    """
+    How much of a service may be down at once.
+
+    A document gives one of the two; a rendered document holds ``max_unavailable`` only.
+    """
+
+    max_unavailable: NotRequired[Count]
+    max_fraction: NotRequired[Fraction]
+
+
+class Service(TypedDict):
+    """
+    A service and its availability budget; a shared one may be used by each workspace.
+    """
+
+    name: Name
+    executors: PositiveCount
+    availability_budget: AvailabilityBudget
+    shared: NotRequired[bool]
+
+
+class Queue(TypedDict):
+    """
+    A queue that takes callers' requests for one service.
+    """
+
+    name: Name
+    service: ServiceReference
+    access: Literal["keyed", "open"]
+    max_queued: PositiveCount
+    max_bytes: ByteCount
+    max_wait_s: PositiveSeconds
+    max_run_s: PositiveSeconds
+
+
+class Team(TypedDict):
+    """
+    A team's share when the fleet is full, and what it may run at once across the fleet.
+    """
+
+    name: Name
+    share: Share
+    limit: PositiveCount
+    reserved: NotRequired[Count]
+    grace_s: NotRequired[Seconds]
+
+
+class PoolSize(TypedDict):
+    """
+    The number of instances that a pool may have, and the number that it should have.
+    """
+
+    min: Count
+    target: Count
+    max: PositiveCount
+
+
+class Pool(TypedDict):
+    """
+    A set of instances that serve one purpose; a spare pool needs no service.
+    """
+
+    name: Name
+    role: Literal["endpoint", "worker"]
+    service: NotRequired[OptionalServiceReference]
+    size: PoolSize
+    spare: NotRequired[bool]
+
+
+class Measures(TypedDict):
+    """
+    The weights of what the fleet's owner measures.
+    """
+
+    roll_out_time: Weight
+    buffer_cost: Weight
+    closeness_to_share: Weight
+
+
+class Operator(TypedDict):
+    """
+    An operator, the workspaces that they may act on, and the digest of their key's secret.
+    """
+
+    name: Name
+    scopes: Annotated[list[Scope], Field(min_length=1)]
+    digest: Digest
+
+
+class FleetDocument(TypedDict):
+    """
+    The document of the whole fleet.
+    """
+
+    name: Literal["fleet"]
+    zones: Annotated[list[Name], Field(min_length=1)]
+    measures: Measures
+    operators: NotRequired[list[Operator]]
+    services: NotRequired[list[Service]]
+    pools: NotRequired[list[Pool]]
+
+
+class WorkspaceDocument(TypedDict):
+    """
+    The document of one workspace.
+    """
+
+    name: Name
+    services: NotRequired[list[Service]]
+    pools: NotRequired[list[Pool]]
+    queues: NotRequired[list[Queue]]
+    teams: NotRequired[list[Team]]
+
+
+Document = FleetDocument | WorkspaceDocument
+
+
+class DocumentBody(TypedDict):
+    """
+    The body of a ``document.published`` record.
+    """
+
+    name: str
+    document: Document
+    author: str
+    comment: str
+
+
+class KeyGrantedBody(TypedDict):
+    """
+    The body of a ``key.granted`` record; no queues mean each keyed queue of the workspace.
+    """
+
+    key_id: Name
+    workspace: Name
+    team: Name
+    digest: Digest
+    queues: list[Name]
+
+
+class KeyWithdrawnBody(TypedDict):
+    """
+    The body of a ``key.withdrawn`` record.
+    """
+
+    workspace: Name
+    key_id: Name
+
+
+FLEET_ADAPTER: TypeAdapter[FleetDocument] = TypeAdapter(FleetDocument)
+WORKSPACE_ADAPTER: TypeAdapter[WorkspaceDocument] = TypeAdapter(WorkspaceDocument)
+KEY_GRANTED_ADAPTER: TypeAdapter[KeyGrantedBody] = TypeAdapter(KeyGrantedBody)
+KEY_WITHDRAWN_ADAPTER: TypeAdapter[KeyWithdrawnBody] = TypeAdapter(KeyWithdrawnBody)
