Add the operators' client

Cause: nothing could publish a document or grant a key. Change: commands that append records to the log, find out what became of them and ask entry instances.

--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/__init__.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/__init__.py
@@ -1,3 +1,8 @@
 """
 The operators' command-line client.
 """
+
+from ._app import main, run
+from ._errors import ExitCode
+
+__all__ = ["ExitCode", "main", "run"]
--- /dev/null
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_config.py
@@ -0,0 +1,230 @@
+"""
+Commands on configuration: render, validate, diff, publish, history and rollback.
+"""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from eelgrassdrum_core._config_schema import Document
+
+from ._compare import compare
+from ._errors import CommandError, ExitCode
+from ._http import NoAnswerError
+from ._log_client import read_record
+from ._operator_client import get_typed
+from ._output import print_fields, print_json, print_rows
+from ._publish import EXIT_CODES, PublishResult, current_base, publish
+from ._records import document_body, document_subject, parse_id
+from ._settings import NO_SETTINGS, Settings
+from ._sources import load_documents
+
+DOCUMENT_PUBLISHED = "document.published"
+
+
+class Revision(msgspec.Struct):
+    """
+    One published document in the history of its name.
+    """
+
+    revision: int
+    author: str = ""
+    comment: str = ""
+    document: dict[str, Any] | None = None
+
+
+class InForce(msgspec.Struct):
+    """
+    The document in force and what went before it.
+    """
+
+    revision: int
+    document: dict[str, Any]
+    author: str = ""
+    comment: str = ""
+    history: list[Revision] = []
+
+
+def render(files: list[Path], /, *, settings: Settings = NO_SETTINGS) -> int:
+    """
+    Print documents as they would be published, with parameters and defaults filled in.
+
+    :param files: documents, or parameters files that name their template.
+    """
+    documents = load_documents(files)
+    print_json(list(documents.values()))
+    return ExitCode.OK
+
+
+def validate(files: list[Path], /, *, settings: Settings = NO_SETTINGS) -> int:
+    """
+    Check documents alone and against each other, and report every fault with file and line.
+
+    :param files: documents, or parameters files that name their template.
+    """
+    documents = load_documents(files)
+    rows = [(name, "valid") for name in documents]
+    print_rows(settings, [{"name": name, "valid": True} for name in documents], _VALID, rows)
+    return ExitCode.OK
+
+
+_VALID = ("document", "result")
+
+
+def diff(files: list[Path], /, *, settings: Settings = NO_SETTINGS) -> int:
+    """
+    Compare documents with those in force; exits with 9 when they differ.
+
+    :param files: documents, or parameters files that name their template.
+    """
+    changes = []
+    for name, document in load_documents(files).items():
+        current = _in_force(settings, name)
+        before = current.document if current else {}
+        revision = current.revision if current else 0
+        changes += [
+            {"document": name, "revision": revision, **change._asdict()}
+            for change in compare(before, document)
+        ]
+    columns = ("document", "revision", "action", "path", "before", "after")
+    print_rows(settings, changes, columns, [list(change.values()) for change in changes])
+    return ExitCode.DIFFERENT if changes else ExitCode.OK
+
+
+def publish_documents(
+    files: list[Path],
+    /,
+    *,
+    comment: str = "",
+    base: int | None = None,
+    repeat: str = "",
+    settings: Settings = NO_SETTINGS,
+) -> int:
+    """
+    Publish documents one after the other, and wait until each is accepted or rejected.
+
+    :param files: documents, or parameters files that name their template.
+    :param comment: why they are published; goes into the history.
+    :param base: the revision that the one document builds on; the one in force by default.
+    :param repeat: the id of an earlier try whose outcome stayed unknown; counts once with it.
+    """
+    documents = load_documents(files)
+    if len(documents) > 1 and (base is not None or repeat):
+        raise CommandError(ExitCode.USAGE, "--base and --repeat go with one document only")
+    if repeat and base is None:
+        raise CommandError(ExitCode.USAGE, "--repeat needs the --base of the earlier try")
+    results = []
+    for name, document in documents.items():
+        results.append(_publish_one(settings, name, document, comment, base, repeat))
+        if results[-1].state != "accepted":
+            break
+    return print_results(settings, results)
+
+
+def history(name: str, /, *, settings: Settings = NO_SETTINGS) -> int:
+    """
+    List the revisions of a document, the newest first.
+
+    :param name: a workspace, or ``fleet``.
+    """
+    current = _require_in_force(settings, name)
+    revisions = _revisions(current)
+    rows = [(item.revision, item.author, item.comment) for item in revisions]
+    content = [
+        {"revision": item.revision, "author": item.author, "comment": item.comment}
+        for item in revisions
+    ]
+    print_rows(settings, content, ("revision", "author", "comment"), rows)
+    return ExitCode.OK
+
+
+def rollback(name: str, /, *, to: int, comment: str = "", settings: Settings = NO_SETTINGS) -> int:
+    """
+    Publish an earlier revision of a document again, as a new revision.
+
+    :param name: a workspace, or ``fleet``.
+    :param to: the earlier revision, see ``history``.
+    :param comment: why it is rolled back.
+    """
+    current = _require_in_force(settings, name)
+    document = _earlier(settings, name, current, to)
+    body = document_body(name, document, settings.operator, comment or f"rollback to revision {to}")
+    subject = document_subject(name)
+    result = publish(settings, DOCUMENT_PUBLISHED, subject, current.revision, body)
+    return print_results(settings, [result])
+
+
+def print_results(settings: Settings, results: list[PublishResult]) -> int:
+    """
+    Print what became of records.
+
+    :param settings: tells the form.
+    :param results: one for each record.
+    :returns: the exit code of the last one.
+    """
+    if settings.output == "json":
+        print_json([result._asdict() for result in results])
+    else:
+        for result in results:
+            print_fields(settings, result._asdict())
+            if result.state == "unknown":
+                print(f"ask again: eelgrassdrum outcome {result.id}")
+    return EXIT_CODES[results[-1].state]
+
+
+def _publish_one(
+    settings: Settings, name: str, document: Document, comment: str, base: int | None, repeat: str
+) -> PublishResult:
+    subject = document_subject(name)
+    if base is None:
+        base = current_base(settings, subject)
+    record_id = parse_id(repeat) if repeat else None
+    body = document_body(name, document, settings.operator, comment)
+    return publish(settings, DOCUMENT_PUBLISHED, subject, base, body, record_id)
+
+
+def _in_force(settings: Settings, name: str) -> InForce | None:
+    try:
+        found: InForce = get_typed(settings, f"/documents/{name}", InForce)
+    except CommandError as exc:
+        if exc.code == ExitCode.NOT_FOUND:
+            return None
+        raise
+    return found
+
+
+def _require_in_force(settings: Settings, name: str) -> InForce:
+    current = _in_force(settings, name)
+    if current is None:
+        raise CommandError(ExitCode.NOT_FOUND, f"no document {name!r} is in force")
+    return current
+
+
+def _revisions(current: InForce) -> list[Revision]:
+    """
+    List each revision once, the newest first.
+    """
+    found = {item.revision: item for item in current.history}
+    newest = Revision(current.revision, current.author, current.comment, current.document)
+    found.setdefault(current.revision, newest)
+    return [found[revision] for revision in sorted(found, reverse=True)]
+
+
+def _earlier(settings: Settings, name: str, current: InForce, revision: int) -> dict[str, Any]:
+    """
+    Find the document of a revision in the history, or else in the log.
+    """
+    listed = [item for item in _revisions(current) if item.revision == revision]
+    if not listed:
+        raise CommandError(ExitCode.NOT_FOUND, f"{name!r} never had the revision {revision}")
+    if listed[0].document is not None:
+        return listed[0].document
+    try:
+        entry = read_record(settings.log_url, revision)
+    except NoAnswerError as exc:
+        raise CommandError(ExitCode.UNREACHABLE, str(exc)) from exc
+    if entry is None:
+        raise CommandError(ExitCode.NOT_FOUND, f"the log no longer holds revision {revision}")
+    document: dict[str, Any] = entry.record["body"]["document"]
+    return document
--- /dev/null
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_keys.py
@@ -0,0 +1,128 @@
+"""
+Commands on keys: grant, withdraw, list, and new keys for operators.
+"""
+
+from typing import Any
+
+from eelgrassdrum_core._config_validate import check_grant, decode_grant, decode_withdrawal
+
+from ._commands_config import InForce, print_results
+from ._errors import CommandError, ExitCode, InvalidInputError
+from ._key_text import new_key
+from ._operator_client import get_typed
+from ._output import print_fields, print_rows
+from ._publish import EXIT_CODES, Subjects, publish
+from ._records import key_subject
+from ._settings import NO_SETTINGS, Settings
+
+KEY_GRANTED = "key.granted"
+KEY_WITHDRAWN = "key.withdrawn"
+
+
+def grant(
+    workspace: str,
+    team: str,
+    /,
+    *,
+    queue: tuple[str, ...] = (),
+    key_id: str = "",
+    settings: Settings = NO_SETTINGS,
+) -> int:
+    """
+    Grant a new key to a team, and print the key once. Nobody can print it again.
+
+    :param workspace: the team's workspace.
+    :param team: the team.
+    :param queue: queues that the key opens; each keyed queue of the workspace by default.
+    :param key_id: the key's id, random by default.
+    """
+    key = new_key(key_id)
+    body: dict[str, Any] = {
+        "key_id": key.key_id,
+        "workspace": workspace,
+        "team": team,
+        "digest": key.digest,
+        "queues": list(queue),
+    }
+    _check_grant(settings, body)
+    subject = key_subject(workspace, key.key_id)
+    # A key id names one key for good, so the grant builds on no earlier record.
+    result = publish(settings, KEY_GRANTED, subject, 0, body)
+    shown = {"key": key.text} if result.state != "rejected" else {}
+    if settings.output == "json":
+        print_fields(settings, {**result._asdict(), **shown})
+    else:
+        print_results(settings, [result])
+        for text in shown.values():
+            print(f"key: {text}")
+    return EXIT_CODES[result.state]
+
+
+def withdraw(workspace: str, key_id: str, /, *, settings: Settings = NO_SETTINGS) -> int:
+    """
+    Withdraw a key. A withdrawn key never works again, whatever else is published.
+
+    :param workspace: the key's workspace.
+    :param key_id: the key's id.
+    """
+    body = {"workspace": workspace, "key_id": key_id}
+    decoded = decode_withdrawal(body)
+    if isinstance(decoded, list):
+        raise InvalidInputError(decoded)
+    # A withdrawal builds on nothing, so that no other change can get in its way.
+    result = publish(settings, KEY_WITHDRAWN, key_subject(workspace, key_id), None, body)
+    return print_results(settings, [result])
+
+
+def list_keys(workspace: str, /, *, settings: Settings = NO_SETTINGS) -> int:
+    """
+    List the keys of a workspace with the revision of their last change.
+
+    :param workspace: the workspace.
+    """
+    prefix = key_subject(workspace, "")
+    found: Subjects = get_typed(settings, f"/subjects?prefix={prefix}", Subjects)
+    rows = [(name.removeprefix(prefix), offset) for name, offset in sorted(found.subjects.items())]
+    content = [{"key_id": key_id, "revision": offset} for key_id, offset in rows]
+    print_rows(settings, content, ("key id", "revision"), rows)
+    return ExitCode.OK
+
+
+def new_operator(
+    name: str, /, *, scope: tuple[str, ...] = ("*",), settings: Settings = NO_SETTINGS
+) -> int:
+    """
+    Make an operator's key, and print it with the entry for the fleet's document.
+
+    Nothing is sent. The key works once the document with its digest is published.
+
+    :param name: the operator's name.
+    :param scope: workspaces that the operator may act on, ``*`` for each.
+    """
+    key = new_key(name)
+    entry = {"name": name, "scopes": list(scope), "digest": key.digest}
+    if settings.output == "json":
+        print_fields(settings, {"key": key.text, "operator": entry})
+        return ExitCode.OK
+    scopes = ", ".join(f'"{item}"' for item in scope)
+    print(f'[[operators]]\nname = "{name}"\nscopes = [{scopes}]\ndigest = "{key.digest}"\n')
+    print(f"# key: {key.text}")
+    return ExitCode.OK
+
+
+def _check_grant(settings: Settings, body: dict[str, Any]) -> None:
+    """
+    Check a grant alone, and against the document in force when an entry instance answers.
+    """
+    decoded = decode_grant(body)
+    if isinstance(decoded, list):
+        raise InvalidInputError(decoded)
+    try:
+        found: InForce = get_typed(settings, f"/documents/{decoded['workspace']}", InForce)
+    except CommandError as exc:
+        if exc.code != ExitCode.UNREACHABLE:
+            raise
+        return
+    faults = check_grant(decoded, found.document)  # type: ignore[arg-type]
+    if faults:
+        raise InvalidInputError(faults)
--- /dev/null
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_key_text.py
@@ -0,0 +1,34 @@
+"""
+Makes keys. The log only ever holds the digest of a key's secret.
+"""
+
+import hashlib
+import secrets
+from typing import NamedTuple
+
+KEY_PREFIX = "egd"
+_KEY_ID_BYTES = 5
+_SECRET_BYTES = 32
+
+
+class NewKey(NamedTuple):
+    """
+    A key that was just made: the text for its bearer, and the digest for the log.
+    """
+
+    key_id: str
+    text: str
+    digest: str
+
+
+def new_key(key_id: str = "") -> NewKey:
+    """
+    Make a key from the operating system's random numbers.
+
+    :param key_id: the id, random when left out.
+    :returns: the key.
+    """
+    key_id = key_id or secrets.token_hex(_KEY_ID_BYTES)
+    secret = secrets.token_hex(_SECRET_BYTES)
+    digest = hashlib.sha256(secret.encode()).hexdigest()
+    return NewKey(key_id, f"{KEY_PREFIX}_{key_id}_{secret}", digest)
--- /dev/null
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_publish.py
@@ -0,0 +1,151 @@
+"""
+Appends one record and waits for its outcome.
+"""
+
+import time
+from typing import Any, NamedTuple
+
+import msgspec
+
+from ._errors import CommandError, ExitCode
+from ._http import NoAnswerError
+from ._log_client import append, read_page, read_record, scan
+from ._operator_client import Outcome, get_typed, wait_for_outcome
+from ._records import Record, RecordId, new_id
+from ._settings import Settings
+
+
+class Subjects(msgspec.Struct):
+    """
+    Offsets of the last accepted records by subject.
+    """
+
+    subjects: dict[str, int]
+
+
+class PublishResult(NamedTuple):
+    """
+    What became of a record; ``overtaken_by`` tells of the record that went before it.
+    """
+
+    id: str
+    subject: str
+    state: str
+    revision: int | None
+    reason: str | None
+    overtaken_by: Any
+
+
+EXIT_CODES = {
+    "accepted": ExitCode.OK,
+    "rejected": ExitCode.REJECTED,
+    "unknown": ExitCode.UNKNOWN,
+}
+
+
+def publish(
+    settings: Settings,
+    kind: str,
+    subject: str,
+    base: int | None,
+    body: dict[str, Any],
+    record_id: RecordId | None = None,
+) -> PublishResult:
+    """
+    Append a record and wait until the fold has decided on it.
+
+    :param settings: where the log and the entry instances are.
+    :param kind: the record's kind.
+    :param subject: what it changes.
+    :param base: the subject's revision that it builds on, or ``None`` for no check.
+    :param body: its body.
+    :param record_id: the id of an earlier try, to make it again safely.
+    :returns: what became of it.
+    :raises CommandError: when nothing was sent.
+    """
+    require(settings.log_url, "--log-url")
+    require(settings.operator, "--operator")
+    record = Record(record_id or new_id(settings.operator), kind, subject, base, body)
+    started = time.monotonic()
+    appended = append(settings.log_url, record, settings.timeout_s)
+    if appended.offset is None:
+        if appended.is_settled:
+            raise CommandError(ExitCode.NOT_SENT, f"nothing was appended: {appended.message}")
+        return _result(settings, record, Outcome("unknown", reason=appended.message))
+    left_s = max(0.0, settings.timeout_s - (time.monotonic() - started))
+    return _result(settings, record, wait_for_outcome(settings, record.id, left_s))
+
+
+def require(value: object, flag: str) -> None:
+    """
+    Refuse to go on without a setting.
+
+    :param value: the setting.
+    :param flag: the flag that sets it.
+    :raises CommandError: when it is empty.
+    """
+    if not value:
+        raise CommandError(ExitCode.USAGE, f"{flag} is not set")
+
+
+def current_base(settings: Settings, subject: str) -> int:
+    """
+    Find the revision that a new record of a subject has to build on.
+
+    Before the first entry instance is up, an untouched log settles it: a subject that it never
+    held has no revision.
+
+    :param settings: where the log and the entry instances are.
+    :param subject: the subject.
+    :returns: the offset of its last accepted record, 0 for none.
+    :raises CommandError: when it cannot be found out.
+    """
+    try:
+        found: Subjects = get_typed(settings, f"/subjects?prefix={subject}", Subjects)
+        return found.subjects.get(subject, 0)
+    except CommandError as exc:
+        if exc.code != ExitCode.UNREACHABLE or not _is_new(settings, subject):
+            raise
+        return 0
+
+
+def _is_new(settings: Settings, subject: str) -> bool:
+    """
+    Tell whether a log that dropped nothing yet never held the subject.
+    """
+    try:
+        if read_page(settings.log_url, 1, limit=1).first > 1:
+            return False
+        return all(entry.record.get("subject") != subject for entry in scan(settings.log_url))
+    except NoAnswerError:
+        return False
+
+
+def _result(settings: Settings, record: Record, outcome: Outcome) -> PublishResult:
+    overtaken_by = outcome.overtaken_by
+    if isinstance(overtaken_by, int):
+        overtaken_by = _describe(settings, overtaken_by)
+    return PublishResult(
+        str(record.id),
+        record.subject,
+        outcome.state,
+        outcome.offset if outcome.state == "accepted" else None,
+        outcome.reason,
+        overtaken_by,
+    )
+
+
+def _describe(settings: Settings, offset: int) -> dict[str, Any]:
+    """
+    Tell who wrote the record at an offset, as far as the log still holds it.
+    """
+    try:
+        entry = read_record(settings.log_url, offset)
+    except NoAnswerError:
+        entry = None
+    if entry is None:
+        return {"offset": offset}
+    body = entry.record.get("body")
+    author = body.get("author") if isinstance(body, dict) else None
+    writer = entry.record.get("id", {}).get("writer")
+    return {"offset": offset, "author": author, "writer": writer}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_lines.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_lines.py
@@ -72,7 +72,8 @@
     except tomllib.TOMLDecodeError as exc:
         found = _SYNTAX_ERROR_LINE.search(str(exc))
         line = int(found[1]) if found else len(source.text.splitlines())
-        return Fault(source.file, line, "", f"not TOML: {_SYNTAX_ERROR_LINE.sub('', str(exc))}")
+        reason = _SYNTAX_ERROR_LINE.sub("", str(exc)).strip()
+        return Fault(source.file, line, "", f"not TOML: {reason}")
 
 
 def index_lines(text: str) -> dict[Path, int]:
