Decide about one request from arrival to answer

Cause: the parts needed shared types before they could be split. Change: events, effects, records, the fold with revisions and fencing, keys, a weighted fair queue, an equal static split of limits, endpoint choice, and the reducer over a table per domain. Six tests of the request's way pass. Conclusion: transport and policy can be built side by side.

--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config.py
@@ -0,0 +1,200 @@
+"""
+Documents in force: services, queues, teams and pools by their full names.
+"""
+
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+
+from ._records import DOCUMENT_PUBLISHED, Record
+
+T = TypeVar("T")
+
+FLEET = "fleet"
+# Earlier revisions kept per document, for history and rollback.
+REVISIONS_KEPT = 20
+
+REASON_INVALID = "invalid_document"
+
+
+class Service(NamedTuple):
+    """
+    A service that endpoints run.
+
+    :param name: ``WORKSPACE/SERVICE``.
+    :param executors: endpoints that it should have.
+    :param max_unavailable: endpoints that may be down at once.
+    :param shared: whether other workspaces may use it.
+    """
+
+    name: str
+    executors: int
+    max_unavailable: int
+    shared: bool
+
+
+class Queue(NamedTuple):
+    """
+    A queue that callers send requests to.
+
+    :param name: ``WORKSPACE/QUEUE``.
+    :param workspace: its workspace.
+    :param service: ``WORKSPACE/SERVICE`` that runs its requests.
+    :param keyed: whether a key is needed.
+    :param max_queued: requests that may wait at one entry instance.
+    :param max_bytes: bytes of bodies that may wait at one entry instance.
+    :param max_wait_s: seconds that a request may wait.
+    :param max_run_s: seconds that a request may run.
+    """
+
+    name: str
+    workspace: str
+    service: str
+    keyed: bool
+    max_queued: int
+    max_bytes: int
+    max_wait_s: float
+    max_run_s: float
+
+
+class Team(NamedTuple):
+    """
+    A team and what it may use.
+
+    :param name: ``WORKSPACE/TEAM``.
+    :param workspace: its workspace.
+    :param share: weight when the fleet is full.
+    :param limit: units that it may run at once over the whole fleet.
+    :param reserved: units kept for it.
+    :param grace_s: seconds that its keys go on in a zone that can't hear of withdrawals.
+    """
+
+    name: str
+    workspace: str
+    share: float
+    limit: int
+    reserved: int
+    grace_s: float
+
+
+class DocumentRevision(NamedTuple):
+    """
+    One accepted document.
+
+    :param offset: its place in the log, which is its revision.
+    :param author: the operator.
+    :param comment: the operator's words.
+    :param document: the rendered document.
+    """
+
+    offset: int
+    author: str
+    comment: str
+    document: dict[str, Any]
+
+
+class ConfigFold(msgspec.Struct):
+    """
+    Documents as decided by the log, with what is worked out from them.
+    """
+
+    documents: dict[str, list[DocumentRevision]] = msgspec.field(default_factory=dict)
+    services: dict[str, Service] = msgspec.field(default_factory=dict)
+    queues: dict[str, Queue] = msgspec.field(default_factory=dict)
+    teams: dict[str, Team] = msgspec.field(default_factory=dict)
+
+
+def qualify(workspace: str, name: str) -> str:
+    """
+    Give the full name of something in a workspace.
+
+    :param workspace: the workspace whose document names it.
+    :param name: ``NAME``, or already ``WORKSPACE/NAME``.
+    :returns: ``WORKSPACE/NAME``.
+    """
+    return name if "/" in name else f"{workspace}/{name}"
+
+
+def apply_document(config: ConfigFold, offset: int, record: Record) -> str:
+    """
+    Put a published document in force.
+
+    :param config: changed in place.
+    :param offset: the record's place in the log.
+    :param record: a ``document.published`` record.
+    :returns: a reason to reject it, or an empty text.
+    """
+    try:
+        revision = DocumentRevision(
+            offset,
+            str(record.body.get("author", "")),
+            str(record.body.get("comment", "")),
+            record.body["document"],
+        )
+        name = record.body["name"]
+        services, queues, teams = _read_document(name, revision.document)
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return REASON_INVALID
+    if record.subject != f"document/{name}":
+        return REASON_INVALID
+    revisions = config.documents.setdefault(name, [])
+    revisions.append(revision)
+    del revisions[:-REVISIONS_KEPT]
+    config.services = _replace(config.services, name, services)
+    config.queues = _replace(config.queues, name, queues)
+    config.teams = _replace(config.teams, name, teams)
+    return ""
+
+
+def _replace(current: dict[str, T], workspace: str, new: dict[str, T]) -> dict[str, T]:
+    kept = {key: value for key, value in current.items() if not key.startswith(f"{workspace}/")}
+    return {**kept, **new}
+
+
+def _read_document(
+    name: str, document: dict[str, Any]
+) -> tuple[dict[str, Service], dict[str, Queue], dict[str, Team]]:
+    services = [_read_service(name, item) for item in document.get("services", [])]
+    queues = [_read_queue(name, item) for item in document.get("queues", [])]
+    teams = [_read_team(name, item) for item in document.get("teams", [])]
+    return (
+        {service.name: service for service in services},
+        {queue.name: queue for queue in queues},
+        {team.name: team for team in teams},
+    )
+
+
+def _read_service(workspace: str, item: dict[str, Any]) -> Service:
+    return Service(
+        qualify(workspace, item["name"]),
+        int(item["executors"]),
+        int(item.get("max_unavailable", 1)),
+        bool(item.get("shared", False)),
+    )
+
+
+def _read_queue(workspace: str, item: dict[str, Any]) -> Queue:
+    return Queue(
+        qualify(workspace, item["name"]),
+        workspace,
+        qualify(workspace, item["service"]),
+        item.get("access", "keyed") != "open",
+        int(item["max_queued"]),
+        int(item["max_bytes"]),
+        float(item["max_wait_s"]),
+        float(item["max_run_s"]),
+    )
+
+
+def _read_team(workspace: str, item: dict[str, Any]) -> Team:
+    return Team(
+        qualify(workspace, item["name"]),
+        workspace,
+        float(item["share"]),
+        int(item["limit"]),
+        int(item.get("reserved", 0)),
+        float(item.get("grace_s", 0.0)),
+    )
+
+
+APPLIERS = {DOCUMENT_PUBLISHED: apply_document}
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -0,0 +1,53 @@
+"""
+The reducer: one function over all events, composed of a table of handlers per domain.
+"""
+
+from collections import defaultdict, deque
+from collections.abc import Iterable
+
+from . import _admission, _dispatch, _lifecycle, _log_follower
+from ._effects import Emit
+from ._handlers import Handler, HandlerTable
+from ._state import State
+
+# Domains in the order in which they see an event.
+DOMAINS: tuple[HandlerTable, ...] = (
+    _log_follower.HANDLERS,
+    _lifecycle.HANDLERS,
+    _admission.HANDLERS,
+    _dispatch.HANDLERS,
+)
+
+
+def _merge(domains: Iterable[HandlerTable]) -> dict[type, tuple[Handler, ...]]:
+    merged: defaultdict[type, list[Handler]] = defaultdict(list)
+    for domain in domains:
+        for event_type, handler in domain.items():
+            merged[event_type].append(handler)
+    return {event_type: tuple(handlers) for event_type, handlers in merged.items()}
+
+
+HANDLERS = _merge(DOMAINS)
+
+
+def reduce(state: State, now_s: float, event: object) -> tuple[State, list[object]]:
+    """
+    Take one event in.
+
+    :param state: the state, changed in place.
+    :param now_s: monotonic time in seconds; earlier times than the last are ignored.
+    :param event: one of the event types.
+    :returns: the state and the effects, in the order in which they are to be carried out.
+    """
+    state.now_s = max(state.now_s, now_s)
+    effects: list[object] = []
+    pending = deque([event])
+    while pending:
+        current = pending.popleft()
+        for handler in HANDLERS.get(type(current), ()):
+            for effect in handler(state, current):
+                if isinstance(effect, Emit):
+                    pending.append(effect.event)
+                else:
+                    effects.append(effect)
+    return state, effects
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_refusals.py
@@ -0,0 +1,84 @@
+"""
+Refusals and failures that a caller can be told, each with a code.
+"""
+
+from typing import Literal, NamedTuple
+
+RunState = Literal["not_run", "unknown"]
+NOT_RUN: RunState = "not_run"
+UNKNOWN: RunState = "unknown"
+
+
+class RefusalCode(NamedTuple):
+    """
+    One kind of refusal.
+
+    :param name: code in the answer's ``error`` field.
+    :param status: HTTP status.
+    :param run_state: whether the request certainly did not run.
+    :param message: text for people.
+    """
+
+    name: str
+    status: int
+    run_state: RunState
+    message: str
+
+
+class Refusal(NamedTuple):
+    """
+    A refusal of one request.
+
+    :param code: its kind.
+    :param retry_after_s: seconds after which a repeat is useful, or ``None`` when it is not.
+    :param detail: more for people; holds nothing of another workspace.
+    """
+
+    code: RefusalCode
+    retry_after_s: float | None = None
+    detail: str = ""
+
+
+NOT_READY = RefusalCode("not_ready", 503, NOT_RUN, "this instance has no whole configuration yet")
+STOPPING = RefusalCode("stopping", 503, NOT_RUN, "this instance is leaving; try again elsewhere")
+UNKNOWN_QUEUE = RefusalCode("unknown_queue", 404, NOT_RUN, "there is no such queue for this key")
+KEY_REQUIRED = RefusalCode("key_required", 401, NOT_RUN, "this queue needs a key")
+KEY_REFUSED = RefusalCode("key_refused", 401, NOT_RUN, "the key is wrong, unknown or withdrawn")
+KEY_UNVERIFIED = RefusalCode(
+    "key_unverified", 503, NOT_RUN, "withdrawals cannot be seen from here, so no key is taken"
+)
+KEY_FORBIDDEN = RefusalCode("key_forbidden", 403, NOT_RUN, "the key does not open this queue")
+BAD_REQUEST = RefusalCode("bad_request", 400, NOT_RUN, "the request is malformed")
+BODY_TOO_LARGE = RefusalCode("body_too_large", 413, NOT_RUN, "the body is larger than allowed")
+QUEUE_FULL = RefusalCode("queue_full", 503, NOT_RUN, "the queue is full")
+OVERLOADED = RefusalCode("overloaded", 503, NOT_RUN, "this instance is out of memory for bodies")
+WAIT_TOO_LONG = RefusalCode("wait_too_long", 503, NOT_RUN, "the request could not start in time")
+LIMIT_REACHED = RefusalCode("limit_reached", 429, NOT_RUN, "the team's upper limit is reached")
+NO_ENDPOINT = RefusalCode("no_endpoint", 503, NOT_RUN, "no endpoint of the service can be reached")
+OUTCOME_UNKNOWN = RefusalCode(
+    "outcome_unknown", 502, UNKNOWN, "the request may have run, and its answer is lost"
+)
+RUN_TIMEOUT = RefusalCode("run_timeout", 504, UNKNOWN, "the request did not answer in time")
+REQUEST_CONFLICT = RefusalCode(
+    "request_conflict", 409, NOT_RUN, "another request has used this request id"
+)
+
+ALL_CODES: tuple[RefusalCode, ...] = (
+    NOT_READY,
+    STOPPING,
+    UNKNOWN_QUEUE,
+    KEY_REQUIRED,
+    KEY_REFUSED,
+    KEY_UNVERIFIED,
+    KEY_FORBIDDEN,
+    BAD_REQUEST,
+    BODY_TOO_LARGE,
+    QUEUE_FULL,
+    OVERLOADED,
+    WAIT_TOO_LONG,
+    LIMIT_REACHED,
+    NO_ENDPOINT,
+    OUTCOME_UNKNOWN,
+    RUN_TIMEOUT,
+    REQUEST_CONFLICT,
+)
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -0,0 +1,106 @@
+"""
+The whole state of one entry instance, a slice per domain.
+"""
+
+import random
+
+import msgspec
+
+from ._config import ConfigFold
+from ._effects import Identity
+from ._endpoints import EndpointState
+from ._fair import FairState
+from ._fold import LogPosition
+from ._keys import KeyFold
+from ._limits import LimitState
+from ._requests import Attempt
+
+
+class Tuning(msgspec.Struct, frozen=True):
+    """
+    Settings of the decisions.
+
+    :param entry_instances: entry instances of the fleet.
+    :param default_timeout_s: seconds that a caller waits when it does not say.
+    :param refused_pause_s: seconds that an endpoint gets no work after it refused some.
+    :param max_tries: attempts for one request.
+    :param list_interval_s: seconds between two reads of the instance list.
+    :param log_wait_s: seconds that a read of the log waits for records.
+    :param log_retry_s: seconds between reads while the log is out.
+    """
+
+    entry_instances: int = 9
+    default_timeout_s: float = 30.0
+    refused_pause_s: float = 0.05
+    max_tries: int = 3
+    list_interval_s: float = 1.0
+    log_wait_s: float = 10.0
+    log_retry_s: float = 0.5
+
+
+class Fold(msgspec.Struct):
+    """
+    Everything that follows from the log alone.
+    """
+
+    position: LogPosition = msgspec.field(default_factory=LogPosition)
+    config: ConfigFold = msgspec.field(default_factory=ConfigFold)
+    keys: KeyFold = msgspec.field(default_factory=KeyFold)
+
+
+class LogState(msgspec.Struct):
+    """
+    This instance's view of the log service.
+
+    :param head: newest offset seen.
+    :param caught_up: whether the fold has once reached the head.
+    :param available: whether the last read was answered.
+    """
+
+    head: int = 0
+    caught_up: bool = False
+    available: bool = True
+
+
+class RequestState(msgspec.Struct):
+    """
+    Requests at this instance.
+
+    :param attempts: attempts in flight by id.
+    :param open_tokens: accepted requests by exchange.
+    :param next_attempt: number of the next attempt.
+    """
+
+    attempts: dict[str, Attempt] = msgspec.field(default_factory=dict)
+    open_tokens: dict[int, str] = msgspec.field(default_factory=dict)
+    next_attempt: int = 1
+
+
+class State(msgspec.Struct):
+    """
+    The state of one entry instance.
+    """
+
+    identity: Identity
+    tuning: Tuning
+    now_s: float = 0.0
+    stopping: bool = False
+    list_read_at_s: float = 0.0
+    rng: random.Random = msgspec.field(default_factory=lambda: random.Random(0))
+    fold: Fold = msgspec.field(default_factory=Fold)
+    log: LogState = msgspec.field(default_factory=LogState)
+    requests: RequestState = msgspec.field(default_factory=RequestState)
+    fair: FairState = msgspec.field(default_factory=FairState)
+    limits: LimitState = msgspec.field(default_factory=LimitState)
+    endpoints: EndpointState = msgspec.field(default_factory=EndpointState)
+
+
+def new_state(identity: Identity, tuning: Tuning) -> State:
+    """
+    Give the state of an instance that has just started.
+
+    :param identity: who it is.
+    :param tuning: settings of the decisions.
+    :returns: the state.
+    """
+    return State(identity, tuning)
--- /dev/null
+++ b/packages/eelgrassdrum-core/tests/test_request_path.py
@@ -0,0 +1,174 @@
+"""
+The way of one request through the reducer.
+"""
+
+from eelgrassdrum_core import (
+    DOCUMENT_PUBLISHED,
+    KEY_GRANTED,
+    KEY_WITHDRAWN,
+    Credential,
+    Identity,
+    Record,
+    RecordId,
+    Sender,
+    State,
+    StoredRecord,
+    Tuning,
+    digest_secret,
+    effects,
+    events,
+    new_state,
+    parse_credential,
+    reduce,
+    refusals,
+)
+
+KEY_TEXT = "egd_k1_s3cret"
+DOCUMENT = {
+    "services": [{"name": "judging", "executors": 1, "max_unavailable": 0}],
+    "queues": [
+        {
+            "name": "scores",
+            "service": "judging",
+            "access": "keyed",
+            "max_queued": 2,
+            "max_bytes": 1000,
+            "max_wait_s": 5.0,
+            "max_run_s": 10.0,
+        }
+    ],
+    "teams": [{"name": "judges", "share": 1.0, "limit": 2}],
+}
+GRANT = {
+    "workspace": "show",
+    "key_id": "k1",
+    "team": "judges",
+    "digest": digest_secret("s3cret"),
+    "queues": [],
+}
+
+
+def record(sequence: int, kind: str, subject: str, base: int | None, body: dict) -> StoredRecord:
+    """
+    Make a stored record whose offset is its sequence.
+    """
+    return StoredRecord(
+        sequence, Record(RecordId("operator", 1, sequence), kind, subject, base, body)
+    )
+
+
+def make_state() -> State:
+    """
+    Give an instance with one queue, one key and one endpoint of one slot.
+    """
+    identity = Identity(Sender("entry-a1", 1, "a"), "127.0.0.1:1", "127.0.0.1:2")
+    state = new_state(identity, Tuning(entry_instances=1))
+    published = {"name": "show", "document": DOCUMENT, "author": "op", "comment": ""}
+    records = (
+        record(1, DOCUMENT_PUBLISHED, "document/show", 0, published),
+        record(2, KEY_GRANTED, "key/show/k1", 0, GRANT),
+    )
+    reduce(state, 1.0, events.LogRead(records, 2))
+    endpoint = events.ListedInstance("ep-1", "endpoint", "127.0.0.1:9", "a", service="show/judging")
+    reduce(state, 1.0, events.InstancesListed((endpoint,)))
+    return state
+
+
+def submit(token: int, credential: Credential | None, **changes: object) -> events.RequestReceived:
+    """
+    Make a request to the one queue.
+    """
+    request = events.RequestReceived(
+        token, f"r{token}", "show/scores", credential, False, False, 2.0, 10
+    )
+    return request._replace(**changes)
+
+
+def only(kind: type, produced: list[object]) -> list:
+    """
+    Give the effects of one type.
+    """
+    return [effect for effect in produced if isinstance(effect, kind)]
+
+
+FIXTURES = {"state": make_state, "credential": lambda: parse_credential(KEY_TEXT)}
+
+
+def test_answer_reaches_its_caller(state: State, credential: Credential) -> None:
+    """
+    A request under a granted key is dispatched, and its answer goes to its own exchange.
+    """
+    _, produced = reduce(state, 2.0, submit(7, credential))
+    [dispatch] = only(effects.Dispatch, produced)
+    assert (dispatch.token, dispatch.endpoint, dispatch.team) == (7, "ep-1", "show/judges")
+    _, produced = reduce(state, 2.5, events.AttemptAnswered(dispatch.attempt, 200, 5))
+    assert only(effects.Reply, produced) == [effects.Reply(7, dispatch.attempt)]
+    assert state.requests.open_tokens == {}
+
+
+def test_second_answer_is_dropped(state: State, credential: Credential) -> None:
+    """
+    An answer that comes twice is given once.
+    """
+    _, produced = reduce(state, 2.0, submit(7, credential))
+    [dispatch] = only(effects.Dispatch, produced)
+    answer = events.AttemptAnswered(dispatch.attempt, 200, 5)
+    reduce(state, 2.5, answer)
+    _, produced = reduce(state, 2.6, answer)
+    assert only(effects.Reply, produced) == []
+    assert only(effects.DropAnswer, produced) == [effects.DropAnswer(dispatch.attempt)]
+
+
+def test_withdrawn_key_is_refused(state: State, credential: Credential) -> None:
+    """
+    After a withdrawal the key opens nothing, and a later grant does not bring it back.
+    """
+    body = {"workspace": "show", "key_id": "k1"}
+    records = (
+        record(3, KEY_WITHDRAWN, "key/show/k1", None, body),
+        record(4, KEY_GRANTED, "key/show/k1", 3, GRANT),
+    )
+    reduce(state, 2.0, events.LogRead(records, 4))
+    _, produced = reduce(state, 2.0, submit(7, credential))
+    [refuse] = only(effects.Refuse, produced)
+    assert refuse.refusal.code == refusals.KEY_REFUSED
+
+
+def test_non_idempotent_attempt_is_not_sent_again(state: State, credential: Credential) -> None:
+    """
+    When bytes were sent and no answer came, the caller is told that the outcome is unknown.
+    """
+    _, produced = reduce(state, 2.0, submit(7, credential))
+    [dispatch] = only(effects.Dispatch, produced)
+    _, produced = reduce(state, 2.1, events.AttemptFailed(dispatch.attempt, True, "closed"))
+    [refuse] = only(effects.Refuse, produced)
+    assert refuse.refusal.code.run_state == refusals.UNKNOWN
+    assert only(effects.Dispatch, produced) == []
+
+
+def test_unsent_attempt_is_tried_again(state: State, credential: Credential) -> None:
+    """
+    When no byte was sent, the request is dispatched again under a new attempt.
+    """
+    _, produced = reduce(state, 2.0, submit(7, credential))
+    [first] = only(effects.Dispatch, produced)
+    reduce(state, 2.1, events.AttemptFailed(first.attempt, False, "connect"))
+    _, produced = reduce(state, 3.0, events.Ticked())
+    [second] = only(effects.Dispatch, produced)
+    assert second.token == 7
+    assert second.attempt != first.attempt
+
+
+def test_stale_writer_loses(state: State) -> None:
+    """
+    Of two documents built on the same revision, the first in the log wins.
+    """
+    published = {"name": "show", "document": DOCUMENT, "author": "op", "comment": ""}
+    records = (
+        record(3, DOCUMENT_PUBLISHED, "document/show", 1, {**published, "comment": "first"}),
+        record(4, DOCUMENT_PUBLISHED, "document/show", 1, {**published, "comment": "second"}),
+    )
+    reduce(state, 2.0, events.LogRead(records, 4))
+    assert state.fold.config.documents["show"][-1].comment == "first"
+    decision = state.fold.position.decisions[RecordId("operator", 1, 4)]
+    assert (decision.accepted, decision.overtaken_by) == (False, 3)
