--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_events.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_events.py
@@ -268,9 +268,9 @@
     message: Any
 
 
-class OperatorAppend(NamedTuple):
+class RecordWanted(NamedTuple):
     """
-    The instance itself wants a record in the log.
+    A domain of this instance wants a record in the log.
 
     :param kind: kind of the record.
     :param subject: what it changes.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -3,6 +3,7 @@
 """
 
 import random
+from collections import deque
 
 import msgspec
 
@@ -13,6 +14,7 @@
 from ._fold import LogPosition
 from ._keys import KeyFold
 from ._limits import LimitState
+from ._records import Record
 from ._requests import Attempt
 
 
@@ -62,6 +64,20 @@
     available: bool = True
 
 
+class Outbox(msgspec.Struct):
+    """
+    Records not yet known to be in the log.
+
+    :param waiting: records not yet appended, in order.
+    :param in_flight: the batch whose answer is awaited.
+    :param next_sequence: sequence of the next record.
+    """
+
+    waiting: deque[Record] = msgspec.field(default_factory=deque)
+    in_flight: tuple[Record, ...] = ()
+    next_sequence: int = 1
+
+
 class RequestState(msgspec.Struct):
     """
     Requests at this instance.
@@ -89,6 +105,7 @@
     rng: random.Random = msgspec.field(default_factory=lambda: random.Random(0))
     fold: Fold = msgspec.field(default_factory=Fold)
     log: LogState = msgspec.field(default_factory=LogState)
+    outbox: Outbox = msgspec.field(default_factory=Outbox)
     requests: RequestState = msgspec.field(default_factory=RequestState)
     fair: FairState = msgspec.field(default_factory=FairState)
     limits: LimitState = msgspec.field(default_factory=LimitState)
