--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_config.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_config.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from eelgrassdrum_core import DOCUMENT_PUBLISHED
 from eelgrassdrum_core._config_schema import Document
 
 from ._compare import compare
@@ -20,8 +21,6 @@
 from ._settings import NO_SETTINGS, Settings
 from ._sources import load_documents
 
-DOCUMENT_PUBLISHED = "document.published"
-
 
 class Revision(msgspec.Struct):
     """
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_keys.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_keys.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from eelgrassdrum_core import KEY_GRANTED, KEY_WITHDRAWN
 from eelgrassdrum_core._config_validate import check_grant, decode_grant, decode_withdrawal
 
 from ._commands_config import InForce, print_results
@@ -15,9 +16,6 @@
 from ._records import key_subject
 from ._settings import NO_SETTINGS, Settings
 
-KEY_GRANTED = "key.granted"
-KEY_WITHDRAWN = "key.withdrawn"
-
 
 def grant(
     workspace: str,
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_key_text.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_key_text.py
@@ -2,11 +2,11 @@
 Makes keys. The log only ever holds the digest of a key's secret.
 """
 
-import hashlib
 import secrets
 from typing import NamedTuple
 
-KEY_PREFIX = "egd"
+from eelgrassdrum_core._ids import KEY_PREFIX, digest_secret
+
 _KEY_ID_BYTES = 5
 _SECRET_BYTES = 32
 
@@ -30,5 +30,5 @@
     """
     key_id = key_id or secrets.token_hex(_KEY_ID_BYTES)
     secret = secrets.token_hex(_SECRET_BYTES)
-    digest = hashlib.sha256(secret.encode()).hexdigest()
+    digest = digest_secret(secret)
     return NewKey(key_id, f"{KEY_PREFIX}_{key_id}_{secret}", digest)
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_log_client.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_log_client.py
@@ -8,11 +8,11 @@
 
 import msgspec
 
+from eelgrassdrum_core import CONTROL_STREAM, Record, RecordId, record_to_json
+
 from ._errors import CommandError, ExitCode
 from ._http import HttpAnswer, NoAnswerError, call
-from ._records import Record, RecordId
 
-STREAM = "control"
 CALL_TIMEOUT_S = 3.0
 READ_LIMIT_RECORDS = 500
 RETRY_INTERVAL_S = 0.2
@@ -77,7 +77,7 @@
     :returns: the records; those that were dropped by retention are left out.
     :raises NoAnswerError: when the log gives no usable answer.
     """
-    url = f"{log_url.rstrip('/')}/v1/streams/{STREAM}/records?from={start}&limit={limit}&wait=0"
+    url = f"{_records_url(log_url)}?from={start}&limit={limit}&wait=0"
     answer = call("GET", url, timeout_s=CALL_TIMEOUT_S)
     if answer.status == 410:
         dropped = _convert(answer, Dropped)
@@ -143,7 +143,7 @@
     :returns: the offset of the first such record, or ``None`` when the log holds none.
     :raises NoAnswerError: when the log gives no usable answer.
     """
-    wanted = msgspec.to_builtins(record_id)
+    wanted = record_id._asdict()
     for entry in scan(log_url, start):
         if entry.record.get("id") == wanted:
             return entry.offset
@@ -188,8 +188,8 @@
 
 
 def _post(log_url: str, record: Record) -> AppendResult:
-    url = f"{log_url.rstrip('/')}/v1/streams/{STREAM}/records"
-    answer = call("POST", url, timeout_s=CALL_TIMEOUT_S, content=[record])
+    content = [record_to_json(record)]
+    answer = call("POST", _records_url(log_url), timeout_s=CALL_TIMEOUT_S, content=content)
     if answer.status == 200:
         offsets = _convert(answer, AppendAnswer).offsets
         if len(offsets) == 1:
@@ -201,6 +201,10 @@
     return AppendResult(None, False, f"the log answered {answer.status}")
 
 
+def _records_url(log_url: str) -> str:
+    return f"{log_url.rstrip('/')}/v1/streams/{CONTROL_STREAM}/records"
+
+
 def _convert(answer: HttpAnswer, kind: type[Any]) -> Any:
     """
     Give an answer its type; one that does not fit may belong to a call that took effect.
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_operator_client.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_operator_client.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
+from eelgrassdrum_core import RecordId
+
 from ._errors import CommandError, ExitCode
 from ._http import HttpAnswer, NoAnswerError, call
-from ._records import RecordId
 from ._settings import Settings
 
 CALL_TIMEOUT_S = 3.0
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_publish.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_publish.py
@@ -2,18 +2,25 @@
 Appends one record and waits for its outcome.
 """
 
+import re
 import time
 from typing import Any, NamedTuple
 
 import msgspec
 
+from eelgrassdrum_core import Record, RecordId
+from eelgrassdrum_core._config_schema import NAME_PATTERN
+from eelgrassdrum_core._fold import REASON_FENCED
+
 from ._errors import CommandError, ExitCode
 from ._http import NoAnswerError
 from ._log_client import append, read_page, read_record, scan
 from ._operator_client import Outcome, get_typed, wait_for_outcome
-from ._records import Record, RecordId, new_id
+from ._records import id_text, new_id
 from ._settings import Settings
 
+MAX_TRIES = 3
+
 
 class Subjects(msgspec.Struct):
     """
@@ -64,8 +71,20 @@
     :raises CommandError: when nothing was sent.
     """
     require(settings.log_url, "--log-url")
-    require(settings.operator, "--operator")
-    record = Record(record_id or new_id(settings.operator), kind, subject, base, body)
+    if not re.fullmatch(NAME_PATTERN, settings.operator):
+        message = "--operator must be set, in lower-case letters, digits and hyphens"
+        raise CommandError(ExitCode.USAGE, message)
+    for _ in range(MAX_TRIES):
+        record = Record(record_id or new_id(settings.operator), kind, subject, base, body)
+        result = _publish_once(settings, record)
+        # Another command of this operator was faster with a newer incarnation. The record took
+        # no effect, so a new one may take its place.
+        if result.reason != REASON_FENCED or record_id is not None:
+            break
+    return result
+
+
+def _publish_once(settings: Settings, record: Record) -> PublishResult:
     started = time.monotonic()
     appended = append(settings.log_url, record, settings.timeout_s)
     if appended.offset is None:
@@ -123,10 +142,10 @@
 
 def _result(settings: Settings, record: Record, outcome: Outcome) -> PublishResult:
     overtaken_by = outcome.overtaken_by
-    if isinstance(overtaken_by, int):
+    if isinstance(overtaken_by, int) and overtaken_by:
         overtaken_by = _describe(settings, overtaken_by)
     return PublishResult(
-        str(record.id),
+        id_text(record.id),
         record.subject,
         outcome.state,
         outcome.offset if outcome.state == "accepted" else None,
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_records.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_records.py
@@ -7,50 +7,39 @@
 from collections.abc import Mapping
 from typing import Any
 
-import msgspec
+from eelgrassdrum_core import RecordId
 
 from ._errors import CommandError, ExitCode
 
-_WRITER_SUFFIX_BYTES = 4
-_MS_PER_S = 1000
+_WRITERS_PER_OPERATOR = 64
+_NS_PER_MS = 1_000_000
+_RANDOM_BITS = 20
 
 
-class RecordId(msgspec.Struct, frozen=True):
-    """
-    Names a record; an append that is repeated under the same id counts once.
+def new_id(operator: str) -> RecordId:
     """
+    Make an id that no other command uses.
 
-    writer: str
-    incarnation: int
-    sequence: int
-
-    def __str__(self) -> str:
-        return f"{self.writer}/{self.incarnation}/{self.sequence}"
-
+    Instances remember each writer, so a command takes one of a few writers of its operator, and an
+    incarnation that is unique by its time and a random part.
 
-class Record(msgspec.Struct, frozen=True):
-    """
-    One entry of the ``control`` stream.
+    :param operator: name of the operator.
+    :returns: the id.
     """
-
-    id: RecordId
-    kind: str
-    subject: str
-    base: int | None
-    body: dict[str, Any]
+    writer = f"cli-{operator}-{secrets.randbelow(_WRITERS_PER_OPERATOR)}"
+    now_ms = time.time_ns() // _NS_PER_MS
+    incarnation = (now_ms << _RANDOM_BITS) | secrets.randbits(_RANDOM_BITS)
+    return RecordId(writer, incarnation, 1)
 
 
-def new_id(operator: str) -> RecordId:
+def id_text(record_id: RecordId) -> str:
     """
-    Make an id that no other command uses.
+    Write an id as commands print it.
 
-    The random part keeps two commands of one operator apart that start in the same millisecond.
-
-    :param operator: name of the operator.
-    :returns: the id.
+    :param record_id: the id.
+    :returns: ``WRITER/INCARNATION/SEQUENCE``.
     """
-    writer = f"cli-{operator}-{secrets.token_hex(_WRITER_SUFFIX_BYTES)}"
-    return RecordId(writer, int(time.time() * _MS_PER_S), 1)
+    return f"{record_id.writer}/{record_id.incarnation}/{record_id.sequence}"
 
 
 def parse_id(text: str) -> RecordId:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_checks.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_checks.py
@@ -4,16 +4,31 @@
 
 from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
+from math import floor
 from typing import Any, cast
 
 from ._config_lines import Path
-from ._config_schema import ANY_WORKSPACE, FLEET, Document, Pool, Queue, Service, Team
+from ._config_schema import ANY_WORKSPACE, FLEET, Document, Pool, PoolSize, Queue, Service, Team
 
 Found = tuple[Path, str]
 """Where a fault stands in its document, and what it is."""
 
 _FLEET_PREFIX = f"{FLEET}/"
 
+_ROUNDING = 1e-9
+"""Keeps a fraction such as 0.3 of 10 from being rounded down to 2."""
+
+
+def count_of_fraction(fraction: float, executors: int) -> int:
+    """
+    Turn an availability budget into a count.
+
+    :param fraction: the part of a service that may be down.
+    :param executors: the executors of the service.
+    :returns: how many executors may be down, rounded down.
+    """
+    return floor(fraction * executors + _ROUNDING)
+
 
 def check_document(document: Document) -> Iterator[Found]:
     """
@@ -47,8 +62,6 @@
             continue
         for path, message in _fleet_references(document, fleet):
             yield name, path, message
-        for path, message in _capacity(document, fleet):
-            yield name, path, message
     if fleet is not None and len(documents) > 1:
         for path, message in _scopes(fleet, documents):
             yield FLEET, path, message
@@ -64,27 +77,39 @@
 
 def _services(services: list[Service], pools: list[Pool]) -> Iterator[Found]:
     for position, service in enumerate(services):
-        path: Path = ("services", position, "availability_budget")
-        budget = service["availability_budget"]
-        if len(budget) != 1:
-            yield path, "give one of max_unavailable and max_fraction"
-            continue
-        count = budget["max_unavailable"]
-        if count >= service["executors"]:
-            yield path, f"{count} of {service['executors']} executors may be down: no budget at all"
-        if count == 0 and not _has_headroom(service["name"], pools):
-            yield path, "nothing may be down and no pool can grow: no instance could be maintained"
+        path: Path = ("services", position)
+        sizes = [pool["size"] for pool in pools if pool["service"] == service["name"]]
+        yield from ((path, message) for message in _budget(service, sizes))
+        room = sum(size["max"] for size in sizes)
+        if sizes and room < service["executors"]:
+            message = f"its pools hold {room} instances at most, fewer than its executors"
+            yield (*path, "executors"), message
 
 
-def _has_headroom(service: str, pools: list[Pool]) -> bool:
+def _budget(service: Service, sizes: list[PoolSize]) -> Iterator[str]:
     """
-    Tell whether a pool of the service may hold more instances than its target.
+    Check that a budget keeps something up and lets something be maintained.
 
-    A service without pools here gets the benefit of the doubt, since another document may hold
-    them.
+    A service without pools in its document gets the benefit of the doubt, since another document
+    may hold them.
     """
-    sizes = [pool["size"] for pool in pools if pool["service"] == service]
-    return not sizes or any(size["max"] > size["target"] for size in sizes)
+    if "max_unavailable" not in service:
+        yield "give availability_budget or max_unavailable"
+        return
+    count = service["max_unavailable"]
+    if count != _count_of(service, count):
+        yield f"availability_budget and max_unavailable = {count} differ"
+    if count >= service["executors"]:
+        yield f"all {service['executors']} executors may be down at once: not a budget"
+    can_grow = any(size["max"] > size["target"] for size in sizes)
+    if count == 0 and sizes and not can_grow:
+        yield "nothing may be down and no pool can grow, so no instance could be maintained"
+
+
+def _count_of(service: Service, otherwise: int) -> int:
+    if "availability_budget" not in service:
+        return otherwise
+    return count_of_fraction(service["availability_budget"], service["executors"])
 
 
 def _pools(pools: list[Pool]) -> Iterator[Found]:
@@ -158,18 +183,6 @@
                 yield (field, position, "service"), f"the fleet's service {name!r} is not shared"
 
 
-def _capacity(document: Document, fleet: Document) -> Iterator[Found]:
-    """
-    Check that what teams have reserved could run at once.
-    """
-    fields = cast(Mapping[str, list[Any]], document)
-    reserved = sum(team["reserved"] for team in fields.get("teams", []))
-    executors = sum(service["executors"] for service in fields["services"])
-    executors += sum(entry["executors"] for entry in fleet["services"] if entry["shared"])
-    if reserved > executors:
-        yield ("teams",), f"reserved adds up to {reserved}, above {executors} executors in reach"
-
-
 def _scopes(fleet: Document, documents: Mapping[str, Document]) -> Iterator[Found]:
     operators = cast(Mapping[str, list[Any]], fleet)["operators"]
     for position, operator in enumerate(operators):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_schema.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_schema.py
@@ -36,25 +36,18 @@
 Fraction = Annotated[float, Field(gt=0, lt=1, allow_inf_nan=False)]
 
 
-class AvailabilityBudget(TypedDict):
-    """
-    How much of a service may be down at once.
-
-    A document gives one of the two; a rendered document holds ``max_unavailable`` only.
-    """
-
-    max_unavailable: NotRequired[Count]
-    max_fraction: NotRequired[Fraction]
-
-
 class Service(TypedDict):
     """
     A service and its availability budget; a shared one may be used by each workspace.
+
+    The budget is given as the fraction or as the count of executors that may be down at once. A
+    rendered document always holds the count.
     """
 
     name: Name
     executors: PositiveCount
-    availability_budget: AvailabilityBudget
+    availability_budget: NotRequired[Fraction]
+    max_unavailable: NotRequired[Count]
     shared: NotRequired[bool]
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_validate.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_validate.py
@@ -6,12 +6,11 @@
 """
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from math import floor
 from typing import Any, NamedTuple, TypeVar, cast
 
 from pydantic import TypeAdapter, ValidationError
 
-from ._config_checks import check_document
+from ._config_checks import check_document, count_of_fraction
 from ._config_lines import Fault, Path, dotted
 from ._config_schema import (
     FLEET,
@@ -29,9 +28,6 @@
     True: ("operators", "services", "pools"),
     False: ("services", "pools", "queues", "teams"),
 }
-_ROUNDING = 1e-9
-"""Keeps a fraction such as 0.3 of 10 from being rounded down to 2."""
-
 _ENTRY_DEFAULTS: dict[str, dict[str, Any]] = {
     "services": {"shared": False},
     "pools": {"service": "", "spare": False},
@@ -202,10 +198,9 @@
 
 def _with_count(service: dict[str, Any]) -> dict[str, Any]:
     """
-    Replace a fraction by the count that it allows, unless the budget is ambiguous.
+    Add the count that a fraction allows, unless the document gives the count.
     """
-    budget = service["availability_budget"]
-    if set(budget) != {"max_fraction"}:
+    if "availability_budget" not in service or "max_unavailable" in service:
         return service
-    count = floor(budget["max_fraction"] * service["executors"] + _ROUNDING)
-    return {**service, "availability_budget": {"max_unavailable": count}}
+    count = count_of_fraction(service["availability_budget"], service["executors"])
+    return {**service, "max_unavailable": count}
