--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_keys.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_keys.py
@@ -2,9 +2,12 @@
 Commands on keys: grant, withdraw, list, and new keys for operators.
 """
 
-from typing import Any
+from typing import Any, Literal
+
+import msgspec
 
 from eelgrassdrum_core import KEY_GRANTED, KEY_WITHDRAWN
+from eelgrassdrum_core._config_schema import ANY_WORKSPACE
 from eelgrassdrum_core._config_validate import check_grant, decode_grant, decode_withdrawal
 
 from ._commands_config import InForce, print_results
@@ -12,11 +15,31 @@
 from ._key_text import new_key
 from ._operator_client import get_typed
 from ._output import print_fields, print_rows
-from ._publish import EXIT_CODES, Subjects, publish
+from ._publish import EXIT_CODES, publish
 from ._records import key_subject
 from ._settings import NO_SETTINGS, Settings
 
 
+class KeyEntry(msgspec.Struct):
+    """
+    One key of a workspace.
+    """
+
+    key_id: str
+    team: str = ""
+    queues: list[str] = []
+    state: Literal["granted", "withdrawn"] = "granted"
+    revision: int | None = None
+
+
+class KeyList(msgspec.Struct):
+    """
+    The keys of a workspace.
+    """
+
+    keys: list[KeyEntry]
+
+
 def grant(
     workspace: str,
     team: str,
@@ -74,20 +97,19 @@
 
 def list_keys(workspace: str, /, *, settings: Settings = NO_SETTINGS) -> int:
     """
-    List the keys of a workspace with the revision of their last change.
+    List the keys of a workspace, granted and withdrawn.
 
     :param workspace: the workspace.
     """
-    prefix = key_subject(workspace, "")
-    found: Subjects = get_typed(settings, f"/subjects?prefix={prefix}", Subjects)
-    rows = [(name.removeprefix(prefix), offset) for name, offset in sorted(found.subjects.items())]
-    content = [{"key_id": key_id, "revision": offset} for key_id, offset in rows]
-    print_rows(settings, content, ("key id", "revision"), rows)
+    found: KeyList = get_typed(settings, f"/keys/{workspace}", KeyList)
+    rows = [(key.key_id, key.team, key.queues, key.state, key.revision) for key in found.keys]
+    columns = ("key id", "team", "queues", "state", "revision")
+    print_rows(settings, found.keys, columns, rows)
     return ExitCode.OK
 
 
 def new_operator(
-    name: str, /, *, scope: tuple[str, ...] = ("*",), settings: Settings = NO_SETTINGS
+    name: str, /, *, scope: tuple[str, ...] = (ANY_WORKSPACE,), settings: Settings = NO_SETTINGS
 ) -> int:
     """
     Make an operator's key, and print it with the entry for the fleet's document.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_checks.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_checks.py
@@ -8,7 +8,7 @@
 from typing import Any, cast
 
 from ._config_lines import Path
-from ._config_schema import ANY_WORKSPACE, FLEET, Document, Pool, PoolSize, Queue, Service, Team
+from ._config_schema import FLEET, Document, Pool, PoolSize, Queue, Service, Team
 
 Found = tuple[Path, str]
 """Where a fault stands in its document, and what it is."""
@@ -62,9 +62,6 @@
             continue
         for path, message in _fleet_references(document, fleet):
             yield name, path, message
-    if fleet is not None and len(documents) > 1:
-        for path, message in _scopes(fleet, documents):
-            yield FLEET, path, message
 
 
 def _duplicates(field: str, names: Sequence[str]) -> Iterator[Found]:
@@ -181,11 +178,3 @@
                 yield (field, position, "service"), f"no service {name!r} in the fleet"
             elif not shared[name]:
                 yield (field, position, "service"), f"the fleet's service {name!r} is not shared"
-
-
-def _scopes(fleet: Document, documents: Mapping[str, Document]) -> Iterator[Found]:
-    operators = cast(Mapping[str, list[Any]], fleet)["operators"]
-    for position, operator in enumerate(operators):
-        for index, scope in enumerate(operator["scopes"]):
-            if scope != ANY_WORKSPACE and scope not in documents:
-                yield ("operators", position, "scopes", index), f"no workspace {scope!r}"
