--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
@@ -0,0 +1,56 @@
+"""
+Several reducers in memory, with small fakes at their interfaces and virtual time.
+"""
+
+from ._endpoints import add_endpoint, crash_endpoint
+from ._entries import EXECUTORS, deliver, kill_entry, pause_entry, start_entry, submit
+from ._fleet import (
+    DEFAULT_TEAMS,
+    OPEN_QUEUE,
+    QUEUE,
+    SERVICE,
+    WORKSPACE,
+    TeamPlan,
+    fleet_document,
+    grant_key,
+    key_text,
+    make_fleet,
+    publish,
+    withdraw_key,
+)
+from ._log import append, operator_append
+from ._world import LOG, Entry, FakeEndpoint, Outcome, Run, World, advance, is_cut, later
+
+__all__ = [
+    "DEFAULT_TEAMS",
+    "EXECUTORS",
+    "LOG",
+    "OPEN_QUEUE",
+    "QUEUE",
+    "SERVICE",
+    "WORKSPACE",
+    "Entry",
+    "FakeEndpoint",
+    "Outcome",
+    "Run",
+    "TeamPlan",
+    "World",
+    "add_endpoint",
+    "advance",
+    "append",
+    "crash_endpoint",
+    "deliver",
+    "fleet_document",
+    "grant_key",
+    "is_cut",
+    "key_text",
+    "kill_entry",
+    "later",
+    "make_fleet",
+    "operator_append",
+    "pause_entry",
+    "publish",
+    "start_entry",
+    "submit",
+    "withdraw_key",
+]
