--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
@@ -4,6 +4,7 @@
 
 from ._endpoints import add_endpoint, crash_endpoint
 from ._entries import EXECUTORS, deliver, kill_entry, pause_entry, start_entry, submit
+from ._faults import FAULTS
 from ._fleet import (
     DEFAULT_TEAMS,
     OPEN_QUEUE,
@@ -18,12 +19,14 @@
     publish,
     withdraw_key,
 )
+from ._load import send_one, start_load
 from ._log import append, operator_append
 from ._world import LOG, Entry, FakeEndpoint, Outcome, Run, World, advance, is_cut, later
 
 __all__ = [
     "DEFAULT_TEAMS",
     "EXECUTORS",
+    "FAULTS",
     "LOG",
     "OPEN_QUEUE",
     "QUEUE",
@@ -50,7 +53,9 @@
     "operator_append",
     "pause_entry",
     "publish",
+    "send_one",
     "start_entry",
+    "start_load",
     "submit",
     "withdraw_key",
 ]
