Add the daemon's settings, timers and HTTP client pool

The circuits HTTP client has one connection and no deadline, so the pool registers non-blocking sockets with the circuits poller and keeps the circuits parser. Not run yet against a server.

--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
@@ -0,0 +1,288 @@
+"""
+Pool of HTTP/1.1 client connections with deadlines.
+
+The circuits HTTP client holds one connection, sends in series, has no deadline, and waits for a
+connect by polling. Here non-blocking sockets are registered with the circuits poller instead, and
+answers are read by the circuits parser.
+"""
+
+import errno
+import socket
+from collections import defaultdict, deque
+from functools import partial
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller
+from circuits.web.parsers import HttpParser
+
+from ._http_messages import ClientRequest, HttpAnswer, HttpFailure, encode_head
+from ._http_parser import (
+    BODILESS_STATUSES,
+    KIND_RESPONSE,
+    MalformedMessage,
+    feed,
+    framing,
+)
+from ._http_state import ClientConn, PoolCounters
+from ._timers import Scheduler
+
+READ_BYTES = 256 * 1024
+DEFAULT_CONNS_PER_ADDRESS = 64
+IDLE_CONNS_PER_ADDRESS = 16
+MAX_IDLE_S = 60.0
+CONNECT_PENDING = frozenset({0, errno.EINPROGRESS})
+
+
+class HttpPool(BaseComponent):
+    """
+    Sends requests over connections that are kept and used again.
+
+    Every request ends in exactly one call of its ``on_done``: with a whole answer or with a
+    failure that says whether any byte of the request may have been sent.
+    """
+
+    channel = "http-pool"
+
+    def init(
+        self,
+        poller: BasePoller,
+        scheduler: Scheduler,
+        conns_per_address: int = DEFAULT_CONNS_PER_ADDRESS,
+        max_answer_bytes: int = 64 * 1024 * 1024,
+    ) -> None:
+        """
+        Make an empty pool.
+
+        :param poller: the poller of the event loop.
+        :param scheduler: runs the deadlines.
+        :param conns_per_address: most connections to one address.
+        :param max_answer_bytes: larger answers are failures.
+        """
+        self.poller = poller
+        self.scheduler = scheduler
+        self.conns_per_address = conns_per_address
+        self.max_answer_bytes = max_answer_bytes
+        self.counters = PoolCounters()
+        self._conns: dict[socket.socket, ClientConn] = {}
+        self._open_conns: dict[str, int] = defaultdict(int)
+        self._idle: dict[str, deque[ClientConn]] = defaultdict(deque)
+
+    def submit(self, req: ClientRequest) -> ClientConn | None:
+        """
+        Send a request.
+
+        :param req: the request.
+        :returns: the connection, for `abort`, or ``None`` when the request has failed already.
+        """
+        conn = self._take_idle(req.address) or self._open(req)
+        if conn is None:
+            return None
+        conn.req = req
+        conn.parser = HttpParser(KIND_RESPONSE)
+        conn.received_bytes = 0
+        conn.sent_bytes = 0
+        conn.out.append(memoryview(encode_head(req)))
+        if req.body:
+            conn.out.append(memoryview(req.body))
+        expire = partial(self._fail, conn, "timeout")
+        conn.deadline = self.scheduler.call_later(req.timeout_s, expire)
+        if not conn.connecting:
+            self._write_some(conn)
+        return conn
+
+    def abort(self, conn: ClientConn, reason: str = "aborted") -> None:
+        """
+        Give up on the request of a connection, and close it.
+
+        :param conn: the connection.
+        :param reason: what its failure says.
+        """
+        if conn.req is not None:
+            self._fail(conn, reason)
+
+    def close_address(self, address: str) -> None:
+        """
+        Close the idle connections to an address.
+
+        :param address: ``IP:PORT``.
+        """
+        for conn in list(self._idle.pop(address, ())):
+            self._close(conn)
+
+    def _take_idle(self, address: str) -> ClientConn | None:
+        idle = self._idle.get(address)
+        while idle:
+            conn = idle.pop()
+            if self._is_usable(conn):
+                self.counters.reused += 1
+                return conn
+            self._close(conn)
+        return None
+
+    def _is_usable(self, conn: ClientConn) -> bool:
+        if self.scheduler.clock() - conn.idle_since_s > MAX_IDLE_S:
+            return False
+        try:
+            conn.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        # Either the end of the stream, or bytes that belong to no request.
+        return False
+
+    def _open(self, req: ClientRequest) -> ClientConn | None:
+        if self._open_conns[req.address] >= self.conns_per_address:
+            self.counters.full += 1
+            req.on_done(HttpFailure("pool_full", sent=False))
+            return None
+        host, _, port = req.address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            code = sock.connect_ex((host, int(port)))
+        except (OSError, ValueError, OverflowError):
+            code = errno.EADDRNOTAVAIL
+        if code not in CONNECT_PENDING:
+            sock.close()
+            req.on_done(HttpFailure("connect", sent=False))
+            return None
+        conn = ClientConn(sock, req.address)
+        self._conns[sock] = conn
+        self._open_conns[req.address] += 1
+        self.counters.opened += 1
+        self._want_write(conn)
+        return conn
+
+    @handler("_write")
+    def _on_writable(self, sock):
+        conn = self._conns.get(sock)
+        if conn is None:
+            return
+        if conn.connecting and not self._finish_connect(conn):
+            return
+        self._write_some(conn)
+
+    @handler("_read")
+    def _on_readable(self, sock):
+        conn = self._conns.get(sock)
+        if conn is None:
+            return
+        if conn.req is None:
+            self._drop_idle(conn)
+            return
+        try:
+            data = sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if data:
+            self._take_data(conn, data)
+        else:
+            self._fail(conn, "closed")
+
+    @handler("_disconnect")
+    def _on_hangup(self, sock):
+        conn = self._conns.get(sock)
+        if conn is None:
+            return
+        if conn.req is None:
+            self._drop_idle(conn)
+        else:
+            self._fail(conn, "connect" if conn.connecting else "closed")
+
+    def _finish_connect(self, conn: ClientConn) -> bool:
+        if conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._fail(conn, "connect")
+            return False
+        conn.connecting = False
+        self.poller.addReader(self, conn.sock)
+        return True
+
+    def _write_some(self, conn: ClientConn) -> None:
+        while conn.out:
+            try:
+                sent = conn.sock.send(conn.out[0])
+            except BlockingIOError:
+                self._want_write(conn)
+                return
+            except OSError:
+                self._fail(conn, "closed")
+                return
+            conn.sent_bytes += sent
+            if sent < len(conn.out[0]):
+                conn.out[0] = conn.out[0][sent:]
+            else:
+                conn.out.popleft()
+        if conn.writing:
+            conn.writing = False
+            self.poller.removeWriter(conn.sock)
+
+    def _want_write(self, conn: ClientConn) -> None:
+        if not conn.writing:
+            conn.writing = True
+            self.poller.addWriter(self, conn.sock)
+
+    def _take_data(self, conn: ClientConn, data: bytes) -> None:
+        conn.received_bytes += len(data)
+        if conn.received_bytes > self.max_answer_bytes:
+            self._fail(conn, "answer_too_large")
+            return
+        try:
+            feed(conn.parser, data)
+            if conn.parser.is_headers_complete():
+                self._take_answer(conn)
+        except MalformedMessage:
+            self._fail(conn, "malformed")
+
+    def _take_answer(self, conn: ClientConn) -> None:
+        parser = conn.parser
+        status = parser.get_status_code()
+        length = 0 if status in BODILESS_STATUSES else framing(parser).length_bytes
+        if length != 0 and not parser.is_message_complete():
+            return
+        body = parser.recv_body()
+        if length is not None and len(body) != length:
+            raise MalformedMessage(400, "more bytes than the answer's length")
+        self._finish(conn, HttpAnswer(status, dict(parser.get_headers()), body))
+
+    def _finish(self, conn: ClientConn, answer: HttpAnswer) -> None:
+        req, conn.req = conn.req, None
+        self.scheduler.cancel(conn.deadline)
+        idle = self._idle[conn.address]
+        # An answer that came before the whole request was sent leaves the connection out of step.
+        reusable = not conn.out and conn.parser.should_keep_alive()
+        if reusable and len(idle) < IDLE_CONNS_PER_ADDRESS:
+            conn.idle_since_s = self.scheduler.clock()
+            idle.append(conn)
+        else:
+            self._close(conn)
+        self.counters.answered += 1
+        req.on_done(answer)
+
+    def _fail(self, conn: ClientConn, reason: str) -> None:
+        req, conn.req = conn.req, None
+        self._close(conn)
+        if req is None:
+            return
+        self.counters.failed += 1
+        req.on_done(HttpFailure(reason, sent=conn.sent_bytes > 0))
+
+    def _drop_idle(self, conn: ClientConn) -> None:
+        idle = self._idle.get(conn.address)
+        if idle and conn in idle:
+            idle.remove(conn)
+        self._close(conn)
+
+    def _close(self, conn: ClientConn) -> None:
+        if self._conns.pop(conn.sock, None) is None:
+            return
+        self.scheduler.cancel(conn.deadline)
+        self._open_conns[conn.address] -= 1
+        if not self._open_conns[conn.address]:
+            del self._open_conns[conn.address]
+            self._idle.pop(conn.address, None)
+        self.poller.discard(conn.sock)
+        conn.sock.close()
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_state.py
@@ -0,0 +1,42 @@
+"""
+State of the client connections.
+"""
+
+import socket
+from collections import deque
+
+import msgspec
+from circuits.web.parsers import HttpParser
+
+from ._http_messages import ClientRequest
+from ._timers import Timer
+
+
+class ClientConn(msgspec.Struct, eq=False):
+    """
+    One connection to a server, and the request that it carries.
+    """
+
+    sock: socket.socket
+    address: str
+    connecting: bool = True
+    writing: bool = False
+    req: ClientRequest | None = None
+    parser: HttpParser | None = None
+    out: deque[memoryview] = msgspec.field(default_factory=deque)
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    idle_since_s: float = 0.0
+    deadline: Timer | None = None
+
+
+class PoolCounters(msgspec.Struct):
+    """
+    What a pool of connections has done since the start.
+    """
+
+    opened: int = 0
+    reused: int = 0
+    answered: int = 0
+    failed: int = 0
+    full: int = 0
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_settings.py
@@ -0,0 +1,254 @@
+"""
+Settings of one entry instance, from flags and environment variables.
+"""
+
+import ipaddress
+import os
+import re
+import sys
+from collections.abc import Callable, Sequence
+from typing import Annotated, Any, NamedTuple, NoReturn
+from urllib.parse import urlsplit
+
+import cyclopts
+from cyclopts import Parameter
+
+ENVIRONMENT_PREFIX = "EELGRASSDRUM_"
+EXIT_USAGE = 2
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+MAX_PORT = 65535
+
+
+class SettingsError(ValueError):
+    """
+    One setting that cannot be used.
+    """
+
+    def __init__(self, flag: str, reason: str) -> None:
+        super().__init__(f"{flag}: {reason}")
+        self.flag = flag
+        self.reason = reason
+
+
+class Settings(NamedTuple):
+    """
+    Everything that an entry instance is told from outside.
+
+    :param instance: its id.
+    :param zone: its availability zone.
+    :param listen: ``IP:PORT`` for callers and operators.
+    :param peer_listen: ``IP:PORT`` for other entry instances.
+    :param log_url: base of the platform's log service.
+    :param list_url: base of the platform's list of instances.
+    :param seeds: ``INSTANCE@IP:PORT`` of peers to begin with.
+    :param root_digest: SHA-256 of the first operator's secret, in hex.
+    :param incarnation: number that grows with each start, or 0 for the time in milliseconds.
+    :param max_body_bytes: largest body of a request.
+    :param max_buffered_bytes: bodies held in all.
+    :param read_timeout_s: seconds for a whole request to arrive.
+    :param max_callers: most open connections of callers.
+    :param list_interval_s: seconds between two reads of the list of instances.
+    :param drain_timeout_s: seconds that a graceful stop may take.
+    :param log_file: where the log's lines go, or ``-`` for standard error.
+    """
+
+    instance: str
+    zone: str
+    listen: str
+    peer_listen: str
+    log_url: str
+    list_url: str
+    seeds: tuple[str, ...] = ()
+    root_digest: str = ""
+    incarnation: int = 0
+    max_body_bytes: int = 16 * 1024 * 1024
+    max_buffered_bytes: int = 96 * 1024 * 1024
+    read_timeout_s: float = 10.0
+    max_callers: int = 2048
+    list_interval_s: float = 1.0
+    drain_timeout_s: float = 30.0
+    log_file: str = "-"
+
+
+def _name(text: str) -> str:
+    if not NAME_PATTERN.fullmatch(text):
+        raise ValueError("needs lower-case letters, digits and hyphens")
+    return text
+
+
+def _address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise ValueError("needs IP:PORT with an IPv4 number") from None
+    if not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError(f"needs a port from 0 to {MAX_PORT}")
+    return text
+
+
+def _url(text: str) -> str:
+    parts = urlsplit(text)
+    if parts.scheme != "http":
+        raise ValueError("needs http://IP:PORT")
+    _address(parts.netloc)
+    return text.rstrip("/")
+
+
+def _seeds(text: str) -> tuple[str, ...]:
+    seeds = tuple(part for part in text.split(",") if part)
+    for seed in seeds:
+        name, _, address = seed.partition("@")
+        _name(name)
+        _address(address)
+    return seeds
+
+
+def _digest(text: str) -> str:
+    if text and not DIGEST_PATTERN.fullmatch(text):
+        raise ValueError("needs 64 hexadecimal digits")
+    return text
+
+
+def _number(kind: Callable[[str], Any], low: float, high: float) -> Callable[[str], Any]:
+    def parse(text: str) -> Any:
+        try:
+            value = kind(text)
+        except ValueError:
+            raise ValueError("needs a number") from None
+        if not low <= value <= high:
+            raise ValueError(f"needs a number from {low:g} to {high:g}")
+        return value
+
+    return parse
+
+
+PARSERS: dict[str, Callable[[str], Any]] = {
+    "instance": _name,
+    "zone": _name,
+    "listen": _address,
+    "peer_listen": _address,
+    "log_url": _url,
+    "list_url": _url,
+    "seeds": _seeds,
+    "root_digest": _digest,
+    "incarnation": _number(int, 0, 2**53),
+    "max_body_bytes": _number(int, 1, 2**30),
+    "max_buffered_bytes": _number(int, 1, 2**36),
+    "read_timeout_s": _number(float, 0.01, 3600),
+    "max_callers": _number(int, 1, 100_000),
+    "list_interval_s": _number(float, 0.05, 3600),
+    "drain_timeout_s": _number(float, 0, 3600),
+    "log_file": str,
+}
+
+
+def flag_of(field: str) -> str:
+    """
+    Give the flag of a setting.
+
+    :param field: name of a field of `Settings`.
+    :returns: the flag, such as ``--log-url``.
+    """
+    return "--" + field.replace("_", "-")
+
+
+def validate(texts: dict[str, str]) -> Settings:
+    """
+    Turn texts into settings.
+
+    :param texts: text of each setting given, by the field's name.
+    :returns: the settings.
+    :raises ExceptionGroup: of a `SettingsError` for each setting at fault.
+    """
+    values: dict[str, Any] = {}
+    faults: list[SettingsError] = []
+    for field, parse in PARSERS.items():
+        if field not in texts:
+            if field not in Settings._field_defaults:
+                faults.append(SettingsError(flag_of(field), "is missing"))
+            continue
+        try:
+            values[field] = parse(texts[field])
+        except ValueError as exc:
+            faults.append(SettingsError(flag_of(field), str(exc)))
+    if faults:
+        raise ExceptionGroup("the settings cannot be used", faults)
+    return Settings(**values)
+
+
+def _option(help_text: str) -> Any:
+    return Annotated[str | None, Parameter(help=help_text)]
+
+
+def _collect(
+    *,
+    instance: _option("id of this entry instance") = None,
+    zone: _option("its availability zone") = None,
+    listen: _option("IP:PORT for callers and operators") = None,
+    peer_listen: _option("IP:PORT for other entry instances") = None,
+    log_url: _option("http://IP:PORT of the platform's log") = None,
+    list_url: _option("http://IP:PORT of the list of instances") = None,
+    seeds: _option("INSTANCE@IP:PORT of peers, separated by commas") = None,
+    root_digest: _option("SHA-256 of the first operator's secret, in hex") = None,
+    incarnation: _option("number that grows with each start; 0 takes the time") = None,
+    max_body_bytes: _option("largest body of a request, in bytes") = None,
+    max_buffered_bytes: _option("bodies held in all, in bytes") = None,
+    read_timeout_s: _option("seconds for a whole request to arrive") = None,
+    max_callers: _option("most open connections of callers") = None,
+    list_interval_s: _option("seconds between two reads of the list") = None,
+    drain_timeout_s: _option("seconds that a graceful stop may take") = None,
+    log_file: _option("file for the log's lines, - for standard error") = None,
+) -> dict[str, str]:
+    """
+    Serve callers and operators as one entry instance.
+
+    Every flag can be given as an environment variable too, such as EELGRASSDRUM_LOG_URL.
+    """
+    return {name: text for name, text in locals().items() if text is not None}
+
+
+def parse_settings(arguments: Sequence[str]) -> Settings | None:
+    """
+    Read the settings from flags and environment variables; flags win.
+
+    :param arguments: the command line without the program's name.
+    :returns: the settings, or ``None`` when only help was asked for.
+    :raises ExceptionGroup: of a `SettingsError` for each setting at fault.
+    """
+    app = cyclopts.App(
+        name="eelgrassdrumd",
+        config=cyclopts.config.Env(ENVIRONMENT_PREFIX, command=False),
+        result_action="return_value",
+        version_flags=[],
+    )
+    app.default(_collect)
+    try:
+        texts = app(arguments, exit_on_error=False, print_error=False)
+    except cyclopts.CycloptsError as exc:
+        fault = SettingsError("flags", " ".join(str(exc).split()))
+        raise ExceptionGroup("the settings cannot be used", [fault]) from None
+    return None if texts is None else validate(texts)
+
+
+def load_or_exit(arguments: Sequence[str]) -> Settings:
+    """
+    Read the settings, or end the process with every fault on standard error.
+
+    :param arguments: the command line without the program's name.
+    :returns: the settings.
+    """
+    try:
+        settings = parse_settings(arguments)
+    except ExceptionGroup as group:
+        _exit_with(group)
+    if settings is None:
+        sys.exit(os.EX_OK)
+    return settings
+
+
+def _exit_with(group: ExceptionGroup) -> NoReturn:
+    for exc in group.exceptions:
+        print(f"eelgrassdrumd: {exc}", file=sys.stderr)
+    sys.exit(EXIT_USAGE)
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_timers.py
@@ -0,0 +1,121 @@
+"""
+Deadlines for every part of the daemon, kept in one component.
+
+A circuits `Timer` is a component of its own, and registering one clears the event cache of the
+whole tree. With a deadline for each request that costs more than the request itself.
+"""
+
+import heapq
+import itertools
+import time
+from collections.abc import Callable
+
+import msgspec
+from circuits import BaseComponent, handler
+
+MIN_CANCELLED_TO_COMPACT = 1024
+
+Action = Callable[[], None]
+
+
+class Timer(msgspec.Struct, eq=False):
+    """
+    One action that is to run later.
+
+    :param due_s: time by the scheduler's clock.
+    :param action: what to run, or ``None`` once it ran or was cancelled.
+    """
+
+    due_s: float
+    action: Action | None
+
+
+class Scheduler(BaseComponent):
+    """
+    Runs actions at their time, from the event loop.
+    """
+
+    channel = "scheduler"
+
+    def init(self, clock: Callable[[], float] = time.monotonic) -> None:
+        """
+        Make an empty schedule.
+
+        :param clock: gives the time in seconds.
+        """
+        self.clock = clock
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._numbers = itertools.count()
+        self._cancelled = 0
+
+    def call_later(self, delay_s: float, action: Action) -> Timer:
+        """
+        Schedule an action.
+
+        :param delay_s: seconds from now.
+        :param action: what to run.
+        :returns: the timer, for `cancel`.
+        """
+        timer = Timer(self.clock() + delay_s, action)
+        heapq.heappush(self._heap, (timer.due_s, next(self._numbers), timer))
+        return timer
+
+    def repeat(self, interval_s: float, action: Action) -> None:
+        """
+        Run an action at an interval until the process ends.
+
+        :param interval_s: seconds from the end of one run to the next.
+        :param action: what to run.
+        """
+
+        def run() -> None:
+            self.call_later(interval_s, run)
+            action()
+
+        self.call_later(interval_s, run)
+
+    def cancel(self, timer: Timer | None) -> None:
+        """
+        Keep a timer from running; one that ran already is left alone.
+
+        :param timer: the timer, or ``None``.
+        """
+        if timer is None or timer.action is None:
+            return
+        timer.action = None
+        self._cancelled += 1
+        if self._cancelled > max(MIN_CANCELLED_TO_COMPACT, len(self._heap) // 2):
+            self._compact()
+
+    def run_due(self) -> float | None:
+        """
+        Run every action whose time has come.
+
+        :returns: seconds until the next one, or ``None`` when there is none.
+        """
+        now = self.clock()
+        while self._heap:
+            due_s, _, timer = self._heap[0]
+            if timer.action is not None and due_s > now:
+                return due_s - now
+            heapq.heappop(self._heap)
+            self._run(timer)
+        return None
+
+    def _run(self, timer: Timer) -> None:
+        action, timer.action = timer.action, None
+        if action is None:
+            self._cancelled -= 1
+        else:
+            action()
+
+    def _compact(self) -> None:
+        self._heap = [entry for entry in self._heap if entry[2].action is not None]
+        heapq.heapify(self._heap)
+        self._cancelled = 0
+
+    @handler("generate_events")
+    def _on_generate_events(self, event):
+        left_s = self.run_due()
+        if left_s is not None:
+            event.reduce_time_left(left_s)
