--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_messages.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_messages.py
@@ -46,6 +46,8 @@
     :param on_done: called once with the outcome.
     :param headers: headers besides ``Host`` and ``Content-Length``.
     :param body: the body.
+    :param is_expected: tells whether an answer belongs to this request; one that does not is
+        dropped together with its connection.
     """
 
     address: str
@@ -55,6 +57,7 @@
     on_done: Callable[[HttpOutcome], None]
     headers: Mapping[str, str] = {}
     body: bytes = b""
+    is_expected: Callable[[HttpAnswer], bool] | None = None
 
 
 def encode_head(req: ClientRequest) -> bytes:
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
@@ -49,6 +49,7 @@
         scheduler: Scheduler,
         conns_per_address: int = DEFAULT_CONNS_PER_ADDRESS,
         max_answer_bytes: int = 64 * 1024 * 1024,
+        **_options: str,
     ) -> None:
         """
         Make an empty pool.
@@ -246,7 +247,12 @@
         body = parser.recv_body()
         if length is not None and len(body) != length:
             raise MalformedMessage(400, "more bytes than the answer's length")
-        self._finish(conn, HttpAnswer(status, dict(parser.get_headers()), body))
+        answer = HttpAnswer(status, dict(parser.get_headers()), body)
+        if conn.req.is_expected is None or conn.req.is_expected(answer):
+            self._finish(conn, answer)
+            return
+        self.counters.mismatched += 1
+        self._fail(conn, "mismatched")
 
     def _finish(self, conn: ClientConn, answer: HttpAnswer) -> None:
         req, conn.req = conn.req, None
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
@@ -0,0 +1,342 @@
+"""
+HTTP server on circuits.web whose answers may be given later.
+
+The socket server, the parser and the writer of answers are those of circuits. Reading is done
+here, because the reader of circuits sets no limit on size or time, unpacks compressed bodies
+without bound, keeps the parser of a connection that closed, and mixes up pipelined requests.
+"""
+
+import itertools
+import socket
+from collections.abc import Callable, Mapping
+from functools import partial
+
+import msgspec
+from circuits import BaseComponent, handler
+from circuits.net.events import close, write
+from circuits.net.sockets import TCPServer
+from circuits.web.events import response
+from circuits.web.http import HTTP
+from circuits.web.parsers import HttpParser
+from circuits.web.wrappers import Request, Response
+
+from ._http_parser import KIND_REQUEST, MalformedMessage, feed, framing
+from ._server_answers import encode_error
+from ._timers import Scheduler, Timer
+
+READ_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 16 * 1024
+IDLE_TIMEOUT_S = 120.0
+LINGER_S = 0.5
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+CHANNEL = "web"
+
+
+class Exchange(msgspec.Struct, eq=False):
+    """
+    A whole request of a client, and the answer that it waits for.
+
+    :param token: its number, unique in this process.
+    :param req: the request's first line and headers.
+    :param res: the answer to be.
+    :param body: the request's body.
+    """
+
+    token: int
+    req: Request
+    res: Response
+    body: bytes
+
+
+class ServerConn(msgspec.Struct, eq=False):
+    """
+    One connection of a client.
+    """
+
+    sock: socket.socket
+    parser: HttpParser | None = None
+    received_bytes: int = 0
+    length_bytes: int | None = None
+    deadline: Timer | None = None
+    token: int | None = None
+    held_bytes: int = 0
+    close_after: bool = False
+    closing: bool = False
+
+
+class ServerLimits(msgspec.Struct, frozen=True):
+    """
+    What a client may take up.
+
+    :param max_body_bytes: largest body.
+    :param read_timeout_s: seconds for a whole request to arrive.
+    :param max_conns: most open connections.
+    :param max_buffered_bytes: requests held in all, whole or in part.
+    """
+
+    max_body_bytes: int = 16 * 1024 * 1024
+    max_buffered_bytes: int = 96 * 1024 * 1024
+    read_timeout_s: float = 10.0
+    max_conns: int = 2048
+
+
+class ServerCounters(msgspec.Struct):
+    """
+    What the server has done since the start.
+    """
+
+    accepted: int = 0
+    received: int = 0
+    malformed: int = 0
+    timed_out: int = 0
+    abandoned: int = 0
+
+
+class WebWriter(HTTP):
+    """
+    The part of circuits' HTTP component that writes answers.
+    """
+
+    secure = False
+    display_banner = False
+
+    @handler("read", override=True)
+    def _on_read(self, sock, data):
+        """
+        Leave reading to `HttpServer`.
+        """
+
+    @property
+    def host(self):
+        """
+        The address that the server listens on.
+        """
+        return self._server.host
+
+    @property
+    def port(self):
+        """
+        The port that the server listens on.
+        """
+        return self._server.port
+
+
+class HttpServer(BaseComponent):
+    """
+    Reads requests, hands them on, and writes the answers whenever they come.
+    """
+
+    channel = CHANNEL
+
+    def init(
+        self,
+        bind: tuple[str, int],
+        scheduler: Scheduler,
+        limits: ServerLimits,
+        on_request: Callable[[Exchange], None],
+        on_abandoned: Callable[[int], None],
+    ) -> None:
+        """
+        Listen.
+
+        :param bind: address and port; port 0 lets the system choose.
+        :param scheduler: runs the deadlines.
+        :param limits: what a client may take up.
+        :param on_request: called with each whole request.
+        :param on_abandoned: called with the token of an exchange whose client is gone.
+        """
+        self.scheduler = scheduler
+        self.limits = limits
+        self.on_request = on_request
+        self.on_abandoned = on_abandoned
+        self.counters = ServerCounters()
+        self.exchanges: dict[int, Exchange] = {}
+        self.buffered_bytes = 0
+        self._conns: dict[socket.socket, ServerConn] = {}
+        self._tokens = itertools.count(1)
+        self._tcp = TCPServer(bind, channel=CHANNEL, bufsize=READ_BYTES).register(self)
+        self._writer = WebWriter(self._tcp, channel=CHANNEL).register(self)
+
+    @property
+    def address(self) -> str:
+        """
+        ``IP:PORT`` that the server listens on.
+        """
+        return f"{self._tcp.host}:{self._tcp.port}"
+
+    def answer(
+        self, token: int, status: int, headers: Mapping[str, str], body: bytes | str
+    ) -> None:
+        """
+        Answer an exchange; does nothing when its client is gone.
+
+        :param token: the exchange.
+        :param status: HTTP status.
+        :param headers: headers besides those of framing.
+        :param body: the whole body.
+        """
+        exchange = self.exchanges.pop(token, None)
+        if exchange is None:
+            return
+        conn = self._conns[exchange.req.sock]
+        conn.token = None
+        self._release(conn)
+        res = exchange.res
+        res.status = status
+        res.body = body
+        res.close = res.close or conn.close_after
+        for name, value in headers.items():
+            res.headers[name] = value
+        conn.closing = res.close
+        conn.deadline = self._after(IDLE_TIMEOUT_S, conn)
+        self.fire(response(res))
+
+    def stop_listening(self) -> None:
+        """
+        Take no new connections; open ones are closed after their next answer.
+        """
+        if self._tcp._sock is not None:
+            self._tcp._close(self._tcp._sock)
+        for conn in list(self._conns.values()):
+            conn.close_after = True
+            if conn.token is None and conn.parser is None:
+                self._close(conn)
+
+    @handler("connect")
+    def _on_connect(self, sock, *_peer):
+        if len(self._conns) >= self.limits.max_conns:
+            self.fire(close(sock))
+            return
+        self.counters.accepted += 1
+        conn = self._conns[sock] = ServerConn(sock)
+        conn.deadline = self._after(IDLE_TIMEOUT_S, conn)
+
+    @handler("disconnect")
+    def _on_disconnect(self, sock):
+        conn = self._conns.pop(sock, None)
+        if conn is None:
+            return
+        self.scheduler.cancel(conn.deadline)
+        self._release(conn)
+        if conn.token is not None and self.exchanges.pop(conn.token, None):
+            self.counters.abandoned += 1
+            self.on_abandoned(conn.token)
+
+    @handler("read")
+    def _on_read(self, sock, data):
+        conn = self._conns.get(sock)
+        if conn is None or conn.closing:
+            return
+        if conn.token is not None:
+            # A pipelined request is not run: the client sees the connection close after the
+            # answer that it waits for, and may send the request again.
+            conn.close_after = True
+            return
+        try:
+            self._take_data(conn, data)
+        except MalformedMessage as exc:
+            self.counters.malformed += 1
+            self._reject(conn, exc.status, exc.reason)
+
+    def _take_data(self, conn: ServerConn, data: bytes) -> None:
+        if conn.parser is None:
+            self._begin(conn)
+        conn.received_bytes += len(data)
+        self._hold(conn, len(data))
+        feed(conn.parser, data)
+        if not conn.parser.is_headers_complete():
+            if conn.received_bytes > MAX_HEADER_BYTES:
+                raise MalformedMessage(431, "the headers are too long")
+            return
+        if conn.length_bytes is None:
+            self._check_head(conn)
+        if conn.length_bytes == 0 or conn.parser.is_message_complete():
+            self._finish_request(conn)
+
+    def _hold(self, conn: ServerConn, size_bytes: int) -> None:
+        if self.buffered_bytes + size_bytes > self.limits.max_buffered_bytes:
+            raise MalformedMessage(503, "this instance is out of memory for bodies")
+        conn.held_bytes += size_bytes
+        self.buffered_bytes += size_bytes
+
+    def _release(self, conn: ServerConn) -> None:
+        self.buffered_bytes -= conn.held_bytes
+        conn.held_bytes = 0
+
+    def _begin(self, conn: ServerConn) -> None:
+        conn.parser = HttpParser(KIND_REQUEST)
+        conn.received_bytes = 0
+        conn.length_bytes = None
+        self.scheduler.cancel(conn.deadline)
+        expire = partial(self._expire_read, conn)
+        conn.deadline = self.scheduler.call_later(self.limits.read_timeout_s, expire)
+
+    def _check_head(self, conn: ServerConn) -> None:
+        headers = conn.parser.get_headers()
+        if any("\r" in value or "\n" in value for _, value in headers.items()):
+            raise MalformedMessage(400, "a header holds a line break")
+        if conn.parser.get_version() not in ((1, 0), (1, 1)):
+            raise MalformedMessage(505, "only HTTP/1.0 and HTTP/1.1 are spoken")
+        if "Content-Encoding" in headers:
+            raise MalformedMessage(415, "compressed bodies are not taken")
+        has_body = "Content-Length" in headers or "Transfer-Encoding" in headers
+        length = framing(conn.parser).length_bytes if has_body else 0
+        if length is None:
+            raise MalformedMessage(411, "the body needs a Content-Length")
+        if length > self.limits.max_body_bytes:
+            raise MalformedMessage(413, "the body is larger than allowed")
+        conn.length_bytes = length
+        if length and headers.get("Expect", "").lower() == "100-continue":
+            self.fire(write(conn.sock, CONTINUE))
+
+    def _finish_request(self, conn: ServerConn) -> None:
+        parser, conn.parser = conn.parser, None
+        body = parser.recv_body()
+        if len(body) != conn.length_bytes:
+            raise MalformedMessage(400, "more bytes than the request's length")
+        try:
+            req = self._request_of(conn, parser)
+        except (OSError, ValueError) as exc:
+            raise MalformedMessage(400, "malformed Host header or path") from exc
+        res = Response(req)
+        res.close = not parser.should_keep_alive()
+        self.scheduler.cancel(conn.deadline)
+        exchange = Exchange(next(self._tokens), req, res, body)
+        conn.token = exchange.token
+        self.exchanges[exchange.token] = exchange
+        self.counters.received += 1
+        self.on_request(exchange)
+
+    def _request_of(self, conn: ServerConn, parser: HttpParser) -> Request:
+        return Request(
+            conn.sock,
+            parser.get_method(),
+            "http",
+            parser.get_path(),
+            parser.get_version(),
+            parser.get_query_string(),
+            headers=parser.get_headers(),
+            server=self._writer,
+        )
+
+    def _after(self, delay_s: float, conn: ServerConn) -> Timer:
+        self.scheduler.cancel(conn.deadline)
+        return self.scheduler.call_later(delay_s, partial(self._close, conn))
+
+    def _expire_read(self, conn: ServerConn) -> None:
+        self.counters.timed_out += 1
+        self._reject(conn, 408, "the request did not arrive in time")
+
+    def _reject(self, conn: ServerConn, status: int, reason: str) -> None:
+        conn.parser = None
+        conn.closing = True
+        self._release(conn)
+        self.fire(write(conn.sock, encode_error(status, reason)))
+        # What the client still sends is read and dropped for a while: closing at once would
+        # reset the connection, and the client could lose the answer.
+        conn.deadline = self._after(LINGER_S, conn)
+
+    def _close(self, conn: ServerConn) -> None:
+        conn.closing = True
+        # Firing `close` would wait for a client that never reads what was written to it.
+        self._tcp._close(conn.sock)
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_state.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_state.py
@@ -40,3 +40,4 @@
     answered: int = 0
     failed: int = 0
     full: int = 0
+    mismatched: int = 0
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_list_adapter.py
@@ -0,0 +1,94 @@
+"""
+Adapter for the platform's list of instances.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from eelgrassdrum_core.effects import ReadInstances, WriteLog
+from eelgrassdrum_core.events import InstancesListed, ListedInstance
+
+from ._http_messages import ClientRequest, HttpFailure, HttpOutcome
+from ._http_pool import HttpPool
+from ._urls import BaseUrl
+
+READ_TIMEOUT_S = 3.0
+STATUS_OK = 200
+
+
+class ListJson(msgspec.Struct):
+    """
+    The answer of the list; each entry is read by itself so that a bad one spoils no other.
+    """
+
+    instances: list[Any]
+
+
+def make_list_reader(
+    base: BaseUrl,
+    pool: HttpPool,
+    post: Callable[[object], None],
+    write_log: Callable[[WriteLog], None],
+) -> Callable[[ReadInstances], None]:
+    """
+    Bind the reader to its connections.
+
+    :param base: where the list is.
+    :param pool: connections to it.
+    :param post: takes the events.
+    :param write_log: takes what went wrong.
+    :returns: a function that reads the list once, unless a read is in flight.
+    """
+    in_flight = False
+
+    def read(_effect: ReadInstances) -> None:
+        nonlocal in_flight
+        if in_flight:
+            return
+        in_flight = True
+        path = f"{base.path}/v1/instances"
+        pool.submit(ClientRequest(base.address, "GET", path, READ_TIMEOUT_S, on_done))
+
+    def on_done(outcome: HttpOutcome) -> None:
+        nonlocal in_flight
+        in_flight = False
+        instances = parse_instances(outcome)
+        if instances is None:
+            write_log(WriteLog("list.unavailable", {"reason": _reason(outcome)}))
+        else:
+            post(InstancesListed(instances))
+
+    return read
+
+
+def parse_instances(outcome: HttpOutcome) -> tuple[ListedInstance, ...] | None:
+    """
+    Read the entries of the list, leaving out malformed ones.
+
+    :param outcome: what came of the request.
+    :returns: the entries, or ``None`` when there was no readable answer.
+    """
+    if isinstance(outcome, HttpFailure) or outcome.status != STATUS_OK:
+        return None
+    try:
+        entries = msgspec.json.decode(outcome.body, type=ListJson).instances
+    except msgspec.MsgspecError:
+        return None
+    parsed = (_parse_entry(entry) for entry in entries)
+    return tuple(instance for instance in parsed if instance is not None)
+
+
+def _parse_entry(entry: Any) -> ListedInstance | None:
+    try:
+        known = {name: entry[name] for name in ListedInstance._fields if name in entry}
+        filled = ListedInstance(**known)
+        return msgspec.convert(list(filled), ListedInstance)
+    except (msgspec.ValidationError, TypeError):
+        return None
+
+
+def _reason(outcome: HttpOutcome) -> str:
+    if isinstance(outcome, HttpFailure):
+        return outcome.reason
+    return f"status {outcome.status} or malformed answer"
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_server_answers.py
@@ -0,0 +1,92 @@
+"""
+Answers that the daemon itself gives to callers and operators.
+"""
+
+import math
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any
+
+import msgspec
+from eelgrassdrum_core.refusals import NOT_RUN, Refusal
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+ERROR_NAMES = {
+    400: "bad_request",
+    408: "request_timeout",
+    411: "length_required",
+    413: "body_too_large",
+    415: "compressed_body",
+    431: "headers_too_large",
+    503: "overloaded",
+    505: "http_version",
+}
+
+
+def encode_json(value: Any) -> bytes:
+    """
+    Encode a value as JSON.
+
+    :param value: the value.
+    :returns: the bytes.
+    """
+    return msgspec.json.encode(value)
+
+
+def encode_error(status: int, message: str) -> bytes:
+    """
+    Give a whole answer to a message that cannot be read, after which the connection closes.
+
+    :param status: HTTP status.
+    :param message: text for people.
+    :returns: the bytes to send.
+    """
+    body = encode_json(
+        {"error": ERROR_NAMES.get(status, "bad_request"), "message": message, "run_state": NOT_RUN}
+    )
+    head = (
+        f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def refusal_headers(refusal: Refusal, request_id: str) -> Mapping[str, str]:
+    """
+    Give the headers of a refusal.
+
+    :param refusal: the refusal.
+    :param request_id: the caller's id of the request.
+    :returns: the headers.
+    """
+    headers = {
+        **JSON_HEADERS,
+        "X-Request-Id": request_id,
+        "X-Run-State": refusal.code.run_state,
+    }
+    if refusal.retry_after_s is not None:
+        # The header takes whole seconds only; the body has the exact figure.
+        headers["Retry-After"] = str(math.ceil(refusal.retry_after_s))
+    return headers
+
+
+def refusal_body(refusal: Refusal, request_id: str) -> bytes:
+    """
+    Give the JSON body of a refusal.
+
+    :param refusal: the refusal.
+    :param request_id: the caller's id of the request.
+    :returns: the bytes.
+    """
+    message = refusal.code.message
+    if refusal.detail:
+        message = f"{message}: {refusal.detail}"
+    return encode_json(
+        {
+            "error": refusal.code.name,
+            "message": message,
+            "run_state": refusal.code.run_state,
+            "retry_after_s": refusal.retry_after_s,
+            "request_id": request_id,
+        }
+    )
