Serve a caller's request from the log's configuration to an endpoint and back

The core decides; the daemon turns sockets and timers into its events and carries out its effects from one table.

--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/__main__.py
@@ -0,0 +1,7 @@
+"""
+Runs the entry instance: ``python -m eelgrassdrum_daemon``.
+"""
+
+from ._main import main
+
+main()
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_endpoint_adapter.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_endpoint_adapter.py
@@ -7,14 +7,8 @@
 from typing import NamedTuple
 
 import msgspec
-from eelgrassdrum_core.effects import Dispatch, ProbeEndpoint
-from eelgrassdrum_core.events import (
-    AttemptAnswered,
-    AttemptFailed,
-    AttemptRefused,
-    EndpointProbed,
-    RunningAttempt,
-)
+
+from eelgrassdrum_core import effects, events
 
 from ._http_messages import ClientRequest, HttpAnswer, HttpFailure, HttpOutcome
 from ._http_pool import HttpPool
@@ -38,8 +32,8 @@
     :param probe: asks for an endpoint's health.
     """
 
-    dispatch: Callable[[Dispatch, bytes], None]
-    probe: Callable[[ProbeEndpoint], None]
+    dispatch: Callable[[effects.Dispatch, bytes], None]
+    probe: Callable[[effects.ProbeEndpoint], None]
 
 
 class RunningJson(msgspec.Struct):
@@ -80,28 +74,26 @@
     :returns: the adapter.
     """
 
-    def dispatch(effect: Dispatch, body: bytes) -> None:
+    def dispatch(effect: effects.Dispatch, body: bytes) -> None:
         attempts.submit(_attempt_request(effect, body, on_done=partial(on_attempt_done, effect)))
 
-    def on_attempt_done(effect: Dispatch, outcome: HttpOutcome) -> None:
+    def on_attempt_done(effect: effects.Dispatch, outcome: HttpOutcome) -> None:
         if isinstance(outcome, HttpAnswer) and not _is_refusal(outcome):
             keep_answer(effect.attempt, outcome)
         post(_attempt_event(effect.attempt, outcome))
 
-    def probe(effect: ProbeEndpoint) -> None:
+    def probe(effect: effects.ProbeEndpoint) -> None:
         on_done = partial(on_probe_done, effect)
-        probes.submit(
-            ClientRequest(effect.address, "GET", HEALTH_PATH, effect.timeout_s, on_done)
-        )
+        probes.submit(ClientRequest(effect.address, "GET", HEALTH_PATH, effect.timeout_s, on_done))
 
-    def on_probe_done(effect: ProbeEndpoint, outcome: HttpOutcome) -> None:
+    def on_probe_done(effect: effects.ProbeEndpoint, outcome: HttpOutcome) -> None:
         post(_probe_event(effect.endpoint, outcome))
 
     return EndpointAdapter(dispatch, probe)
 
 
 def _attempt_request(
-    effect: Dispatch, body: bytes, on_done: Callable[[HttpOutcome], None]
+    effect: effects.Dispatch, body: bytes, on_done: Callable[[HttpOutcome], None]
 ) -> ClientRequest:
     headers = {
         ATTEMPT_HEADER: effect.attempt,
@@ -124,33 +116,31 @@
 
 
 def _is_refusal(answer: HttpAnswer) -> bool:
-    return (
-        answer.status == STATUS_UNAVAILABLE and answer.headers.get(RUN_STATE_HEADER) == "not_run"
-    )
+    return answer.status == STATUS_UNAVAILABLE and answer.headers.get(RUN_STATE_HEADER) == "not_run"
 
 
 def _attempt_event(attempt: str, outcome: HttpOutcome) -> object:
     if isinstance(outcome, HttpFailure):
-        return AttemptFailed(attempt, outcome.sent, outcome.reason)
+        return events.AttemptFailed(attempt, outcome.sent, outcome.reason)
     if _is_refusal(outcome):
-        return AttemptRefused(attempt, outcome.headers.get(LEAVING_HEADER) == "1")
-    return AttemptAnswered(attempt, outcome.status, len(outcome.body))
+        return events.AttemptRefused(attempt, outcome.headers.get(LEAVING_HEADER) == "1")
+    return events.AttemptAnswered(attempt, outcome.status, len(outcome.body))
 
 
-def _probe_event(endpoint: str, outcome: HttpOutcome) -> EndpointProbed:
+def _probe_event(endpoint: str, outcome: HttpOutcome) -> events.EndpointProbed:
     if isinstance(outcome, HttpFailure) or outcome.status != STATUS_OK:
-        return EndpointProbed(endpoint, healthy=False)
+        return events.EndpointProbed(endpoint, healthy=False)
     try:
         health = msgspec.json.decode(outcome.body, type=HealthJson)
     except msgspec.MsgspecError:
-        return EndpointProbed(endpoint, healthy=False)
+        return events.EndpointProbed(endpoint, healthy=False)
     # Another endpoint may have taken over the address.
     if health.id != endpoint:
-        return EndpointProbed(endpoint, healthy=False)
+        return events.EndpointProbed(endpoint, healthy=False)
     running = None
     if health.running is not None:
-        running = tuple(RunningAttempt(r.attempt, r.holder, r.team) for r in health.running)
-    return EndpointProbed(
+        running = tuple(events.RunningAttempt(r.attempt, r.holder, r.team) for r in health.running)
+    return events.EndpointProbed(
         endpoint,
         healthy=True,
         leaving=health.state == "leaving",
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_parser.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_parser.py
@@ -13,7 +13,7 @@
 MISSING_TERMINATOR = "chunk missing terminator"
 
 
-class MalformedMessage(Exception):
+class MalformedMessageError(Exception):
     """
     What came over the connection is no HTTP message that can be taken.
     """
@@ -40,19 +40,19 @@
 
     :param parser: the parser.
     :param data: the bytes.
-    :raises MalformedMessage: when they are no HTTP.
+    :raises MalformedMessageError: when they are no HTTP.
     """
     try:
         parser.execute(data, len(data))
     except (ValueError, AttributeError) as exc:
-        raise MalformedMessage(400, "unreadable message") from exc
+        raise MalformedMessageError(400, "unreadable message") from exc
     if parser.errno is None:
         return
     # The parser reports a chunk whose end has not arrived yet as an error, but keeps its data.
     if parser.errno == INVALID_CHUNK and parser.errstr.startswith(MISSING_TERMINATOR):
         parser.errno = None
         return
-    raise MalformedMessage(400, "malformed first line, header or chunk")
+    raise MalformedMessageError(400, "malformed first line, header or chunk")
 
 
 def framing(parser: HttpParser) -> Framing:
@@ -61,17 +61,17 @@
 
     :param parser: the parser.
     :returns: the framing.
-    :raises MalformedMessage: when it does not say so, or contradicts itself.
+    :raises MalformedMessageError: when it does not say so, or contradicts itself.
     """
     headers = parser.get_headers()
     length = headers.get("Content-Length")
     coding = headers.get("Transfer-Encoding")
     if coding is not None:
         if length is not None or coding.lower() != "chunked":
-            raise MalformedMessage(400, "ambiguous message length")
+            raise MalformedMessageError(400, "ambiguous message length")
         return Framing(None)
     if length is None:
-        raise MalformedMessage(411, "the message has no length")
+        raise MalformedMessageError(411, "the message has no length")
     if not (length.isascii() and length.isdigit()):
-        raise MalformedMessage(400, "malformed Content-Length")
+        raise MalformedMessageError(400, "malformed Content-Length")
     return Framing(int(length))
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
@@ -19,7 +19,7 @@
 from ._http_parser import (
     BODILESS_STATUSES,
     KIND_RESPONSE,
-    MalformedMessage,
+    MalformedMessageError,
     feed,
     framing,
 )
@@ -235,7 +235,7 @@
             feed(conn.parser, data)
             if conn.parser.is_headers_complete():
                 self._take_answer(conn)
-        except MalformedMessage:
+        except MalformedMessageError:
             self._fail(conn, "malformed")
 
     def _take_answer(self, conn: ClientConn) -> None:
@@ -246,7 +246,7 @@
             return
         body = parser.recv_body()
         if length is not None and len(body) != length:
-            raise MalformedMessage(400, "more bytes than the answer's length")
+            raise MalformedMessageError(400, "more bytes than the answer's length")
         answer = HttpAnswer(status, dict(parser.get_headers()), body)
         if conn.req.is_expected is None or conn.req.is_expected(answer):
             self._finish(conn, answer)
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
@@ -20,7 +20,7 @@
 from circuits.web.parsers import HttpParser
 from circuits.web.wrappers import Request, Response
 
-from ._http_parser import KIND_REQUEST, MalformedMessage, feed, framing
+from ._http_parser import KIND_REQUEST, MalformedMessageError, feed, framing
 from ._server_answers import encode_error
 from ._timers import Scheduler, Timer
 
@@ -152,6 +152,7 @@
         self.counters = ServerCounters()
         self.exchanges: dict[int, Exchange] = {}
         self.buffered_bytes = 0
+        self._is_closing = False
         self._conns: dict[socket.socket, ServerConn] = {}
         self._tokens = itertools.count(1)
         self._tcp = TCPServer(bind, channel=CHANNEL, bufsize=READ_BYTES).register(self)
@@ -191,16 +192,32 @@
         conn.deadline = self._after(IDLE_TIMEOUT_S, conn)
         self.fire(response(res))
 
+    @property
+    def conn_count(self) -> int:
+        """
+        Open connections of clients.
+        """
+        return len(self._conns)
+
+    def close_after_answers(self) -> None:
+        """
+        Close each connection after its next answer.
+        """
+        self._is_closing = True
+        for conn in self._conns.values():
+            conn.close_after = True
+
     def stop_listening(self) -> None:
         """
-        Take no new connections; open ones are closed after their next answer.
+        Take no new connections, and close those that wait for no answer.
         """
+        self.close_after_answers()
         if self._tcp._sock is not None:
             self._tcp._close(self._tcp._sock)
         for conn in list(self._conns.values()):
-            conn.close_after = True
             if conn.token is None and conn.parser is None:
-                self._close(conn)
+                # What was written but not yet sent goes out first.
+                self.fire(close(conn.sock))
 
     @handler("connect")
     def _on_connect(self, sock, *_peer):
@@ -208,7 +225,7 @@
             self.fire(close(sock))
             return
         self.counters.accepted += 1
-        conn = self._conns[sock] = ServerConn(sock)
+        conn = self._conns[sock] = ServerConn(sock, close_after=self._is_closing)
         conn.deadline = self._after(IDLE_TIMEOUT_S, conn)
 
     @handler("disconnect")
@@ -234,7 +251,7 @@
             return
         try:
             self._take_data(conn, data)
-        except MalformedMessage as exc:
+        except MalformedMessageError as exc:
             self.counters.malformed += 1
             self._reject(conn, exc.status, exc.reason)
 
@@ -246,7 +263,7 @@
         feed(conn.parser, data)
         if not conn.parser.is_headers_complete():
             if conn.received_bytes > MAX_HEADER_BYTES:
-                raise MalformedMessage(431, "the headers are too long")
+                raise MalformedMessageError(431, "the headers are too long")
             return
         if conn.length_bytes is None:
             self._check_head(conn)
@@ -255,7 +272,7 @@
 
     def _hold(self, conn: ServerConn, size_bytes: int) -> None:
         if self.buffered_bytes + size_bytes > self.limits.max_buffered_bytes:
-            raise MalformedMessage(503, "this instance is out of memory for bodies")
+            raise MalformedMessageError(503, "this instance is out of memory for bodies")
         conn.held_bytes += size_bytes
         self.buffered_bytes += size_bytes
 
@@ -274,17 +291,17 @@
     def _check_head(self, conn: ServerConn) -> None:
         headers = conn.parser.get_headers()
         if any("\r" in value or "\n" in value for _, value in headers.items()):
-            raise MalformedMessage(400, "a header holds a line break")
+            raise MalformedMessageError(400, "a header holds a line break")
         if conn.parser.get_version() not in ((1, 0), (1, 1)):
-            raise MalformedMessage(505, "only HTTP/1.0 and HTTP/1.1 are spoken")
+            raise MalformedMessageError(505, "only HTTP/1.0 and HTTP/1.1 are spoken")
         if "Content-Encoding" in headers:
-            raise MalformedMessage(415, "compressed bodies are not taken")
+            raise MalformedMessageError(415, "compressed bodies are not taken")
         has_body = "Content-Length" in headers or "Transfer-Encoding" in headers
         length = framing(conn.parser).length_bytes if has_body else 0
         if length is None:
-            raise MalformedMessage(411, "the body needs a Content-Length")
+            raise MalformedMessageError(411, "the body needs a Content-Length")
         if length > self.limits.max_body_bytes:
-            raise MalformedMessage(413, "the body is larger than allowed")
+            raise MalformedMessageError(413, "the body is larger than allowed")
         conn.length_bytes = length
         if length and headers.get("Expect", "").lower() == "100-continue":
             self.fire(write(conn.sock, CONTINUE))
@@ -293,11 +310,11 @@
         parser, conn.parser = conn.parser, None
         body = parser.recv_body()
         if len(body) != conn.length_bytes:
-            raise MalformedMessage(400, "more bytes than the request's length")
+            raise MalformedMessageError(400, "more bytes than the request's length")
         try:
             req = self._request_of(conn, parser)
         except (OSError, ValueError) as exc:
-            raise MalformedMessage(400, "malformed Host header or path") from exc
+            raise MalformedMessageError(400, "malformed Host header or path") from exc
         res = Response(req)
         res.close = not parser.should_keep_alive()
         self.scheduler.cancel(conn.deadline)
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_list_adapter.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_list_adapter.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 import msgspec
-from eelgrassdrum_core.effects import ReadInstances, WriteLog
-from eelgrassdrum_core.events import InstancesListed, ListedInstance
+
+from eelgrassdrum_core import effects, events
 
 from ._http_messages import ClientRequest, HttpFailure, HttpOutcome
 from ._http_pool import HttpPool
@@ -29,8 +29,8 @@
     base: BaseUrl,
     pool: HttpPool,
     post: Callable[[object], None],
-    write_log: Callable[[WriteLog], None],
-) -> Callable[[ReadInstances], None]:
+    write_log: Callable[[effects.WriteLog], None],
+) -> Callable[[effects.ReadInstances], None]:
     """
     Bind the reader to its connections.
 
@@ -42,7 +42,7 @@
     """
     in_flight = False
 
-    def read(_effect: ReadInstances) -> None:
+    def read(_effect: effects.ReadInstances) -> None:
         nonlocal in_flight
         if in_flight:
             return
@@ -55,14 +55,14 @@
         in_flight = False
         instances = parse_instances(outcome)
         if instances is None:
-            write_log(WriteLog("list.unavailable", {"reason": _reason(outcome)}))
+            write_log(effects.WriteLog("list.unavailable", {"reason": _reason(outcome)}))
         else:
-            post(InstancesListed(instances))
+            post(events.InstancesListed(instances))
 
     return read
 
 
-def parse_instances(outcome: HttpOutcome) -> tuple[ListedInstance, ...] | None:
+def parse_instances(outcome: HttpOutcome) -> tuple[events.ListedInstance, ...] | None:
     """
     Read the entries of the list, leaving out malformed ones.
 
@@ -79,11 +79,11 @@
     return tuple(instance for instance in parsed if instance is not None)
 
 
-def _parse_entry(entry: Any) -> ListedInstance | None:
+def _parse_entry(entry: Any) -> events.ListedInstance | None:
     try:
-        known = {name: entry[name] for name in ListedInstance._fields if name in entry}
-        filled = ListedInstance(**known)
-        return msgspec.convert(list(filled), ListedInstance)
+        known = {name: entry[name] for name in events.ListedInstance._fields if name in entry}
+        filled = events.ListedInstance(**known)
+        return msgspec.convert(list(filled), events.ListedInstance)
     except (msgspec.ValidationError, TypeError):
         return None
 
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_log_adapter.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_log_adapter.py
@@ -3,23 +3,19 @@
 """
 
 from collections.abc import Callable
+from itertools import pairwise
 from typing import Any, NamedTuple
 
 import msgspec
+
 from eelgrassdrum_core import (
     CONTROL_STREAM,
     StoredRecord,
+    effects,
+    events,
     record_from_json,
     record_to_json,
 )
-from eelgrassdrum_core.effects import AppendRecords, ReadLog
-from eelgrassdrum_core.events import (
-    AppendDone,
-    AppendFailed,
-    LogRead,
-    LogTruncated,
-    LogUnavailable,
-)
 
 from ._http_messages import ClientRequest, HttpFailure, HttpOutcome
 from ._http_pool import HttpPool
@@ -44,8 +40,8 @@
     :param append: appends to the control stream.
     """
 
-    read: Callable[[ReadLog], None]
-    append: Callable[[AppendRecords], None]
+    read: Callable[[effects.ReadLog], None]
+    append: Callable[[effects.AppendRecords], None]
 
 
 class StoredJson(msgspec.Struct):
@@ -84,9 +80,7 @@
     offsets: list[int]
 
 
-def make_log_adapter(
-    base: BaseUrl, pool: HttpPool, scheduler: Scheduler, post: Post
-) -> LogAdapter:
+def make_log_adapter(base: BaseUrl, pool: HttpPool, scheduler: Scheduler, post: Post) -> LogAdapter:
     """
     Bind the adapter to its connections.
 
@@ -98,10 +92,10 @@
     """
     path = f"{base.path}/v1/streams/{CONTROL_STREAM}/records"
 
-    def read(effect: ReadLog) -> None:
+    def read(effect: effects.ReadLog) -> None:
         _after(scheduler, effect.delay_s, lambda: send_read(effect))
 
-    def send_read(effect: ReadLog) -> None:
+    def send_read(effect: effects.ReadLog) -> None:
         query = f"?from={effect.from_offset}&limit={READ_LIMIT}&wait={effect.wait_s:g}"
         timeout_s = effect.wait_s + READ_MARGIN_S
         pool.submit(ClientRequest(base.address, "GET", path + query, timeout_s, on_read))
@@ -109,10 +103,10 @@
     def on_read(outcome: HttpOutcome) -> None:
         post(_read_event(outcome))
 
-    def append(effect: AppendRecords) -> None:
+    def append(effect: effects.AppendRecords) -> None:
         _after(scheduler, effect.delay_s, lambda: send_append(effect))
 
-    def send_append(effect: AppendRecords) -> None:
+    def send_append(effect: effects.AppendRecords) -> None:
         body = msgspec.json.encode([record_to_json(record) for record in effect.records])
         count = len(effect.records)
         pool.submit(
@@ -139,36 +133,36 @@
 
 def _read_event(outcome: HttpOutcome) -> object:
     if isinstance(outcome, HttpFailure):
-        return LogUnavailable(outcome.reason)
+        return events.LogUnavailable(outcome.reason)
     try:
         if outcome.status == STATUS_GONE:
             gone = msgspec.json.decode(outcome.body, type=GoneJson)
-            return LogTruncated(gone.first, gone.head)
+            return events.LogTruncated(gone.first, gone.head)
         if outcome.status != STATUS_OK:
-            return LogUnavailable(f"status {outcome.status}")
+            return events.LogUnavailable(f"status {outcome.status}")
         answer = msgspec.json.decode(outcome.body, type=ReadJson)
     except msgspec.MsgspecError:
-        return LogUnavailable("malformed answer")
+        return events.LogUnavailable("malformed answer")
     offsets = [stored.offset for stored in answer.records]
-    if any(later != earlier + 1 for earlier, later in zip(offsets, offsets[1:], strict=False)):
-        return LogUnavailable("offsets out of order")
+    if any(later != earlier + 1 for earlier, later in pairwise(offsets)):
+        return events.LogUnavailable("offsets out of order")
     records = tuple(
         StoredRecord(stored.offset, record_from_json(stored.record)) for stored in answer.records
     )
-    return LogRead(records, answer.head, answer.first)
+    return events.LogRead(records, answer.head, answer.first)
 
 
 def _append_event(outcome: HttpOutcome, count: int) -> object:
     if isinstance(outcome, HttpFailure):
-        return AppendFailed(outcome.reason, may_have_effect=outcome.sent)
+        return events.AppendFailed(outcome.reason, may_have_effect=outcome.sent)
     if outcome.status == STATUS_THROTTLED:
-        return AppendFailed("throttled", may_have_effect=False)
+        return events.AppendFailed("throttled", may_have_effect=False)
     if outcome.status != STATUS_OK:
-        return AppendFailed(f"status {outcome.status}", may_have_effect=True)
+        return events.AppendFailed(f"status {outcome.status}", may_have_effect=True)
     try:
         answer = msgspec.json.decode(outcome.body, type=AppendJson)
     except msgspec.MsgspecError:
-        return AppendFailed("malformed answer", may_have_effect=True)
+        return events.AppendFailed("malformed answer", may_have_effect=True)
     if len(answer.offsets) != count:
-        return AppendFailed("wrong number of offsets", may_have_effect=True)
-    return AppendDone(tuple(answer.offsets))
+        return events.AppendFailed("wrong number of offsets", may_have_effect=True)
+    return events.AppendDone(tuple(answer.offsets))
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_logging.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_logging.py
@@ -2,25 +2,30 @@
 The structured log: JSON lines by eliot.
 """
 
+import contextlib
 import sys
-from collections.abc import Callable
-from typing import IO, Any
+from collections.abc import Callable, Iterator
+from typing import Any
 
 import eliot
 
 Write = Callable[..., None]
 
 
-def open_log(file: str) -> IO[str]:
+@contextlib.contextmanager
+def open_log(file: str) -> Iterator[None]:
     """
-    Open the log, and have eliot write to it.
+    Have eliot write to a file until the context ends.
 
     :param file: a path, or ``-`` for standard error.
-    :returns: the open file.
     """
-    stream = sys.stderr if file == "-" else open(file, "a", encoding="utf-8", buffering=1)
-    eliot.to_file(stream)
-    return stream
+    if file == "-":
+        eliot.to_file(sys.stderr)
+        yield
+        return
+    with open(file, "a", encoding="utf-8", buffering=1) as stream:
+        eliot.to_file(stream)
+        yield
 
 
 def make_writer(instance: str, zone: str) -> Write:
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_metrics.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_metrics.py
@@ -6,9 +6,10 @@
 from typing import NamedTuple
 
 import msgspec
-from eelgrassdrum_core.effects import ObserveLatency
 from hdrh.histogram import HdrHistogram
 
+from eelgrassdrum_core import effects
+
 UNIT_S = 0.0001
 LOWEST_UNITS = 1
 HIGHEST_UNITS = 36_000_000
@@ -62,7 +63,7 @@
     return HdrHistogram(LOWEST_UNITS, HIGHEST_UNITS, SIGNIFICANT_DIGITS)
 
 
-def observe(state: MetricsState, effect: ObserveLatency) -> None:
+def observe(state: MetricsState, effect: effects.ObserveLatency) -> None:
     """
     Count one finished request.
 
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_peers.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_peers.py
@@ -42,6 +42,7 @@
     received: int = 0
     dropped: int = 0
     redialled: int = 0
+    malformed: int = 0
 
 
 class Peers(BaseComponent):
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_routes.py
@@ -0,0 +1,73 @@
+"""
+Routes of the HTTP server: callers, operators, health and readiness.
+"""
+
+from typing import TYPE_CHECKING
+
+from eelgrassdrum_core import effects, refusals
+
+from . import _operator_api
+from ._caller_api import QUEUES_PREFIX, REQUEST_ID_HEADER, read_request
+from ._http_server import Exchange
+from ._server_answers import JSON_HEADERS, encode_json
+
+if TYPE_CHECKING:
+    from ._app import App
+
+HEALTH_PATH = "/healthz"
+READY_PATH = "/readyz"
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
+
+
+def handle_exchange(app: "App", exchange: Exchange) -> None:
+    """
+    Hand a whole request to the part that answers it.
+
+    :param app: the entry instance.
+    :param exchange: the request.
+    """
+    path = exchange.req.path
+    if path.startswith(QUEUES_PREFIX):
+        _handle_caller(app, exchange)
+    elif path == HEALTH_PATH:
+        _answer_json(app, exchange, STATUS_OK, {"status": "alive"})
+    elif path == READY_PATH:
+        _answer_ready(app, exchange)
+    elif path.startswith(_operator_api.PREFIXES):
+        _operator_api.handle(app, exchange)
+    else:
+        _answer_json(app, exchange, STATUS_NOT_FOUND, {"error": "not_found"})
+
+
+def _handle_caller(app: "App", exchange: Exchange) -> None:
+    event = read_request(exchange)
+    app.request_ids[exchange.token] = exchange.req.headers.get(REQUEST_ID_HEADER, "")
+    if isinstance(event, refusals.Refusal):
+        app.request_ids[exchange.token] = ""
+        app.carry_out(effects.Refuse(exchange.token, event))
+        return
+    app.bodies[exchange.token] = exchange.body
+    app.post(event)
+
+
+def _answer_ready(app: "App", exchange: Exchange) -> None:
+    if is_ready(app):
+        _answer_json(app, exchange, STATUS_OK, {"ready": True})
+    else:
+        _answer_json(app, exchange, STATUS_UNAVAILABLE, {"ready": False})
+
+
+def is_ready(app: "App") -> bool:
+    """
+    Tell whether the instance may be sent callers.
+
+    :param app: the entry instance.
+    :returns: whether it has a whole configuration and is not stopping.
+    """
+    return app.state.log.caught_up and not app.state.stopping and app.stop_requested_at_s is None
+
+
+def _answer_json(app: "App", exchange: Exchange, status: int, value: object) -> None:
+    app.server.answer(exchange.token, status, JSON_HEADERS, encode_json(value))
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_server_answers.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_server_answers.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 import msgspec
-from eelgrassdrum_core.refusals import NOT_RUN, Refusal
+
+from eelgrassdrum_core import refusals
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 ERROR_NAMES = {
@@ -42,7 +43,11 @@
     :returns: the bytes to send.
     """
     body = encode_json(
-        {"error": ERROR_NAMES.get(status, "bad_request"), "message": message, "run_state": NOT_RUN}
+        {
+            "error": ERROR_NAMES.get(status, "bad_request"),
+            "message": message,
+            "run_state": refusals.NOT_RUN,
+        }
     )
     head = (
         f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Type: application/json\r\n"
@@ -51,7 +56,7 @@
     return head.encode() + body
 
 
-def refusal_headers(refusal: Refusal, request_id: str) -> Mapping[str, str]:
+def refusal_headers(refusal: refusals.Refusal, request_id: str) -> Mapping[str, str]:
     """
     Give the headers of a refusal.
 
@@ -70,7 +75,7 @@
     return headers
 
 
-def refusal_body(refusal: Refusal, request_id: str) -> bytes:
+def refusal_body(refusal: refusals.Refusal, request_id: str) -> bytes:
     """
     Give the JSON body of a refusal.
 
