--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
@@ -36,7 +36,7 @@
 from ._logging import Write
 from ._peers import Peers
 from ._routes import handle_exchange
-from ._server_answers import refusal_body, refusal_headers
+from ._server_answers import encode_json, refusal_body, refusal_headers
 from ._settings import Settings
 from ._timers import Scheduler
 from ._urls import parse_base_url
@@ -228,6 +228,7 @@
 
     @handler("started", channel="*")
     def _on_started(self, *_args):
+        self._print_ready()
         self.write(
             "instance.started",
             address=self.server.address,
@@ -238,6 +239,14 @@
         self.scheduler.repeat(TICK_INTERVAL_S, partial(self.post, events.Ticked()))
         self.scheduler.repeat(HOUSEKEEPING_INTERVAL_S, self.peers.close_unused)
 
+    def _print_ready(self) -> None:
+        line = {
+            "ready": True,
+            "address": self.server.address,
+            "peer_address": self.peers.address,
+        }
+        print(encode_json(line).decode(), flush=True)
+
     @handler("signal", channel="*", priority=100)
     def _on_signal(self, event, signo, _stack):
         event.stop()
