--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	$(BIN)/python -m eelgrassdrum_testing.capacity
 
 fault-matrix: $(VENV)/.ready
-	$(BIN)/python -m eelgrassdrum_testing.fault_matrix
+	$(BIN)/python -m eelgrassdrum_testing.fault_matrix --write docs/fault-matrix.md
 
 # Recomputes the pinned versions. Needs pip-tools on the path.
 pins:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
@@ -4,7 +4,7 @@
 
 from ._endpoints import add_endpoint, crash_endpoint
 from ._entries import EXECUTORS, deliver, kill_entry, pause_entry, start_entry, submit
-from ._faults import FAULTS
+from ._faults import FAULTS, publish_next
 from ._fleet import (
     DEFAULT_TEAMS,
     OPEN_QUEUE,
@@ -53,6 +53,7 @@
     "operator_append",
     "pause_entry",
     "publish",
+    "publish_next",
     "send_one",
     "start_entry",
     "start_load",
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_faults.py
@@ -210,6 +210,15 @@
         publish(world, fleet_document(teams, len(world.endpoints)), base)
 
 
+def publish_next(world: World) -> None:
+    """
+    Publish the present document once more, as an operator's ordinary change.
+
+    :param world: the world.
+    """
+    publish(world, fleet_document(DEFAULT_TEAMS, len(world.endpoints)), _document_base(world))
+
+
 def lower_limit(world: World) -> None:
     """
     Publish a document that lowers every team's limit to a third.
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_log.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_log.py
@@ -98,7 +98,7 @@
     waiters = world.log.waiters
     world.log.waiters = []
     for waiter in waiters:
-        later(world, world.log.delay_s, waiter)
+        later(world, world.log.delay_s * (1 + world.rng.random()), waiter)
     return len(world.log.records)
 
 
