--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_endpoint_http.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_endpoint_http.py
@@ -9,9 +9,11 @@
 import msgspec
 
 from . import _endpoint as endpoint
-from ._http_server import Call, Handler, Loop, error_reply, json_reply
+from ._http_server import Call, Handler, error_reply, json_reply
+from ._timers import CallLater
 
 CRASH_EXIT_CODE = 70
+RUN_STATE_HEADER = "X-Run-State"
 NOT_RUN = "not_run"
 
 
@@ -56,19 +58,19 @@
     silenced: int
 
 
-def make_endpoint_handler(state: endpoint.EndpointState, loop: Loop) -> Handler:
+def make_endpoint_handler(state: endpoint.EndpointState, call_later: CallLater) -> Handler:
     """
     Build the endpoint's handler.
 
     :param state: the endpoint.
-    :param loop: the server that it runs in.
+    :param call_later: ends runs after their service time.
     :returns: the handler.
     """
     routes: dict[tuple[str, str], Callable[[Call], None]] = {
-        ("POST", "/run"): partial(handle_run, state, loop),
+        ("POST", "/run"): partial(handle_run, state, call_later),
         ("GET", "/health"): partial(handle_health, state),
         ("GET", "/runs"): partial(handle_runs, state),
-        ("POST", "/control"): partial(handle_control, state, loop),
+        ("POST", "/control"): partial(handle_control, state),
     }
 
     def handle(call: Call) -> None:
@@ -81,29 +83,29 @@
     return handle
 
 
-def handle_run(state: endpoint.EndpointState, loop: Loop, call: Call) -> None:
+def handle_run(state: endpoint.EndpointState, call_later: CallLater, call: Call) -> None:
     """
     Begin a run, or refuse it before anything ran.
 
     :param state: the endpoint.
-    :param loop: ends the run after its service time.
+    :param call_later: ends the run after its service time.
     :param call: the call.
     """
     try:
         req = run_request(call)
     except (KeyError, ValueError) as exc:
-        call.reply(error_reply(400, "malformed", str(exc), X_Run_State=NOT_RUN))
+        call.reply(error_reply(400, "malformed", str(exc), {RUN_STATE_HEADER: NOT_RUN}))
         return
     try:
         started = endpoint.start_run(state, req)
     except endpoint.RefusedError as exc:
-        leaving = {"X_Leaving": "1"} if state.state == "leaving" else {}
-        headers = {"X_Run_State": NOT_RUN, "X_Attempt_Id": req.attempt_id, **leaving}
-        call.reply(error_reply(503, "refused", str(exc), **headers))
+        leaving = {"X-Leaving": "1"} if state.state == "leaving" else {}
+        headers = {RUN_STATE_HEADER: NOT_RUN, "X-Attempt-Id": req.attempt_id, **leaving}
+        call.reply(error_reply(503, "refused", str(exc), headers))
         return
     finish = partial(finish_run, state, started.number, req, call)
     if started.work_s > 0:
-        loop.call_later(started.work_s, finish)
+        call_later(started.work_s, finish)
     else:
         finish()
 
@@ -140,13 +142,13 @@
     :param req: what ran.
     :param call: the call.
     """
-    headers = {"X_Attempt_Id": req.attempt_id, "X_Request_Id": req.request_id}
+    headers = {"X-Attempt-Id": req.attempt_id, "X-Request-Id": req.request_id}
     if state.fail_fast:
         endpoint.finish_run(state, number, "failed")
-        call.reply(error_reply(500, "failed", "the run failed", **headers))
+        call.reply(error_reply(500, "failed", "the run failed", headers))
         return
     endpoint.finish_run(state, number, "done")
-    call.reply(json_reply(endpoint.run_answer(state, req), **headers))
+    call.reply(json_reply(endpoint.run_answer(state, req), 200, headers))
 
 
 def handle_health(state: endpoint.EndpointState, call: Call) -> None:
@@ -172,17 +174,16 @@
     call.reply(json_reply(Runs(state.runs)))
 
 
-def handle_control(state: endpoint.EndpointState, loop: Loop, call: Call) -> None:
+def handle_control(state: endpoint.EndpointState, call: Call) -> None:
     """
     Change the endpoint's behaviour.
 
     :param state: the endpoint.
-    :param loop: the server, whose connections may be silenced.
     :param call: the call.
     """
     control = msgspec.json.decode(call.body, type=endpoint.Control)
     if control.crash:
         os._exit(CRASH_EXIT_CODE)
     endpoint.apply_control(state, control)
-    silenced = loop.silence(call) if control.silence else 0
+    silenced = call.silence_others() if control.silence else 0
     call.reply(json_reply(ControlAnswer(state.state, silenced)))
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_http_server.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_http_server.py
@@ -3,7 +3,8 @@
 """
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl
 
@@ -19,6 +20,9 @@
 LOOPBACK = "127.0.0.1"
 JSON_TYPE = "application/json"
 
+Headers = Mapping[str, str]
+NO_HEADERS: Headers = MappingProxyType({})
+
 
 class Reply(NamedTuple):
     """
@@ -27,12 +31,17 @@
 
     status: int
     body: bytes = b""
-    headers: tuple[tuple[str, str], ...] = ()
+    headers: Headers = NO_HEADERS
 
 
 class Call(NamedTuple):
     """
-    One request and the functions that end it; exactly one of them is called, once.
+    One request, the functions that end it, of which one is called once, and one more.
+
+    :param reply: answers the request.
+    :param drop: closes its connection unanswered.
+    :param silence_others: stops every other open connection from answering for good, and tells
+        how many are silent.
     """
 
     method: str
@@ -42,6 +51,7 @@
     body: bytes
     reply: Callable[[Reply], None]
     drop: Callable[[], None]
+    silence_others: Callable[[], int]
 
 
 class ErrorBody(msgspec.Struct):
@@ -53,42 +63,33 @@
     message: str = ""
 
 
-class Loop(NamedTuple):
-    """
-    What a handler may ask of the server that it runs in.
-    """
-
-    call_later: CallLater
-    silence: Callable[[Call], int]
-
-
 Handler = Callable[[Call], None]
+MakeHandler = Callable[[CallLater], Handler]
 
 
-def json_reply(body: object, status: int = 200, **headers: str) -> Reply:
+def json_reply(body: object, status: int = 200, headers: Headers = NO_HEADERS) -> Reply:
     """
     Encode an answer.
 
     :param body: anything that msgspec encodes.
     :param status: HTTP status.
-    :param headers: further headers, with underscores for hyphens.
+    :param headers: further headers.
     :returns: the answer.
     """
-    named = tuple((name.replace("_", "-"), value) for name, value in headers.items())
-    return Reply(status, msgspec.json.encode(body), named)
+    return Reply(status, msgspec.json.encode(body), headers)
 
 
-def error_reply(status: int, error: str, message: str = "", **headers: str) -> Reply:
+def error_reply(status: int, error: str, message: str = "", headers: Headers = NO_HEADERS) -> Reply:
     """
     Encode a refusal.
 
     :param status: HTTP status.
     :param error: the reason's name.
     :param message: the reason in words.
-    :param headers: further headers, with underscores for hyphens.
+    :param headers: further headers.
     :returns: the answer.
     """
-    return json_reply(ErrorBody(error, message), status, **headers)
+    return json_reply(ErrorBody(error, message), status, headers)
 
 
 class HttpServer(BaseComponent):
@@ -100,7 +101,7 @@
     secure = False
     display_banner = False
 
-    def __init__(self, port: int, make_handler: Callable[[Loop], Handler]) -> None:
+    def __init__(self, port: int, make_handler: MakeHandler) -> None:
         """
         Bind the port.
 
@@ -110,9 +111,8 @@
         super().__init__()
         self._open: set[Any] = set()
         self._silent: set[Any] = set()
-        self._sockets: dict[int, Any] = {}
         self._timers = Timers().register(self)
-        self._handler = make_handler(Loop(self._timers.call_later, self._silence))
+        self._handler = make_handler(self._timers.call_later)
         self._tcp = TCPServer((LOOPBACK, port), channel=self.channel).register(self)
         self.http = HTTP(self, channel=self.channel).register(self)
 
@@ -147,13 +147,10 @@
     @handler("request")
     def _on_request(self, req: Any, res: Any) -> bool:
         call = self._make_call(req, res)
-        self._sockets[id(call)] = req.sock
         try:
             self._handler(call)
         except msgspec.MsgspecError as exc:
             call.reply(error_reply(400, "malformed", str(exc)))
-        finally:
-            del self._sockets[id(call)]
         return True
 
     def _make_call(self, req: Any, res: Any) -> Call:
@@ -164,9 +161,21 @@
             if req.sock in self._open:
                 self.fire(close(req.sock))
 
+        def silence_others() -> int:
+            self._silent |= self._open - {req.sock}
+            return len(self._silent)
+
         headers = {name.lower(): value for name, value in req.headers.items()}
-        query = dict(parse_qsl(req.qs))
-        return Call(req.method, req.path, query, headers, req.body.getvalue(), reply, drop)
+        return Call(
+            method=req.method,
+            path=req.path,
+            query=dict(parse_qsl(req.qs)),
+            headers=headers,
+            body=req.body.getvalue(),
+            reply=reply,
+            drop=drop,
+            silence_others=silence_others,
+        )
 
     def _reply(self, res: Any, answer: Reply) -> None:
         sock = res.request.sock
@@ -174,23 +183,13 @@
             return
         res.status = answer.status
         res.headers["Content-Type"] = JSON_TYPE
-        for name, value in answer.headers:
+        for name, value in answer.headers.items():
             res.headers[name] = value
         res.body = answer.body
         self.fire(response(res))
 
-    def _silence(self, call: Call) -> int:
-        """
-        Stop answering on every open connection but the caller's own.
-
-        :param call: the call that asks for it, while it is being handled.
-        :returns: how many connections are silent now.
-        """
-        self._silent |= self._open - {self._sockets[id(call)]}
-        return len(self._silent)
-
 
-def serve(port: int, make_handler: Callable[[Loop], Handler]) -> None:
+def serve(port: int, make_handler: MakeHandler) -> None:
     """
     Run a server until the process is told to stop; print its address as one JSON line.
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_instance_list.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_instance_list.py
@@ -13,7 +13,8 @@
 from msgspec import UNSET, UnsetType
 
 from ._faults import Faults, faulty
-from ._http_server import Call, Handler, Loop, error_reply, json_reply
+from ._http_server import Call, Handler, error_reply, json_reply
+from ._timers import CallLater
 
 LAG_S = 2.0
 LIST_PATH = "/v1/instances"
@@ -117,12 +118,14 @@
     return [state.visible[key] for key in sorted(state.visible)]
 
 
-def make_list_handler(lag_s: float, loop: Loop, clock: Callable[[], float] = monotonic) -> Handler:
+def make_list_handler(
+    lag_s: float, call_later: CallLater, clock: Callable[[], float] = monotonic
+) -> Handler:
     """
     Build the list's handler.
 
     :param lag_s: seconds by which answers are old.
-    :param loop: the server that it runs in.
+    :param call_later: schedules delayed answers.
     :param clock: gives seconds.
     :returns: the handler, with faults.
     """
@@ -132,7 +135,7 @@
         if faults.lag_s is not None:
             state.lag_s = faults.lag_s
 
-    return faulty(partial(handle_call, state, clock), ListFaults, loop.call_later, changed)
+    return faulty(partial(handle_call, state, clock), ListFaults, call_later, changed)
 
 
 def handle_call(state: ListState, clock: Callable[[], float], call: Call) -> None:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_log_http.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_log_http.py
@@ -11,7 +11,8 @@
 
 from . import _log_service as log
 from ._faults import Faults, faulty
-from ._http_server import Call, Handler, Loop, Reply, error_reply, json_reply
+from ._http_server import Call, Handler, Reply, error_reply, json_reply
+from ._timers import CallLater
 
 RECORDS_PATH = re.compile(r"/v1/streams/(\w+)/records")
 WAIT_LIMIT_S = 30.0
@@ -45,23 +46,24 @@
 
     log: log.LogState
     clock: Callable[[], float]
-    loop: Loop
+    call_later: CallLater
     waiting: list[Read] = msgspec.field(default_factory=list)
 
 
 def make_log_handler(
-    cfg: log.LogConfig, loop: Loop, clock: Callable[[], float] = monotonic
+    cfg: log.LogConfig, call_later: CallLater, clock: Callable[[], float] = monotonic
 ) -> Handler:
     """
     Build the log service's handler.
 
     :param cfg: limits of the service.
-    :param loop: the server that it runs in.
+    :param call_later: schedules delayed answers.
     :param clock: gives seconds.
     :returns: the handler, with faults.
     """
-    server = LogServer(log.new_log(cfg, clock()), clock, loop)
-    return faulty(partial(handle_call, server), Faults, loop.call_later, partial(end_reads, server))
+    server = LogServer(log.new_log(cfg, clock()), clock, call_later)
+    inner = partial(handle_call, server)
+    return faulty(inner, Faults, call_later, partial(end_reads, server))
 
 
 def handle_call(server: LogServer, call: Call) -> None:
@@ -111,7 +113,7 @@
         return json_reply(log.append(server.log, stream, records, server.clock()))
     except log.RateLimitedError as exc:
         retry_after = f"{exc.retry_after_s:.3f}"
-        return error_reply(429, "rate_limited", str(exc), Retry_After=retry_after)
+        return error_reply(429, "rate_limited", str(exc), {"Retry-After": retry_after})
     except log.BatchTooLargeError as exc:
         return error_reply(413, "batch_too_large", str(exc))
 
@@ -137,7 +139,7 @@
     read = Read(call, stream, start, limit, min(wait_s, WAIT_LIMIT_S))
     if answer_or_wait(server, read):
         return
-    server.loop.call_later(read.wait_s, partial(end_read, server, read))
+    server.call_later(read.wait_s, partial(end_read, server, read))
 
 
 def answer_or_wait(server: LogServer, read: Read) -> bool:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_log_service.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_log_service.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -147,7 +148,7 @@
     return LogState(cfg, {name: Stream() for name in STREAMS}, cfg.appends_per_s, now_s)
 
 
-def append(state: LogState, stream: str, records: list[object], now_s: float) -> Appended:
+def append(state: LogState, stream: str, records: Sequence[object], now_s: float) -> Appended:
     """
     Append records as one unit: all of them or none.
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/standins.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/standins.py
@@ -16,6 +16,8 @@
 from ._instance_list import LAG_S, make_list_handler
 from ._log_http import make_log_handler
 from ._log_service import APPENDS_PER_S, RETENTION_AGE_S, RETENTION_RECORDS, LogConfig
+from ._worker import USAGE_LAG_S, WorkerState
+from ._worker_http import make_worker_handler
 
 app = cyclopts.App(name="standins", help="Stand-ins for the platform.")
 
@@ -81,5 +83,35 @@
     serve(port, partial(make_endpoint_handler, state))
 
 
+@app.command(name="worker")
+def run_worker(
+    *,
+    port: int = 0,
+    instance_id: str = "worker-1",
+    cores: float = 32,
+    memory_gb: float = 128,
+    accelerators: int = 0,
+    usage_lag_s: float = USAGE_LAG_S,
+) -> None:
+    """
+    Run a worker.
+
+    :param port: TCP port on loopback, 0 for one that the system chooses.
+    :param instance_id: the instance's id.
+    :param cores: processors.
+    :param memory_gb: memory.
+    :param accelerators: accelerators.
+    :param usage_lag_s: seconds by which reported usage is old.
+    """
+    state = WorkerState(
+        id=instance_id,
+        cores=cores,
+        memory_gb=memory_gb,
+        accelerators=accelerators,
+        usage_lag_s=usage_lag_s,
+    )
+    serve(port, partial(make_worker_handler, state))
+
+
 if __name__ == "__main__":
     app()
