--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_endpoint_http.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_endpoint_http.py
@@ -5,6 +5,7 @@
 import os
 from collections.abc import Callable
 from functools import partial
+from pathlib import Path
 
 import msgspec
 
@@ -16,6 +17,8 @@
 RUN_STATE_HEADER = "X-Run-State"
 NOT_RUN = "not_run"
 
+Journal = Callable[[endpoint.RunRecord], None]
+
 
 class Running(msgspec.Struct, frozen=True):
     """
@@ -58,16 +61,19 @@
     silenced: int
 
 
-def make_endpoint_handler(state: endpoint.EndpointState, call_later: CallLater) -> Handler:
+def make_endpoint_handler(
+    state: endpoint.EndpointState, journal: Journal, call_later: CallLater
+) -> Handler:
     """
     Build the endpoint's handler.
 
     :param state: the endpoint.
+    :param journal: is told of each run before it begins.
     :param call_later: ends runs after their service time.
     :returns: the handler.
     """
     routes: dict[tuple[str, str], Callable[[Call], None]] = {
-        ("POST", "/run"): partial(handle_run, state, call_later),
+        ("POST", "/run"): partial(handle_run, state, journal, call_later),
         ("GET", "/health"): partial(handle_health, state),
         ("GET", "/runs"): partial(handle_runs, state),
         ("POST", "/control"): partial(handle_control, state),
@@ -83,11 +89,31 @@
     return handle
 
 
-def handle_run(state: endpoint.EndpointState, call_later: CallLater, call: Call) -> None:
+def file_journal(path: Path | None) -> Journal:
+    """
+    Write each run to a file at once, so that the record outlives a crash.
+
+    :param path: the file, to which one JSON line is added for each run; None for no journal.
+    :returns: the journal.
+    """
+    if path is None:
+        return lambda record: None
+    fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+
+    def write(record: endpoint.RunRecord) -> None:
+        os.write(fd, msgspec.json.encode(record) + b"\n")
+
+    return write
+
+
+def handle_run(
+    state: endpoint.EndpointState, journal: Journal, call_later: CallLater, call: Call
+) -> None:
     """
     Begin a run, or refuse it before anything ran.
 
     :param state: the endpoint.
+    :param journal: is told of the run.
     :param call_later: ends the run after its service time.
     :param call: the call.
     """
@@ -103,6 +129,7 @@
         headers = {RUN_STATE_HEADER: NOT_RUN, "X-Attempt-Id": req.attempt_id, **leaving}
         call.reply(error_reply(503, "refused", str(exc), headers))
         return
+    journal(state.runs[started.number])
     finish = partial(finish_run, state, started.number, req, call)
     if started.work_s > 0:
         call_later(started.work_s, finish)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_faults.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -14,6 +14,8 @@
 RUBBISH = b'\x00\xff{"offsets": [1, 2,'
 FAULTS_PATH = "/faults"
 
+Probability = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
     """
@@ -28,7 +30,7 @@
 
     outage: bool = False
     delay_s: float = 0.0
-    lose_answers: float = 0.0
+    lose_answers: Probability = 0.0
     rubbish: bool = False
     seed: int = 0
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_worker_http.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_worker_http.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from functools import partial
 from time import monotonic
+from typing import Annotated
 
 import msgspec
 
@@ -57,7 +58,7 @@
 
     fence: int
     lease_s: float = 0.0
-    speed: float = 1.0
+    speed: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
 
 
 class TaskReport(msgspec.Struct, frozen=True):
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/standins.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/standins.py
@@ -6,12 +6,13 @@
 """
 
 from functools import partial
+from pathlib import Path
 from random import Random
 
 import cyclopts
 
 from ._endpoint import WORK_MS_MEDIAN, EndpointState
-from ._endpoint_http import make_endpoint_handler
+from ._endpoint_http import file_journal, make_endpoint_handler
 from ._http_server import serve
 from ._instance_list import LAG_S, make_list_handler
 from ._log_http import make_log_handler
@@ -62,6 +63,7 @@
     slots: int = 4,
     work_ms_median: float = WORK_MS_MEDIAN,
     seed: int = 0,
+    journal: Path | None = None,
 ) -> None:
     """
     Run an endpoint.
@@ -72,6 +74,7 @@
     :param slots: runs at a time.
     :param work_ms_median: median of the default service times, in milliseconds.
     :param seed: seed of the default service times.
+    :param journal: file to which each run is added as a JSON line before it begins.
     """
     state = EndpointState(
         id=instance_id,
@@ -80,7 +83,7 @@
         random=Random(seed),
         work_ms_median=work_ms_median,
     )
-    serve(port, partial(make_endpoint_handler, state))
+    serve(port, partial(make_endpoint_handler, state, file_journal(journal)))
 
 
 @app.command(name="worker")
--- a/packages/eelgrassdrum-testing/tests/test_endpoint.py
+++ b/packages/eelgrassdrum-testing/tests/test_endpoint.py
@@ -2,13 +2,16 @@
 Tests of the endpoint's executor over HTTP.
 """
 
+import tempfile
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
+import msgspec
 import xxhash
 
 from eelgrassdrum_testing._endpoint_http import CRASH_EXIT_CODE
 from eelgrassdrum_testing._http_client import call, connect, send
-from eelgrassdrum_testing._process import processes, standin_command
+from eelgrassdrum_testing._process import kill, processes, standin_command
 from eelgrassdrum_testing._wait import wait_until
 
 LONG_MS = "20000"
@@ -155,6 +158,17 @@
     assert running(endpoint) == [1]
 
 
+def test_the_journal_keeps_runs_that_a_crash_cut_off():
+    """A run in progress at a crash can be read from the journal."""
+    with tempfile.TemporaryDirectory() as folder, processes() as start:
+        path = Path(folder, "runs")
+        endpoint = start("endpoint", standin_command("endpoint", journal=path))
+        begin(endpoint, 1, LONG_MS)
+        kill(endpoint)
+        lines = path.read_bytes().splitlines()
+    assert [msgspec.json.decode(line)[:2] for line in lines] == [["r1", "a1"]]
+
+
 def test_a_crash_ends_the_process_without_an_answer(endpoint):
     """Connections break, and the exit code tells that it was a crash."""
     conn = connect(endpoint.address)
