--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/standins.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/standins.py
@@ -6,16 +6,19 @@
 """
 
 from functools import partial
+from pathlib import Path
 from random import Random
 
 import cyclopts
 
 from ._endpoint import WORK_MS_MEDIAN, EndpointState
-from ._endpoint_http import make_endpoint_handler
+from ._endpoint_http import file_journal, make_endpoint_handler
 from ._http_server import serve
 from ._instance_list import LAG_S, make_list_handler
 from ._log_http import make_log_handler
 from ._log_service import APPENDS_PER_S, RETENTION_AGE_S, RETENTION_RECORDS, LogConfig
+from ._worker import USAGE_LAG_S, WorkerState
+from ._worker_http import make_worker_handler
 
 app = cyclopts.App(name="standins", help="Stand-ins for the platform.")
 
@@ -60,6 +63,7 @@
     slots: int = 4,
     work_ms_median: float = WORK_MS_MEDIAN,
     seed: int = 0,
+    journal: Path | None = None,
 ) -> None:
     """
     Run an endpoint.
@@ -70,6 +74,7 @@
     :param slots: runs at a time.
     :param work_ms_median: median of the default service times, in milliseconds.
     :param seed: seed of the default service times.
+    :param journal: file to which each run is added as a JSON line before it begins.
     """
     state = EndpointState(
         id=instance_id,
@@ -78,7 +83,37 @@
         random=Random(seed),
         work_ms_median=work_ms_median,
     )
-    serve(port, partial(make_endpoint_handler, state))
+    serve(port, partial(make_endpoint_handler, state, file_journal(journal)))
+
+
+@app.command(name="worker")
+def run_worker(
+    *,
+    port: int = 0,
+    instance_id: str = "worker-1",
+    cores: float = 32,
+    memory_gb: float = 128,
+    accelerators: int = 0,
+    usage_lag_s: float = USAGE_LAG_S,
+) -> None:
+    """
+    Run a worker.
+
+    :param port: TCP port on loopback, 0 for one that the system chooses.
+    :param instance_id: the instance's id.
+    :param cores: processors.
+    :param memory_gb: memory.
+    :param accelerators: accelerators.
+    :param usage_lag_s: seconds by which reported usage is old.
+    """
+    state = WorkerState(
+        id=instance_id,
+        cores=cores,
+        memory_gb=memory_gb,
+        accelerators=accelerators,
+        usage_lag_s=usage_lag_s,
+    )
+    serve(port, partial(make_worker_handler, state))
 
 
 if __name__ == "__main__":
