Know the other entry instances by heartbeats and relays

Cause: limits, keys and recovery need to know who lives, which zones are in touch and whether this process was paused. Change: heartbeats to all of the zone, one relay per pair of zones from each side chosen by rendezvous hashing, suspicion before death, incarnations, echoed send times that date what a message says, and an exchange of numbers with a bounded rate.

--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership.py
@@ -0,0 +1,238 @@
+"""
+Membership: which entry instances there are, which of them live, and who relays between zones.
+
+Inside a zone every instance sends heartbeats to every other. Between two zones only instances
+chosen by rendezvous hashing do, and the choice differs from zone to zone, so the work of one
+instance falls as its zone grows. An instance is suspected before it counts as dead, and counts
+as dead only when no other instance of the zone hears it. Liveness is a hint for choices; no
+promise to callers rests on it.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from ._events import ListedInstance
+from ._ids import Sender
+from ._membership_state import (
+    ALIVE,
+    DEAD,
+    LEAVING,
+    NEVER_S,
+    SUSPECT,
+    UNKNOWN,
+    Member,
+    MembershipState,
+    Peer,
+)
+from ._state import State
+
+SUSPECT_AFTER_S = 2.0
+DEAD_AFTER_S = 6.0
+# Silent, unlisted instances are forgotten after this time.
+FORGET_AFTER_S = 30.0
+ZONE_IN_TOUCH_S = 5.0
+# Both zones of a pair choose a relay, so every pair has two paths.
+RELAYS_PER_ZONE_PAIR = 1
+PAUSE_GAP_S = 1.0
+
+
+def members(state: State) -> tuple[Member, ...]:
+    """
+    Give all other entry instances known here.
+
+    :param state: the state.
+    :returns: the instances in the order of their ids.
+    """
+    peers = state.membership.peers
+    return tuple(_to_member(peers[instance]) for instance in sorted(peers))
+
+
+def zone_peers(state: State) -> tuple[Member, ...]:
+    """
+    Give the other entry instances of the own zone that are not dead.
+
+    :param state: the state.
+    :returns: the instances in the order of their ids.
+    """
+    zone = state.identity.sender.zone
+    return tuple(m for m in members(state) if m.zone == zone and m.state != DEAD)
+
+
+def reachable_zones(state: State) -> frozenset[str]:
+    """
+    Give the zones that are in touch, directly or over relays; the own zone is one of them.
+
+    :param state: the state.
+    :returns: names of zones.
+    """
+    since_s = state.now_s - ZONE_IN_TOUCH_S
+    heard = {zone for zone, at_s in state.membership.zones.items() if at_s >= since_s}
+    return frozenset(heard | {state.identity.sender.zone})
+
+
+def known_zones(state: State) -> frozenset[str]:
+    """
+    Give every zone that has an entry instance that is not known to be dead or leaving.
+
+    :param state: the state.
+    :returns: names of zones.
+    """
+    gone = (DEAD, LEAVING)
+    peers = state.membership.peers.values()
+    zones = {peer.sender.zone for peer in peers if peer.state not in gone}
+    return frozenset(zones | {state.identity.sender.zone})
+
+
+def relayed_zones(state: State) -> tuple[str, ...]:
+    """
+    Give the other zones to which this instance relays for its own zone.
+
+    :param state: the state.
+    :returns: names of zones, sorted.
+    """
+    own = state.identity.sender
+    return tuple(zone for zone in sorted(known_zones(state)) if own in relays(state, zone))
+
+
+def is_relay(state: State) -> bool:
+    """
+    Tell whether this instance relays between its zone and another.
+
+    :param state: the state.
+    :returns: whether it does.
+    """
+    return bool(relayed_zones(state))
+
+
+def relays(state: State, zone: str) -> tuple[Sender, ...]:
+    """
+    Give the instances of the own zone that relay to another zone, first choice first.
+
+    :param state: the state.
+    :param zone: the other zone.
+    :returns: up to `RELAYS_PER_ZONE_PAIR` instances; none for the own zone.
+    """
+    own = state.identity.sender
+    if zone == own.zone:
+        return ()
+    peers = state.membership.peers.values()
+    candidates = [p.sender for p in peers if p.sender.zone == own.zone and p.state == ALIVE]
+    return rank(f"relay/{zone}", [own, *candidates])[:RELAYS_PER_ZONE_PAIR]
+
+
+def rank(purpose: str, senders: Iterable[Sender]) -> tuple[Sender, ...]:
+    """
+    Order instances by rendezvous hashing.
+
+    :param purpose: what they are chosen for.
+    :param senders: the candidates.
+    :returns: the candidates, first choice first.
+    """
+    return tuple(sorted(senders, key=lambda s: _weight(purpose, s.instance), reverse=True))
+
+
+def pause_s(state: State) -> float:
+    """
+    Give the time since the last tick, which is long when the process has just been paused.
+
+    :param state: the state.
+    :returns: seconds.
+    """
+    tick_s = state.membership.tick_s
+    return 0.0 if tick_s == NEVER_S else state.now_s - tick_s
+
+
+def update_from_list(
+    membership: MembershipState, own: Sender, listed: Iterable[ListedInstance], now_s: float
+) -> None:
+    """
+    Take over the platform's list, which lags.
+
+    :param membership: changed in place.
+    :param own: this instance, which is left out.
+    :param listed: all instances of the list.
+    :param now_s: time.
+    """
+    entries = {item.id: item for item in listed if item.role == "entry" and item.peer_address}
+    entries.pop(own.instance, None)
+    for item in entries.values():
+        _take_listed(membership, item, now_s)
+    for instance, peer in list(membership.peers.items()):
+        peer.listed = instance in entries
+        if not peer.listed and now_s - max(peer.heard_s, peer.known_s) > FORGET_AFTER_S:
+            del membership.peers[instance]
+
+
+def update_liveness(state: State) -> tuple[Member, ...]:
+    """
+    Work out anew which instances are suspect or dead.
+
+    :param state: the membership is changed in place.
+    :returns: the instances whose state has changed.
+    """
+    changed = []
+    for peer in state.membership.peers.values():
+        liveness = _judge(state, peer)
+        if liveness != peer.state:
+            peer.state = liveness
+            peer.changed_s = state.now_s
+            changed.append(_to_member(peer))
+    return tuple(changed)
+
+
+def _judge(state: State, peer: Peer) -> str:
+    if peer.sender.zone != state.identity.sender.zone:
+        return _judge_remote(state, peer)
+    if peer.heard_s == NEVER_S:
+        return DEAD if state.now_s - peer.known_s > DEAD_AFTER_S else UNKNOWN
+    silent_s = state.now_s - peer.heard_s
+    if peer.state == LEAVING:
+        return DEAD if silent_s > DEAD_AFTER_S else LEAVING
+    if silent_s <= SUSPECT_AFTER_S:
+        return ALIVE
+    if peer.state == DEAD:
+        return DEAD
+    if silent_s <= DEAD_AFTER_S or _is_heard_by_others(state, peer):
+        return SUSPECT
+    return DEAD
+
+
+def _judge_remote(state: State, peer: Peer) -> str:
+    # Only its own zone can tell that a remote instance is dead; a silent zone proves nothing.
+    if peer.state in (DEAD, LEAVING):
+        return peer.state
+    zone_s = state.membership.zones.get(peer.sender.zone, NEVER_S)
+    if zone_s == NEVER_S:
+        return UNKNOWN
+    return SUSPECT if state.now_s - zone_s > ZONE_IN_TOUCH_S else ALIVE
+
+
+def _is_heard_by_others(state: State, suspect: Peer) -> bool:
+    return any(
+        peer.sender.zone == suspect.sender.zone
+        and peer.state == ALIVE
+        and suspect.sender.instance not in peer.suspects
+        for peer in state.membership.peers.values()
+        if peer is not suspect
+    )
+
+
+def _take_listed(membership: MembershipState, item: ListedInstance, now_s: float) -> None:
+    sender = Sender(item.id, item.incarnation, item.zone)
+    peer = membership.peers.get(item.id)
+    if peer is None or item.incarnation > peer.sender.incarnation:
+        peer = Peer(sender, item.peer_address, known_s=now_s)
+        membership.peers[item.id] = peer
+    elif item.incarnation == peer.sender.incarnation:
+        peer.peer_address = item.peer_address
+    if item.state == "leaving" and item.incarnation == peer.sender.incarnation:
+        peer.state = LEAVING
+
+
+def _to_member(peer: Peer) -> Member:
+    return Member(peer.sender, peer.peer_address, peer.sender.zone, peer.state)
+
+
+def _weight(purpose: str, instance: str) -> int:
+    return xxhash.xxh64_intdigest(f"{purpose}/{instance}".encode())
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_aggregates.py
@@ -0,0 +1,206 @@
+"""
+Numbers that entry instances tell each other on their heartbeats, such as each team's demand.
+
+A domain registers a provider of its own numbers. An instance tells its numbers to its zone, and
+relays tell the sums of their zone to other zones. Only changed numbers are sent, oldest change
+first, and at most so many a second: with more numbers their age grows, not the traffic.
+"""
+
+from collections.abc import Callable, Mapping
+from itertools import islice
+from typing import TYPE_CHECKING, Any
+
+import xxhash
+
+from ._membership_messages import OriginNumbers
+from ._membership_state import AggregateState, Feed, FeedEntry, FeedKey, Peer
+
+if TYPE_CHECKING:
+    from ._state import State
+
+Provider = Callable[[Any], Mapping[str, int]]
+
+# Numbers that an instance sends to all instances of its zone together.
+ZONE_NUMBERS_PER_S = 600
+# Numbers that a relay sends to all other zones together.
+RELAY_NUMBERS_PER_S = 300
+# Numbers that have changed by less than this share are not sent again.
+CHANGE_SHARE = 0.1
+# A peer is sent everything again after this time, since messages can be lost.
+REFRESH_S = 30.0
+# Numbers of an origin that was not heard for this time no longer count.
+VALID_S = 10.0
+
+PROVIDERS: dict[str, Provider] = {}
+
+
+def register_aggregate(name: str, provide: Provider) -> None:
+    """
+    Let a domain's numbers ride on the heartbeats.
+
+    :param name: name of the aggregate, the same in every version of the program.
+    :param provide: gives this instance's numbers, none negative, by their names.
+    """
+    PROVIDERS[name] = provide
+
+
+def fleet_number(state: "State", aggregate: str, name: str) -> int:
+    """
+    Give the sum of one number over all instances that are in touch.
+
+    :param state: the state.
+    :param aggregate: name of the aggregate.
+    :param name: name of the number.
+    :returns: the sum, this instance's own number included.
+    """
+    key = hash_name(aggregate, name)
+    aggregates = state.membership.aggregates
+    valid_since_s = state.now_s - VALID_S
+    return sum(
+        numbers.get(key, 0)
+        for origin, numbers in aggregates.numbers.items()
+        if aggregates.heard_s[origin] >= valid_since_s
+    )
+
+
+def zone_number(state: "State", aggregate: str, name: str) -> int:
+    """
+    Give the sum of one number over the instances of the own zone.
+
+    :param state: the state.
+    :param aggregate: name of the aggregate.
+    :param name: name of the number.
+    :returns: the sum, this instance's own number included.
+    """
+    return _sum_zone(state, hash_name(aggregate, name))
+
+
+def hash_name(aggregate: str, name: str) -> int:
+    """
+    Give the number under which a name is sent.
+
+    :param aggregate: name of the aggregate.
+    :param name: name of the number.
+    :returns: 32 bits.
+    """
+    return xxhash.xxh32_intdigest(f"{aggregate}/{name}".encode())
+
+
+def collect_own(state: "State") -> None:
+    """
+    Ask the providers for this instance's numbers.
+
+    :param state: the aggregates are changed in place.
+    """
+    origin = state.identity.sender.instance
+    numbers = {
+        hash_name(aggregate, name): value
+        for aggregate, provide in PROVIDERS.items()
+        for name, value in provide(state).items()
+    }
+    known = state.membership.aggregates.numbers.get(origin, {})
+    gone = {key: 0 for key in known if key not in numbers}
+    _take(state, origin, {**numbers, **gone})
+    for key in {**numbers, **gone}:
+        _put(state.membership.aggregates.zone_feed, FeedKey(origin, key), numbers.get(key, 0))
+
+
+def take_numbers(state: "State", from_zone: str, received: tuple[OriginNumbers, ...]) -> None:
+    """
+    Take over what a peer has told.
+
+    :param state: the aggregates are changed in place.
+    :param from_zone: zone of the peer.
+    :param received: its changed numbers.
+    """
+    for item in received:
+        _take(state, item.origin, item.numbers)
+        if from_zone == state.identity.sender.zone:
+            continue
+        for key, value in item.numbers.items():
+            _put(state.membership.aggregates.zone_feed, FeedKey(item.origin, key), value)
+
+
+def mark_heard(aggregates: AggregateState, origin: str, now_s: float) -> None:
+    """
+    Remember that an origin is in touch, though its numbers may not have changed.
+
+    :param aggregates: changed in place.
+    :param origin: instance of the own zone, or zone.
+    :param now_s: time.
+    """
+    if origin in aggregates.numbers:
+        aggregates.heard_s[origin] = now_s
+
+
+def next_numbers(feed: Feed, peer: Peer, limit: int, now_s: float) -> tuple[OriginNumbers, ...]:
+    """
+    Choose the numbers that a peer is sent next.
+
+    :param feed: the feed.
+    :param peer: its place in the feed is moved on.
+    :param limit: largest count of numbers.
+    :param now_s: time.
+    :returns: the numbers, by origin.
+    """
+    if peer.feed_sent >= feed.sequence and now_s - peer.feed_reset_s >= REFRESH_S:
+        peer.feed_sent = 0
+        peer.feed_reset_s = now_s
+    unsent = []
+    for key, entry in reversed(feed.entries.items()):
+        if entry.sequence <= peer.feed_sent:
+            break
+        unsent.append((key, entry))
+    by_origin: dict[str, dict[int, int]] = {}
+    for key, entry in islice(reversed(unsent), limit):
+        by_origin.setdefault(key.origin, {})[key.key] = entry.value
+        peer.feed_sent = entry.sequence
+    return tuple(OriginNumbers(origin, numbers) for origin, numbers in by_origin.items())
+
+
+def _take(state: "State", origin: str, received: Mapping[int, int]) -> None:
+    aggregates = state.membership.aggregates
+    numbers = aggregates.numbers.setdefault(origin, {})
+    aggregates.heard_s[origin] = state.now_s
+    for key, value in received.items():
+        if value:
+            numbers[key] = value
+        else:
+            numbers.pop(key, None)
+    if _is_own_zone(state, origin):
+        for key in received:
+            total = _sum_zone(state, key)
+            _put(aggregates.relay_feed, FeedKey(state.identity.sender.zone, key), total)
+
+
+def _sum_zone(state: "State", key: int) -> int:
+    aggregates = state.membership.aggregates
+    valid_since_s = state.now_s - VALID_S
+    return sum(
+        numbers.get(key, 0)
+        for origin, numbers in aggregates.numbers.items()
+        if _is_own_zone(state, origin) and aggregates.heard_s[origin] >= valid_since_s
+    )
+
+
+def _is_own_zone(state: "State", origin: str) -> bool:
+    own = state.identity.sender
+    peer = state.membership.peers.get(origin)
+    return origin == own.instance or (peer is not None and peer.sender.zone == own.zone)
+
+
+def _put(feed: Feed, key: FeedKey, value: int) -> None:
+    current = feed.entries.get(key)
+    if current is not None and _is_near(current.value, value):
+        return
+    if current is None and not value:
+        return
+    feed.sequence += 1
+    feed.entries.pop(key, None)
+    feed.entries[key] = FeedEntry(feed.sequence, value)
+
+
+def _is_near(sent: int, value: int) -> bool:
+    if not sent or not value:
+        return sent == value
+    return abs(value - sent) <= CHANGE_SHARE * sent
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_beats.py
@@ -0,0 +1,290 @@
+"""
+Sends and takes heartbeats, and notices pauses of this process.
+"""
+
+from collections.abc import Iterator
+
+from . import _membership, _membership_aggregates
+from ._effects import Emit, SendPeer, WriteLog
+from ._events import InstancesListed, PeerReceived, StopRequested, Ticked
+from ._handlers import HandlerTable
+from ._ids import Sender
+from ._membership_messages import Heartbeat, MemberView, OriginNumbers, Superseded, ZoneView
+from ._membership_state import ALIVE, DEAD, LEAVING, NEVER_S, Peer
+from ._state import State
+
+ZONE_BEAT_S = 0.5
+RELAY_BEAT_S = 1.0
+# Heartbeats to instances that count as dead go out at this interval.
+DEAD_BEAT_S = 5.0
+# A relay that hears nothing from another zone turns to its next instance after this time.
+RETARGET_S = 2.0
+# A changed liveness is told to others for this time.
+NEWS_S = 10.0
+# An instance tells its zone about members of zones that it heard itself within this time.
+DIRECT_S = 3.0
+MAX_VIEWS = 32
+# Small enough to fit a count of milliseconds into three bytes of MessagePack.
+MAX_AGE_MS = 65_535
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Notice a pause, judge the liveness of others, and send the heartbeats that are due.
+    """
+    membership = state.membership
+    yield from _check_pause(state)
+    membership.tick_s = state.now_s
+    for member in _membership.update_liveness(state):
+        fields = {"instance": member.sender.instance, "state": member.state}
+        yield WriteLog("member.changed", fields)
+    if state.now_s - membership.zone_beat_s >= ZONE_BEAT_S:
+        membership.zone_beat_s = state.now_s
+        _membership_aggregates.collect_own(state)
+        yield from _beat_zone(state)
+    if state.now_s - membership.relay_beat_s >= RELAY_BEAT_S:
+        membership.relay_beat_s = state.now_s
+        yield from _beat_other_zones(state)
+
+
+def on_listed(state: State, event: InstancesListed) -> Iterator[object]:
+    """
+    Take over the list's entry instances.
+    """
+    own = state.identity.sender
+    _membership.update_from_list(state.membership, own, event.instances, state.now_s)
+    return iter(())
+
+
+def on_peer(state: State, event: PeerReceived) -> Iterator[object]:
+    """
+    Take a heartbeat, or learn that this incarnation was replaced.
+    """
+    if isinstance(event.message, Superseded):
+        yield from _take_superseded(state, event.message.incarnation)
+    elif isinstance(event.message, Heartbeat):
+        yield from _take_heartbeat(state, event.sender, event.message)
+
+
+def make_heartbeat(state: State, peer: Peer, *, wants_answer: bool = False) -> Heartbeat:
+    """
+    Make the heartbeat for one peer.
+
+    :param state: what was sent to the peer is noted in its entry.
+    :param peer: the receiver.
+    :param wants_answer: whether it is to answer at once.
+    :returns: the message.
+    """
+    in_zone = peer.sender.zone == state.identity.sender.zone
+    peer.sent_s = state.now_s
+    return Heartbeat(
+        sent_s=state.now_s,
+        echo_s=peer.echo_s,
+        peer_address=state.identity.peer_address,
+        leaving=state.stopping,
+        next_offset=state.fold.position.next_offset,
+        head=state.log.head,
+        head_age_ms=-1,
+        log_available=state.log.available,
+        wants_answer=wants_answer,
+        zones=_view_zones(state),
+        suspects=_view_suspects(state),
+        members=_view_news(state) if in_zone else _view_zone(state),
+        numbers=_choose_numbers(state, peer, in_zone),
+    )
+
+
+def _check_pause(state: State) -> Iterator[object]:
+    gap_s = _membership.pause_s(state)
+    if gap_s <= _membership.PAUSE_GAP_S:
+        return
+    membership = state.membership
+    membership.last_gap_s = gap_s
+    membership.last_gap_ended_s = state.now_s
+    membership.pauses += 1
+    # Silence during the own pause is no sign that others are dead.
+    for peer in membership.peers.values():
+        if peer.heard_s != NEVER_S:
+            peer.heard_s = max(peer.heard_s, state.now_s - _membership.SUSPECT_AFTER_S)
+    yield WriteLog("process.paused", {"gap_s": gap_s})
+
+
+def _beat_zone(state: State) -> Iterator[object]:
+    zone = state.identity.sender.zone
+    for peer in state.membership.peers.values():
+        if peer.sender.zone != zone:
+            continue
+        if peer.state == DEAD and state.now_s - peer.sent_s < DEAD_BEAT_S:
+            continue
+        yield SendPeer(peer.peer_address, make_heartbeat(state, peer))
+
+
+def _beat_other_zones(state: State) -> Iterator[object]:
+    for zone in _membership.relayed_zones(state):
+        peer = _choose_target(state, zone)
+        if peer is not None:
+            yield SendPeer(peer.peer_address, make_heartbeat(state, peer, wants_answer=True))
+
+
+def _choose_target(state: State, zone: str) -> Peer | None:
+    peers = state.membership.peers
+    inside = [p for p in peers.values() if p.sender.zone == zone]
+    usable = [p.sender for p in inside if p.state not in (DEAD, LEAVING)]
+    if not usable:
+        return None
+    ranked = _membership.rank(f"target/{state.identity.sender.zone}", usable)
+    last_s = max(max(p.heard_s, p.known_s) for p in inside)
+    shift = int((state.now_s - last_s) // RETARGET_S)
+    return peers[ranked[shift % len(ranked)].instance]
+
+
+def _take_superseded(state: State, incarnation: int) -> Iterator[object]:
+    if incarnation <= state.identity.sender.incarnation or state.membership.superseded:
+        return
+    state.membership.superseded = True
+    yield WriteLog("instance.superseded", {"incarnation": incarnation})
+    yield Emit(StopRequested())
+
+
+def _take_heartbeat(state: State, sender: Sender, beat: Heartbeat) -> Iterator[object]:
+    own = state.identity.sender
+    if sender.instance == own.instance:
+        yield from _take_superseded(state, sender.incarnation)
+        return
+    peer = state.membership.peers.get(sender.instance)
+    if peer is not None and sender.incarnation < peer.sender.incarnation:
+        yield SendPeer(beat.peer_address, Superseded(peer.sender.incarnation))
+        return
+    if peer is None or sender.incarnation > peer.sender.incarnation:
+        peer = Peer(sender, beat.peer_address, known_s=state.now_s)
+        state.membership.peers[sender.instance] = peer
+    _note_peer(state, peer, beat)
+    _note_zones(state, peer, beat)
+    _note_members(state, sender.zone, beat)
+    if sender.zone == own.zone:
+        _membership_aggregates.mark_heard(state.membership.aggregates, sender.instance, state.now_s)
+    _membership_aggregates.take_numbers(state, sender.zone, beat.numbers)
+    if beat.wants_answer:
+        yield SendPeer(peer.peer_address, make_heartbeat(state, peer))
+
+
+def _note_peer(state: State, peer: Peer, beat: Heartbeat) -> None:
+    peer.peer_address = beat.peer_address
+    peer.heard_s = state.now_s
+    peer.echo_s = max(peer.echo_s, beat.sent_s)
+    peer.confirmed_s = max(peer.confirmed_s, beat.echo_s)
+    peer.suspects = frozenset(beat.suspects)
+    peer.next_offset = max(peer.next_offset, beat.next_offset)
+    peer.log_available = beat.log_available
+    liveness = LEAVING if beat.leaving else ALIVE
+    if peer.state != liveness:
+        peer.state = liveness
+        peer.changed_s = state.now_s
+
+
+def _note_zones(state: State, peer: Peer, beat: Heartbeat) -> None:
+    own_zone = state.identity.sender.zone
+    if beat.echo_s == NEVER_S:
+        return
+    _confirm_zone(state, peer.sender.zone, beat.echo_s)
+    for view in beat.zones:
+        if view.zone != own_zone:
+            _confirm_zone(state, view.zone, beat.echo_s - view.age_ms / 1000)
+
+
+def _confirm_zone(state: State, zone: str, at_s: float) -> None:
+    membership = state.membership
+    if zone == state.identity.sender.zone:
+        return
+    if at_s > membership.zones.get(zone, NEVER_S):
+        membership.zones[zone] = at_s
+        if state.now_s - at_s <= _membership.ZONE_IN_TOUCH_S:
+            _membership_aggregates.mark_heard(membership.aggregates, zone, state.now_s)
+
+
+def _note_members(state: State, from_zone: str, beat: Heartbeat) -> None:
+    own_zone = state.identity.sender.zone
+    if from_zone != own_zone:
+        state.membership.direct[from_zone] = state.now_s
+    for view in beat.members:
+        peer = state.membership.peers.get(view.instance)
+        if peer is None or peer.sender.zone == own_zone:
+            continue
+        zone = peer.sender.zone
+        has_authority = zone == from_zone or not _is_heard_directly(state, zone)
+        if has_authority and view.incarnation == peer.sender.incarnation:
+            _note_view(state, peer, view)
+
+
+def _note_view(state: State, peer: Peer, view: MemberView) -> None:
+    is_gone = view.state in (DEAD, LEAVING)
+    was_gone = peer.state in (DEAD, LEAVING)
+    if is_gone != was_gone:
+        peer.state = view.state if is_gone else ALIVE
+        peer.changed_s = state.now_s
+
+
+def _is_heard_directly(state: State, zone: str) -> bool:
+    return state.now_s - state.membership.direct.get(zone, -DIRECT_S) < DIRECT_S
+
+
+def _view_zones(state: State) -> tuple[ZoneView, ...]:
+    views = []
+    for zone, at_s in state.membership.zones.items():
+        age_ms = int((state.now_s - at_s) * 1000) + 1
+        if age_ms <= MAX_AGE_MS:
+            views.append(ZoneView(zone, age_ms))
+    return tuple(views)
+
+
+def _view_suspects(state: State) -> tuple[str, ...]:
+    since_s = state.now_s - _membership.SUSPECT_AFTER_S
+    zone = state.identity.sender.zone
+    silent = [
+        instance
+        for instance, peer in state.membership.peers.items()
+        if peer.sender.zone == zone and peer.heard_s < since_s
+    ]
+    return tuple(silent[:MAX_VIEWS])
+
+
+def _view_zone(state: State) -> tuple[MemberView, ...]:
+    own = state.identity.sender
+    views = [MemberView(own.instance, own.incarnation, LEAVING if state.stopping else ALIVE)]
+    for member in _membership.members(state):
+        if member.zone == own.zone:
+            sender = member.sender
+            views.append(MemberView(sender.instance, sender.incarnation, member.state))
+    return tuple(views[:MAX_VIEWS])
+
+
+def _view_news(state: State) -> tuple[MemberView, ...]:
+    own_zone = state.identity.sender.zone
+    news = [
+        MemberView(peer.sender.instance, peer.sender.incarnation, peer.state)
+        for peer in state.membership.peers.values()
+        if peer.sender.zone != own_zone
+        and _is_heard_directly(state, peer.sender.zone)
+        and (peer.state in (DEAD, LEAVING) or state.now_s - peer.changed_s < NEWS_S)
+    ]
+    return tuple(news[:MAX_VIEWS])
+
+
+def _choose_numbers(state: State, peer: Peer, in_zone: bool) -> tuple[OriginNumbers, ...]:
+    aggregates = state.membership.aggregates
+    if in_zone:
+        receivers = max(1, len(_membership.zone_peers(state)))
+        limit = int(_membership_aggregates.ZONE_NUMBERS_PER_S * ZONE_BEAT_S / receivers)
+        feed = aggregates.zone_feed
+    else:
+        receivers = max(1, 2 * len(_membership.relayed_zones(state)))
+        limit = int(_membership_aggregates.RELAY_NUMBERS_PER_S * RELAY_BEAT_S / receivers)
+        feed = aggregates.relay_feed
+    return _membership_aggregates.next_numbers(feed, peer, max(1, limit), state.now_s)
+
+
+HANDLERS: HandlerTable = {
+    Ticked: on_tick,
+    InstancesListed: on_listed,
+    PeerReceived: on_peer,
+}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -5,7 +5,7 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable
 
-from . import _admission, _dispatch, _lifecycle, _log_follower, _outbox
+from . import _admission, _dispatch, _lifecycle, _log_follower, _membership_beats, _outbox
 from ._effects import Emit
 from ._handlers import Handler, HandlerTable
 from ._state import State
@@ -15,6 +15,7 @@
     _log_follower.HANDLERS,
     _outbox.HANDLERS,
     _lifecycle.HANDLERS,
+    _membership_beats.HANDLERS,
     _admission.HANDLERS,
     _dispatch.HANDLERS,
 )
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -14,6 +14,7 @@
 from ._fold import LogPosition
 from ._keys import KeyFold
 from ._limits import LimitState
+from ._membership_state import MembershipState
 from ._records import Record
 from ._requests import Attempt
 
@@ -110,6 +111,7 @@
     fair: FairState = msgspec.field(default_factory=FairState)
     limits: LimitState = msgspec.field(default_factory=LimitState)
     endpoints: EndpointState = msgspec.field(default_factory=EndpointState)
+    membership: MembershipState = msgspec.field(default_factory=MembershipState)
 
 
 def new_state(identity: Identity, tuning: Tuning) -> State:
--- /dev/null
+++ b/packages/eelgrassdrum-core/tests/test_membership.py
@@ -0,0 +1,241 @@
+"""
+Heartbeats, relays, suspicion, pauses and aggregates, seen from one instance.
+"""
+
+from eelgrassdrum_core import Identity, Sender, State, Tuning, effects, events, new_state, reduce
+from eelgrassdrum_core import _membership as membership
+from eelgrassdrum_core import _membership_aggregates as aggregates
+from eelgrassdrum_core import _membership_beats as beats
+from eelgrassdrum_core._membership_messages import Heartbeat, MemberView, Superseded, ZoneView
+
+OWN = Sender("a1", 5, "a")
+
+
+def listed(*names: str, incarnation: int = 1) -> events.InstancesListed:
+    """
+    Give the platform's list; the first letter of a name is its zone.
+    """
+    return events.InstancesListed(
+        tuple(
+            events.ListedInstance(n, "entry", n, n[0], incarnation=incarnation, peer_address=n)
+            for n in names
+        )
+    )
+
+
+def beat(sent_s: float, echo_s: float = -1.0, **changes: object) -> Heartbeat:
+    """
+    Make a heartbeat that says nothing in particular.
+    """
+    return Heartbeat(sent_s, echo_s, "peer", False, 1, 0, -1, True)._replace(**changes)
+
+
+def hear(state: State, now_s: float, name: str, incarnation: int = 1, **changes: object) -> list:
+    """
+    Let the instance take a heartbeat, and give the effects.
+    """
+    message = beat(now_s, **{"echo_s": now_s, "peer_address": name, **changes})
+    sender = Sender(name, incarnation, name[0])
+    return reduce(state, now_s, events.PeerReceived(sender, message))[1]
+
+
+def run(state: State, from_s: float, to_s: float, heard: tuple[str, ...] = ()) -> list:
+    """
+    Let time pass in ticks of 0.1 s, with heartbeats from some peers before each.
+    """
+    produced = []
+    steps = round((to_s - from_s) * 10)
+    for step in range(steps + 1):
+        now_s = from_s + step / 10
+        for name in heard:
+            produced += hear(state, now_s, name)
+        produced += reduce(state, now_s, events.Ticked())[1]
+    return produced
+
+
+def sent(produced: list, address: str) -> list:
+    """
+    Give the messages to one address.
+    """
+    return [e.message for e in produced if isinstance(e, effects.SendPeer) and e.address == address]
+
+
+def states(state: State) -> dict[str, str]:
+    """
+    Give the liveness of each member.
+    """
+    return {member.sender.instance: member.state for member in membership.members(state)}
+
+
+def make_state() -> State:
+    """
+    Give an instance of zone a that knows a2, a3 and two instances in each of zones b and c.
+    """
+    state = new_state(Identity(OWN, "127.0.0.1:1", "127.0.0.1:2"), Tuning())
+    reduce(state, 1.0, listed("a1", "a2", "a3", "b1", "b2", "c1", "c2"))
+    return state
+
+
+FIXTURES = {"state": make_state}
+
+
+def test_suspicion_comes_before_death(state: State) -> None:
+    """
+    A silent instance is suspect first, and dead only when no other instance hears it.
+    """
+    run(state, 1.0, 2.0, ("a2", "a3"))
+    run(state, 2.1, 4.5, ("a2",))
+    assert states(state)["a3"] == "suspect"
+    run(state, 4.6, 12.0, ("a2",))
+    assert states(state)["a3"] == "suspect", "a2 still hears it"
+    for now_s in (12.1, 12.2):
+        hear(state, now_s, "a2", suspects=("a3",))
+        reduce(state, now_s, events.Ticked())
+    assert states(state)["a3"] == "dead"
+    hear(state, 12.3, "a3")
+    assert states(state)["a3"] == "alive"
+
+
+def test_silent_zone_is_not_dead(state: State) -> None:
+    """
+    Instances of another zone are suspect while it is silent, and dead only on its own word.
+    """
+    hear(state, 1.1, "b1", members=(MemberView("b1", 1, "alive"), MemberView("b2", 1, "dead")))
+    reduce(state, 1.2, events.Ticked())
+    assert (states(state)["b1"], states(state)["b2"]) == ("alive", "dead")
+    run(state, 1.3, 60.0)
+    assert states(state)["b1"] == "suspect"
+
+
+def test_old_incarnation_is_fenced(state: State) -> None:
+    """
+    A heartbeat of a replaced incarnation changes nothing, and its sender is told.
+    """
+    hear(state, 1.1, "a2", incarnation=7)
+    produced = hear(state, 1.2, "a2", incarnation=6, next_offset=99)
+    assert sent(produced, "a2") == [Superseded(7)]
+    assert state.membership.peers["a2"].next_offset == 1
+
+
+def test_superseded_instance_stops(state: State) -> None:
+    """
+    An instance that learns of its own newer incarnation stops, and not because of an older one.
+    """
+    reduce(state, 1.1, events.PeerReceived(Sender("a2", 1, "a"), Superseded(5)))
+    assert not state.stopping
+    reduce(state, 1.2, events.PeerReceived(Sender("a2", 1, "a"), Superseded(6)))
+    assert state.stopping
+    assert state.membership.superseded
+
+
+def test_pause_is_seen_before_and_after_the_next_tick(state: State) -> None:
+    """
+    A gap between ticks shows at the first event after it, and stays on record.
+    """
+    run(state, 1.0, 2.0)
+    hear(state, 9.0, "a2")
+    assert membership.pause_s(state) == 7.0
+    reduce(state, 9.1, events.Ticked())
+    assert abs(state.membership.last_gap_s - 7.1) < 1e-9
+    assert state.membership.last_gap_ended_s == 9.1
+    run(state, 9.2, 20.0)
+    assert state.membership.pauses == 1
+
+
+def test_own_pause_kills_nobody(state: State) -> None:
+    """
+    After a pause of this process the others are not dead for having been unheard during it.
+    """
+    run(state, 1.0, 2.0, ("a2", "a3"))
+    reduce(state, 60.0, events.Ticked())
+    assert states(state)["a2"] in ("alive", "suspect")
+
+
+def test_heartbeat_from_a_buffer_proves_nothing_new(state: State) -> None:
+    """
+    A zone counts as in touch from the echoed time, not from the arrival.
+    """
+    hear(state, 2.0, "b1", echo_s=1.5)
+    hear(state, 50.0, "b1", echo_s=1.5)
+    assert state.membership.zones["b"] == 1.5
+    assert "b" not in membership.reachable_zones(state)
+
+
+def test_zone_is_in_touch_over_another(state: State) -> None:
+    """
+    What a peer says of a third zone counts with its age.
+    """
+    hear(state, 10.0, "b1", zones=(ZoneView("c", 1500),))
+    assert state.membership.zones["c"] == 8.5
+    assert membership.reachable_zones(state) == {"a", "b", "c"}
+
+
+def test_one_relay_for_each_pair_of_zones(state: State) -> None:
+    """
+    All instances of a zone choose the same relay, and another one once it is gone.
+    """
+    run(state, 1.0, 2.0, ("a2", "a3"))
+    [relay] = membership.relays(state, "b")
+    candidates = [OWN, Sender("a2", 1, "a"), Sender("a3", 1, "a")]
+    assert relay == membership.rank("relay/b", candidates)[0]
+    others = [sender for sender in candidates if sender != relay]
+    assert membership.rank("relay/b", others)[0] == membership.rank("relay/b", candidates)[1]
+
+
+def test_relay_turns_to_another_instance(state: State) -> None:
+    """
+    A relay that is not answered tries the other instances of the zone.
+    """
+    produced = run(state, 1.0, 10.0)
+    zones = membership.relayed_zones(state)
+    assert zones == ("b", "c"), "alone in its zone, it relays to all"
+    assert sent(produced, "b1")
+    assert sent(produced, "b2")
+
+
+def test_numbers_reach_zone_and_relays_once(state: State) -> None:
+    """
+    Own numbers are told to the zone, sums to other zones, and unchanged ones are not repeated.
+    """
+    aggregates.PROVIDERS["demand"] = lambda _: {"show/judges": 40}
+    try:
+        hear(state, 1.0, "a2", numbers=())
+        produced = run(state, 1.1, 5.0, ("a2", "a3", "b1", "c1"))
+    finally:
+        del aggregates.PROVIDERS["demand"]
+    key = aggregates.hash_name("demand", "show/judges")
+    told = [number for message in sent(produced, "a3") for number in message.numbers]
+    assert [(item.origin, item.numbers) for item in told] == [("a1", {key: 40})]
+    assert aggregates.fleet_number(state, "demand", "show/judges") == 40
+
+
+def test_numbers_are_summed_while_their_origin_is_in_touch(state: State) -> None:
+    """
+    Numbers of zones and instances add up, and count no more once their origin is silent.
+    """
+    key = aggregates.hash_name("demand", "show/judges")
+    from_zone = (aggregates.OriginNumbers("b", {key: 100}),)
+    hear(state, 1.0, "a2", numbers=(aggregates.OriginNumbers("a2", {key: 5}),))
+    hear(state, 1.0, "b1", numbers=from_zone)
+    assert aggregates.zone_number(state, "demand", "show/judges") == 5
+    assert aggregates.fleet_number(state, "demand", "show/judges") == 105
+    run(state, 1.1, 20.0, ("a2",))
+    assert aggregates.fleet_number(state, "demand", "show/judges") == 5
+
+
+def test_numbers_are_paced(state: State) -> None:
+    """
+    However many numbers change, a second's heartbeats carry no more than the limit.
+    """
+    aggregates.PROVIDERS["demand"] = lambda s: {
+        f"t{i}": 1 + i + int(s.now_s * 1000) for i in range(5000)
+    }
+    try:
+        run(state, 1.0, 2.0, ("a2", "a3"))
+        produced = run(state, 2.1, 4.0, ("a2", "a3"))
+    finally:
+        del aggregates.PROVIDERS["demand"]
+    messages = [m for name in ("a2", "a3") for m in sent(produced, name)]
+    count = sum(len(item.numbers) for message in messages for item in message.numbers)
+    allowed = aggregates.ZONE_NUMBERS_PER_S * 2
+    assert 0 < count <= allowed + aggregates.ZONE_NUMBERS_PER_S * beats.ZONE_BEAT_S
