--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
@@ -0,0 +1,62 @@
+"""
+Several reducers in memory, with small fakes at their interfaces and virtual time.
+"""
+
+from ._endpoints import add_endpoint, crash_endpoint
+from ._entries import EXECUTORS, deliver, kill_entry, pause_entry, start_entry, submit
+from ._faults import FAULTS, publish_next
+from ._fleet import (
+    DEFAULT_TEAMS,
+    OPEN_QUEUE,
+    QUEUE,
+    SERVICE,
+    WORKSPACE,
+    TeamPlan,
+    fleet_document,
+    grant_key,
+    key_text,
+    make_fleet,
+    publish,
+    withdraw_key,
+)
+from ._load import send_one, start_load
+from ._log import append, operator_append
+from ._world import LOG, Entry, FakeEndpoint, Outcome, Run, World, advance, is_cut, later
+
+__all__ = [
+    "DEFAULT_TEAMS",
+    "EXECUTORS",
+    "FAULTS",
+    "LOG",
+    "OPEN_QUEUE",
+    "QUEUE",
+    "SERVICE",
+    "WORKSPACE",
+    "Entry",
+    "FakeEndpoint",
+    "Outcome",
+    "Run",
+    "TeamPlan",
+    "World",
+    "add_endpoint",
+    "advance",
+    "append",
+    "crash_endpoint",
+    "deliver",
+    "fleet_document",
+    "grant_key",
+    "is_cut",
+    "key_text",
+    "kill_entry",
+    "later",
+    "make_fleet",
+    "operator_append",
+    "pause_entry",
+    "publish",
+    "publish_next",
+    "send_one",
+    "start_entry",
+    "start_load",
+    "submit",
+    "withdraw_key",
+]
