Explain refusals and document configuration, keys and the command line

Cause: operators had no pages. Change: pages for configuration, keys, exit codes and refusals; explain answers for refusal codes without an instance; tests hold the pages to the codes. Conclusion: each exit code and each refusal is on a page.

--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_fleet.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_fleet.py
@@ -11,6 +11,7 @@
 from ._output import print_fields, print_rows
 from ._publish import EXIT_CODES, current_base, publish
 from ._records import parse_id
+from ._refusal_advice import explain_code
 from ._settings import NO_SETTINGS, Settings
 
 DRAIN_REQUESTED = "instance.drain_requested"
@@ -46,6 +47,10 @@
 
     :param request_id: the request's id, or the code of a refusal.
     """
+    known = explain_code(request_id)
+    if known is not None:
+        print_fields(settings, known._asdict())
+        return ExitCode.OK
     content = get(settings, f"/explain/{quote(request_id, safe='')}")
     print_fields(settings, content)
     return ExitCode.OK
--- a/packages/eelgrassdrum-cli/tests/test_commands.py
+++ b/packages/eelgrassdrum-cli/tests/test_commands.py
@@ -9,13 +9,15 @@
 from pathlib import Path
 
 from eelgrassdrum_cli import ExitCode, run
-from eelgrassdrum_core import digest_secret
+from eelgrassdrum_cli._refusal_advice import explain_code
+from eelgrassdrum_core import digest_secret, refusals
 from eelgrassdrum_testing import operator_platform as fakes
 from eelgrassdrum_testing.operator_platform import Platform, command, fold
 
-EXAMPLES = Path(__file__).resolve().parents[3] / "examples"
+REPOSITORY = Path(__file__).resolve().parents[3]
+EXAMPLES = REPOSITORY / "examples"
 FLEET = str(EXAMPLES / "gartenschau" / "fleet.toml")
-ROSE = str(EXAMPLES / "gartenschau" / "rose.toml")
+GRAZ = str(EXAMPLES / "gartenschau" / "graz.toml")
 
 FIXTURES = {"platform": fakes.platform}
 
@@ -23,41 +25,41 @@
 def test_a_rollback_is_a_new_revision(platform: Platform) -> None:
     """Rolling back publishes the earlier document on top of the one in force."""
     for share in ("4.0", "5.0"):
-        changed = Path(ROSE).read_text().replace("share = 4.0", f"share = {share}")
+        changed = Path(GRAZ).read_text().replace("share = 4.0", f"share = {share}")
         with tempfile.TemporaryDirectory() as folder:
-            template = Path(ROSE).with_name("workspace.toml").read_text()
+            template = Path(GRAZ).with_name("workspace.toml").read_text()
             Path(folder, "workspace.toml").write_text(template)
-            Path(folder, "rose.toml").write_text(changed)
-            file = str(Path(folder, "rose.toml"))
+            Path(folder, "graz.toml").write_text(changed)
+            file = str(Path(folder, "graz.toml"))
             assert command(platform, "publish", file).code == ExitCode.OK
-    assert command(platform, "diff", ROSE).code == ExitCode.DIFFERENT
-    assert command(platform, "rollback", "rose", "--to", "1").code == ExitCode.OK
-    assert command(platform, "diff", ROSE).code == ExitCode.OK
-    revisions = command(platform, "history", "rose").json()
+    assert command(platform, "diff", GRAZ).code == ExitCode.DIFFERENT
+    assert command(platform, "rollback", "graz", "--to", "1").code == ExitCode.OK
+    assert command(platform, "diff", GRAZ).code == ExitCode.OK
+    revisions = command(platform, "history", "graz").json()
     assert [item["revision"] for item in revisions] == [3, 2, 1]
-    assert command(platform, "rollback", "rose", "--to", "9").code == ExitCode.NOT_FOUND
+    assert command(platform, "rollback", "graz", "--to", "9").code == ExitCode.NOT_FOUND
 
 
 def test_a_granted_key_is_printed_once_and_only_its_digest_is_logged(platform: Platform) -> None:
     """The log never holds a secret, and a withdrawn key stays withdrawn."""
-    command(platform, "publish", FLEET, ROSE)
-    granted = command(platform, "keys", "grant", "rose", "judges", "--queue", "scores")
+    command(platform, "publish", FLEET, GRAZ)
+    granted = command(platform, "keys", "grant", "graz", "judges", "--queue", "scores")
     assert granted.code == ExitCode.OK
     _, key_id, secret = granted.json()["key"].split("_")
     assert platform.records[-1]["body"]["digest"] == digest_secret(secret)
     assert secret not in json.dumps(platform.records)
-    assert f"rose/{key_id}" in fold(platform)[1].keys.granted
-    assert command(platform, "keys", "withdraw", "rose", key_id).code == ExitCode.OK
-    again = command(platform, "keys", "grant", "rose", "judges", "--key-id", key_id)
+    assert f"graz/{key_id}" in fold(platform)[1].keys.granted
+    assert command(platform, "keys", "withdraw", "graz", key_id).code == ExitCode.OK
+    again = command(platform, "keys", "grant", "graz", "judges", "--key-id", key_id)
     assert again.code == ExitCode.REJECTED
     assert "key" not in again.json()
-    assert f"rose/{key_id}" in fold(platform)[1].keys.withdrawn
+    assert f"graz/{key_id}" in fold(platform)[1].keys.withdrawn
 
 
 def test_a_grant_that_does_not_fit_is_refused_before_it_is_sent(platform: Platform) -> None:
     """Unknown teams and open queues are refused, and nothing reaches the log."""
-    command(platform, "publish", FLEET, ROSE)
-    for arguments in (("rose", "nobody"), ("rose", "judges", "--queue", "results")):
+    command(platform, "publish", FLEET, GRAZ)
+    for arguments in (("graz", "nobody"), ("graz", "judges", "--queue", "results")):
         result = command(platform, "keys", "grant", *arguments)
         assert result.code == ExitCode.INVALID, arguments
     assert len(platform.records) == 2
@@ -88,3 +90,28 @@
         with contextlib.redirect_stdout(io.StringIO()):
             assert len(files) == 7
             assert run(["validate", *files]) == ExitCode.OK, firm
+
+
+def test_each_refusal_is_explained_and_on_the_page_of_refusals() -> None:
+    """Every code has advice in the client and a row with its status and run state in the docs."""
+    page = (REPOSITORY / "docs" / "operators" / "refusals.md").read_text()
+    for code in refusals.ALL_CODES:
+        known = explain_code(code.name)
+        assert known is not None
+        assert known.advice, code.name
+        assert f"| `{code.name}` | {code.status} | `{code.run_state}` |" in page, code.name
+
+
+def test_each_exit_code_is_documented() -> None:
+    """The page of the command line has a row for every exit code."""
+    page = (REPOSITORY / "docs" / "operators" / "command-line.md").read_text()
+    for code in ExitCode:
+        assert f"| {code.value} | " in page, code.name
+
+
+def test_misuse_of_the_command_line_has_an_exit_code_of_its_own(platform: Platform) -> None:
+    """Unknown commands, missing settings and malformed ids end with the code of misuse."""
+    for arguments in (["nothing"], ["outcome", "x"], ["publish"]):
+        assert command(platform, *arguments).code == ExitCode.USAGE, arguments
+    assert command(platform, "publish", FLEET, operator="No One").code == ExitCode.USAGE
+    assert platform.records == []
--- a/packages/eelgrassdrum-cli/tests/test_publish.py
+++ b/packages/eelgrassdrum-cli/tests/test_publish.py
@@ -12,7 +12,7 @@
 
 EXAMPLES = Path(__file__).resolve().parents[3] / "examples"
 FLEET = str(EXAMPLES / "gartenschau" / "fleet.toml")
-ROSE = str(EXAMPLES / "gartenschau" / "rose.toml")
+GRAZ = str(EXAMPLES / "gartenschau" / "graz.toml")
 NOWHERE = "http://127.0.0.1:1"
 
 FIXTURES = {"platform": fakes.platform}
@@ -28,14 +28,14 @@
 
 def test_an_accepted_document_is_reported_with_its_revision(platform: Platform) -> None:
     """Publishing ends with 0 and the revision once the fold has accepted the record."""
-    result = command(platform, "publish", FLEET, ROSE, "--comment", "first")
+    result = command(platform, "publish", FLEET, GRAZ, "--comment", "first")
     assert result.code == ExitCode.OK
     assert [(item["state"], item["revision"]) for item in result.json()] == [
         ("accepted", 1),
         ("accepted", 2),
     ]
     assert platform.records[1]["body"]["comment"] == "first"
-    assert command(platform, "diff", FLEET, ROSE).code == ExitCode.OK
+    assert command(platform, "diff", FLEET, GRAZ).code == ExitCode.OK
 
 
 def test_an_append_takes_effect_once_whatever_becomes_of_its_answer(platform: Platform) -> None:
@@ -71,8 +71,8 @@
 
     def fence(platform: Platform, records: list[Any]) -> tuple[int, Any]:
         newer = {**records[0]["id"], "incarnation": records[0]["id"]["incarnation"] + 1}
-        body = {"workspace": "rose", "key_id": "k1"}
-        other = {"kind": "key.withdrawn", "subject": "key/rose/k1", "base": None, "body": body}
+        body = {"workspace": "graz", "key_id": "k1"}
+        other = {"kind": "key.withdrawn", "subject": "key/graz/k1", "base": None, "body": body}
         fakes.store(platform, [{**other, "id": newer}])
         return fakes.store(platform, records)
 
@@ -113,4 +113,4 @@
     assert command(platform, "publish", FLEET, "--entry-url", NOWHERE).code == ExitCode.OK
     assert command(platform, "status", entry_url=NOWHERE).code == ExitCode.UNREACHABLE
     assert command(platform, "history", "fleet", operator_key="x").code == ExitCode.NOT_ALLOWED
-    assert command(platform, "history", "rose").code == ExitCode.NOT_FOUND
+    assert command(platform, "history", "graz").code == ExitCode.NOT_FOUND
