Hold documents in the fold to the client's checks

Cause: the fold read documents leniently, so another program could put in force what the client refuses. Change: the fold decodes documents with decode_document; a document may leave out its name, which the record's body gives. Pools are looked up by service once, not once per service.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config.py
@@ -2,10 +2,11 @@
 Documents in force: services, queues, teams and pools by their full names.
 """
 
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, NamedTuple, TypeVar, cast
 
 import msgspec
 
+from ._config_validate import decode_document
 from ._records import DOCUMENT_PUBLISHED, Record
 
 T = TypeVar("T")
@@ -124,19 +125,13 @@
     :param record: a ``document.published`` record.
     :returns: a reason to reject it, or an empty text.
     """
-    try:
-        revision = DocumentRevision(
-            offset,
-            str(record.body.get("author", "")),
-            str(record.body.get("comment", "")),
-            record.body["document"],
-        )
-        name = record.body["name"]
-        services, queues, teams = _read_document(name, revision.document)
-    except (KeyError, TypeError, ValueError, AttributeError):
-        return REASON_INVALID
-    if record.subject != f"document/{name}":
+    document = decode_document(record.body)
+    if isinstance(document, list) or record.subject != f"document/{document['name']}":
         return REASON_INVALID
+    name = document["name"]
+    fields = cast(dict[str, Any], document)
+    revision = DocumentRevision(offset, record.body["author"], record.body["comment"], fields)
+    services, queues, teams = _read_document(name, fields)
     revisions = config.documents.setdefault(name, [])
     revisions.append(revision)
     del revisions[:-REVISIONS_KEPT]
@@ -168,8 +163,8 @@
     return Service(
         qualify(workspace, item["name"]),
         int(item["executors"]),
-        int(item.get("max_unavailable", 1)),
-        bool(item.get("shared", False)),
+        int(item["max_unavailable"]),
+        item["shared"],
     )
 
 
@@ -178,7 +173,7 @@
         qualify(workspace, item["name"]),
         workspace,
         qualify(workspace, item["service"]),
-        item.get("access", "keyed") != "open",
+        item["access"] != "open",
         int(item["max_queued"]),
         int(item["max_bytes"]),
         float(item["max_wait_s"]),
@@ -192,8 +187,8 @@
         workspace,
         float(item["share"]),
         int(item["limit"]),
-        int(item.get("reserved", 0)),
-        float(item.get("grace_s", 0.0)),
+        item["reserved"],
+        float(item["grace_s"]),
     )
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_checks.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_checks.py
@@ -2,7 +2,7 @@
 Checks that look at more than one field of a document, or at several documents.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterator, Mapping, Sequence
 from math import floor
 from typing import Any, cast
@@ -73,9 +73,12 @@
 
 
 def _services(services: list[Service], pools: list[Pool]) -> Iterator[Found]:
+    sizes_by_service: dict[str, list[PoolSize]] = defaultdict(list)
+    for pool in pools:
+        sizes_by_service[pool["service"]].append(pool["size"])
     for position, service in enumerate(services):
         path: Path = ("services", position)
-        sizes = [pool["size"] for pool in pools if pool["service"] == service["name"]]
+        sizes = sizes_by_service[service["name"]]
         yield from ((path, message) for message in _budget(service, sizes))
         room = sum(size["max"] for size in sizes)
         if sizes and room < service["executors"]:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_validate.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_validate.py
@@ -84,7 +84,11 @@
     for key in ("name", "author", "comment"):
         if not isinstance(body.get(key), str):
             faults.append(_fault((key,), "missing, or not a string"))
-    document = validate(body.get("document"), lambda path: ("", 0))
+    raw = body.get("document")
+    if isinstance(raw, dict):
+        # The record names the document, which therefore need not repeat its name.
+        raw = {"name": body.get("name"), **raw}
+    document = validate(raw, lambda path: ("", 0))
     if isinstance(document, list):
         return faults + document
     if body.get("name") != document["name"]:
