--- a/packages/eelgrassdrum-cli/tests/test_publish.py
+++ b/packages/eelgrassdrum-cli/tests/test_publish.py
@@ -59,10 +59,11 @@
 def test_a_stale_record_is_rejected_with_the_one_that_overtook_it(platform: Platform) -> None:
     """The loser of a race learns who won it, and ends with an exit code of its own."""
     platform.faults = [fakes.overtake]
-    result = command(platform, "publish", FLEET)
+    result = command(platform, "publish", FLEET, GRAZ)
     assert result.code == ExitCode.REJECTED
     rejected = result.json()[0]
     assert (rejected["reason"], rejected["revision"]) == ("stale", None)
+    assert len(result.json()) == 1
     assert rejected["overtaken_by"] == {"offset": 1, "author": "staff", "writer": "cli-rival-0"}
 
 
--- a/packages/eelgrassdrum-core/tests/test_config_documents.py
+++ b/packages/eelgrassdrum-core/tests/test_config_documents.py
@@ -52,10 +52,12 @@
 
 [parameters.teams]
 type = "list"
+min = 1
 
 [parameters.executors]
 type = "int"
 default = 6
+min = 4
 max = 8
 
 [[services]]
@@ -118,12 +120,13 @@
     """Unknown, missing, mistyped and out-of-range fields are told at once."""
     text = WORKSPACE.replace("executors = 6", 'executors = "six"')
     text = text.replace("max_queued = 10\n", "max_queue = 10\n", 1)
-    text = text.replace("share = 2", "share = 0")
+    text = text.replace("share = 2", "share = 0").replace("limit = 8", 'limit = "8"')
     assert places(text) == [
         ("w.toml", 5, "services[0].executors"),
         ("w.toml", 8, "queues[0].max_queued"),
         ("w.toml", 12, "queues[0].max_queue"),
         ("w.toml", 28, "teams[0].share"),
+        ("w.toml", 29, "teams[0].limit"),
     ]
 
 
@@ -134,24 +137,32 @@
 
 def test_each_contradiction_inside_a_document_is_refused(document: dict[str, Any]) -> None:
     """Documents whose parts contradict each other are refused at the path of the fault."""
+    service = {"name": "judging", "executors": 6}
     pool = {"name": "p", "role": "endpoint", "service": "judging"}
+    size = {"min": 0, "target": 2, "max": 4}
+    spare = {"name": "s", "role": "worker", "spare": True, "size": size}
     changes: list[tuple[str, list[Any], str]] = [
         ("teams", [{"reserved": 9}], "teams[0].reserved"),
         ("teams", [{}, {}], "teams[1].name"),
         ("queues", [{"service": "nowhere"}], "queues[0].service"),
         ("queues", [{"max_bytes": 9}], "queues[0].max_bytes"),
-        ("services", [{"max_unavailable": 6, "availability_budget": 0.99}], "services[0]"),
-        ("services", [{"max_unavailable": 1}], "services[0]"),
+        ("services", [{**service, "max_unavailable": 6}], "services[0]"),
+        (
+            "services",
+            [{**service, "max_unavailable": 1, "availability_budget": 0.5}],
+            "services[0]",
+        ),
+        ("services", [service], "services[0]"),
+        ("pools", [spare, {**spare, "name": "t"}], "pools[1].spare"),
         ("pools", [{**pool, "size": {"min": 3, "target": 2, "max": 9}}], "pools[0].size"),
         ("pools", [{**pool, "size": {"min": 1, "target": 2, "max": 5}}], "services[0].executors"),
         ("pools", [{**pool, "service": "", "size": {"min": 1, "target": 6, "max": 6}}], _SERVICE),
     ]
     for field, entries, path in changes:
         changed = copy.deepcopy(document)
-        first = (document[field] or [{}])[0]
+        # Queues and teams keep the fields of the first; services and pools are given whole.
+        first = document[field][0] if field in ("queues", "teams") else {}
         changed[field] = [{**first, **entry} for entry in entries]
-        if field != "services" and field != "pools":
-            changed[field] += document[field][1:]
         decoded = decode_document(body(changed))
         assert isinstance(decoded, list), (field, entries)
         assert path in [fault.path for fault in decoded], (field, entries, decoded)
@@ -175,9 +186,19 @@
     fleet = decode_document(body(FLEET))
     assert isinstance(fleet, dict)
     assert list(check_across({"rose": document, "fleet": fleet})) == []  # type: ignore[dict-item]
-    fleet["services"][0]["shared"] = False
-    found = list(check_across({"rose": document, "fleet": fleet}))  # type: ignore[dict-item]
-    assert [(name, path) for name, path, _ in found] == [("rose", ("queues", 1, "service"))]
+    for services in ([{**fleet["services"][0], "shared": False}], []):
+        fleet["services"] = services
+        found = list(check_across({"rose": document, "fleet": fleet}))  # type: ignore[dict-item]
+        assert [(name, path) for name, path, _ in found] == [("rose", ("queues", 1, "service"))]
+
+
+def test_a_fleet_needs_distinct_zones_and_a_weight() -> None:
+    """A zone named twice and weights that are all 0 are refused."""
+    weights = dict.fromkeys(FLEET["measures"], 0)
+    for change, path in (({"zones": ["a", "a"]}, "zones[1]"), ({"measures": weights}, "measures")):
+        decoded = decode_document(body({**FLEET, **change}))
+        assert isinstance(decoded, list)
+        assert [fault.path for fault in decoded] == [path]
 
 
 def test_parameters_keep_their_types() -> None:
@@ -206,6 +227,25 @@
     ]
 
 
+def test_declarations_bound_their_parameters() -> None:
+    """Bounds hold for numbers and for lengths of lists, and for defaults too."""
+    for setting in ("executors = 9", "executors = 3"):
+        faulty = PARAMETERS.replace('show = "rose"', f'show = "rose"\n{setting}')
+        assert places(TEMPLATE, faulty) == [("p.toml", 5, "parameters.executors")]
+    no_teams = '[parameters]\nshow = "rose"\nteams = []'
+    assert places(TEMPLATE, no_teams) == [("p.toml", 3, "parameters.teams")]
+    template = TEMPLATE.replace("default = 6", "default = 9")
+    assert places(template, PARAMETERS) == [("w.toml", 14, "parameters.executors.default")]
+
+
+def test_a_list_is_no_part_of_a_string() -> None:
+    """A list can be used whole only."""
+    template = TEMPLATE.replace("${show}-show", "${show}-${teams}")
+    [fault] = render(Source("t.toml", template), Source("p.toml", PARAMETERS)).faults
+    assert (fault.line, fault.path) == (1, "name")
+    assert "cannot be part of a string" in fault.message
+
+
 def test_the_decoder_refuses_whatever_is_no_document(document: dict[str, Any]) -> None:
     """Bodies of any shape are refused without an exception."""
     good = body(document)
