--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_timers.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_timers.py
@@ -91,23 +91,26 @@
         """
         Run every action whose time has come.
 
-        :returns: seconds until the next one, or ``None`` when there is none.
+        :returns: seconds until the next one, 0 when any has run, since it may have fired circuits
+            events that must not wait for the poller, or ``None`` when there is none.
         """
         now = self.clock()
+        has_run = False
         while self._heap:
             due_s, _, timer = self._heap[0]
             if timer.action is not None and due_s > now:
-                return due_s - now
+                return 0.0 if has_run else due_s - now
             heapq.heappop(self._heap)
-            self._run(timer)
-        return None
+            has_run = self._run(timer) or has_run
+        return 0.0 if has_run else None
 
-    def _run(self, timer: Timer) -> None:
+    def _run(self, timer: Timer) -> bool:
         action, timer.action = timer.action, None
         if action is None:
             self._cancelled -= 1
-        else:
-            action()
+            return False
+        action()
+        return True
 
     def _compact(self) -> None:
         self._heap = [entry for entry in self._heap if entry[2].action is not None]
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/tests/test_http_pool.py
@@ -0,0 +1,271 @@
+"""
+Client connections against a server that misbehaves as told.
+"""
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from functools import partial
+
+import msgspec
+from circuits import Component
+from circuits.core.pollers import EPoll
+
+from eelgrassdrum_daemon._http_messages import ClientRequest, HttpAnswer, HttpFailure, HttpOutcome
+from eelgrassdrum_daemon._http_pool import HttpPool
+from eelgrassdrum_daemon._timers import Scheduler
+
+DEADLINE_S = 20.0
+SHORT_S = 0.2
+BODY = b"entry 12, class 3"
+LARGE_BODY = bytes(range(256)) * 12_000
+ANSWER = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nContent-Length: 4\r\n\r\ndone"
+
+
+class Loop(msgspec.Struct):
+    """
+    An event loop with a pool in it.
+    """
+
+    root: Component
+    scheduler: Scheduler
+    pool: HttpPool
+
+
+class Script(msgspec.Struct):
+    """
+    What the server does, and what it saw.
+
+    :param answers: bytes for each request in turn; ``None`` keeps silent.
+    """
+
+    answers: list[bytes | None]
+    conns: int = 0
+    received: bytes = b""
+    close_after: bool = False
+
+
+def make_loop() -> Loop:
+    root = Component()
+    poller = EPoll().register(root)
+    scheduler = Scheduler().register(root)
+    return Loop(root, scheduler, HttpPool(poller, scheduler, 2).register(root))
+
+
+def make_server() -> Iterator[Callable[[Script], str]]:
+    listeners: list[socket.socket] = []
+
+    def start(script: Script) -> str:
+        listener = socket.create_server(("127.0.0.1", 0))
+        listeners.append(listener)
+        threading.Thread(target=accept_all, args=(listener, script), daemon=True).start()
+        host, port = listener.getsockname()
+        return f"{host}:{port}"
+
+    yield start
+    for listener in listeners:
+        listener.close()
+
+
+def accept_all(listener: socket.socket, script: Script) -> None:
+    with contextlib.suppress(OSError):
+        while True:
+            conn, _ = listener.accept()
+            script.conns += 1
+            threading.Thread(target=play, args=(conn, script), daemon=True).start()
+
+
+def play(conn: socket.socket, script: Script) -> None:
+    with conn, contextlib.suppress(OSError):
+        while read_request(conn, script):
+            answer = script.answers.pop(0) if script.answers else b""
+            if answer is not None:
+                conn.sendall(answer)
+            if script.close_after:
+                return
+
+
+def read_request(conn: socket.socket, script: Script) -> bool:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = conn.recv(65536)
+        if not part:
+            return False
+        data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+    while len(body) < length:
+        body += conn.recv(65536)
+    script.received = body
+    return True
+
+
+def exchange(loop: Loop, *reqs: Callable[..., ClientRequest]) -> list[HttpOutcome]:
+    """
+    Send requests one after the other, and give their outcomes.
+    """
+    outcomes: list[HttpOutcome] = []
+    waiting = list(reqs)
+
+    def send_next(outcome: HttpOutcome | None = None) -> None:
+        if outcome is not None:
+            outcomes.append(outcome)
+        if waiting:
+            loop.pool.submit(waiting.pop(0)(on_done=send_next))
+        else:
+            loop.root.stop()
+
+    loop.scheduler.call_later(0, send_next)
+    loop.scheduler.call_later(DEADLINE_S, loop.root.stop)
+    loop.root.run()
+    assert len(outcomes) == len(reqs)
+    return outcomes
+
+
+def post(address: str, timeout_s: float = DEADLINE_S, **more: object) -> partial:
+    return partial(
+        ClientRequest, address, "POST", "/run", timeout_s, **{"headers": {}, "body": BODY, **more}
+    )
+
+
+FIXTURES = {"loop": make_loop, "server": make_server}
+
+
+def test_connection_is_used_again(loop: Loop, server: Callable) -> None:
+    """
+    Two requests in turn share one connection, and each gets its own answer.
+    """
+    script = Script([ANSWER, ANSWER.replace(b"done", b"next")])
+    address = server(script)
+    outcomes = exchange(loop, post(address), post(address))
+    assert [outcome.body for outcome in outcomes] == [b"done", b"next"]
+    assert (script.conns, script.received) == (1, BODY)
+
+
+def test_large_body_arrives_whole(loop: Loop, server: Callable) -> None:
+    """
+    A body larger than the socket's buffers arrives byte for byte.
+    """
+    script = Script([ANSWER])
+    exchange(loop, post(server(script), body=LARGE_BODY))
+    assert script.received == LARGE_BODY
+
+
+def test_refused_connect_has_sent_nothing(loop: Loop) -> None:
+    """
+    When nobody listens, the failure says that no byte was sent.
+    """
+    with socket.create_server(("127.0.0.1", 0)) as unused:
+        address = f"127.0.0.1:{unused.getsockname()[1]}"
+    assert exchange(loop, post(address)) == [HttpFailure("connect", sent=False)]
+
+
+def test_silent_server_fails_at_the_deadline(loop: Loop, server: Callable) -> None:
+    """
+    A request without an answer fails as sent, and the next one gets a new connection.
+    """
+    script = Script([None, ANSWER])
+    address = server(script)
+    first, second = exchange(loop, post(address, SHORT_S), post(address))
+    assert first == HttpFailure("timeout", sent=True)
+    assert second.body == b"done"
+    assert script.conns == 2
+
+
+def test_half_an_answer_is_no_answer(loop: Loop, server: Callable) -> None:
+    """
+    A connection that closes before the answer is whole gives a failure, not a short answer.
+    """
+    address = server(Script([ANSWER[:-2]], close_after=True))
+    assert exchange(loop, post(address)) == [HttpFailure("closed", sent=True)]
+
+
+def test_answer_without_a_length_is_refused(loop: Loop, server: Callable) -> None:
+    """
+    An answer that ends only with its connection can't be told from a cut one, so it is malformed.
+    """
+    address = server(Script([b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n\r\ndone"], close_after=True))
+    assert exchange(loop, post(address)) == [HttpFailure("malformed", sent=True)]
+
+
+def test_crossed_answer_is_dropped(loop: Loop, server: Callable) -> None:
+    """
+    An answer that belongs to another request is counted and dropped with its connection.
+    """
+
+    def is_expected(answer: HttpAnswer) -> bool:
+        return answer.headers.get("X-Attempt-Id") == "a2"
+
+    script = Script([ANSWER, ANSWER.replace(b"a1", b"a2")])
+    address = server(script)
+    outcomes = exchange(
+        loop, post(address, is_expected=is_expected), post(address, is_expected=is_expected)
+    )
+    assert outcomes[0] == HttpFailure("mismatched", sent=True)
+    assert outcomes[1].body == b"done"
+    assert (loop.pool.counters.mismatched, script.conns) == (1, 2)
+
+
+def test_answer_given_twice_reaches_nobody_else(loop: Loop, server: Callable) -> None:
+    """
+    A second copy of an answer never becomes the answer to the next request.
+    """
+    script = Script([ANSWER + ANSWER, ANSWER.replace(b"done", b"next")])
+    address = server(script)
+    first, second = exchange(loop, post(address), post(address))
+    assert first == HttpFailure("malformed", sent=True)
+    assert second.body == b"next"
+
+
+def test_chunked_answer_in_small_parts_is_whole(loop: Loop, server: Callable) -> None:
+    """
+    A chunked answer is put together whatever its parts are.
+    """
+    answer = (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n5\r\ndefgh\r\n0\r\n\r\n"
+    )
+    [outcome] = exchange(loop, post(server(Script([answer]))))
+    assert outcome.body == b"abcdefgh"
+
+
+def test_closed_idle_connection_is_not_used(loop: Loop, server: Callable) -> None:
+    """
+    A connection that the server closed while idle is replaced, and the request is answered.
+    """
+    script = Script([ANSWER, ANSWER], close_after=True)
+    address = server(script)
+    outcomes: list[HttpOutcome] = []
+
+    def finish(outcome: HttpOutcome) -> None:
+        outcomes.append(outcome)
+        loop.root.stop()
+
+    def again(outcome: HttpOutcome) -> None:
+        outcomes.append(outcome)
+        loop.scheduler.call_later(SHORT_S, lambda: loop.pool.submit(post(address)(on_done=finish)))
+
+    loop.scheduler.call_later(0, lambda: loop.pool.submit(post(address)(on_done=again)))
+    loop.scheduler.call_later(DEADLINE_S, loop.root.stop)
+    loop.root.run()
+    assert [outcome.status for outcome in outcomes] == [200, 200]
+    assert script.conns == 2
+
+
+def test_connections_to_an_address_are_bounded(loop: Loop, server: Callable) -> None:
+    """
+    A request beyond the most connections fails at once with nothing sent.
+    """
+    address = server(Script([None, None, None]))
+    outcomes: list[HttpOutcome] = []
+
+    def send_three() -> None:
+        for _ in range(3):
+            loop.pool.submit(post(address, SHORT_S)(on_done=outcomes.append))
+
+    loop.scheduler.call_later(0, send_three)
+    loop.scheduler.call_later(3 * SHORT_S, loop.root.stop)
+    loop.root.run()
+    assert outcomes[0] == HttpFailure("pool_full", sent=False)
+    assert [outcome.reason for outcome in outcomes[1:]] == ["timeout", "timeout"]
