--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_parser.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_parser.py
@@ -44,7 +44,7 @@
     """
     try:
         parser.execute(data, len(data))
-    except (ValueError, AttributeError) as exc:
+    except Exception as exc:  # The parser raises errors of many types on malformed input.
         raise MalformedMessageError(400, "unreadable message") from exc
     if parser.errno is None:
         return
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
@@ -6,6 +6,7 @@
 without bound, keeps the parser of a connection that closed, and mixes up pipelined requests.
 """
 
+import contextlib
 import itertools
 import socket
 from collections.abc import Callable, Mapping
@@ -28,6 +29,7 @@
 MAX_HEADER_BYTES = 16 * 1024
 IDLE_TIMEOUT_S = 120.0
 LINGER_S = 0.5
+FLUSH_POLL_S = 0.02
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHANNEL = "web"
 
@@ -352,6 +354,16 @@
         # What the client still sends is read and dropped for a while: closing at once would
         # reset the connection, and the client could lose the answer.
         conn.deadline = self._after(LINGER_S, conn)
+        self.scheduler.call_later(FLUSH_POLL_S, partial(self._half_close, conn))
+
+    def _half_close(self, conn: ServerConn) -> None:
+        if conn.sock not in self._conns:
+            return
+        if self._tcp._buffers.get(conn.sock):
+            self.scheduler.call_later(FLUSH_POLL_S, partial(self._half_close, conn))
+            return
+        with contextlib.suppress(OSError):
+            conn.sock.shutdown(socket.SHUT_WR)
 
     def _close(self, conn: ServerConn) -> None:
         conn.closing = True
