--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
@@ -30,13 +30,14 @@
 from ._caller_api import relayed_headers
 from ._endpoint_adapter import make_endpoint_adapter
 from ._http_pool import HttpPool
-from ._http_server import HttpServer, ServerLimits
+from ._http_server import HttpServer
 from ._list_adapter import make_list_reader
 from ._log_adapter import make_log_adapter
 from ._logging import Write
 from ._peers import Peers
 from ._routes import handle_exchange
 from ._server_answers import encode_json, refusal_body, refusal_headers
+from ._server_state import ServerLimits
 from ._settings import Settings
 from ._timers import Scheduler
 from ._urls import parse_base_url
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_caller_api.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_caller_api.py
@@ -12,7 +12,7 @@
 
 from ._endpoint_adapter import ATTEMPT_HEADER
 from ._http_messages import HttpAnswer
-from ._http_server import Exchange
+from ._server_state import Exchange
 
 QUEUES_PREFIX = "/v1/queues/"
 PATH_PATTERN = re.compile(r"/v1/queues/([a-z0-9-]{1,63})/([a-z0-9-]{1,63})/requests")
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
@@ -12,17 +12,18 @@
 from collections.abc import Callable, Mapping
 from functools import partial
 
-import msgspec
 from circuits import BaseComponent, handler
 from circuits.net.events import close, write
 from circuits.net.sockets import TCPServer
 from circuits.web.events import response
 from circuits.web.http import HTTP
 from circuits.web.parsers import HttpParser
-from circuits.web.wrappers import Request, Response
+from circuits.web.wrappers import Response
 
-from ._http_parser import KIND_REQUEST, MalformedMessageError, feed, framing
+from ._http_parser import KIND_REQUEST, MalformedMessageError, feed
+from ._request_head import build_request, check_head
 from ._server_answers import encode_error
+from ._server_state import Exchange, ServerConn, ServerCounters, ServerLimits
 from ._timers import Scheduler, Timer
 
 READ_BYTES = 64 * 1024
@@ -34,66 +35,6 @@
 CHANNEL = "web"
 
 
-class Exchange(msgspec.Struct, eq=False):
-    """
-    A whole request of a client, and the answer that it waits for.
-
-    :param token: its number, unique in this process.
-    :param req: the request's first line and headers.
-    :param res: the answer to be.
-    :param body: the request's body.
-    """
-
-    token: int
-    req: Request
-    res: Response
-    body: bytes
-
-
-class ServerConn(msgspec.Struct, eq=False):
-    """
-    One connection of a client.
-    """
-
-    sock: socket.socket
-    parser: HttpParser | None = None
-    received_bytes: int = 0
-    length_bytes: int | None = None
-    deadline: Timer | None = None
-    token: int | None = None
-    held_bytes: int = 0
-    close_after: bool = False
-    closing: bool = False
-
-
-class ServerLimits(msgspec.Struct, frozen=True):
-    """
-    What a client may take up.
-
-    :param max_body_bytes: largest body.
-    :param read_timeout_s: seconds for a whole request to arrive.
-    :param max_conns: most open connections.
-    :param max_buffered_bytes: requests held in all, whole or in part.
-    """
-
-    max_body_bytes: int = 16 * 1024 * 1024
-    max_buffered_bytes: int = 96 * 1024 * 1024
-    read_timeout_s: float = 10.0
-    max_conns: int = 2048
-
-
-class ServerCounters(msgspec.Struct):
-    """
-    What the server has done since the start.
-    """
-
-    accepted: int = 0
-    received: int = 0
-    malformed: int = 0
-    timed_out: int = 0
-    abandoned: int = 0
-
-
 class WebWriter(HTTP):
     """
     The part of circuits' HTTP component that writes answers.
@@ -268,7 +209,7 @@
                 raise MalformedMessageError(431, "the headers are too long")
             return
         if conn.length_bytes is None:
-            self._check_head(conn)
+            self._take_head(conn)
         if conn.length_bytes == 0 or conn.parser.is_message_complete():
             self._finish_request(conn)
 
@@ -290,22 +231,10 @@
         expire = partial(self._expire_read, conn)
         conn.deadline = self.scheduler.call_later(self.limits.read_timeout_s, expire)
 
-    def _check_head(self, conn: ServerConn) -> None:
-        headers = conn.parser.get_headers()
-        if any("\r" in value or "\n" in value for _, value in headers.items()):
-            raise MalformedMessageError(400, "a header holds a line break")
-        if conn.parser.get_version() not in ((1, 0), (1, 1)):
-            raise MalformedMessageError(505, "only HTTP/1.0 and HTTP/1.1 are spoken")
-        if "Content-Encoding" in headers:
-            raise MalformedMessageError(415, "compressed bodies are not taken")
-        has_body = "Content-Length" in headers or "Transfer-Encoding" in headers
-        length = framing(conn.parser).length_bytes if has_body else 0
-        if length is None:
-            raise MalformedMessageError(411, "the body needs a Content-Length")
-        if length > self.limits.max_body_bytes:
-            raise MalformedMessageError(413, "the body is larger than allowed")
-        conn.length_bytes = length
-        if length and headers.get("Expect", "").lower() == "100-continue":
+    def _take_head(self, conn: ServerConn) -> None:
+        conn.length_bytes = check_head(conn.parser, self.limits.max_body_bytes)
+        wants_continue = conn.parser.get_headers().get("Expect", "").lower() == "100-continue"
+        if conn.length_bytes and wants_continue:
             self.fire(write(conn.sock, CONTINUE))
 
     def _finish_request(self, conn: ServerConn) -> None:
@@ -314,7 +243,7 @@
         if len(body) != conn.length_bytes:
             raise MalformedMessageError(400, "more bytes than the request's length")
         try:
-            req = self._request_of(conn, parser)
+            req = build_request(conn.sock, parser, self._writer)
         except (OSError, ValueError) as exc:
             raise MalformedMessageError(400, "malformed Host header or path") from exc
         res = Response(req)
@@ -326,18 +255,6 @@
         self.counters.received += 1
         self.on_request(exchange)
 
-    def _request_of(self, conn: ServerConn, parser: HttpParser) -> Request:
-        return Request(
-            conn.sock,
-            parser.get_method(),
-            "http",
-            parser.get_path(),
-            parser.get_version(),
-            parser.get_query_string(),
-            headers=parser.get_headers(),
-            server=self._writer,
-        )
-
     def _after(self, delay_s: float, conn: ServerConn) -> Timer:
         self.scheduler.cancel(conn.deadline)
         return self.scheduler.call_later(delay_s, partial(self._close, conn))
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_api.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_api.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from ._http_server import Exchange
 from ._server_answers import JSON_HEADERS, encode_json
+from ._server_state import Exchange
 
 if TYPE_CHECKING:
     from ._app import App
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_routes.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_routes.py
@@ -8,8 +8,8 @@
 
 from . import _operator_api
 from ._caller_api import QUEUES_PREFIX, REQUEST_ID_HEADER, read_request
-from ._http_server import Exchange
 from ._server_answers import JSON_HEADERS, encode_json
+from ._server_state import Exchange
 
 if TYPE_CHECKING:
     from ._app import App
