Hold upper limits as allowances in the log's fold

An equal static split left most of a team's limit unused when its callers met few entry instances. The fold now keeps who holds which part: holders have leases in the log, chosen balancers move units by compare-and-set records, and units of a holder that is gone stay counted until endpoints show that its work has ended.

The request path's tests now give their instance a lease and an allowance, since nothing may be dispatched without; their assertions are as before.

--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_lease.py
@@ -0,0 +1,273 @@
+"""
+Leases of holders: renewed in the log, extended by reclaimers while the log is out, reclaimed.
+
+A holder counts its lease from before it sent the renewal; a reclaimer counts from after it saw
+it, and adds a margin for the rate of clocks. So a reclaim never overtakes a live lease.
+"""
+
+from collections.abc import Iterator
+
+from ._allowance_fold import HolderLease, rank, registered_keys
+from ._allowance_messages import (
+    HOLDER_RECLAIMED,
+    HOLDER_RELEASED,
+    HOLDER_RENEWED,
+    ExtensionAsked,
+    ExtensionGiven,
+    holder_key,
+    holder_subject,
+)
+from ._allowance_state import LeaseWatch
+from ._effects import Emit, SendPeer, WriteLog
+from ._events import (
+    CapacityChanged,
+    InstancesListed,
+    PeerReceived,
+    RecordFolded,
+    RecordWanted,
+    Ticked,
+)
+from ._handlers import HandlerTable
+from ._ids import Sender
+from ._state import State
+
+LEASE_S = 30.0
+RENEW_AFTER_S = 10.0
+# Remaining lease below which a holder asks its reclaimers to wait.
+EXTEND_BELOW_S = 15.0
+EXTEND_EVERY_S = 2.0
+# Longest time that a lease lives on extensions after its last renewal in the log.
+MAX_EXTENSION_S = 3600.0
+# Share by which two clocks may differ in rate, and time added for rounding.
+CLOCK_RATE_MARGIN = 0.01
+RECLAIM_MARGIN_S = 1.0
+# Longest time that a leaving instance waits for the log.
+RELEASE_WAIT_S = 5.0
+# Time between the attempts of two reclaimers, so that one record does.
+RECLAIM_STAGGER_S = 1.0
+
+
+def on_listed(state: State, event: InstancesListed) -> Iterator[object]:
+    """
+    Take over the addresses of the other entry instances.
+    """
+    own = state.identity.sender.instance
+    state.limits.peers = {
+        item.id: item.peer_address
+        for item in event.instances
+        if item.role == "entry" and item.id != own and item.peer_address
+    }
+    return iter(())
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Keep the own lease, and watch those of others.
+    """
+    if not state.log.caught_up:
+        return
+    if is_idle_leaver(state):
+        yield from _release(state)
+        return
+    yield from _renew(state)
+    yield from _ask_extension(state)
+    yield from _watch(state)
+
+
+def on_folded(state: State, event: RecordFolded) -> Iterator[object]:
+    """
+    Begin a new lease when the log took this instance's renewal; watch anew after a lost reclaim.
+    """
+    record = event.record
+    sender = state.identity.sender
+    if (record.id.writer, record.id.incarnation) != (sender.instance, sender.incarnation):
+        return
+    if record.kind == HOLDER_RECLAIMED and not event.accepted:
+        state.limits.watches.pop(f"{record.body['instance']}:{record.body['incarnation']}", None)
+    if record.kind != HOLDER_RENEWED:
+        return
+    lease = state.limits.lease
+    lease.wanted_at_s = None
+    if event.accepted:
+        lease.sent_s = float(record.body["sent_s"])
+        lease.until_s = max(lease.until_s, lease.sent_s + LEASE_S)
+        lease.extensions.clear()
+        yield Emit(CapacityChanged())
+
+
+def on_peer(state: State, event: PeerReceived) -> Iterator[object]:
+    """
+    Give or take an extension.
+    """
+    if isinstance(event.message, ExtensionAsked):
+        yield from _give_extension(state, event.sender, event.message)
+    elif isinstance(event.message, ExtensionGiven):
+        _take_extension(state, event.sender, event.message)
+
+
+def is_idle_leaver(state: State) -> bool:
+    """
+    Tell whether this instance is stopping and has no request left.
+
+    :param state: the state.
+    :returns: whether all it holds can go back.
+    """
+    return state.stopping and not state.requests.open_tokens and not state.requests.attempts
+
+
+def is_handed_back(state: State) -> bool:
+    """
+    Tell whether a stopping instance may end: the log has taken its allowances back, or could not
+    be reached for a while.
+
+    :param state: the state.
+    :returns: whether nothing is left to do.
+    """
+    if not is_idle_leaver(state):
+        return False
+    lease = state.limits.lease
+    waited_s = state.now_s - lease.released_at_s
+    return own_lease(state) is None or (lease.released and waited_s >= RELEASE_WAIT_S)
+
+
+def own_lease(state: State) -> HolderLease | None:
+    """
+    Give this instance's lease as the log has it.
+
+    :param state: the state.
+    :returns: the lease, or ``None`` when it is no holder.
+    """
+    sender = state.identity.sender
+    lease = state.fold.allowances.holders.get(sender.instance)
+    return lease if lease is not None and lease.incarnation == sender.incarnation else None
+
+
+def _want(state: State, kind: str, instance: str, body: dict[str, object]) -> Emit:
+    subject = holder_subject(instance)
+    base = state.fold.position.revisions.get(subject, 0)
+    return Emit(RecordWanted(kind, subject, base, body))
+
+
+def _renew(state: State) -> Iterator[object]:
+    lease = state.limits.lease
+    is_fresh = lease.until_s - state.now_s > LEASE_S - RENEW_AFTER_S
+    if lease.wanted_at_s is not None or (is_fresh and own_lease(state) is not None):
+        return
+    lease.wanted_at_s = state.now_s
+    sender = state.identity.sender
+    body = {"zone": sender.zone, "sent_s": state.now_s}
+    yield _want(state, HOLDER_RENEWED, sender.instance, body)
+
+
+def _release(state: State) -> Iterator[object]:
+    lease = state.limits.lease
+    if lease.released or own_lease(state) is None:
+        return
+    lease.released = True
+    lease.released_at_s = state.now_s
+    lease.until_s = 0.0
+    running = {team: units for team, units in state.limits.running.items() if units > 0}
+    body: dict[str, object] = {"running": running}
+    yield _want(state, HOLDER_RELEASED, state.identity.sender.instance, body)
+
+
+def _ask_extension(state: State) -> Iterator[object]:
+    lease = state.limits.lease
+    own = own_lease(state)
+    if own is None or lease.until_s - state.now_s > EXTEND_BELOW_S:
+        return
+    if state.now_s - lease.asked_at_s < EXTEND_EVERY_S or lease.until_s <= state.now_s:
+        return
+    lease.asked_at_s = state.now_s
+    message = ExtensionAsked(own.renewed_offset, state.now_s)
+    instances = registered_keys(state.fold.allowances)
+    for key in own.reclaimers:
+        address = state.limits.peers.get(instances.get(key, ""))
+        if address is not None:
+            yield SendPeer(address, message)
+
+
+def _give_extension(state: State, sender: Sender, asked: ExtensionAsked) -> Iterator[object]:
+    watch = state.limits.watches.get(holder_key(sender))
+    address = state.limits.peers.get(sender.instance)
+    # An instance whose own lease has ended may be reclaimed itself, so its word binds nobody.
+    if watch is None or address is None or state.limits.lease.until_s <= state.now_s:
+        return
+    if watch.reclaiming or watch.renewed_offset != asked.renewed_offset:
+        return
+    watch.since_s = state.now_s
+    yield SendPeer(address, ExtensionGiven(asked.renewed_offset, asked.asked_at_s))
+
+
+def _take_extension(state: State, sender: Sender, given: ExtensionGiven) -> None:
+    own = own_lease(state)
+    if own is None or own.renewed_offset != given.renewed_offset or not own.reclaimers:
+        return
+    lease = state.limits.lease
+    key = holder_key(sender)
+    lease.extensions[key] = max(given.asked_at_s, lease.extensions.get(key, 0.0))
+    if any(reclaimer not in lease.extensions for reclaimer in own.reclaimers):
+        return
+    asked_s = min(lease.extensions[reclaimer] for reclaimer in own.reclaimers)
+    until_s = min(asked_s + LEASE_S, lease.sent_s + MAX_EXTENSION_S)
+    lease.until_s = max(lease.until_s, until_s)
+
+
+def _watch(state: State) -> Iterator[object]:
+    allowances = state.fold.allowances
+    own_key = holder_key(state.identity.sender)
+    registered = registered_keys(allowances)
+    watches = state.limits.watches
+    state.limits.watches = {}
+    for key, instance in registered.items():
+        if key == own_key:
+            continue
+        lease = allowances.holders[instance]
+        orphaned = not any(reclaimer in registered for reclaimer in lease.reclaimers)
+        watch = watches.get(key)
+        if watch is None or (watch.renewed_offset, watch.orphaned) != (
+            lease.renewed_offset,
+            orphaned,
+        ):
+            watch = LeaseWatch(lease.renewed_offset, orphaned, state.now_s)
+        state.limits.watches[key] = watch
+        yield from _reclaim(state, key, lease, watch)
+
+
+def _reclaim(state: State, key: str, lease: HolderLease, watch: LeaseWatch) -> Iterator[object]:
+    if watch.reclaiming or own_lease(state) is None:
+        return
+    own_key = holder_key(state.identity.sender)
+    order = lease.reclaimers
+    if watch.orphaned:
+        order = tuple(rank(key, list(registered_keys(state.fold.allowances))))
+    wait_s = lapse_wait_s(0.0)
+    if own_key in order:
+        wait_s += order.index(own_key) * RECLAIM_STAGGER_S
+    else:
+        wait_s += MAX_EXTENSION_S * (1 + CLOCK_RATE_MARGIN)
+    if state.now_s - watch.since_s < wait_s:
+        return
+    watch.reclaiming = True
+    instance = key.rpartition(":")[0]
+    yield WriteLog("allowance.reclaiming", {"holder": key})
+    body: dict[str, object] = {"instance": instance, "incarnation": lease.incarnation}
+    yield _want(state, HOLDER_RECLAIMED, instance, body)
+
+
+def lapse_wait_s(grace_s: float) -> float:
+    """
+    Give the time after which another instance's lease has certainly ended.
+
+    :param grace_s: seconds that it may go on after its lease.
+    :returns: seconds by this instance's clock, from after its renewal was seen.
+    """
+    return (LEASE_S + grace_s) * (1 + CLOCK_RATE_MARGIN) + RECLAIM_MARGIN_S
+
+
+HANDLERS: HandlerTable = {
+    InstancesListed: on_listed,
+    Ticked: on_tick,
+    RecordFolded: on_folded,
+    PeerReceived: on_peer,
+}
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_recovery.py
@@ -0,0 +1,188 @@
+"""
+Recovery of units whose work may still run: they stay counted until endpoints show that it ended.
+
+Endpoints tell in their probes what they run, and for which holder. An endpoint that can't be
+asked may still run as much as it has slots.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from ._allowance_fold import FencedHolder, rank, registered_keys
+from ._allowance_lease import LEASE_S, lapse_wait_s, own_lease
+from ._allowance_messages import ALLOWANCE_SETTLED, allowance_subject, holder_key
+from ._allowance_state import EndpointSight
+from ._config import ConfigFold
+from ._effects import Emit, ProbeEndpoint
+from ._events import CapacityChanged, EndpointProbed, InstancesListed, RecordWanted, Ticked
+from ._handlers import HandlerTable
+from ._limits import give_back, held_units, revision
+from ._state import State
+
+PROBE_EVERY_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+# Time after which no probe sent earlier, and no attempt still on its way, can arrive.
+SETTLE_S = 3.0
+# Time between the attempts of two settlers, so that one record does.
+SETTLE_STAGGER_S = 3.0
+SETTLERS = 3
+# Grace assumed where the documents that set it are no longer kept.
+UNKNOWN_GRACE_S = 86_400.0
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Ask endpoints for evidence, and free what has certainly ended.
+    """
+    _note_fenced(state)
+    if not state.limits.recovery.lingering and not _has_duty(state):
+        state.limits.recovery.sights.clear()
+    elif state.now_s - state.limits.recovery.probed_at_s >= PROBE_EVERY_S:
+        state.limits.recovery.probed_at_s = state.now_s
+        yield from _probe(state)
+    if own_lease(state) is not None:
+        yield from _settle_own(state)
+        yield from _settle_fenced(state)
+
+
+def on_probed(state: State, event: EndpointProbed) -> Iterator[object]:
+    """
+    Free the units of own attempts that the endpoint does not run any more.
+    """
+    if event.running is None or not event.healthy:
+        return
+    counts = Counter((item.holder, item.team) for item in event.running)
+    recovery = state.limits.recovery
+    recovery.sights[event.endpoint] = EndpointSight(state.now_s, dict(counts))
+    running = {item.attempt for item in event.running}
+    ended = [
+        attempt
+        for attempt, item in recovery.lingering.items()
+        if item.endpoint == event.endpoint
+        and attempt not in running
+        and state.now_s - item.since_s >= SETTLE_S
+    ]
+    for attempt in ended:
+        give_back(state, recovery.lingering.pop(attempt).team)
+    if ended:
+        yield Emit(CapacityChanged())
+
+
+def on_listed(state: State, event: InstancesListed) -> Iterator[object]:
+    """
+    Free the units of attempts at endpoints that the platform no longer lists.
+    """
+    recovery = state.limits.recovery
+    listed = {item.id for item in event.instances if item.role == "endpoint"}
+    for attempt, item in list(recovery.lingering.items()):
+        if item.endpoint not in listed and state.now_s - item.since_s >= LEASE_S:
+            give_back(state, recovery.lingering.pop(attempt).team)
+    return iter(())
+
+
+def max_grace_s(config: ConfigFold, team: str, since_offset: int) -> float:
+    """
+    Give the longest grace that a holder may know of which read the log up to some offset.
+
+    :param config: the folded configuration.
+    :param team: ``WORKSPACE/TEAM``.
+    :param since_offset: the offset.
+    :returns: seconds.
+    """
+    workspace, _, name = team.partition("/")
+    revisions = config.documents.get(workspace, [])
+    first = max((i for i, item in enumerate(revisions) if item.offset <= since_offset), default=-1)
+    if first < 0 and len(revisions) > 1:
+        return UNKNOWN_GRACE_S
+    graces = [
+        float(item.get("grace_s", 0.0))
+        for document in revisions[max(first, 0) :]
+        for item in document.document.get("teams", [])
+        if item["name"] in (name, team)
+    ]
+    return max(graces, default=0.0)
+
+
+def _note_fenced(state: State) -> None:
+    fenced = state.fold.allowances.fenced
+    noted = state.limits.recovery.fenced_at_s
+    state.limits.recovery.fenced_at_s = {key: noted.get(key, state.now_s) for key in fenced}
+
+
+def _has_duty(state: State) -> bool:
+    return any(_settler_rank(state, key) < SETTLERS for key in state.fold.allowances.fenced)
+
+
+def _settler_rank(state: State, key: str) -> int:
+    own_key = holder_key(state.identity.sender)
+    order = rank(f"settle {key}", list(registered_keys(state.fold.allowances)))
+    return order.index(own_key) if own_key in order else SETTLERS
+
+
+def _probe(state: State) -> Iterator[object]:
+    needed = {item.endpoint for item in state.limits.recovery.lingering.values()}
+    has_duty = _has_duty(state)
+    for endpoint in state.endpoints.endpoints.values():
+        if has_duty or endpoint.id in needed:
+            yield ProbeEndpoint(endpoint.id, endpoint.address, PROBE_TIMEOUT_S)
+
+
+def _settle_own(state: State) -> Iterator[object]:
+    # A holder that was fenced and came back counts its earlier work itself: it starts nothing
+    # while more runs than it holds.
+    key = holder_key(state.identity.sender)
+    for name, allowance in state.fold.allowances.teams.items():
+        if key not in allowance.recovering:
+            continue
+        team = state.fold.config.teams.get(name)
+        held = 0 if team is None else held_units(state, team)
+        excess = max(0, state.limits.running.get(name, 0) - held)
+        yield from _settle(state, name, key, excess)
+
+
+def _settle_fenced(state: State) -> Iterator[object]:
+    for key, fenced in state.fold.allowances.fenced.items():
+        order = _settler_rank(state, key)
+        if order >= SETTLERS:
+            continue
+        for name, allowance in state.fold.allowances.teams.items():
+            if key not in allowance.recovering:
+                continue
+            from_s = _evidence_from_s(state, key, fenced, name)
+            if state.now_s >= from_s + order * SETTLE_STAGGER_S:
+                yield from _settle(state, name, key, _may_run(state, key, name, from_s))
+
+
+def _evidence_from_s(state: State, key: str, fenced: FencedHolder, team: str) -> float:
+    grace_s = max_grace_s(state.fold.config, team, fenced.renewed_offset)
+    wait_s = grace_s if fenced.lapsed and grace_s == 0 else lapse_wait_s(grace_s)
+    return state.limits.recovery.fenced_at_s.get(key, state.now_s) + wait_s + SETTLE_S
+
+
+def _may_run(state: State, key: str, team: str, from_s: float) -> int:
+    units = 0
+    for endpoint in state.endpoints.endpoints.values():
+        sight = state.limits.recovery.sights.get(endpoint.id)
+        if sight is None or sight.at_s < from_s:
+            units += endpoint.slots
+        else:
+            units += sight.running.get((key, team), 0)
+    return units
+
+
+def _settle(state: State, team: str, key: str, units: int) -> Iterator[object]:
+    recovering = state.fold.allowances.teams[team].recovering[key]
+    base = revision(state, team)
+    wanted = state.limits.recovery.wanted
+    if units >= recovering or wanted.get((team, key)) == base:
+        return
+    wanted[(team, key)] = base
+    body: dict[str, object] = {"team": team, "holder": key, "units": units}
+    yield Emit(RecordWanted(ALLOWANCE_SETTLED, allowance_subject(team), base, body))
+
+
+HANDLERS: HandlerTable = {
+    Ticked: on_tick,
+    EndpointProbed: on_probed,
+    InstancesListed: on_listed,
+}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
@@ -54,6 +54,7 @@
         yield DropAnswer(event.attempt)
         return
     req = attempt.request
+    _limits.give_back(state, req.team)
     yield from _account(state, attempt)
     if attempt.abandoned:
         yield DropAnswer(event.attempt)
@@ -74,6 +75,7 @@
     if endpoint is not None:
         endpoint.leaving = endpoint.leaving or event.leaving
         endpoint.retry_at_s = state.now_s + state.tuning.refused_pause_s
+    _limits.give_back(state, attempt.request.team)
     yield from _requeue(state, attempt)
 
 
@@ -88,9 +90,11 @@
     if endpoint is not None:
         endpoint.retry_at_s = state.now_s + state.tuning.refused_pause_s
     if not event.sent:
+        _limits.give_back(state, attempt.request.team)
         yield from _requeue(state, attempt)
         return
     req = attempt.request
+    _limits.linger(state, attempt.id, req.team, attempt.endpoint)
     if req.idempotent and req.tries < state.tuning.max_tries and req.start_by_s > state.now_s:
         yield from _requeue(state, attempt)
         return
@@ -128,7 +132,7 @@
     team = state.fold.config.teams.get(req.team)
     if team is None:
         return req.team.endswith("/open")
-    return _limits.try_take(state.limits, team, state.tuning.entry_instances)
+    return _limits.try_take(state, team)
 
 
 def _start(state: State, req: Request, endpoint: Endpoint) -> Dispatch:
@@ -158,8 +162,6 @@
     endpoint = state.endpoints.endpoints.get(attempt.endpoint)
     if endpoint is not None:
         endpoint.in_flight -= 1
-    if attempt.request.team in state.limits.running:
-        _limits.give_back(state.limits, attempt.request.team)
     return attempt
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_lifecycle.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_lifecycle.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from . import _endpoints
+from . import _allowance_lease, _endpoints
 from ._effects import Emit, Leave, ReadInstances, WriteLog
 from ._events import CapacityChanged, InstancesListed, Started, StopRequested, Ticked
 from ._handlers import HandlerTable
@@ -26,7 +26,7 @@
     if state.now_s - state.list_read_at_s >= state.tuning.list_interval_s:
         state.list_read_at_s = state.now_s
         yield ReadInstances()
-    if state.stopping and not state.requests.open_tokens and not state.requests.attempts:
+    if _allowance_lease.is_handed_back(state):
         yield Leave()
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_limits.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_limits.py
@@ -1,55 +1,109 @@
 """
-Upper limits: how many units of a team this instance may run.
+Upper limits: whether this instance may start one more unit of a team.
 
-Each entry instance holds an equal part of a team's limit, fixed by the number of entry instances
-in the settings, so that the sum never passes the limit whatever is lost or cut off.
+An instance uses only units that the log says it holds, only while its lease lasts, and only as
+far as it made no promise to a balancer.
 """
 
-import msgspec
-
+from ._allowance_messages import allowance_subject, holder_key
+from ._allowance_state import LingeringAttempt
 from ._config import Team
+from ._state import State
+
+
+def revision(state: State, team_name: str) -> int:
+    """
+    Give the revision of a team's allowances that this instance has folded.
+
+    :param state: the state.
+    :param team_name: ``WORKSPACE/TEAM``.
+    :returns: the revision, 0 before the first record.
+    """
+    return state.fold.position.revisions.get(allowance_subject(team_name), 0)
 
 
-class LimitState(msgspec.Struct):
+def held_units(state: State, team: Team) -> int:
+    """
+    Give this instance's part of the limit in force, whatever its lease.
+
+    :param state: the state.
+    :param team: the team.
+    :returns: the units held; less when the limit was lowered below what is held in all.
     """
-    Units in use at this instance, by team.
+    allowance = state.fold.allowances.teams.get(team.name)
+    if allowance is None:
+        return 0
+    own = allowance.held.get(holder_key(state.identity.sender), 0)
+    total = sum(allowance.held.values())
+    free = max(0, team.limit - sum(allowance.recovering.values()))
+    return own if total <= free else own * free // total
+
+
+def usable_units(state: State, team: Team) -> int:
     """
+    Give the units of a team that this instance may run now.
 
-    running: dict[str, int] = msgspec.field(default_factory=dict)
+    :param state: the state.
+    :param team: the team.
+    :returns: the units, running ones included.
+    """
+    if state.now_s >= state.limits.lease.until_s + team.grace_s:
+        return 0
+    return promised_units(state, team)
 
 
-def allowance(team: Team, entry_instances: int) -> int:
+def promised_units(state: State, team: Team) -> int:
     """
-    Give the units that one entry instance may run for a team.
+    Give the units that this instance may run while its lease lasts.
 
+    :param state: the state.
     :param team: the team.
-    :param entry_instances: entry instances of the fleet.
-    :returns: the equal part, rounded down.
+    :returns: the units held, or fewer when it made a promise to a balancer.
     """
-    return team.limit // entry_instances
+    held = held_units(state, team)
+    cap = state.limits.caps.get(team.name)
+    if cap is not None and cap.revision == revision(state, team.name):
+        return min(held, cap.units)
+    return held
 
 
-def try_take(limits: LimitState, team: Team, entry_instances: int) -> bool:
+def try_take(state: State, team: Team) -> bool:
     """
-    Take one unit when the allowance has one left.
+    Take one unit when there is one to use.
 
-    :param limits: changed in place.
+    :param state: changed in place.
     :param team: the team.
-    :param entry_instances: entry instances of the fleet.
     :returns: whether a unit was taken.
     """
-    running = limits.running.get(team.name, 0)
-    if running >= allowance(team, entry_instances):
+    running = state.limits.running.get(team.name, 0)
+    if running >= usable_units(state, team):
         return False
-    limits.running[team.name] = running + 1
+    state.limits.running[team.name] = running + 1
     return True
 
 
-def give_back(limits: LimitState, team_name: str) -> None:
+def give_back(state: State, team_name: str) -> None:
     """
     Return one unit whose work is known to have ended.
 
-    :param limits: changed in place.
+    :param state: changed in place.
+    :param team_name: ``WORKSPACE/TEAM``.
+    """
+    running = state.limits.running
+    if running.get(team_name, 0) > 0:
+        running[team_name] -= 1
+
+
+def linger(state: State, attempt: str, team_name: str, endpoint: str) -> None:
+    """
+    Keep the unit of an attempt whose work may still run.
+
+    :param state: changed in place.
+    :param attempt: id of the attempt.
     :param team_name: ``WORKSPACE/TEAM``.
+    :param endpoint: id of the endpoint that it was sent to.
     """
-    limits.running[team_name] -= 1
+    if state.limits.running.get(team_name, 0) > 0:
+        state.limits.recovery.lingering[attempt] = LingeringAttempt(
+            team_name, endpoint, state.now_s
+        )
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -5,7 +5,16 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable
 
-from . import _admission, _dispatch, _lifecycle, _log_follower, _outbox
+from . import (
+    _admission,
+    _allowance_balance,
+    _allowance_lease,
+    _allowance_recovery,
+    _dispatch,
+    _lifecycle,
+    _log_follower,
+    _outbox,
+)
 from ._effects import Emit
 from ._handlers import Handler, HandlerTable
 from ._state import State
@@ -14,6 +23,9 @@
 DOMAINS: tuple[HandlerTable, ...] = (
     _log_follower.HANDLERS,
     _outbox.HANDLERS,
+    _allowance_lease.HANDLERS,
+    _allowance_recovery.HANDLERS,
+    _allowance_balance.HANDLERS,
     _lifecycle.HANDLERS,
     _admission.HANDLERS,
     _dispatch.HANDLERS,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -7,13 +7,14 @@
 
 import msgspec
 
+from ._allowance_fold import AllowanceFold
+from ._allowance_state import LimitState
 from ._config import ConfigFold
 from ._effects import Identity
 from ._endpoints import EndpointState
 from ._fair import FairState
 from ._fold import LogPosition
 from ._keys import KeyFold
-from ._limits import LimitState
 from ._records import Record
 from ._requests import Attempt
 
@@ -48,6 +49,7 @@
     position: LogPosition = msgspec.field(default_factory=LogPosition)
     config: ConfigFold = msgspec.field(default_factory=ConfigFold)
     keys: KeyFold = msgspec.field(default_factory=KeyFold)
+    allowances: AllowanceFold = msgspec.field(default_factory=AllowanceFold)
 
 
 class LogState(msgspec.Struct):
--- a/packages/eelgrassdrum-core/tests/test_request_path.py
+++ b/packages/eelgrassdrum-core/tests/test_request_path.py
@@ -46,6 +46,7 @@
     "digest": digest_secret("s3cret"),
     "queues": [],
 }
+ALLOWANCE = {"team": "show/judges", "held": {"entry-a1:1": 2}}
 
 
 def record(sequence: int, kind: str, subject: str, base: int | None, body: dict) -> StoredRecord:
@@ -57,9 +58,16 @@
     )
 
 
+def own_record(offset: int, kind: str, subject: str, body: dict) -> StoredRecord:
+    """
+    Make a stored record of the instance under test, the first of its subject.
+    """
+    return StoredRecord(offset, Record(RecordId("entry-a1", 1, offset), kind, subject, 0, body))
+
+
 def make_state() -> State:
     """
-    Give an instance with one queue, one key and one endpoint of one slot.
+    Give an instance with one queue, one key, the team's whole limit and one endpoint of one slot.
     """
     identity = Identity(Sender("entry-a1", 1, "a"), "127.0.0.1:1", "127.0.0.1:2")
     state = new_state(identity, Tuning(entry_instances=1))
@@ -67,8 +75,10 @@
     records = (
         record(1, DOCUMENT_PUBLISHED, "document/show", 0, published),
         record(2, KEY_GRANTED, "key/show/k1", 0, GRANT),
+        own_record(3, "holder.renewed", "holder/entry-a1", {"zone": "a", "sent_s": 1.0}),
+        own_record(4, "allowance.moved", "allowance/show/judges", ALLOWANCE),
     )
-    reduce(state, 1.0, events.LogRead(records, 2))
+    reduce(state, 1.0, events.LogRead(records, 4))
     endpoint = events.ListedInstance("ep-1", "endpoint", "127.0.0.1:9", "a", service="show/judging")
     reduce(state, 1.0, events.InstancesListed((endpoint,)))
     return state
@@ -125,10 +135,10 @@
     """
     body = {"workspace": "show", "key_id": "k1"}
     records = (
-        record(3, KEY_WITHDRAWN, "key/show/k1", None, body),
-        record(4, KEY_GRANTED, "key/show/k1", 3, GRANT),
+        record(5, KEY_WITHDRAWN, "key/show/k1", None, body),
+        record(6, KEY_GRANTED, "key/show/k1", 5, GRANT),
     )
-    reduce(state, 2.0, events.LogRead(records, 4))
+    reduce(state, 2.0, events.LogRead(records, 6))
     _, produced = reduce(state, 2.0, submit(7, credential))
     [refuse] = only(effects.Refuse, produced)
     assert refuse.refusal.code == refusals.KEY_REFUSED
@@ -165,10 +175,10 @@
     """
     published = {"name": "show", "document": DOCUMENT, "author": "op", "comment": ""}
     records = (
-        record(3, DOCUMENT_PUBLISHED, "document/show", 1, {**published, "comment": "first"}),
-        record(4, DOCUMENT_PUBLISHED, "document/show", 1, {**published, "comment": "second"}),
+        record(5, DOCUMENT_PUBLISHED, "document/show", 1, {**published, "comment": "first"}),
+        record(6, DOCUMENT_PUBLISHED, "document/show", 1, {**published, "comment": "second"}),
     )
-    reduce(state, 2.0, events.LogRead(records, 4))
+    reduce(state, 2.0, events.LogRead(records, 6))
     assert state.fold.config.documents["show"][-1].comment == "first"
-    decision = state.fold.position.decisions[RecordId("operator", 1, 4)]
-    assert (decision.accepted, decision.overtaken_by) == (False, 3)
+    decision = state.fold.position.decisions[RecordId("operator", 1, 6)]
+    assert (decision.accepted, decision.overtaken_by) == (False, 5)
