Count what a team is served at other entry instances

Fair queueing within one instance lets a team that meets several instances have several shares. Instances now exchange totals by team in their zone, and by a relay between zones, and charge observed run time from the start of an attempt. A team that is ahead leaves slots to one that waits elsewhere.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
@@ -44,7 +44,7 @@
         return
     req = _make_request(state, queue, team, event)
     state.requests.open_tokens[event.token] = req.request_id
-    _fair.push(state.fair, req)
+    _fair.push(state.fair, req, state.now_s)
     yield Emit(CapacityChanged(queue.service))
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from . import _endpoints, _fair, _limits, _refusals
+from . import _endpoints, _fair, _fair_accounts, _limits, _refusals
 from ._config import Team
 from ._effects import Dispatch, DropAnswer, Emit, ObserveLatency, Refuse, Reply, WriteLog
 from ._endpoints import Endpoint
@@ -76,6 +76,7 @@
         endpoint.leaving = endpoint.leaving or event.leaving
         endpoint.retry_at_s = state.now_s + state.tuning.refused_pause_s
     _limits.give_back(state, attempt.request.team)
+    _fair_accounts.close_charge(state.fair, attempt.id, state.now_s, ran=False)
     yield from _requeue(state, attempt)
 
 
@@ -91,9 +92,11 @@
         endpoint.retry_at_s = state.now_s + state.tuning.refused_pause_s
     if not event.sent:
         _limits.give_back(state, attempt.request.team)
+        _fair_accounts.close_charge(state.fair, attempt.id, state.now_s, ran=False)
         yield from _requeue(state, attempt)
         return
     req = attempt.request
+    _fair_accounts.close_charge(state.fair, attempt.id, state.now_s, ran=True)
     _limits.linger(state, attempt.id, req.team, attempt.endpoint)
     if req.idempotent and req.tries < state.tuning.max_tries and req.start_by_s > state.now_s:
         yield from _requeue(state, attempt)
@@ -142,6 +145,9 @@
     req.tries += 1
     endpoint.in_flight += 1
     state.requests.attempts[attempt_id] = Attempt(attempt_id, req, endpoint.id, state.now_s)
+    team: Team | None = state.fold.config.teams.get(req.team)
+    share = OPEN_SHARE if team is None else team.share
+    _fair_accounts.open_charge(state.fair, attempt_id, req, share, state.now_s)
     return Dispatch(
         attempt_id,
         req.token,
@@ -168,14 +174,13 @@
 def _account(state: State, attempt: Attempt) -> Iterator[object]:
     req = attempt.request
     run_s = state.now_s - attempt.started_s
-    team: Team | None = state.fold.config.teams.get(req.team)
-    _fair.charge(state.fair, req, run_s, OPEN_SHARE if team is None else team.share)
+    _fair_accounts.close_charge(state.fair, attempt.id, state.now_s, ran=True)
     yield ObserveLatency(req.queue, req.team, attempt.started_s - req.arrived_s, run_s)
 
 
 def _requeue(state: State, attempt: Attempt) -> Iterator[object]:
     if not attempt.abandoned:
-        _fair.push(state.fair, attempt.request, first=True)
+        _fair.push(state.fair, attempt.request, state.now_s, first=True)
     yield Emit(CapacityChanged(attempt.request.service))
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair.py
@@ -2,60 +2,24 @@
 Waiting requests of each service, ordered by weighted fair queueing over teams.
 """
 
-from collections import deque
 from collections.abc import Callable
 
-import msgspec
-
+from ._fair_accounts import find_team, mark_active
+from ._fair_state import FairState, ServiceQueue, TeamQueue
 from ._requests import Request
 
 
-class TeamQueue(msgspec.Struct):
-    """
-    One team's waiting requests for one service.
-
-    :param virtual_s: resource-time used so far, divided by the team's share.
-    """
-
-    urgent: deque[Request] = msgspec.field(default_factory=deque)
-    normal: deque[Request] = msgspec.field(default_factory=deque)
-    virtual_s: float = 0.0
-
-
-class ServiceQueue(msgspec.Struct):
-    """
-    All waiting requests for one service.
-    """
-
-    teams: dict[str, TeamQueue] = msgspec.field(default_factory=dict)
-    virtual_s: float = 0.0
-
-
-class FairState(msgspec.Struct):
-    """
-    Waiting requests by service, with counts by queue.
-    """
-
-    services: dict[str, ServiceQueue] = msgspec.field(default_factory=dict)
-    queued: dict[str, int] = msgspec.field(default_factory=dict)
-    queued_bytes: dict[str, int] = msgspec.field(default_factory=dict)
-
-
-def push(fair: FairState, req: Request, *, first: bool = False) -> None:
+def push(fair: FairState, req: Request, now_s: float, *, first: bool = False) -> None:
     """
     Let a request wait.
 
     :param fair: changed in place.
     :param req: the request.
+    :param now_s: time.
     :param first: put it before others of its team, as after an attempt that did not run.
     """
-    service = fair.services.setdefault(req.service, ServiceQueue())
-    team = service.teams.get(req.team)
-    if team is None:
-        team = service.teams[req.team] = TeamQueue()
-    if not team.urgent and not team.normal:
-        # A team that comes back gets no credit for the time it was away.
-        team.virtual_s = max(team.virtual_s, service.virtual_s)
+    team = find_team(fair, req.service, req.team)
+    mark_active(fair.services[req.service], team, now_s)
     line = team.urgent if req.urgent else team.normal
     if first:
         line.appendleft(req)
@@ -76,28 +40,38 @@
     service = fair.services.get(service_name)
     if service is None:
         return None
-    waiting = [team for team in service.teams.values() if team.urgent or team.normal]
+    waiting = [team for team in service.teams.values() if is_waiting(team)]
     for team in sorted(waiting, key=lambda team: team.virtual_s):
+        if team.virtual_s > service.ceiling_s:
+            # A team that only waits elsewhere was served less.
+            return None
         line = team.urgent or team.normal
-        if may_start(line[0]):
-            service.virtual_s = max(service.virtual_s, team.virtual_s)
+        team.is_blocked = not may_start(line[0])
+        if not team.is_blocked:
             req = line.popleft()
             _count(fair, req, -1)
             return req
     return None
 
 
-def charge(fair: FairState, req: Request, cost_s: float, share: float) -> None:
+def is_waiting(team: TeamQueue) -> bool:
     """
-    Add what a request has used to its team's account.
+    Tell whether a team has requests waiting at this instance.
 
-    :param fair: changed in place.
-    :param req: the request.
-    :param cost_s: resource-time in seconds.
-    :param share: weight of the team.
+    :param team: the team's queue.
+    :returns: whether it has.
     """
-    service = fair.services.setdefault(req.service, ServiceQueue())
-    service.teams.setdefault(req.team, TeamQueue()).virtual_s += cost_s / share
+    return bool(team.urgent or team.normal)
+
+
+def count_waiting(team: TeamQueue) -> int:
+    """
+    Count a team's waiting requests at this instance.
+
+    :param team: the team's queue.
+    :returns: their number.
+    """
+    return len(team.urgent) + len(team.normal)
 
 
 def remove_where(fair: FairState, condition: Callable[[Request], bool]) -> list[Request]:
@@ -127,3 +101,15 @@
     fair.queued[req.queue] = fair.queued.get(req.queue, 0) + step
     size = step * req.size_bytes
     fair.queued_bytes[req.queue] = fair.queued_bytes.get(req.queue, 0) + size
+
+
+__all__ = [
+    "FairState",
+    "ServiceQueue",
+    "TeamQueue",
+    "count_waiting",
+    "is_waiting",
+    "pop",
+    "push",
+    "remove_where",
+]
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_accounts.py
@@ -0,0 +1,158 @@
+"""
+Accounts of teams: what each has used of a service, at this instance and elsewhere.
+
+The cost is the time that a slot was seen to be used. An attempt is charged the median of recent
+run times at its start, the elapsed time while it runs longer, and the difference at its end.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from statistics import median
+
+from ._fair_state import RUN_TIMES_KEPT, Charge, FairState, ServiceQueue, TeamQueue
+from ._requests import Request
+
+FIRST_ESTIMATE_S = 0.1
+# Time without demand after which a team gets no credit for being away.
+IDLE_S = 1.0
+# How far an account may lie behind or before the level, in seconds of the level's growth.
+MAX_LAG_S = 3.0
+MAX_LEAD_S = 30.0
+# Time in which the estimate of the level's growth follows a change.
+RATE_TIME_S = 3.0
+
+
+def find_team(fair: FairState, service_name: str, team_name: str) -> TeamQueue:
+    """
+    Give a team's queue for a service, made when it is new.
+
+    :param fair: changed in place.
+    :param service_name: ``WORKSPACE/SERVICE``.
+    :param team_name: ``WORKSPACE/TEAM``.
+    :returns: the queue.
+    """
+    service = fair.services.setdefault(service_name, ServiceQueue())
+    team = service.teams.get(team_name)
+    if team is None:
+        team = service.teams[team_name] = TeamQueue(virtual_s=service.virtual_s)
+    return team
+
+
+def mark_active(service: ServiceQueue, team: TeamQueue, now_s: float) -> None:
+    """
+    Note that a team has demand; one that comes back gets no credit for the time it was away.
+
+    :param service: the service.
+    :param team: changed in place.
+    :param now_s: time.
+    """
+    if now_s - team.active_at_s > IDLE_S:
+        team.virtual_s = max(team.virtual_s, service.virtual_s)
+    team.active_at_s = now_s
+
+
+def open_charge(fair: FairState, attempt: str, req: Request, share: float, now_s: float) -> None:
+    """
+    Charge an attempt at its start.
+
+    :param fair: changed in place.
+    :param attempt: id of the attempt.
+    :param req: its request.
+    :param share: weight of its team.
+    :param now_s: time.
+    """
+    find_team(fair, req.service, req.team).share = share
+    charge = Charge(req.service, req.team, req.queue, now_s, 0.0)
+    fair.charges[attempt] = charge
+    _charge_up_to(fair, charge, _estimate_s(fair, req.queue, req.team))
+
+
+def accrue(fair: FairState, now_s: float) -> None:
+    """
+    Charge attempts that run longer than they were charged for.
+
+    :param fair: changed in place.
+    :param now_s: time.
+    """
+    for charge in fair.charges.values():
+        elapsed_s = now_s - charge.started_s
+        if elapsed_s > charge.charged_s:
+            _charge_up_to(fair, charge, elapsed_s)
+
+
+def close_charge(fair: FairState, attempt: str, now_s: float, *, ran: bool) -> None:
+    """
+    Correct the charge of an attempt at its end.
+
+    :param fair: changed in place.
+    :param attempt: id of the attempt.
+    :param now_s: time.
+    :param ran: whether it may have run; otherwise it costs nothing.
+    """
+    charge = fair.charges.pop(attempt, None)
+    if charge is None:
+        return
+    run_s = now_s - charge.started_s if ran else 0.0
+    _charge_up_to(fair, charge, run_s)
+    if ran:
+        key = (charge.queue, charge.team)
+        fair.run_times.setdefault(key, deque(maxlen=RUN_TIMES_KEPT)).append(run_s)
+
+
+def add_remote(fair: FairState, service_name: str, team_name: str, cost_s: float) -> None:
+    """
+    Add what other instances served to a team's account.
+
+    :param fair: changed in place.
+    :param service_name: ``WORKSPACE/SERVICE``.
+    :param team_name: ``WORKSPACE/TEAM``.
+    :param cost_s: resource-seconds; negative for a correction.
+    """
+    team = find_team(fair, service_name, team_name)
+    team.virtual_s += cost_s / team.share
+
+
+def advance_level(
+    service: ServiceQueue, now_s: float, is_waiting: Callable[[str, TeamQueue], bool]
+) -> None:
+    """
+    Move the level to the least served team that waits, and keep accounts near it.
+
+    :param service: changed in place.
+    :param now_s: time.
+    :param is_waiting: whether a team waits for slots, here or elsewhere.
+    """
+    waiting = [team for name, team in service.teams.items() if is_waiting(name, team)]
+    elapsed_s = now_s - service.advanced_at_s
+    service.advanced_at_s = now_s
+    if not waiting:
+        # Without a queue everybody gets all they ask for, and nobody owes anything.
+        service.virtual_s = max(
+            [service.virtual_s, *(team.virtual_s for team in service.teams.values())]
+        )
+        for team in service.teams.values():
+            team.virtual_s = service.virtual_s
+        return
+    level_s = max(service.virtual_s, min(team.virtual_s for team in waiting))
+    if elapsed_s > 0:
+        weight = min(1.0, elapsed_s / RATE_TIME_S)
+        grown = (level_s - service.virtual_s) / elapsed_s
+        service.rate += weight * (grown - service.rate)
+    service.virtual_s = level_s
+    lowest_s = level_s - MAX_LAG_S * service.rate
+    highest_s = level_s + MAX_LEAD_S * service.rate
+    for team in service.teams.values():
+        team.virtual_s = min(max(team.virtual_s, lowest_s), max(highest_s, lowest_s))
+
+
+def _charge_up_to(fair: FairState, charge: Charge, cost_s: float) -> None:
+    step_s = cost_s - charge.charged_s
+    charge.charged_s = cost_s
+    team = find_team(fair, charge.service, charge.team)
+    team.served_s += step_s
+    team.virtual_s += step_s / team.share
+
+
+def _estimate_s(fair: FairState, queue: str, team: str) -> float:
+    run_times = fair.run_times.get((queue, team))
+    return median(run_times) if run_times else FIRST_ESTIMATE_S
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
@@ -0,0 +1,290 @@
+"""
+Exchange of aggregates, so that what a team is served at one entry instance counts at all.
+
+Each instance tells the peers in its zone what it served each team and how many requests wait.
+One instance of the zone, its relay, tells the sums to an instance of each other zone, which
+passes them on to its own peers. Numbers are totals, so that a lost message costs nothing.
+"""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from ._allowance_messages import holder_key
+from ._effects import Emit, SendPeer
+from ._events import CapacityChanged, InstancesListed, PeerReceived, Ticked
+from ._fair import count_waiting
+from ._fair_accounts import accrue, add_remote, advance_level, find_team, mark_active
+from ._fair_state import FairExchange, PeerAddress, RemoteSource, ServiceQueue, TeamQueue
+from ._handlers import HandlerTable
+from ._state import State
+from ._wire import register_message
+
+SEND_EVERY_S = 0.2
+RELAY_EVERY_S = 0.4
+# Time for which what another instance told counts.
+SOURCE_VALID_S = 1.5
+# Time after its last demand for which a team is told about.
+ROW_VALID_S = 3.0
+# How far a team may run before one that waits elsewhere, in seconds of the level's growth.
+SLACK_S = 0.3
+# Time after which slots left free are taken again when nobody used them, and for how long.
+HOLD_MAX_S = 2.0
+IGNORE_S = 5.0
+
+
+class ServiceRow(NamedTuple):
+    """
+    One team's use of one service.
+
+    :param service: ``WORKSPACE/SERVICE``.
+    :param team: ``WORKSPACE/TEAM``.
+    :param served_s: resource-seconds served since the origin started.
+    :param waiting: requests that wait for slots.
+    """
+
+    service: str
+    team: str
+    served_s: float
+    waiting: int
+
+
+@register_message
+class ServedReported(NamedTuple):
+    """
+    What one instance served, for the peers of its zone.
+
+    :param sequence: number of the message.
+    :param rows: one per service and team.
+    """
+
+    sequence: int
+    rows: tuple[ServiceRow, ...]
+
+
+@register_message
+class ZoneServedReported(NamedTuple):
+    """
+    What a whole zone served, for other zones.
+
+    :param zone: the zone.
+    :param relay: key of the instance that counts.
+    :param sequence: number of the message.
+    :param rows: one per service and team.
+    """
+
+    zone: str
+    relay: str
+    sequence: int
+    rows: tuple[ServiceRow, ...]
+
+
+def on_listed(state: State, event: InstancesListed) -> Iterator[object]:
+    """
+    Take over the addresses of the other entry instances.
+    """
+    own = state.identity.sender.instance
+    state.fair.exchange.peers = {
+        item.id: PeerAddress(item.peer_address, item.zone)
+        for item in event.instances
+        if item.role == "entry" and item.id != own and item.peer_address
+    }
+    return iter(())
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Bring accounts up to date, and tell the peers.
+    """
+    accrue(state.fair, state.now_s)
+    for name, service in state.fair.services.items():
+        _update_service(state, name, service)
+    exchange = state.fair.exchange
+    if state.now_s - exchange.sent_at_s >= SEND_EVERY_S:
+        exchange.sent_at_s = state.now_s
+        yield from _tell_zone(state)
+    if state.now_s - exchange.relayed_at_s >= RELAY_EVERY_S and _is_relay(state):
+        exchange.relayed_at_s = state.now_s
+        yield from _tell_other_zones(state)
+
+
+def on_peer(state: State, event: PeerReceived) -> Iterator[object]:
+    """
+    Take in what others served.
+    """
+    message = event.message
+    own = state.identity.sender
+    if isinstance(message, ServedReported) and event.sender.zone == own.zone:
+        name = event.sender.instance
+        _take(state, name, holder_key(event.sender), message.sequence, message.rows, is_peer=True)
+        yield Emit(CapacityChanged())
+    elif isinstance(message, ZoneServedReported) and message.zone != own.zone:
+        _take(
+            state,
+            f"zone {message.zone}",
+            message.relay,
+            message.sequence,
+            message.rows,
+            is_peer=False,
+        )
+        if event.sender.zone != own.zone:
+            yield from _send_to_zone(state, message)
+        yield Emit(CapacityChanged())
+
+
+def remote_waiting(state: State, service: str, team: str) -> int:
+    """
+    Count a team's requests that wait for a service at other instances.
+
+    :param state: the state.
+    :param service: ``WORKSPACE/SERVICE``.
+    :param team: ``WORKSPACE/TEAM``.
+    :returns: their number, as last told.
+    """
+    return sum(
+        source.waiting.get((service, team), 0)
+        for source in state.fair.exchange.sources.values()
+        if state.now_s - source.at_s < SOURCE_VALID_S
+    )
+
+
+def _update_service(state: State, name: str, service: ServiceQueue) -> None:
+    remote = {team: remote_waiting(state, name, team) for team in service.teams}
+    running = {charge.team for charge in state.fair.charges.values() if charge.service == name}
+    for team_name, team in service.teams.items():
+        config = state.fold.config.teams.get(team_name)
+        if config is not None:
+            team.share = config.share
+        if count_waiting(team) or remote[team_name] or team_name in running:
+            mark_active(service, team, state.now_s)
+
+    def waits(team_name: str, team: TeamQueue) -> bool:
+        return remote[team_name] > 0 or (count_waiting(team) > 0 and not team.is_blocked)
+
+    advance_level(service, state.now_s, waits)
+    _set_ceiling(state, service, remote)
+
+
+def _set_ceiling(state: State, service: ServiceQueue, remote: dict[str, int]) -> None:
+    service.ceiling_s = float("inf")
+    behind = [service.teams[name].virtual_s for name, waiting in remote.items() if waiting > 0]
+    if not behind or state.now_s < service.ignore_until_s:
+        service.held_since_s = state.now_s
+        return
+    lowest_s = min(behind)
+    if lowest_s != service.held_at_s:
+        service.held_at_s = lowest_s
+        service.held_since_s = state.now_s
+    if state.now_s - service.held_since_s > HOLD_MAX_S:
+        service.ignore_until_s = state.now_s + IGNORE_S
+        return
+    service.ceiling_s = lowest_s + SLACK_S * service.rate
+
+
+def _own_rows(state: State) -> dict[tuple[str, str], ServiceRow]:
+    rows = {}
+    for name, service in state.fair.services.items():
+        for team_name, team in service.teams.items():
+            if state.now_s - team.active_at_s <= ROW_VALID_S:
+                waiting = 0 if team.is_blocked else count_waiting(team)
+                row = ServiceRow(name, team_name, round(team.served_s, 3), waiting)
+                rows[(name, team_name)] = row
+    return rows
+
+
+def _zone_rows(state: State) -> tuple[ServiceRow, ...]:
+    exchange = state.fair.exchange
+    rows = []
+    for (service, team), row in _own_rows(state).items():
+        served_s = row.served_s + exchange.zone_served.get((service, team), 0.0)
+        waiting = row.waiting + sum(
+            source.waiting.get((service, team), 0)
+            for name, source in exchange.sources.items()
+            if not name.startswith("zone ") and state.now_s - source.at_s < SOURCE_VALID_S
+        )
+        rows.append(ServiceRow(service, team, round(served_s, 3), waiting))
+    return tuple(rows)
+
+
+def _tell_zone(state: State) -> Iterator[object]:
+    rows = tuple(_own_rows(state).values())
+    state.fair.exchange.sequence += 1
+    yield from _send_to_zone(state, ServedReported(state.fair.exchange.sequence, rows))
+
+
+def _send_to_zone(state: State, message: object) -> Iterator[object]:
+    for peer in state.fair.exchange.peers.values():
+        if peer.zone == state.identity.sender.zone:
+            yield SendPeer(peer.address, message)
+
+
+def _tell_other_zones(state: State) -> Iterator[object]:
+    exchange = state.fair.exchange
+    rows = _zone_rows(state)
+    if not rows:
+        return
+    own = state.identity.sender
+    message = ZoneServedReported(own.zone, holder_key(own), exchange.sequence, rows)
+    by_zone: dict[str, list[str]] = {}
+    for name in sorted(exchange.peers):
+        peer = exchange.peers[name]
+        if peer.zone != own.zone:
+            by_zone.setdefault(peer.zone, []).append(peer.address)
+    for addresses in by_zone.values():
+        # Another instance each time, so that one that is gone costs only some of the messages.
+        yield SendPeer(addresses[exchange.sequence // 2 % len(addresses)], message)
+
+
+def _is_relay(state: State) -> bool:
+    exchange = state.fair.exchange
+    own = state.identity.sender.instance
+    heard = [
+        name
+        for name, source in exchange.sources.items()
+        if not name.startswith("zone ") and state.now_s - source.at_s < SOURCE_VALID_S
+    ]
+    return all(own < name for name in heard)
+
+
+def _take(
+    state: State,
+    name: str,
+    origin: str,
+    sequence: int,
+    rows: tuple[ServiceRow, ...],
+    *,
+    is_peer: bool,
+) -> None:
+    exchange = state.fair.exchange
+    source = exchange.sources.get(name)
+    is_valid = source is not None and state.now_s - source.at_s < SOURCE_VALID_S
+    if source is None or (source.origin != origin and (is_peer or not is_valid)):
+        source = exchange.sources[name] = RemoteSource(origin, sequence - 1, state.now_s)
+    if source.origin != origin or sequence <= source.sequence:
+        return
+    source.sequence = sequence
+    source.at_s = state.now_s
+    source.waiting = {(row.service, row.team): row.waiting for row in rows if row.waiting > 0}
+    for row in rows:
+        _add_row(state, exchange, source, row, is_peer)
+
+
+def _add_row(
+    state: State, exchange: FairExchange, source: RemoteSource, row: ServiceRow, is_peer: bool
+) -> None:
+    key = (row.service, row.team)
+    # What was served before this instance first heard of it is not counted.
+    step_s = row.served_s - source.served.get(key, row.served_s)
+    source.served[key] = row.served_s
+    team = find_team(state.fair, row.service, row.team)
+    if step_s > 0 or row.waiting > 0:
+        mark_active(state.fair.services[row.service], team, state.now_s)
+    add_remote(state.fair, row.service, row.team, step_s)
+    if is_peer:
+        exchange.zone_served[key] = exchange.zone_served.get(key, 0.0) + step_s
+
+
+HANDLERS: HandlerTable = {
+    InstancesListed: on_listed,
+    Ticked: on_tick,
+    PeerReceived: on_peer,
+}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -11,6 +11,7 @@
     _allowance_lease,
     _allowance_recovery,
     _dispatch,
+    _fair_exchange,
     _lifecycle,
     _log_follower,
     _outbox,
@@ -27,6 +28,7 @@
     _allowance_recovery.HANDLERS,
     _allowance_balance.HANDLERS,
     _lifecycle.HANDLERS,
+    _fair_exchange.HANDLERS,
     _admission.HANDLERS,
     _dispatch.HANDLERS,
 )
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -12,7 +12,7 @@
 from ._config import ConfigFold
 from ._effects import Identity
 from ._endpoints import EndpointState
-from ._fair import FairState
+from ._fair_state import FairState
 from ._fold import LogPosition
 from ._keys import KeyFold
 from ._records import Record
