--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_demand.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_demand.py
@@ -152,9 +152,9 @@
     :param message: the message.
     :returns: effects.
     """
-    address = state.limits.peers.get(key.rpartition(":")[0])
-    if address is not None:
-        yield SendPeer(address, message)
+    peer = state.membership.peers.get(key.rpartition(":")[0])
+    if peer is not None:
+        yield SendPeer(peer.peer_address, message)
 
 
 def _measure(state: State, elapsed_s: float) -> list[TeamDemand]:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_lease.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_lease.py
@@ -21,7 +21,6 @@
 from ._effects import Emit, SendPeer, WriteLog
 from ._events import (
     CapacityChanged,
-    InstancesListed,
     PeerReceived,
     RecordFolded,
     RecordWanted,
@@ -47,19 +46,6 @@
 RECLAIM_STAGGER_S = 1.0
 
 
-def on_listed(state: State, event: InstancesListed) -> Iterator[object]:
-    """
-    Take over the addresses of the other entry instances.
-    """
-    own = state.identity.sender.instance
-    state.limits.peers = {
-        item.id: item.peer_address
-        for item in event.instances
-        if item.role == "entry" and item.id != own and item.peer_address
-    }
-    return iter(())
-
-
 def on_tick(state: State, event: Ticked) -> Iterator[object]:
     """
     Keep the own lease, and watch those of others.
@@ -182,21 +168,21 @@
     message = ExtensionAsked(own.renewed_offset, state.now_s)
     instances = registered_keys(state.fold.allowances)
     for key in own.reclaimers:
-        address = state.limits.peers.get(instances.get(key, ""))
-        if address is not None:
-            yield SendPeer(address, message)
+        peer = state.membership.peers.get(instances.get(key, ""))
+        if peer is not None:
+            yield SendPeer(peer.peer_address, message)
 
 
 def _give_extension(state: State, sender: Sender, asked: ExtensionAsked) -> Iterator[object]:
     watch = state.limits.watches.get(holder_key(sender))
-    address = state.limits.peers.get(sender.instance)
+    peer = state.membership.peers.get(sender.instance)
     # An instance whose own lease has ended may be reclaimed itself, so its word binds nobody.
-    if watch is None or address is None or state.limits.lease.until_s <= state.now_s:
+    if watch is None or peer is None or state.limits.lease.until_s <= state.now_s:
         return
     if watch.reclaiming or watch.renewed_offset != asked.renewed_offset:
         return
     watch.since_s = state.now_s
-    yield SendPeer(address, ExtensionGiven(asked.renewed_offset, asked.asked_at_s))
+    yield SendPeer(peer.peer_address, ExtensionGiven(asked.renewed_offset, asked.asked_at_s))
 
 
 def _take_extension(state: State, sender: Sender, given: ExtensionGiven) -> None:
@@ -266,7 +252,6 @@
 
 
 HANDLERS: HandlerTable = {
-    InstancesListed: on_listed,
     Ticked: on_tick,
     RecordFolded: on_folded,
     PeerReceived: on_peer,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_state.py
@@ -165,12 +165,10 @@
 
     :param running: units in use by team, with work of unknown outcome.
     :param caps: promises made to balancers, by team.
-    :param peers: ``IP:PORT`` of the other entry instances, by id.
     """
 
     running: dict[str, int] = msgspec.field(default_factory=dict)
     caps: dict[str, UsageCap] = msgspec.field(default_factory=dict)
-    peers: dict[str, str] = msgspec.field(default_factory=dict)
     lease: LeaseState = msgspec.field(default_factory=LeaseState)
     watches: dict[str, LeaseWatch] = msgspec.field(default_factory=dict)
     balance: BalanceState = msgspec.field(default_factory=BalanceState)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
@@ -11,11 +11,13 @@
 
 from ._allowance_messages import holder_key
 from ._effects import Emit, SendPeer
-from ._events import CapacityChanged, InstancesListed, PeerReceived, Ticked
+from ._events import CapacityChanged, PeerReceived, Ticked
 from ._fair import count_waiting
 from ._fair_accounts import accrue, add_remote, advance_level, find_team, mark_active
-from ._fair_state import FairExchange, PeerAddress, RemoteSource, ServiceQueue, TeamQueue
+from ._fair_state import FairExchange, RemoteSource, ServiceQueue, TeamQueue
 from ._handlers import HandlerTable
+from ._membership import members, relayed_zones, zone_peers
+from ._membership_state import DEAD
 from ._state import State
 from ._wire import register_message
 
@@ -78,19 +80,6 @@
     rows: tuple[ServiceRow, ...]
 
 
-def on_listed(state: State, event: InstancesListed) -> Iterator[object]:
-    """
-    Take over the addresses of the other entry instances.
-    """
-    own = state.identity.sender.instance
-    state.fair.exchange.peers = {
-        item.id: PeerAddress(item.peer_address, item.zone)
-        for item in event.instances
-        if item.role == "entry" and item.id != own and item.peer_address
-    }
-    return iter(())
-
-
 def on_tick(state: State, event: Ticked) -> Iterator[object]:
     """
     Bring accounts up to date, and tell the peers.
@@ -102,7 +91,7 @@
     if state.now_s - exchange.sent_at_s >= SEND_EVERY_S:
         exchange.sent_at_s = state.now_s
         yield from _tell_zone(state)
-    if state.now_s - exchange.relayed_at_s >= RELAY_EVERY_S and _is_relay(state):
+    if state.now_s - exchange.relayed_at_s >= RELAY_EVERY_S:
         exchange.relayed_at_s = state.now_s
         yield from _tell_other_zones(state)
 
@@ -207,42 +196,31 @@
 
 def _tell_zone(state: State) -> Iterator[object]:
     rows = tuple(_own_rows(state).values())
+    if not rows:
+        return
     state.fair.exchange.sequence += 1
     yield from _send_to_zone(state, ServedReported(state.fair.exchange.sequence, rows))
 
 
 def _send_to_zone(state: State, message: object) -> Iterator[object]:
-    for peer in state.fair.exchange.peers.values():
-        if peer.zone == state.identity.sender.zone:
-            yield SendPeer(peer.address, message)
+    for member in zone_peers(state):
+        yield SendPeer(member.peer_address, message)
 
 
 def _tell_other_zones(state: State) -> Iterator[object]:
-    exchange = state.fair.exchange
-    rows = _zone_rows(state)
+    zones = relayed_zones(state)
+    rows = _zone_rows(state) if zones else ()
     if not rows:
         return
     own = state.identity.sender
-    message = ZoneServedReported(own.zone, holder_key(own), exchange.sequence, rows)
-    by_zone: dict[str, list[str]] = {}
-    for name in sorted(exchange.peers):
-        peer = exchange.peers[name]
-        if peer.zone != own.zone:
-            by_zone.setdefault(peer.zone, []).append(peer.address)
-    for addresses in by_zone.values():
-        # Another instance each time, so that one that is gone costs only some of the messages.
-        yield SendPeer(addresses[exchange.sequence // 2 % len(addresses)], message)
-
-
-def _is_relay(state: State) -> bool:
-    exchange = state.fair.exchange
-    own = state.identity.sender.instance
-    heard = [
-        name
-        for name, source in exchange.sources.items()
-        if not name.startswith("zone ") and state.now_s - source.at_s < SOURCE_VALID_S
-    ]
-    return all(own < name for name in heard)
+    sequence = state.fair.exchange.sequence
+    message = ZoneServedReported(own.zone, holder_key(own), sequence, rows)
+    others = [member for member in members(state) if member.state != DEAD]
+    for zone in zones:
+        addresses = [member.peer_address for member in others if member.zone == zone]
+        if addresses:
+            # Another instance each time, so that one that is gone costs only some messages.
+            yield SendPeer(addresses[sequence // 2 % len(addresses)], message)
 
 
 def _take(
@@ -284,7 +262,6 @@
 
 
 HANDLERS: HandlerTable = {
-    InstancesListed: on_listed,
     Ticked: on_tick,
     PeerReceived: on_peer,
 }
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_state.py
@@ -3,7 +3,6 @@
 """
 
 from collections import deque
-from typing import NamedTuple
 
 import msgspec
 
@@ -75,18 +74,6 @@
     charged_s: float
 
 
-class PeerAddress(NamedTuple):
-    """
-    Where another entry instance is reached.
-
-    :param address: ``IP:PORT`` for peers.
-    :param zone: its availability zone.
-    """
-
-    address: str
-    zone: str
-
-
 class RemoteSource(msgspec.Struct):
     """
     What one other instance, or one other zone, last told.
@@ -109,7 +96,6 @@
     """
     Aggregates exchanged with other entry instances.
 
-    :param peers: other entry instances by id.
     :param sources: by id of a zone peer, or by name of another zone.
     :param zone_served: resource-seconds of the zone peers, as seen here.
     :param sequence: number of the last message sent.
@@ -117,7 +103,6 @@
     :param relayed_at_s: time of the last message to other zones.
     """
 
-    peers: dict[str, PeerAddress] = msgspec.field(default_factory=dict)
     sources: dict[str, RemoteSource] = msgspec.field(default_factory=dict)
     zone_served: dict[tuple[str, str], float] = msgspec.field(default_factory=dict)
     sequence: int = 0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -14,6 +14,7 @@
     _fair_exchange,
     _lifecycle,
     _log_follower,
+    _membership_beats,
     _outbox,
 )
 from ._effects import Emit
@@ -24,6 +25,7 @@
 DOMAINS: tuple[HandlerTable, ...] = (
     _log_follower.HANDLERS,
     _outbox.HANDLERS,
+    _membership_beats.HANDLERS,
     _allowance_lease.HANDLERS,
     _allowance_recovery.HANDLERS,
     _allowance_balance.HANDLERS,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -15,6 +15,7 @@
 from ._fair_state import FairState
 from ._fold import LogPosition
 from ._keys import KeyFold
+from ._membership_state import MembershipState
 from ._records import Record
 from ._requests import Attempt
 
@@ -112,6 +113,7 @@
     fair: FairState = msgspec.field(default_factory=FairState)
     limits: LimitState = msgspec.field(default_factory=LimitState)
     endpoints: EndpointState = msgspec.field(default_factory=EndpointState)
+    membership: MembershipState = msgspec.field(default_factory=MembershipState)
 
 
 def new_state(identity: Identity, tuning: Tuning) -> State:
