--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
@@ -0,0 +1,195 @@
+"""
+What operators are shown of the state, limited to the scope of their key.
+"""
+
+from collections import Counter
+from typing import Any
+
+from eelgrassdrum_core import Decision, RecordId, State, refusals
+
+from ._operator_scope import Scope, sees_all, sees_name, sees_subject, sees_workspace
+
+
+def view_status(state: State, scope: Scope) -> dict[str, Any]:
+    """
+    Show the instance, its teams, queues, endpoints and members.
+
+    :param state: state of the instance.
+    :param scope: what may be seen.
+    :returns: plain data.
+    """
+    sender = state.identity.sender
+    return {
+        "instance": sender.instance,
+        "incarnation": sender.incarnation,
+        "zone": sender.zone,
+        "revision": state.fold.position.next_offset - 1,
+        "head": state.log.head,
+        "caught_up": state.log.caught_up,
+        "log_available": state.log.available,
+        "stopping": state.stopping,
+        "teams": _view_teams(state, scope),
+        "queues": _view_queues(state, scope),
+        "endpoints": _view_endpoints(state, scope),
+        "members": _view_members(state) if sees_all(scope) else [],
+    }
+
+
+def _view_teams(state: State, scope: Scope) -> list[dict[str, Any]]:
+    running = Counter(attempt.request.team for attempt in state.requests.attempts.values())
+    return [
+        {
+            "team": team.name,
+            "share": team.share,
+            "limit": team.limit,
+            "running_here": running[team.name],
+        }
+        for team in state.fold.config.teams.values()
+        if sees_workspace(scope, team.workspace)
+    ]
+
+
+def _view_queues(state: State, scope: Scope) -> list[dict[str, Any]]:
+    return [
+        {
+            "queue": queue.name,
+            "service": queue.service,
+            "waiting_here": state.fair.queued.get(queue.name, 0),
+            "waiting_bytes_here": state.fair.queued_bytes.get(queue.name, 0),
+        }
+        for queue in state.fold.config.queues.values()
+        if sees_workspace(scope, queue.workspace)
+    ]
+
+
+def _view_endpoints(state: State, scope: Scope) -> list[dict[str, Any]]:
+    return [
+        {
+            "endpoint": endpoint.id,
+            "service": endpoint.service,
+            "zone": endpoint.zone,
+            "in_flight_here": endpoint.in_flight,
+            "leaving": endpoint.leaving,
+        }
+        for endpoint in state.endpoints.endpoints.values()
+        if sees_name(scope, endpoint.service)
+    ]
+
+
+def _view_members(state: State) -> list[dict[str, Any]]:
+    return [
+        {
+            "instance": peer.sender.instance,
+            "incarnation": peer.sender.incarnation,
+            "zone": peer.sender.zone,
+            "state": peer.state,
+        }
+        for peer in state.membership.peers.values()
+    ]
+
+
+def view_documents(state: State, scope: Scope) -> dict[str, Any]:
+    """
+    List the documents in force.
+
+    :param state: state of the instance.
+    :param scope: what may be seen.
+    :returns: revision, author and comment by name.
+    """
+    return {
+        name: {
+            "revision": revisions[-1].offset,
+            "author": revisions[-1].author,
+            "comment": revisions[-1].comment,
+        }
+        for name, revisions in state.fold.config.documents.items()
+        if sees_workspace(scope, name)
+    }
+
+
+def view_document(state: State, name: str) -> dict[str, Any] | None:
+    """
+    Show one document with its history.
+
+    :param state: state of the instance.
+    :param name: the document's name.
+    :returns: plain data, or ``None`` when there is none.
+    """
+    revisions = state.fold.config.documents.get(name)
+    if not revisions:
+        return None
+    history = [
+        {
+            "revision": revision.offset,
+            "author": revision.author,
+            "comment": revision.comment,
+            "document": revision.document,
+        }
+        for revision in revisions
+    ]
+    return {**history[-1], "history": history}
+
+
+def view_subjects(state: State, scope: Scope, prefix: str) -> dict[str, Any]:
+    """
+    List subjects with the offset of their last accepted record.
+
+    :param state: state of the instance.
+    :param scope: what may be seen.
+    :param prefix: what the subjects begin with.
+    :returns: plain data.
+    """
+    revisions = state.fold.position.revisions
+    return {
+        "subjects": {
+            subject: offset
+            for subject, offset in revisions.items()
+            if subject.startswith(prefix) and sees_subject(scope, subject)
+        }
+    }
+
+
+def find_decision(state: State, record_id: RecordId) -> Decision | None:
+    """
+    Look up what the fold made of a record.
+
+    :param state: state of the instance.
+    :param record_id: the record's id.
+    :returns: the decision, or ``None`` when it is not known here.
+    """
+    return state.fold.position.decisions.get(record_id)
+
+
+def view_outcome(decision: Decision | None) -> dict[str, Any]:
+    """
+    Show what the fold made of a record.
+
+    :param decision: the decision, or ``None`` when it is not known.
+    :returns: plain data.
+    """
+    if decision is None:
+        return {"state": "unknown", "offset": None, "reason": None, "overtaken_by": None}
+    return {
+        "state": "accepted" if decision.accepted else "rejected",
+        "offset": decision.offset,
+        "reason": decision.reason or None,
+        "overtaken_by": decision.overtaken_by or None,
+    }
+
+
+def view_refusal(name: str) -> dict[str, Any] | None:
+    """
+    Explain a refusal's code.
+
+    :param name: the code, such as ``limit_reached``.
+    :returns: plain data, or ``None`` when there is no such code.
+    """
+    for code in refusals.ALL_CODES:
+        if code.name == name:
+            return {
+                "error": code.name,
+                "status": code.status,
+                "run_state": code.run_state,
+                "message": code.message,
+            }
+    return None
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_routes.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_routes.py
@@ -7,7 +7,8 @@
 from eelgrassdrum_core import effects, refusals
 
 from . import _operator_api
-from ._caller_api import QUEUES_PREFIX, REQUEST_ID_HEADER, read_request
+from ._caller_api import QUEUES_PREFIX, read_request
+from ._delivery import OpenRequest
 from ._server_answers import JSON_HEADERS, encode_json
 from ._server_state import Exchange
 
@@ -43,12 +44,11 @@
 
 def _handle_caller(app: "App", exchange: Exchange) -> None:
     event = read_request(exchange)
-    app.request_ids[exchange.token] = exchange.req.headers.get(REQUEST_ID_HEADER, "")
     if isinstance(event, refusals.Refusal):
-        app.request_ids[exchange.token] = ""
         app.carry_out(effects.Refuse(exchange.token, event))
         return
-    app.bodies[exchange.token] = exchange.body
+    request = OpenRequest(event.request_id, event.queue, exchange.body)
+    app.open_requests[exchange.token] = request
     app.post(event)
 
 
@@ -66,7 +66,7 @@
     :param app: the entry instance.
     :returns: whether it has a whole configuration and is not stopping.
     """
-    return app.state.log.caught_up and not app.state.stopping and app.stop_requested_at_s is None
+    return app.state.log.caught_up and app.stop_state.requested_at_s is None
 
 
 def _answer_json(app: "App", exchange: Exchange, status: int, value: object) -> None:
