--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_keys.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_keys.py
@@ -102,7 +102,7 @@
     :param workspace: the workspace.
     """
     found: KeyList = get_typed(settings, f"/keys/{workspace}", KeyList)
-    rows = [(key.key_id, key.team, key.queues, key.state, key.revision) for key in found.keys]
+    rows = [(key.key_id, key.team, _queues(key), key.state, key.revision) for key in found.keys]
     columns = ("key id", "team", "queues", "state", "revision")
     print_rows(settings, found.keys, columns, rows)
     return ExitCode.OK
@@ -130,6 +130,12 @@
     return ExitCode.OK
 
 
+def _queues(key: KeyEntry) -> str:
+    if key.state == "withdrawn":
+        return ""
+    return ", ".join(key.queues) or "each keyed queue"
+
+
 def _check_grant(settings: Settings, body: dict[str, Any]) -> None:
     """
     Check a grant alone, and against the document in force when an entry instance answers.
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_operator_client.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_operator_client.py
@@ -18,6 +18,12 @@
 LONG_POLL_S = 2.0
 RETRY_INTERVAL_S = 0.2
 
+STATUS_OK = 200
+STATUS_BAD_REQUEST = 400
+STATUS_UNAUTHORIZED = 401
+STATUS_FORBIDDEN = 403
+STATUS_NOT_FOUND = 404
+
 
 class Outcome(msgspec.Struct, frozen=True):
     """
@@ -43,25 +49,29 @@
     if not settings.entry_url:
         raise CommandError(ExitCode.UNREACHABLE, "no entry instance is set, see --entry-url")
     failures = []
+    is_refused = False
     for entry_url in settings.entry_url:
         url = f"{entry_url.rstrip('/')}/v1/operator{path}"
         try:
-            answer = call(
-                "GET",
-                url,
-                timeout_s=CALL_TIMEOUT_S + extra_s,
-                headers={"Authorization": f"Bearer {settings.operator_key}"},
-            )
+            answer = _ask(settings, url, CALL_TIMEOUT_S + extra_s)
         except NoAnswerError as exc:
             failures.append(str(exc))
             continue
-        if answer.status == 200 and answer.content is not None:
+        if answer.status == STATUS_OK and answer.content is not None:
             return answer.content
         _raise_if_final(answer, path)
+        # An instance that is behind may not know a new operator yet.
+        is_refused = is_refused or answer.status == STATUS_UNAUTHORIZED
         failures.append(f"{url}: answered {answer.status}")
-    raise CommandError(
-        ExitCode.UNREACHABLE, f"no entry instance gave an answer: {'; '.join(failures)}"
-    )
+    reason = "; ".join(failures)
+    if is_refused:
+        raise CommandError(ExitCode.NOT_ALLOWED, f"the operator's key was refused: {reason}")
+    raise CommandError(ExitCode.UNREACHABLE, f"no entry instance gave an answer: {reason}")
+
+
+def _ask(settings: Settings, url: str, timeout_s: float) -> HttpAnswer:
+    headers = {"Authorization": f"Bearer {settings.operator_key}"} if settings.operator_key else {}
+    return call("GET", url, timeout_s=timeout_s, headers=headers)
 
 
 def get_typed(settings: Settings, path: str, kind: type[Any], extra_s: float = 0.0) -> Any:
@@ -91,30 +101,29 @@
     :param record_id: the record's id.
     :param timeout_s: for how long to ask, in seconds.
     :returns: the outcome; its state is ``unknown`` when none was learnt in time.
-    :raises CommandError: when the operator's key is refused.
     """
     deadline = time.monotonic() + timeout_s
-    reason = ""
     while True:
         wait_s = max(0.0, min(LONG_POLL_S, deadline - time.monotonic()))
-        try:
-            outcome = _ask_outcome(settings, record_id, wait_s)
-            if outcome.state != "unknown":
-                return outcome
-            reason = outcome.reason or "the entry instance has not folded the record yet"
-        except CommandError as exc:
-            if exc.code not in (ExitCode.UNREACHABLE, ExitCode.NOT_FOUND):
-                raise
-            reason = str(exc)
-        if time.monotonic() >= deadline:
-            return Outcome("unknown", reason=reason)
+        outcome = _ask_outcome(settings, record_id, wait_s)
+        if outcome.state != "unknown" or time.monotonic() >= deadline:
+            return outcome
         time.sleep(RETRY_INTERVAL_S)
 
 
 def _ask_outcome(settings: Settings, record_id: RecordId, wait_s: float) -> Outcome:
+    """
+    Ask once. Whatever keeps the answer away leaves the outcome unknown, and is its reason.
+    """
     writer = quote(record_id.writer, safe="")
     path = f"/outcomes/{writer}/{record_id.incarnation}/{record_id.sequence}?wait={wait_s:.1f}"
-    outcome: Outcome = get_typed(settings, path, Outcome, extra_s=wait_s)
+    try:
+        outcome: Outcome = get_typed(settings, path, Outcome, extra_s=wait_s)
+    except CommandError as exc:
+        return Outcome("unknown", reason=str(exc))
+    if outcome.state == "unknown" and not outcome.reason:
+        reason = "the entry instance has not folded the record, or has forgotten it"
+        return Outcome("unknown", reason=reason)
     return outcome
 
 
@@ -122,7 +131,10 @@
     """
     Raise for answers that another entry instance would give as well.
     """
-    if answer.status in (401, 403):
-        raise CommandError(ExitCode.NOT_ALLOWED, f"the operator's key is not allowed to see {path}")
-    if answer.status == 404:
+    if answer.status == STATUS_BAD_REQUEST:
+        message = answer.content.get("message", "") if isinstance(answer.content, dict) else ""
+        raise CommandError(ExitCode.USAGE, f"the call was malformed: {message or path}")
+    if answer.status == STATUS_FORBIDDEN:
+        raise CommandError(ExitCode.NOT_ALLOWED, f"{path} is outside the scope of your key")
+    if answer.status == STATUS_NOT_FOUND:
         raise CommandError(ExitCode.NOT_FOUND, f"nothing found at {path}")
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_api.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_api.py
@@ -124,6 +124,15 @@
     _answer_ok(call, views.view_subjects(call.app.state, call.scope, call.query.get("prefix", "")))
 
 
+def _answer_keys(call: Call) -> None:
+    if len(call.parts) != 1:
+        _answer_not_found(call)
+    elif not sees_workspace(call.scope, call.parts[0]):
+        _answer_forbidden(call)
+    else:
+        _answer_ok(call, {"keys": views.view_keys(call.app.state, call.parts[0])})
+
+
 def _answer_outcome(call: Call) -> None:
     record_id = _read_record_id(call.parts)
     wait_s = _read_wait_s(call.query.get("wait", "0"))
@@ -193,6 +202,7 @@
     "status": _answer_status,
     "documents": _answer_documents,
     "subjects": _answer_subjects,
+    "keys": _answer_keys,
     "outcomes": _answer_outcome,
     "explain": _answer_explain,
     "metrics": _answer_metrics,
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
@@ -149,6 +149,33 @@
     }
 
 
+def view_keys(state: State, workspace: str) -> list[dict[str, Any]]:
+    """
+    List the keys of a workspace without anything secret.
+
+    :param state: state of the instance.
+    :param workspace: the workspace.
+    :returns: plain data by key id; a withdrawn key no longer has a team.
+    """
+    prefix = f"{workspace}/"
+    shown = {
+        name: {
+            "team": key.team,
+            "queues": key.queues,
+            "state": "granted",
+            "revision": key.offset,
+        }
+        for name, key in state.fold.keys.granted.items()
+    }
+    for name, offset in state.fold.keys.withdrawn.items():
+        shown[name] = {"team": "", "queues": (), "state": "withdrawn", "revision": offset}
+    return [
+        {"key_id": name.removeprefix(prefix), **shown[name]}
+        for name in sorted(shown)
+        if name.startswith(prefix)
+    ]
+
+
 def find_decision(state: State, record_id: RecordId) -> Decision | None:
     """
     Look up what the fold made of a record.
