Keep records of unknown kinds in the fold for newer programs

Cause: an older program took such records as accepted and forgot them, so a newer one that started from its state would have missed them, and it kept the whole bodies of 4,096 decided records. Change: unknown kinds are kept in bounds with neither base check nor verdict; a newer program decides about them in order. Remembered decisions hold no record any more.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fold.py
@@ -3,9 +3,11 @@
 
 A record carries the revision of its subject that it builds on, so a writer that was overtaken is
 told so, repeats are recognised by the writer's sequence, and a replaced writer is fenced by its
-incarnation. Domains add the meaning of their kinds in tables of appliers.
+incarnation. Domains add the meaning of their kinds in tables of appliers. Records of kinds that this
+program does not know are kept, so that a newer program that starts from this fold can apply them.
 """
 
+from collections import deque
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
@@ -18,11 +20,15 @@
 REASON_FENCED = "fenced"
 REASON_STALE = "stale"
 REASON_NO_BASE = "base_required"
+REASON_UNKNOWN_KIND = "unknown_kind"
 
 # Offsets after which a writer that wrote nothing is forgotten. Longer than the log keeps records.
 WRITER_MEMORY_OFFSETS = 1_000_000
 # Decisions kept so that writers can ask for them.
 DECISIONS_KEPT = 4096
+# Bounds of what is kept of kinds that this program does not know.
+UNKNOWN_RECORDS_KEPT = 5000
+UNKNOWN_BYTES_KEPT = 8 * 1024 * 1024
 
 
 class WriterMark(NamedTuple):
@@ -57,15 +63,54 @@
     overtaken_by: int = 0
 
 
+class Verdict(NamedTuple):
+    """
+    What is remembered of a decision, without the record.
+
+    :param offset: its place in the log.
+    :param accepted: whether it took effect.
+    :param reason: why not, or empty.
+    :param overtaken_by: offset of the record that it lost against, or 0.
+    """
+
+    offset: int
+    accepted: bool
+    reason: str
+    overtaken_by: int
+
+
+class UnknownRecords(msgspec.Struct):
+    """
+    Records of kinds that this program does not know, oldest first.
+
+    :param records: the records.
+    :param sizes: bytes of each, encoded.
+    :param total_bytes: sum of the sizes.
+    :param lost: count by kind of those that were dropped to keep within the bounds.
+    """
+
+    records: deque[StoredRecord] = msgspec.field(default_factory=deque)
+    sizes: deque[int] = msgspec.field(default_factory=deque)
+    total_bytes: int = 0
+    lost: dict[str, int] = msgspec.field(default_factory=dict)
+
+
 class LogPosition(msgspec.Struct):
     """
     Revisions, writers and the next offset to fold.
+
+    :param next_offset: first offset that was not folded.
+    :param revisions: offset of each subject's last accepted record.
+    :param writers: how far each writer has come, in the order of their last records.
+    :param decisions: the newest decisions.
+    :param unknown: records that a newer program may understand.
     """
 
     next_offset: int = 1
     revisions: dict[str, int] = msgspec.field(default_factory=dict)
     writers: dict[str, WriterMark] = msgspec.field(default_factory=dict)
-    decisions: dict[RecordId, Decision] = msgspec.field(default_factory=dict)
+    decisions: dict[RecordId, Verdict] = msgspec.field(default_factory=dict)
+    unknown: UnknownRecords = msgspec.field(default_factory=UnknownRecords)
 
 
 # An applier changes its slice of the folded state. It returns a reason to reject the record, or an
@@ -83,8 +128,8 @@
     Decide about the next record of the log.
 
     :param position: changed in place.
-    :param appliers: meaning of each kind; records of other kinds are accepted and change only
-        their subject's revision, so that a newer program can use them.
+    :param appliers: meaning of each kind; records of other kinds are kept for a newer program, which
+        decides about them when it starts from this fold.
     :param folded: the folded state, changed in place by the applier.
     :param stored: the record at ``position.next_offset``.
     :returns: the decision, or ``None`` when the log holds no record there.
@@ -107,8 +152,24 @@
     offset: int,
     record: Record,
 ) -> Decision:
-    reason, overtaken_by = _check_order(position, record)
-    if not reason and record.kind in appliers:
+    reason, overtaken_by = _check_writer(position, record)
+    if reason:
+        return Decision(offset, record, False, reason, overtaken_by)
+    if record.kind not in appliers:
+        _keep_unknown(position.unknown, StoredRecord(offset, record))
+        return Decision(offset, record, False, REASON_UNKNOWN_KIND)
+    return _apply(position, appliers, folded, offset, record)
+
+
+def _apply(
+    position: LogPosition,
+    appliers: Mapping[str, Applier],
+    folded: Any,
+    offset: int,
+    record: Record,
+) -> Decision:
+    reason, overtaken_by = _check_base(position, record)
+    if not reason:
         reason = appliers[record.kind](folded, offset, record)
     if reason:
         return Decision(offset, record, False, reason, overtaken_by)
@@ -116,12 +177,16 @@
     return Decision(offset, record, True)
 
 
-def _check_order(position: LogPosition, record: Record) -> tuple[str, int]:
+def _check_writer(position: LogPosition, record: Record) -> tuple[str, int]:
     mark = position.writers.get(record.id.writer)
     if mark is not None and record.id.incarnation < mark.incarnation:
         return REASON_FENCED, mark.offset
     if mark is not None and _is_repeat(mark, record.id):
         return REASON_REPEATED, mark.offset
+    return "", 0
+
+
+def _check_base(position: LogPosition, record: Record) -> tuple[str, int]:
     if record.base is None:
         return ("", 0) if record.kind in MONOTONE_KINDS else (REASON_NO_BASE, 0)
     current = position.revisions.get(record.subject, 0)
@@ -136,13 +201,14 @@
 
 def _remember(position: LogPosition, decision: Decision) -> None:
     record_id = decision.record.id
+    verdict = _to_verdict(decision)
     if decision.reason in (REASON_REPEATED, REASON_FENCED):
-        position.decisions.setdefault(record_id, decision)
+        position.decisions.setdefault(record_id, verdict)
     else:
         mark = WriterMark(record_id.incarnation, record_id.sequence, decision.offset)
         position.writers.pop(record_id.writer, None)
         position.writers[record_id.writer] = mark
-        position.decisions[record_id] = decision
+        position.decisions[record_id] = verdict
     while len(position.decisions) > DECISIONS_KEPT:
         position.decisions.pop(next(iter(position.decisions)))
     _forget_old_writers(position, decision.offset)
@@ -155,3 +221,48 @@
         return
     if position.writers[oldest].offset < offset - WRITER_MEMORY_OFFSETS:
         position.writers.pop(oldest)
+
+
+def apply_kept(
+    position: LogPosition, appliers: Mapping[str, Applier], folded: Any, known: frozenset[str]
+) -> None:
+    """
+    Decide about the kept records of kinds that an older program did not know.
+
+    A kind depends only on the subjects and the slice of its own domain, so deciding about its
+    records after those of other kinds gives what deciding in order would have given.
+
+    :param position: its kept records are changed in place.
+    :param appliers: meaning of each kind.
+    :param folded: the folded state, changed in place.
+    :param known: kinds that the older program knew.
+    """
+    unknown = position.unknown
+    position.unknown = UnknownRecords(lost=unknown.lost)
+    for stored in unknown.records:
+        record = stored.record
+        if record is None or record.kind in known:
+            continue
+        if record.kind not in appliers:
+            _keep_unknown(position.unknown, stored)
+            continue
+        decision = _apply(position, appliers, folded, stored.offset, record)
+        if record.id in position.decisions:
+            position.decisions[record.id] = _to_verdict(decision)
+
+
+def _to_verdict(decision: Decision) -> Verdict:
+    return Verdict(decision.offset, decision.accepted, decision.reason, decision.overtaken_by)
+
+
+def _keep_unknown(unknown: UnknownRecords, stored: StoredRecord) -> None:
+    size = len(msgspec.msgpack.encode(stored))
+    unknown.records.append(stored)
+    unknown.sizes.append(size)
+    unknown.total_bytes += size
+    while len(unknown.records) > UNKNOWN_RECORDS_KEPT or unknown.total_bytes > UNKNOWN_BYTES_KEPT:
+        dropped = unknown.records.popleft()
+        unknown.total_bytes -= unknown.sizes.popleft()
+        if dropped.record is not None:
+            kind = dropped.record.kind
+            unknown.lost[kind] = unknown.lost.get(kind, 0) + 1
