--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Iterator
 
-from . import _endpoints, _fair, _refusals
+from . import _endpoints, _fair, _freshness, _refusals
 from ._config import Queue
 from ._effects import Emit, Refuse
 from ._events import CapacityChanged, RequestReceived
 from ._handlers import HandlerTable
-from ._keys import find_key
+from ._keys import find_key, key_name
 from ._refusals import Refusal, RefusalCode
 from ._requests import Request
 from ._state import State
@@ -38,6 +38,11 @@
     if isinstance(team, RefusalCode):
         yield Refuse(event.token, Refusal(team))
         return
+    if event.credential is not None and not _may_take_key(state, team):
+        if queue.keyed:
+            yield Refuse(event.token, _freshness.refuse_unverified(state))
+            return
+        team = f"{queue.workspace}/{OPEN_TEAM}"
     refusal = _refuse_load(state, queue, event)
     if refusal is not None:
         yield Refuse(event.token, refusal)
@@ -61,6 +66,8 @@
         if queue.keyed:
             return _refusals.KEY_REQUIRED
         return f"{queue.workspace}/{OPEN_TEAM}"
+    if _freshness.is_withdrawn(state, key_name(queue.workspace, event.credential.key_id)):
+        return _refusals.KEY_REFUSED
     key = find_key(state.fold.keys, queue, event.credential)
     if isinstance(key, RefusalCode):
         return key
@@ -69,6 +76,10 @@
     return key.team
 
 
+def _may_take_key(state: State, team: str) -> bool:
+    return _freshness.keyed_work_allowed(state, state.fold.config.teams[team])
+
+
 def _refuse_load(state: State, queue: Queue, event: RequestReceived) -> Refusal | None:
     if not _endpoints.has_any(state.endpoints, queue.service):
         return Refusal(_refusals.NO_ENDPOINT, NO_ENDPOINT_RETRY_S)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fold.py
@@ -3,8 +3,8 @@
 
 A record carries the revision of its subject that it builds on, so a writer that was overtaken is
 told so, repeats are recognised by the writer's sequence, and a replaced writer is fenced by its
-incarnation. Domains add the meaning of their kinds in tables of appliers. Records of kinds that this
-program does not know are kept, so that a newer program that starts from this fold can apply them.
+incarnation. Domains add the meaning of their kinds in tables of appliers. Records of kinds that
+this program does not know are kept, so that a newer one that starts from this fold can apply them.
 """
 
 from collections import deque
@@ -128,8 +128,8 @@
     Decide about the next record of the log.
 
     :param position: changed in place.
-    :param appliers: meaning of each kind; records of other kinds are kept for a newer program, which
-        decides about them when it starts from this fold.
+    :param appliers: meaning of each kind; records of other kinds are kept for a newer program,
+        which decides about them when it starts from this fold.
     :param folded: the folded state, changed in place by the applier.
     :param stored: the record at ``position.next_offset``.
     :returns: the decision, or ``None`` when the log holds no record there.
@@ -223,9 +223,7 @@
         position.writers.pop(oldest)
 
 
-def apply_kept(
-    position: LogPosition, appliers: Mapping[str, Applier], folded: Any, known: frozenset[str]
-) -> None:
+def apply_kept(position: LogPosition, appliers: Mapping[str, Applier], folded: Any) -> None:
     """
     Decide about the kept records of kinds that an older program did not know.
 
@@ -235,13 +233,12 @@
     :param position: its kept records are changed in place.
     :param appliers: meaning of each kind.
     :param folded: the folded state, changed in place.
-    :param known: kinds that the older program knew.
     """
     unknown = position.unknown
     position.unknown = UnknownRecords(lost=unknown.lost)
     for stored in unknown.records:
         record = stored.record
-        if record is None or record.kind in known:
+        if record is None:
             continue
         if record.kind not in appliers:
             _keep_unknown(position.unknown, stored)
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_freshness.py
@@ -0,0 +1,164 @@
+"""
+Whether this instance can prove that it has heard of every withdrawn key.
+
+There are two proofs, and the newer one counts. Either all records that were in the log at some
+moment are folded here, as read from the log or told by a peer; or at some moment every zone was
+in touch, directly or over relays, so that a withdrawal known in any of them has come here. A
+message is dated by the echo that it carries, so one that waited in a buffer proves nothing new.
+"""
+
+from collections.abc import Iterator
+
+from . import _membership, _refusals
+from ._config import Team
+from ._events import PeerReceived, RecordFolded
+from ._handlers import HandlerTable
+from ._ids import Sender
+from ._log_state import NEVER_S, FoldReplaced, LogReached
+from ._membership_messages import Heartbeat
+from ._membership_state import DEAD, LEAVING
+from ._refusals import Refusal
+from ._state import State
+
+UNVERIFIED_RETRY_S = 2.0
+# A claim that could not be used for so long gives way to a newer one.
+CLAIM_KEPT_S = 2.0
+
+
+def keyed_work_allowed(state: State, team: Team) -> bool:
+    """
+    Tell whether keys of a team may be taken.
+
+    :param state: the state.
+    :param team: the team; its grace extends the bound.
+    :returns: whether the newest proof is young enough.
+    """
+    if state.membership.superseded:
+        return False
+    return proof_age_s(state) <= state.tuning.key_freshness_s + team.grace_s
+
+
+def refuse_unverified(state: State) -> Refusal:
+    """
+    Give the refusal of a keyed request when keys can't be taken.
+
+    :param state: the state.
+    :returns: the refusal; callers spread their return over some time.
+    """
+    return Refusal(_refusals.KEY_UNVERIFIED, UNVERIFIED_RETRY_S * (0.75 + state.rng.random() / 2))
+
+
+def proof_age_s(state: State) -> float:
+    """
+    Give the age of the newest proof of freshness.
+
+    :param state: the state.
+    :returns: seconds, infinite when there never was one.
+    """
+    proved_s = max(state.freshness.head_s, _in_touch_s(state))
+    return float("inf") if proved_s == NEVER_S else state.now_s - proved_s
+
+
+def is_withdrawn(state: State, name: str) -> bool:
+    """
+    Tell whether a key's withdrawal is known, in the log or ahead of it.
+
+    :param state: the state.
+    :param name: ``WORKSPACE/KEYID``.
+    :returns: whether it is.
+    """
+    return name in state.freshness.withdrawn or name in state.fold.keys.withdrawn
+
+
+def on_reached(state: State, event: LogReached) -> Iterator[object]:
+    """
+    Count a read of the log up to its head as a proof.
+    """
+    state.freshness.head_s = max(state.freshness.head_s, event.as_of_s)
+    return iter(())
+
+
+def on_heartbeat(state: State, event: PeerReceived) -> Iterator[object]:
+    """
+    Count what a peer has seen of the log as a proof, once as much is folded here.
+    """
+    beat = event.message
+    if isinstance(beat, Heartbeat) and _is_current(state, event.sender):
+        _note_behind(state)
+        if beat.echo_s != NEVER_S and beat.head_age_ms >= 0:
+            _note_claim(state, beat.echo_s - beat.head_age_ms / 1000, beat.next_offset)
+    return iter(())
+
+
+def on_folded(state: State, event: RecordFolded) -> Iterator[object]:
+    """
+    Use a peer's claim when the fold has come so far.
+    """
+    _note_behind(state)
+    _use_claim(state)
+    return iter(())
+
+
+def on_replaced(state: State, event: FoldReplaced) -> Iterator[object]:
+    """
+    Use a peer's claim when the fold has come so far.
+    """
+    _note_behind(state)
+    _use_claim(state)
+    return iter(())
+
+
+def _is_current(state: State, sender: Sender) -> bool:
+    peer = state.membership.peers.get(sender.instance)
+    return peer is not None and peer.sender == sender
+
+
+def _in_touch_s(state: State) -> float:
+    membership = state.membership
+    if not membership.listed or not state.log.caught_up:
+        return NEVER_S
+    own_zone = state.identity.sender.zone
+    others = _membership.known_zones(state) - {own_zone}
+    if others:
+        heard = [membership.zones.get(zone, NEVER_S) for zone in others]
+    else:
+        heard = [p.confirmed_s for p in membership.peers.values() if p.state not in (DEAD, LEAVING)]
+    oldest_s = min(heard, default=state.now_s)
+    behind_s = state.freshness.behind_since_s
+    return oldest_s if behind_s == NEVER_S else min(oldest_s, behind_s)
+
+
+def _note_behind(state: State) -> None:
+    freshness = state.freshness
+    own_next = state.fold.position.next_offset
+    peers = state.membership.peers.values()
+    if all(peer.next_offset <= own_next for peer in peers):
+        freshness.behind_since_s = NEVER_S
+    elif freshness.behind_since_s == NEVER_S:
+        freshness.behind_since_s = state.now_s
+
+
+def _note_claim(state: State, at_s: float, next_offset: int) -> None:
+    freshness = state.freshness
+    if state.fold.position.next_offset >= next_offset:
+        freshness.head_s = max(freshness.head_s, at_s)
+    elif at_s - freshness.claimed_s > CLAIM_KEPT_S:
+        freshness.claimed_s = at_s
+        freshness.claimed_offset = next_offset
+
+
+def _use_claim(state: State) -> None:
+    freshness = state.freshness
+    if freshness.claimed_s == NEVER_S:
+        return
+    if state.fold.position.next_offset >= freshness.claimed_offset:
+        freshness.head_s = max(freshness.head_s, freshness.claimed_s)
+        freshness.claimed_s = NEVER_S
+
+
+HANDLERS: HandlerTable = {
+    LogReached: on_reached,
+    PeerReceived: on_heartbeat,
+    RecordFolded: on_folded,
+    FoldReplaced: on_replaced,
+}
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_freshness_state.py
@@ -0,0 +1,27 @@
+"""
+State of what this instance can prove about having heard of every withdrawal.
+"""
+
+import msgspec
+
+from ._log_state import NEVER_S
+
+
+class FreshnessState(msgspec.Struct):
+    """
+    Proofs of freshness, and withdrawals that are not known to be in the log.
+
+    :param head_s: newest moment of which is known that all records then in the log are folded.
+    :param claimed_s: such a moment told by a peer that has folded further, or -1.
+    :param claimed_offset: offset that has to be folded for the claim to count.
+    :param behind_since_s: time since which a peer is known to have folded further, or -1.
+    :param withdrawn: withdrawals that are not known to be in the log, with the time of hearing.
+    :param version: count of additions to them.
+    """
+
+    head_s: float = NEVER_S
+    claimed_s: float = NEVER_S
+    claimed_offset: int = 0
+    behind_since_s: float = NEVER_S
+    withdrawn: dict[str, float] = msgspec.field(default_factory=dict)
+    version: int = 0
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_freshness_withdrawals.py
@@ -0,0 +1,161 @@
+"""
+Withdrawals that go from peer to peer, ahead of the log.
+
+A withdrawal only ever takes something away, so it is in force here as soon as it is heard and
+needs no order against other records. It rides on every heartbeat to a peer until that peer has
+it, and goes on doing so until it is folded from the log.
+"""
+
+from collections.abc import Iterator
+from itertools import islice
+from typing import NamedTuple
+
+from . import _membership
+from ._effects import Emit, WriteLog
+from ._events import PeerReceived, RecordFolded, RecordWanted, Ticked
+from ._freshness import is_withdrawn
+from ._handlers import HandlerTable
+from ._keys import key_name
+from ._log_state import NEVER_S, FoldReplaced
+from ._membership_messages import Heartbeat
+from ._membership_state import ALIVE
+from ._records import KEY_WITHDRAWN
+from ._relay import reads_log
+from ._state import State
+
+# Withdrawals that one message carries at most; more wait until the log holds some of them.
+MAX_TOLD = 1000
+# Another instance appends a withdrawal when its first one has not in this time.
+TAKEOVER_S = 5.0
+
+
+class KeyWithdrawalAsked(NamedTuple):
+    """
+    An operator withdraws a key at this instance, whether or not the log can be reached.
+
+    :param workspace: the key's workspace.
+    :param key_id: the key's id.
+    """
+
+    workspace: str
+    key_id: str
+
+
+def on_asked(state: State, event: KeyWithdrawalAsked) -> Iterator[object]:
+    """
+    Withdraw the key here, tell the peers, and want it in the log.
+    """
+    name = key_name(event.workspace, event.key_id)
+    if is_withdrawn(state, name):
+        return
+    yield from _add(state, name)
+    yield _want_record(name)
+
+
+def on_heartbeat(state: State, event: PeerReceived) -> Iterator[object]:
+    """
+    Take over what a peer tells of.
+    """
+    beat = event.message
+    peer = state.membership.peers.get(event.sender.instance)
+    if not isinstance(beat, Heartbeat) or peer is None or peer.sender != event.sender:
+        return
+    peer.withdrawn_seen = max(peer.withdrawn_seen, beat.withdrawn_seen)
+    # A peer leaves its withdrawals out only when it knows that they are here.
+    peer.withdrawn_version = max(peer.withdrawn_version, beat.withdrawn_version)
+    for name in beat.withdrawn:
+        if not is_withdrawn(state, name):
+            yield from _add(state, name)
+
+
+def on_folded(state: State, event: RecordFolded) -> Iterator[object]:
+    """
+    Forget what the log now says itself.
+    """
+    if event.record.kind == KEY_WITHDRAWN:
+        _forget_folded(state)
+    return iter(())
+
+
+def on_replaced(state: State, event: FoldReplaced) -> Iterator[object]:
+    """
+    Forget what the log now says itself.
+    """
+    _forget_folded(state)
+    return iter(())
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Append what its first instance has not.
+    """
+    if not state.freshness.withdrawn or not reads_log(state):
+        return
+    patience_s = TAKEOVER_S * (1 + _own_rank(state))
+    for name, heard_s in state.freshness.withdrawn.items():
+        if state.now_s - heard_s >= patience_s:
+            state.freshness.withdrawn[name] = state.now_s
+            yield _want_record(name)
+
+
+def untold(state: State, withdrawn_seen: int) -> tuple[str, ...]:
+    """
+    Give the withdrawals for a peer.
+
+    :param state: the state.
+    :param withdrawn_seen: version of them that the peer has.
+    :returns: names of keys, none when the peer has them all.
+    """
+    freshness = state.freshness
+    if freshness.version <= withdrawn_seen:
+        return ()
+    return tuple(islice(freshness.withdrawn, MAX_TOLD))
+
+
+def told_instances(state: State) -> int:
+    """
+    Count the peers that have every withdrawal of this instance.
+
+    :param state: the state.
+    :returns: the count.
+    """
+    version = state.freshness.version
+    return sum(peer.withdrawn_seen >= version for peer in state.membership.peers.values())
+
+
+def _add(state: State, name: str) -> Iterator[object]:
+    freshness = state.freshness
+    freshness.withdrawn[name] = state.now_s
+    freshness.version += 1
+    # Heartbeats go out with the next tick.
+    state.membership.zone_beat_s = NEVER_S
+    state.membership.relay_beat_s = NEVER_S
+    yield WriteLog("key.withdrawn_ahead", {"key": name})
+
+
+def _want_record(name: str) -> Emit:
+    workspace, _, key_id = name.partition("/")
+    body = {"workspace": workspace, "key_id": key_id}
+    return Emit(RecordWanted(KEY_WITHDRAWN, f"key/{name}", None, body))
+
+
+def _forget_folded(state: State) -> None:
+    withdrawn = state.freshness.withdrawn
+    for name in [name for name in withdrawn if name in state.fold.keys.withdrawn]:
+        del withdrawn[name]
+
+
+def _own_rank(state: State) -> int:
+    own = state.identity.sender
+    peers = state.membership.peers.values()
+    alive = [own, *(peer.sender for peer in peers if peer.state == ALIVE)]
+    return _membership.rank("withdrawals", alive).index(own)
+
+
+HANDLERS: HandlerTable = {
+    KeyWithdrawalAsked: on_asked,
+    PeerReceived: on_heartbeat,
+    RecordFolded: on_folded,
+    FoldReplaced: on_replaced,
+    Ticked: on_tick,
+}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_beats.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_beats.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from . import _membership, _membership_aggregates
+from . import _freshness_withdrawals, _membership, _membership_aggregates
 from ._effects import Emit, SendPeer, WriteLog
 from ._events import InstancesListed, PeerReceived, StopRequested, Ticked
 from ._handlers import HandlerTable
@@ -52,6 +52,7 @@
     Take over the list's entry instances.
     """
     own = state.identity.sender
+    state.membership.listed = True
     _membership.update_from_list(state.membership, own, event.instances, state.now_s)
     return iter(())
 
@@ -83,17 +84,23 @@
         peer_address=state.identity.peer_address,
         leaving=state.stopping,
         next_offset=state.fold.position.next_offset,
-        head=state.log.head,
-        head_age_ms=-1,
-        log_available=state.log.available,
+        head_age_ms=_head_age_ms(state),
         wants_answer=wants_answer,
         zones=_view_zones(state),
         suspects=_view_suspects(state),
         members=_view_news(state) if in_zone else _view_zone(state),
         numbers=_choose_numbers(state, peer, in_zone),
+        withdrawn=_freshness_withdrawals.untold(state, peer.withdrawn_seen),
+        withdrawn_version=state.freshness.version,
+        withdrawn_seen=peer.withdrawn_version,
     )
 
 
+def _head_age_ms(state: State) -> int:
+    head_s = state.freshness.head_s
+    return -1 if head_s == NEVER_S else int((state.now_s - head_s) * 1000) + 1
+
+
 def _check_pause(state: State) -> Iterator[object]:
     gap_s = _membership.pause_s(state)
     if gap_s <= _membership.PAUSE_GAP_S:
@@ -175,7 +182,6 @@
     peer.confirmed_s = max(peer.confirmed_s, beat.echo_s)
     peer.suspects = frozenset(beat.suspects)
     peer.next_offset = max(peer.next_offset, beat.next_offset)
-    peer.log_available = beat.log_available
     liveness = LEAVING if beat.leaving else ALIVE
     if peer.state != liveness:
         peer.state = liveness
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_messages.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_messages.py
@@ -58,9 +58,8 @@
     :param peer_address: ``IP:PORT`` of the sender.
     :param leaving: whether the sender is stopping.
     :param next_offset: first offset that the sender has not folded.
-    :param head: newest offset of the log that the sender, or a peer of it, has seen.
-    :param head_age_ms: milliseconds since that was seen, or -1 for never.
-    :param log_available: whether the sender reads the log itself.
+    :param head_age_ms: milliseconds since a moment of which the sender knows that it has folded
+        all records then in the log, or -1.
     :param wants_answer: whether the receiver is to send a heartbeat back at once.
     :param zones: other zones that the sender is in touch with.
     :param suspects: instances of the sender's zone that it does not hear.
@@ -76,9 +75,7 @@
     peer_address: str
     leaving: bool
     next_offset: int
-    head: int
     head_age_ms: int
-    log_available: bool
     wants_answer: bool = False
     zones: tuple[ZoneView, ...] = ()
     suspects: tuple[str, ...] = ()
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_state.py
@@ -48,7 +48,6 @@
     :param changed_s: time of the last change of its liveness.
     :param suspects: instances that it does not hear.
     :param next_offset: first offset that it has not folded.
-    :param log_available: whether it reads the log itself.
     :param feed_sent: place in the feed of aggregates up to which it was sent numbers.
     :param feed_reset_s: time at which the feed was last sent from its start.
     :param withdrawn_seen: version of the own withdrawals that it has.
@@ -67,7 +66,6 @@
     changed_s: float = NEVER_S
     suspects: frozenset[str] = frozenset()
     next_offset: int = 1
-    log_available: bool = False
     feed_sent: int = 0
     feed_reset_s: float = 0.0
     withdrawn_seen: int = 0
@@ -131,6 +129,7 @@
     Entry instances, contacts with zones and pauses of this process.
 
     :param peers: other entry instances by id.
+    :param listed: whether the platform's list was read since the start.
     :param zones: time up to which each other zone is known to be in touch.
     :param direct: time of the last heartbeat that came straight from each other zone.
     :param tick_s: time of the last tick, or -1 before the first.
@@ -144,6 +143,7 @@
     """
 
     peers: dict[str, Peer] = msgspec.field(default_factory=dict)
+    listed: bool = False
     zones: dict[str, float] = msgspec.field(default_factory=dict)
     direct: dict[str, float] = msgspec.field(default_factory=dict)
     tick_s: float = NEVER_S
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -5,7 +5,19 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable
 
-from . import _admission, _dispatch, _lifecycle, _log_follower, _membership_beats, _outbox
+from . import (
+    _admission,
+    _dispatch,
+    _freshness,
+    _freshness_withdrawals,
+    _lifecycle,
+    _log_follower,
+    _membership_beats,
+    _outbox,
+    _relay,
+    _snapshots_maker,
+    _snapshots_seek,
+)
 from ._effects import Emit
 from ._handlers import Handler, HandlerTable
 from ._state import State
@@ -16,6 +28,11 @@
     _outbox.HANDLERS,
     _lifecycle.HANDLERS,
     _membership_beats.HANDLERS,
+    _snapshots_seek.HANDLERS,
+    _snapshots_maker.HANDLERS,
+    _relay.HANDLERS,
+    _freshness.HANDLERS,
+    _freshness_withdrawals.HANDLERS,
     _admission.HANDLERS,
     _dispatch.HANDLERS,
 )
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_relay.py
@@ -0,0 +1,161 @@
+"""
+Records from peer to peer, for instances that cannot read the log.
+
+Records keep their offsets, so the fold is the same whichever way they come. An instance asks a
+peer that has folded further; what the peer no longer holds is replaced by a snapshot.
+"""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from ._effects import Emit, SendPeer
+from ._events import PeerReceived, Ticked
+from ._handlers import HandlerTable
+from ._log_follower import fold_stored
+from ._log_state import NEVER_S, SnapshotNeeded
+from ._membership_messages import Heartbeat
+from ._membership_state import DEAD, Peer
+from ._records import StoredRecord
+from ._snapshots_state import WHOLE
+from ._state import State
+from ._wire import register_message
+
+ANSWER_TIMEOUT_S = 1.0
+ANSWER_BYTES = 256 * 1024
+# An instance that reads the log itself leaves it so much time before it asks a peer.
+LOG_FIRST_S = 1.0
+
+
+@register_message
+class RecordsAsked(NamedTuple):
+    """
+    Asks a peer for records that it has folded.
+
+    :param from_offset: first offset wanted.
+    """
+
+    from_offset: int
+
+
+@register_message
+class RecordsGiven(NamedTuple):
+    """
+    Folded records of a peer.
+
+    :param records: records in offset order, which need not be all.
+    :param first: oldest offset that the peer holds.
+    :param next_offset: first offset that the peer has not folded.
+    :param whole: whether the peer's fold is whole.
+    """
+
+    records: tuple[StoredRecord, ...]
+    first: int
+    next_offset: int
+    whole: bool
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Ask a peer when one has folded further.
+    """
+    yield from _ask(state)
+
+
+def on_peer(state: State, event: PeerReceived) -> Iterator[object]:
+    """
+    Give records, take records, or notice that a peer has folded further.
+    """
+    peer = state.membership.peers.get(event.sender.instance)
+    if peer is None or peer.sender != event.sender:
+        return
+    if isinstance(event.message, Heartbeat):
+        yield from _ask(state)
+    elif isinstance(event.message, RecordsAsked):
+        yield from _give(state, peer, event.message.from_offset)
+    elif isinstance(event.message, RecordsGiven):
+        yield from _take(state, peer, event.message)
+
+
+def reads_log(state: State) -> bool:
+    """
+    Tell whether this instance gets answers from the log service itself.
+
+    :param state: the state.
+    :returns: whether the last read was answered, and not too long ago.
+    """
+    log = state.log
+    patience_s = state.tuning.log_wait_s + LOG_FIRST_S
+    return log.available and state.now_s - log.answered_s <= patience_s
+
+
+def _ask(state: State) -> Iterator[object]:
+    relay = state.relay
+    if state.snapshots.phase != WHOLE:
+        return
+    ahead = _peers_ahead(state)
+    if not ahead:
+        relay.ahead_since_s = NEVER_S
+        return
+    if relay.ahead_since_s == NEVER_S:
+        relay.ahead_since_s = state.now_s
+    if reads_log(state) and state.now_s - relay.ahead_since_s < LOG_FIRST_S:
+        return
+    if relay.asked and state.now_s - relay.asked_s < ANSWER_TIMEOUT_S:
+        return
+    # A peer that did not answer is asked again only when there is no other.
+    others = [peer for peer in ahead if peer.sender.instance != relay.asked]
+    chosen = (others or ahead)[0]
+    relay.asked = chosen.sender.instance
+    relay.asked_s = state.now_s
+    yield SendPeer(chosen.peer_address, RecordsAsked(state.fold.position.next_offset))
+
+
+def _peers_ahead(state: State) -> list[Peer]:
+    own_zone = state.identity.sender.zone
+    own_offset = state.fold.position.next_offset
+    # One that is not whole yet asks those who are, even when there is nothing new to fold.
+    wanted = own_offset + 1 if state.log.caught_up else max(2, own_offset)
+    ahead = [
+        peer
+        for peer in state.membership.peers.values()
+        if peer.next_offset >= wanted and peer.state != DEAD
+    ]
+    return sorted(ahead, key=lambda p: (p.sender.zone != own_zone, -p.heard_s))
+
+
+def _give(state: State, peer: Peer, from_offset: int) -> Iterator[object]:
+    records = state.tail.records
+    own_next = state.fold.position.next_offset
+    first = records[0].stored.offset if records else own_next
+    chosen: list[StoredRecord] = []
+    size = 0
+    if first <= from_offset < own_next:
+        for index in range(from_offset - first, len(records)):
+            size += records[index].size_bytes
+            if chosen and size > ANSWER_BYTES:
+                break
+            chosen.append(records[index].stored)
+    state.relay.records_given += len(chosen)
+    answer = RecordsGiven(tuple(chosen), first, own_next, state.log.caught_up)
+    yield SendPeer(peer.peer_address, answer)
+
+
+def _take(state: State, peer: Peer, given: RecordsGiven) -> Iterator[object]:
+    if peer.sender.instance == state.relay.asked:
+        state.relay.asked = ""
+    if state.snapshots.phase != WHOLE:
+        return
+    before = state.fold.position.next_offset
+    for stored in given.records:
+        yield from fold_stored(state, stored)
+    own_next = state.fold.position.next_offset
+    state.relay.records_taken += own_next - before
+    if given.whole and own_next >= given.next_offset:
+        state.log.caught_up = True
+    elif given.first > own_next and not reads_log(state):
+        yield Emit(SnapshotNeeded("peer holds no older records"))
+    elif own_next > before:
+        yield from _ask(state)
+
+
+HANDLERS: HandlerTable = {Ticked: on_tick, PeerReceived: on_peer}
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_snapshots_maker.py
@@ -0,0 +1,144 @@
+"""
+Makes snapshots before the log drops the records that they replace.
+
+The instance that does it is chosen by rendezvous hashing, and the next one follows when the first
+does not announce a snapshot in time. Two snapshots of the same state do no harm.
+"""
+
+from collections.abc import Iterator
+
+from . import _membership, _snapshots_peer
+from ._effects import Emit, WriteLog
+from ._events import RecordWanted, Ticked
+from ._handlers import HandlerTable
+from ._log_follower import APPLIERS
+from ._log_state import NEVER_S
+from ._membership_state import ALIVE
+from ._snapshots_chunks import count_chunks, cut_chunk
+from ._snapshots_codec import encode_snapshot
+from ._snapshots_fold import SNAPSHOT_MADE, SNAPSHOT_SUBJECT
+from ._snapshots_messages import (
+    AppendSnapshotChunks,
+    SnapshotAppendFailed,
+    SnapshotChunksAppended,
+)
+from ._snapshots_state import Making
+from ._state import State
+
+CHUNKS_PER_APPEND = 4
+APPEND_INTERVAL_S = 0.5
+RETRY_S = 1.0
+MAX_FAILURES = 30
+# The next instance in the order of choice waits so much longer.
+TAKEOVER_S = 15.0
+# A snapshot is due when the log has dropped so much of what came since the last one.
+RETENTION_SHARE = 0.5
+RETENTION_MIN_INTERVAL_S = 60.0
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Begin a snapshot when it is due and this instance's turn, and append the next chunks.
+    """
+    _snapshots_peer.drop_old_offer(state)
+    _note_announcement(state)
+    if state.snapshots.making is not None:
+        yield from _append_next(state)
+        return
+    if not _is_due(state):
+        state.snapshots.due_since_s = NEVER_S
+        return
+    if state.snapshots.due_since_s == NEVER_S:
+        state.snapshots.due_since_s = state.now_s
+    if state.now_s - state.snapshots.due_since_s >= _own_rank(state) * TAKEOVER_S:
+        raw = encode_snapshot(state.fold, APPLIERS, state.identity.sender)
+        state.snapshots.making = Making(raw)
+        yield from _append_next(state)
+
+
+def on_appended(state: State, event: SnapshotChunksAppended) -> Iterator[object]:
+    """
+    Go on with the next chunks, and announce the snapshot after the last.
+    """
+    making = state.snapshots.making
+    if making is None:
+        return
+    making.next_number += len(making.in_flight)
+    making.in_flight = ()
+    making.failures = 0
+    making.not_before_s = state.now_s + APPEND_INTERVAL_S
+    if making.next_number < count_chunks(making.raw):
+        return
+    state.snapshots.making = None
+    state.snapshots.due_since_s = NEVER_S
+    # Not due again while the announcement is under way.
+    state.snapshots.seen_s = state.now_s
+    yield WriteLog("snapshot.made", {"snapshot": making.raw.snapshot})
+    base = state.fold.position.revisions.get(SNAPSHOT_SUBJECT, 0)
+    body = {"snapshot": making.raw.snapshot, "offset": making.raw.offset}
+    yield Emit(RecordWanted(SNAPSHOT_MADE, SNAPSHOT_SUBJECT, base, body))
+
+
+def on_append_failed(state: State, event: SnapshotAppendFailed) -> Iterator[object]:
+    """
+    Append the same chunks again later; readers take each chunk once.
+    """
+    making = state.snapshots.making
+    if making is None:
+        return
+    making.in_flight = ()
+    making.failures += 1
+    making.not_before_s = state.now_s + RETRY_S * (1 + state.rng.random())
+    if making.failures >= MAX_FAILURES:
+        state.snapshots.making = None
+        yield WriteLog("snapshot.abandoned", {"reason": event.reason})
+
+
+def _append_next(state: State) -> Iterator[object]:
+    making = state.snapshots.making
+    if making is None or making.in_flight or state.now_s < making.not_before_s:
+        return
+    last = min(count_chunks(making.raw), making.next_number + CHUNKS_PER_APPEND)
+    numbers = range(making.next_number, last)
+    making.in_flight = tuple(cut_chunk(making.raw, number) for number in numbers)
+    yield AppendSnapshotChunks(making.in_flight)
+
+
+def _note_announcement(state: State) -> None:
+    announced = state.fold.snapshots.announced
+    if announced != state.snapshots.seen_offset or state.snapshots.seen_s == NEVER_S:
+        state.snapshots.seen_offset = announced
+        state.snapshots.seen_s = state.now_s
+
+
+def _is_due(state: State) -> bool:
+    if state.stopping or not state.log.caught_up or not state.log.available:
+        return False
+    newest = state.fold.position.next_offset - 1
+    covered = state.fold.snapshots.offset
+    if newest == 0:
+        return False
+    if newest - covered >= state.tuning.snapshot_records:
+        return True
+    age_s = state.now_s - state.snapshots.seen_s
+    if age_s >= state.tuning.snapshot_interval_s:
+        return True
+    if age_s < RETENTION_MIN_INTERVAL_S:
+        return False
+    kept = newest - state.log.first
+    return state.log.first > 1 and newest - covered > kept * (1 - RETENTION_SHARE)
+
+
+def _own_rank(state: State) -> int:
+    own = state.identity.sender
+    peers = state.membership.peers.values()
+    candidates = [own, *(peer.sender for peer in peers if peer.state == ALIVE)]
+    purpose = f"snapshot/{state.fold.snapshots.announced}"
+    return _membership.rank(purpose, candidates).index(own)
+
+
+HANDLERS: HandlerTable = {
+    Ticked: on_tick,
+    SnapshotChunksAppended: on_appended,
+    SnapshotAppendFailed: on_append_failed,
+}
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_snapshots_seek.py
@@ -0,0 +1,207 @@
+"""
+Starts this instance from a snapshot: the newest usable one in the log, or a peer's state.
+
+The snapshot stream is searched from its end, since what matters stands there. While the search
+has brought nothing, a peer is asked for its state as well; whichever is whole first is taken.
+"""
+
+from collections.abc import Iterator
+
+from . import _snapshots_peer
+from ._effects import Emit, WriteLog
+from ._events import PeerReceived, Started, Ticked
+from ._handlers import HandlerTable
+from ._log_state import FollowLog, SnapshotNeeded
+from ._snapshots_chunks import ChunkError, SnapshotChunk, is_complete, join_chunks
+from ._snapshots_codec import SnapshotError
+from ._snapshots_install import install
+from ._snapshots_messages import (
+    ReadSnapshots,
+    SnapshotsRead,
+    SnapshotsTruncated,
+    SnapshotsUnavailable,
+    StateGiven,
+)
+from ._snapshots_state import SEEKING, WHOLE, Seeking
+from ._state import State
+
+WINDOW_CHUNKS = 16
+# Snapshots whose chunks are held at the same time during the search.
+CANDIDATES = 4
+RETRY_S = 0.5
+RETRY_MAX_S = 8.0
+
+
+def on_started(state: State, event: Started) -> Iterator[object]:
+    """
+    Look for a snapshot before the log is read.
+    """
+    yield from _begin(state, 0.0)
+
+
+def on_needed(state: State, event: SnapshotNeeded) -> Iterator[object]:
+    """
+    Look for a snapshot that is newer than the fold.
+    """
+    if state.snapshots.phase == SEEKING:
+        return
+    yield WriteLog("recovery.started", {"reason": event.reason})
+    yield from _begin(state, min(RETRY_MAX_S, RETRY_S * 2**state.snapshots.searches))
+    state.snapshots.searches += 1
+
+
+def on_read(state: State, event: SnapshotsRead) -> Iterator[object]:
+    """
+    Take the chunks, use the newest whole snapshot, or read further back.
+    """
+    state.snapshots.reading = False
+    if state.snapshots.phase != SEEKING:
+        return
+    seeking = state.snapshots.seeking
+    if not seeking.window_first:
+        yield from _read_newest(state, event.first, event.head)
+        return
+    for stored in event.chunks:
+        if stored.chunk is not None:
+            _collect(state, stored.chunk)
+    yield from _use_best(state)
+    if state.snapshots.phase == SEEKING:
+        yield from _read_further_back(state)
+
+
+def on_truncated(state: State, event: SnapshotsTruncated) -> Iterator[object]:
+    """
+    Begin at what is still kept.
+    """
+    state.snapshots.reading = False
+    if state.snapshots.phase == SEEKING:
+        yield from _read_newest(state, event.first, event.head)
+
+
+def on_unavailable(state: State, event: SnapshotsUnavailable) -> Iterator[object]:
+    """
+    Begin again later.
+    """
+    state.snapshots.reading = False
+    if state.snapshots.phase == SEEKING:
+        state.snapshots.seeking.window_first = 0
+        yield _read(state, 1, 1, RETRY_S)
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Ask a peer for its state when the log brings nothing.
+    """
+    if state.snapshots.phase == SEEKING:
+        yield from _snapshots_peer.ask(state)
+
+
+def on_peer(state: State, event: PeerReceived) -> Iterator[object]:
+    """
+    Take a chunk of a peer's state, or give chunks of the own.
+    """
+    if not isinstance(event.message, StateGiven):
+        yield from _snapshots_peer.answer(state, event)
+        return
+    if state.snapshots.phase != SEEKING:
+        return
+    chunks = _snapshots_peer.take(state, event.sender, event.message.chunk)
+    if not is_complete(chunks):
+        yield from _snapshots_peer.ask_on(state)
+        return
+    try:
+        yield from install(state, join_chunks(chunks))
+    except (ChunkError, SnapshotError) as exc:
+        _snapshots_peer.give_up(state)
+        yield _skipped(event.message.chunk.snapshot, exc)
+        return
+    # The peer was whole, so the fold is as whole as its was.
+    state.log.caught_up = True
+    yield from _finish(state)
+
+
+def _begin(state: State, delay_s: float) -> Iterator[object]:
+    snapshots = state.snapshots
+    snapshots.phase = SEEKING
+    snapshots.seeking = Seeking(since_s=state.now_s)
+    if not snapshots.reading:
+        yield _read(state, 1, 1, delay_s)
+
+
+def _read(state: State, first: int, limit: int, delay_s: float = 0.0) -> ReadSnapshots:
+    state.snapshots.reading = True
+    return ReadSnapshots(first, limit, delay_s)
+
+
+def _read_newest(state: State, first: int, head: int) -> Iterator[object]:
+    seeking = state.snapshots.seeking
+    if head < first:
+        # The stream is empty, so the log must still hold everything.
+        yield from _finish(state)
+        return
+    seeking.first = first
+    seeking.window_last = head
+    seeking.window_first = max(first, head - WINDOW_CHUNKS + 1)
+    yield _read(state, seeking.window_first, WINDOW_CHUNKS)
+
+
+def _read_further_back(state: State) -> Iterator[object]:
+    seeking = state.snapshots.seeking
+    if seeking.window_first <= seeking.first:
+        yield WriteLog("recovery.no_snapshot", {"chunks_from": seeking.first})
+        yield from _finish(state)
+        return
+    seeking.window_last = seeking.window_first - 1
+    seeking.window_first = max(seeking.first, seeking.window_last - WINDOW_CHUNKS + 1)
+    count = seeking.window_last - seeking.window_first + 1
+    yield _read(state, seeking.window_first, count)
+
+
+def _collect(state: State, chunk: SnapshotChunk) -> None:
+    seeking = state.snapshots.seeking
+    if chunk.snapshot in seeking.rejected:
+        return
+    seeking.from_log.setdefault(chunk.snapshot, {})[chunk.number] = chunk
+    if len(seeking.from_log) > CANDIDATES:
+        seeking.from_log.pop(min(seeking.from_log, key=lambda name: _offset(state, name)))
+
+
+def _offset(state: State, snapshot: str) -> int:
+    chunks = state.snapshots.seeking.from_log[snapshot]
+    return next(iter(chunks.values())).offset
+
+
+def _use_best(state: State) -> Iterator[object]:
+    seeking = state.snapshots.seeking
+    whole = [name for name, chunks in seeking.from_log.items() if is_complete(chunks)]
+    for name in sorted(whole, key=lambda name: _offset(state, name), reverse=True):
+        try:
+            yield from install(state, join_chunks(seeking.from_log[name]))
+        except (ChunkError, SnapshotError) as exc:
+            seeking.rejected.add(name)
+            del seeking.from_log[name]
+            yield _skipped(name, exc)
+        else:
+            yield from _finish(state)
+            return
+
+
+def _finish(state: State) -> Iterator[object]:
+    state.snapshots.phase = WHOLE
+    state.snapshots.seeking = Seeking()
+    yield Emit(FollowLog())
+
+
+def _skipped(snapshot: str, exc: Exception) -> WriteLog:
+    return WriteLog("snapshot.skipped", {"snapshot": snapshot, "reason": str(exc)})
+
+
+HANDLERS: HandlerTable = {
+    Started: on_started,
+    SnapshotNeeded: on_needed,
+    SnapshotsRead: on_read,
+    SnapshotsTruncated: on_truncated,
+    SnapshotsUnavailable: on_unavailable,
+    Ticked: on_tick,
+    PeerReceived: on_peer,
+}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -3,7 +3,6 @@
 """
 
 import random
-from collections import deque
 
 import msgspec
 
@@ -12,11 +11,15 @@
 from ._endpoints import EndpointState
 from ._fair import FairState
 from ._fold import LogPosition
+from ._freshness_state import FreshnessState
 from ._keys import KeyFold
 from ._limits import LimitState
+from ._log_state import LogState, LogTail, Outbox
 from ._membership_state import MembershipState
-from ._records import Record
+from ._relay_state import RelayState
 from ._requests import Attempt
+from ._snapshots_fold import SnapshotFold
+from ._snapshots_state import SnapshotState
 
 
 class Tuning(msgspec.Struct, frozen=True):
@@ -30,6 +33,10 @@
     :param list_interval_s: seconds between two reads of the instance list.
     :param log_wait_s: seconds that a read of the log waits for records.
     :param log_retry_s: seconds between reads while the log is out.
+    :param key_freshness_s: age of the last proof of having heard of every withdrawal up to which
+        keys are taken.
+    :param snapshot_interval_s: seconds between two snapshots.
+    :param snapshot_records: records between two snapshots.
     """
 
     entry_instances: int = 9
@@ -37,8 +44,11 @@
     refused_pause_s: float = 0.05
     max_tries: int = 3
     list_interval_s: float = 1.0
-    log_wait_s: float = 10.0
+    log_wait_s: float = 1.0
     log_retry_s: float = 0.5
+    key_freshness_s: float = 4.0
+    snapshot_interval_s: float = 600.0
+    snapshot_records: int = 2000
 
 
 class Fold(msgspec.Struct):
@@ -49,34 +59,7 @@
     position: LogPosition = msgspec.field(default_factory=LogPosition)
     config: ConfigFold = msgspec.field(default_factory=ConfigFold)
     keys: KeyFold = msgspec.field(default_factory=KeyFold)
-
-
-class LogState(msgspec.Struct):
-    """
-    This instance's view of the log service.
-
-    :param head: newest offset seen.
-    :param caught_up: whether the fold has once reached the head.
-    :param available: whether the last read was answered.
-    """
-
-    head: int = 0
-    caught_up: bool = False
-    available: bool = True
-
-
-class Outbox(msgspec.Struct):
-    """
-    Records not yet known to be in the log.
-
-    :param waiting: records not yet appended, in order.
-    :param in_flight: the batch whose answer is awaited.
-    :param next_sequence: sequence of the next record.
-    """
-
-    waiting: deque[Record] = msgspec.field(default_factory=deque)
-    in_flight: tuple[Record, ...] = ()
-    next_sequence: int = 1
+    snapshots: SnapshotFold = msgspec.field(default_factory=SnapshotFold)
 
 
 class RequestState(msgspec.Struct):
@@ -112,6 +95,10 @@
     limits: LimitState = msgspec.field(default_factory=LimitState)
     endpoints: EndpointState = msgspec.field(default_factory=EndpointState)
     membership: MembershipState = msgspec.field(default_factory=MembershipState)
+    tail: LogTail = msgspec.field(default_factory=LogTail)
+    relay: RelayState = msgspec.field(default_factory=RelayState)
+    freshness: FreshnessState = msgspec.field(default_factory=FreshnessState)
+    snapshots: SnapshotState = msgspec.field(default_factory=SnapshotState)
 
 
 def new_state(identity: Identity, tuning: Tuning) -> State:
--- a/packages/eelgrassdrum-core/tests/test_membership.py
+++ b/packages/eelgrassdrum-core/tests/test_membership.py
@@ -27,7 +27,7 @@
     """
     Make a heartbeat that says nothing in particular.
     """
-    return Heartbeat(sent_s, echo_s, "peer", False, 1, 0, -1, True)._replace(**changes)
+    return Heartbeat(sent_s, echo_s, "peer", False, 1, -1)._replace(**changes)
 
 
 def hear(state: State, now_s: float, name: str, incarnation: int = 1, **changes: object) -> list:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_entries.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_entries.py
@@ -19,7 +19,7 @@
     reduce,
 )
 
-from . import _endpoints, _log
+from . import _endpoints, _log, _snapshots
 from ._world import Entry, Outcome, Submission, World, is_cut, later
 
 Executor = Callable[[World, Entry, object], None]
@@ -216,6 +216,12 @@
     effects.AppendRecords: lambda world, entry, effect: _log.append_later(
         world, entry.zone, effect, lambda event: deliver(world, entry, event)
     ),
+    _snapshots.ReadSnapshots: lambda world, entry, effect: _snapshots.read(
+        world, entry.zone, effect, lambda event: deliver(world, entry, event)
+    ),
+    _snapshots.AppendSnapshotChunks: lambda world, entry, effect: _snapshots.append(
+        world, entry.zone, effect, lambda event: deliver(world, entry, event)
+    ),
     effects.ReadInstances: _read_instances,
     effects.ProbeEndpoint: lambda world, entry, effect: _endpoints.probe(
         world, entry.zone, effect, lambda event: deliver(world, entry, event)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_log.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_log.py
@@ -28,7 +28,7 @@
 
 def _read(world: World, zone: str, effect: effects.ReadLog, deliver: Deliver) -> None:
     log = world.log
-    if _refused(world, zone):
+    if is_refused(world, zone):
         later(world, CALL_TIMEOUT_S, lambda: deliver(events.LogUnavailable("timeout")))
         return
     if effect.from_offset < log.first:
@@ -49,7 +49,7 @@
 
 
 def _answer(world: World, zone: str, effect: effects.ReadLog, deliver: Deliver) -> None:
-    if _refused(world, zone):
+    if is_refused(world, zone):
         deliver(events.LogUnavailable("closed"))
         return
     log = world.log
@@ -72,7 +72,7 @@
     """
 
     def take_effect() -> None:
-        if _refused(world, zone):
+        if is_refused(world, zone):
             later(world, CALL_TIMEOUT_S, lambda: deliver(events.AppendFailed("timeout", False)))
             return
         offsets = tuple(append(world, record) for record in effect.records)
@@ -119,5 +119,12 @@
     return append(world, Record(RecordId("operator", 1, sequence), kind, subject, base, body))
 
 
-def _refused(world: World, zone: str) -> bool:
+def is_refused(world: World, zone: str) -> bool:
+    """
+    Tell whether a zone's calls of the log fail now.
+
+    :param world: the world.
+    :param zone: zone of the caller.
+    :returns: whether they do.
+    """
     return world.log.outage or is_cut(world, zone, LOG)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -125,6 +125,8 @@
 
     :param records: record of each offset, from 1.
     :param first: oldest offset kept.
+    :param snapshots: chunk of each offset of the snapshot stream, from 1.
+    :param first_snapshot: oldest chunk kept.
     :param outage: whether every call fails.
     :param delay_s: seconds that each call takes.
     :param lose_answers: share of appends whose answer is lost after the effect.
@@ -133,6 +135,7 @@
 
     records: list[Record] = msgspec.field(default_factory=list)
     snapshots: list[object] = msgspec.field(default_factory=list)
+    first_snapshot: int = 1
     first: int = 1
     outage: bool = False
     delay_s: float = 0.01
