--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_checks.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config_checks.py
@@ -2,13 +2,13 @@
 Checks that look at more than one field of a document, or at several documents.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterator, Mapping, Sequence
 from math import floor
 from typing import Any, cast
 
 from ._config_lines import Path
-from ._config_schema import ANY_WORKSPACE, FLEET, Document, Pool, PoolSize, Queue, Service, Team
+from ._config_schema import FLEET, Document, Pool, PoolSize, Queue, Service, Team
 
 Found = tuple[Path, str]
 """Where a fault stands in its document, and what it is."""
@@ -62,9 +62,6 @@
             continue
         for path, message in _fleet_references(document, fleet):
             yield name, path, message
-    if fleet is not None and len(documents) > 1:
-        for path, message in _scopes(fleet, documents):
-            yield FLEET, path, message
 
 
 def _duplicates(field: str, names: Sequence[str]) -> Iterator[Found]:
@@ -76,9 +73,12 @@
 
 
 def _services(services: list[Service], pools: list[Pool]) -> Iterator[Found]:
+    sizes_by_service: dict[str, list[PoolSize]] = defaultdict(list)
+    for pool in pools:
+        sizes_by_service[pool["service"]].append(pool["size"])
     for position, service in enumerate(services):
         path: Path = ("services", position)
-        sizes = [pool["size"] for pool in pools if pool["service"] == service["name"]]
+        sizes = sizes_by_service[service["name"]]
         yield from ((path, message) for message in _budget(service, sizes))
         room = sum(size["max"] for size in sizes)
         if sizes and room < service["executors"]:
@@ -181,11 +181,3 @@
                 yield (field, position, "service"), f"no service {name!r} in the fleet"
             elif not shared[name]:
                 yield (field, position, "service"), f"the fleet's service {name!r} is not shared"
-
-
-def _scopes(fleet: Document, documents: Mapping[str, Document]) -> Iterator[Found]:
-    operators = cast(Mapping[str, list[Any]], fleet)["operators"]
-    for position, operator in enumerate(operators):
-        for index, scope in enumerate(operator["scopes"]):
-            if scope != ANY_WORKSPACE and scope not in documents:
-                yield ("operators", position, "scopes", index), f"no workspace {scope!r}"
