--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
@@ -14,9 +14,7 @@
 from circuits.core.pollers import EPoll
 
 from eelgrassdrum_core import (
-    AppendSnapshotChunks,
     Identity,
-    ReadSnapshots,
     Sender,
     Tuning,
     decode_message,
@@ -40,7 +38,7 @@
 from ._routes import handle_exchange
 from ._server_answers import encode_json, refusal_body, refusal_headers
 from ._settings import Settings
-from ._snapshot_adapter import make_snapshot_adapter
+from ._snapshot_adapter import snapshot_effects
 from ._timers import Scheduler
 from ._urls import parse_base_url
 
@@ -153,12 +151,8 @@
         endpoints = make_endpoint_adapter(
             self.attempts, self.probes, self.post, partial(_answers.keep, self.answers)
         )
-        log = make_log_adapter(
-            parse_base_url(self.settings.log_url), self.control, self.scheduler, self.post
-        )
-        snapshots = make_snapshot_adapter(
-            parse_base_url(self.settings.log_url), self.control, self.scheduler, self.post
-        )
+        log_url = parse_base_url(self.settings.log_url)
+        log = make_log_adapter(log_url, self.control, self.scheduler, self.post)
         read_list = make_list_reader(
             parse_base_url(self.settings.list_url), self.control, self.post, self._write_log
         )
@@ -169,8 +163,7 @@
             effects.DropAnswer: self._drop_answer,
             effects.ReadLog: log.read,
             effects.AppendRecords: log.append,
-            ReadSnapshots: snapshots.read,
-            AppendSnapshotChunks: snapshots.append,
+            **snapshot_effects(log_url, self.control, self.scheduler, self.post),
             effects.ReadInstances: read_list,
             effects.ProbeEndpoint: endpoints.probe,
             effects.SendPeer: self._send_peer,
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_snapshot_adapter.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_snapshot_adapter.py
@@ -3,7 +3,7 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any
 
 import msgspec
 
@@ -37,21 +37,9 @@
 TIMEOUT_S = 10.0
 
 
-class SnapshotAdapter(NamedTuple):
-    """
-    What the daemon can ask of the snapshot stream.
-
-    :param read: reads chunks.
-    :param append: appends chunks.
-    """
-
-    read: Callable[[ReadSnapshots], None]
-    append: Callable[[AppendSnapshotChunks], None]
-
-
-def make_snapshot_adapter(
+def snapshot_effects(
     base: BaseUrl, pool: HttpPool, scheduler: Scheduler, post: Post
-) -> SnapshotAdapter:
+) -> dict[type, Callable[[Any], None]]:
     """
     Bind the adapter to its connections.
 
@@ -59,7 +47,7 @@
     :param pool: connections to it.
     :param scheduler: runs delayed reads.
     :param post: takes the events.
-    :returns: the adapter.
+    :returns: what carries out each effect.
     """
     path = f"{base.path}/v1/streams/{SNAPSHOT_STREAM}/records"
 
@@ -86,7 +74,7 @@
     def on_appended(outcome: HttpOutcome) -> None:
         post(_append_event(outcome))
 
-    return SnapshotAdapter(read, append)
+    return {ReadSnapshots: read, AppendSnapshotChunks: append}
 
 
 def _read_event(outcome: HttpOutcome) -> object:
