--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fold.py
@@ -7,7 +7,6 @@
 this program does not know are kept, so that a newer one that starts from this fold can apply them.
 """
 
-from collections import deque
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
@@ -89,8 +88,8 @@
     :param lost: count by kind of those that were dropped to keep within the bounds.
     """
 
-    records: deque[StoredRecord] = msgspec.field(default_factory=deque)
-    sizes: deque[int] = msgspec.field(default_factory=deque)
+    records: list[StoredRecord] = msgspec.field(default_factory=list)
+    sizes: list[int] = msgspec.field(default_factory=list)
     total_bytes: int = 0
     lost: dict[str, int] = msgspec.field(default_factory=dict)
 
@@ -258,8 +257,8 @@
     unknown.sizes.append(size)
     unknown.total_bytes += size
     while len(unknown.records) > UNKNOWN_RECORDS_KEPT or unknown.total_bytes > UNKNOWN_BYTES_KEPT:
-        dropped = unknown.records.popleft()
-        unknown.total_bytes -= unknown.sizes.popleft()
+        dropped = unknown.records.pop(0)
+        unknown.total_bytes -= unknown.sizes.pop(0)
         if dropped.record is not None:
             kind = dropped.record.kind
             unknown.lost[kind] = unknown.lost.get(kind, 0) + 1
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_snapshots_peer.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_snapshots_peer.py
@@ -31,7 +31,7 @@
     :returns: effects.
     """
     seeking = state.snapshots.seeking
-    if state.now_s - seeking.since_s < ASK_AFTER_S:
+    if not seeking.log_failed and state.now_s - seeking.since_s < ASK_AFTER_S:
         return
     if seeking.peer:
         if state.now_s - seeking.peer_asked_s < ANSWER_TIMEOUT_S:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_snapshots_seek.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_snapshots_seek.py
@@ -84,7 +84,9 @@
     """
     state.snapshots.reading = False
     if state.snapshots.phase == SEEKING:
-        state.snapshots.seeking.window_first = 0
+        seeking = state.snapshots.seeking
+        seeking.window_first = 0
+        seeking.log_failed = True
         yield _read(state, 1, 1, RETRY_S)
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_snapshots_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_snapshots_state.py
@@ -24,6 +24,7 @@
     :param window_first: offset of the first chunk asked for, or 0 before the head is known.
     :param window_last: offset of the last chunk asked for.
     :param first: oldest chunk that the log keeps.
+    :param log_failed: whether a read of the snapshot stream has failed.
     :param rejected: snapshots that were found unusable.
     :param from_peer: chunks from the peer that was asked, by number.
     :param peer: instance that was asked, or empty.
@@ -37,6 +38,7 @@
     window_first: int = 0
     window_last: int = 0
     first: int = 1
+    log_failed: bool = False
     rejected: set[str] = msgspec.field(default_factory=set)
     from_peer: dict[int, SnapshotChunk] = msgspec.field(default_factory=dict)
     peer: str = ""
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_fleet.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_fleet.py
@@ -9,12 +9,13 @@
     DOCUMENT_PUBLISHED,
     KEY_GRANTED,
     KEY_WITHDRAWN,
+    KeyWithdrawalAsked,
     Tuning,
     digest_secret,
 )
 
 from ._endpoints import add_endpoint
-from ._entries import start_entry
+from ._entries import deliver, start_entry
 from ._log import operator_append
 from ._world import World, advance
 
@@ -107,14 +108,21 @@
 
 def withdraw_key(world: World, team: str) -> int:
     """
-    Withdraw a team's key.
+    Withdraw a team's key as the operators' client does: by the log, or with the log out at an
+    entry instance.
 
     :param world: the world.
     :param team: the team's name in the workspace.
-    :returns: the record's offset.
+    :returns: the record's offset, 0 when it did not go by the log.
     """
-    body = {"workspace": WORKSPACE, "key_id": f"{team}-key"}
-    return operator_append(world, KEY_WITHDRAWN, f"key/{WORKSPACE}/{team}-key", None, body)
+    key_id = f"{team}-key"
+    world.withdrawn_s.setdefault(key_id, world.now_s)
+    if world.log.outage:
+        entry = next(e for e in world.entries.values() if e.alive and e.paused_until_s == 0)
+        deliver(world, entry, KeyWithdrawalAsked(WORKSPACE, key_id))
+        return 0
+    body = {"workspace": WORKSPACE, "key_id": key_id}
+    return operator_append(world, KEY_WITHDRAWN, f"key/{WORKSPACE}/{key_id}", None, body)
 
 
 def make_fleet(
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -165,6 +165,8 @@
 class World(msgspec.Struct):
     """
     Everything that a test drives.
+
+    :param withdrawn_s: virtual time of each key's withdrawal, by the key's id.
     """
 
     rng: random.Random
@@ -180,6 +182,7 @@
     runs: list[Run] = msgspec.field(default_factory=list)
     listings: list[tuple[float, tuple[object, ...]]] = msgspec.field(default_factory=list)
     agenda: list[tuple[float, int, Callable[[], None]]] = msgspec.field(default_factory=list)
+    withdrawn_s: dict[str, float] = msgspec.field(default_factory=dict)
     next_token: int = 1
     next_entry: int = 0
     log_lines: list[tuple[str, str, dict[str, object]]] = msgspec.field(default_factory=list)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_invariants.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_invariants.py
@@ -14,6 +14,7 @@
 
 # Bounds stated by the operators, in seconds.
 LEAVING_BOUND_S = 5.0
+WITHDRAWAL_BOUND_S = 5.0
 
 Check = Callable[[World], Iterator[str]]
 
@@ -106,6 +107,23 @@
             yield f"{run.request_id} ran for {run.team}, its keys were of {sorted(allowed)}"
 
 
+def withdrawn_key_stops(world: World) -> Iterator[str]:
+    """
+    No request that came after the bound with a withdrawn key runs.
+
+    :param world: the world.
+    :returns: violations.
+    """
+    ran = {run.request_id for run in world.runs}
+    for submission in world.submissions.values():
+        withdrawn_s = world.withdrawn_s.get(submission.key_id)
+        if withdrawn_s is None or submission.request_id not in ran:
+            continue
+        late_s = submission.at_s - withdrawn_s
+        if late_s > WITHDRAWAL_BOUND_S:
+            yield f"{submission.request_id} ran, its key was withdrawn {late_s:.1f} s before"
+
+
 def limit_holds(world: World) -> Iterator[str]:
     """
     No team has more running over all endpoints than the largest limit now in force anywhere.
@@ -161,6 +179,7 @@
     "not_run_is_true": not_run_is_true,
     "at_most_once": at_most_once,
     "work_for_own_team": work_for_own_team,
+    "withdrawn_key_stops": withdrawn_key_stops,
     "limit_holds": limit_holds,
     "leaving_gets_nothing": leaving_gets_nothing,
     "revisions_never_revert": revisions_never_revert,
