--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
@@ -38,6 +38,7 @@
 from ._server_answers import encode_json
 from ._server_state import ServerLimits
 from ._settings import Settings
+from ._snapshot_adapter import snapshot_effects
 from ._timers import Scheduler
 from ._urls import parse_base_url
 
@@ -165,9 +166,8 @@
         endpoints = make_endpoint_adapter(
             self.attempts, self.probes, self.post, partial(_answers.keep, self.answers)
         )
-        log = make_log_adapter(
-            parse_base_url(settings.log_url), self.control, self.scheduler, self.post
-        )
+        log_url = parse_base_url(settings.log_url)
+        log = make_log_adapter(log_url, self.control, self.scheduler, self.post)
         read_list = make_list_reader(
             parse_base_url(settings.list_url), self.control, self.post, self._write_log
         )
@@ -178,6 +178,7 @@
             effects.DropAnswer: self._drop_answer,
             effects.ReadLog: log.read,
             effects.AppendRecords: log.append,
+            **snapshot_effects(log_url, self.control, self.scheduler, self.post),
             effects.ReadInstances: read_list,
             effects.ProbeEndpoint: endpoints.probe,
             effects.SendPeer: self._send_peer,
