--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -12,10 +12,15 @@
     _allowance_recovery,
     _dispatch,
     _fair_exchange,
+    _freshness,
+    _freshness_withdrawals,
     _lifecycle,
     _log_follower,
     _membership_beats,
     _outbox,
+    _relay,
+    _snapshots_maker,
+    _snapshots_seek,
 )
 from ._effects import Emit
 from ._handlers import Handler, HandlerTable
@@ -26,6 +31,11 @@
     _log_follower.HANDLERS,
     _outbox.HANDLERS,
     _membership_beats.HANDLERS,
+    _snapshots_seek.HANDLERS,
+    _snapshots_maker.HANDLERS,
+    _relay.HANDLERS,
+    _freshness.HANDLERS,
+    _freshness_withdrawals.HANDLERS,
     _allowance_lease.HANDLERS,
     _allowance_recovery.HANDLERS,
     _allowance_balance.HANDLERS,
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -125,6 +125,8 @@
 
     :param records: record of each offset, from 1.
     :param first: oldest offset kept.
+    :param snapshots: chunk of each offset of the snapshot stream, from 1.
+    :param first_snapshot: oldest chunk kept.
     :param outage: whether every call fails.
     :param delay_s: seconds that each call takes.
     :param lose_answers: share of appends whose answer is lost after the effect.
@@ -133,6 +135,7 @@
 
     records: list[Record] = msgspec.field(default_factory=list)
     snapshots: list[object] = msgspec.field(default_factory=list)
+    first_snapshot: int = 1
     first: int = 1
     outage: bool = False
     delay_s: float = 0.01
@@ -162,6 +165,8 @@
 class World(msgspec.Struct):
     """
     Everything that a test drives.
+
+    :param withdrawn_s: virtual time of each key's withdrawal, by the key's id.
     """
 
     rng: random.Random
@@ -177,6 +182,7 @@
     runs: list[Run] = msgspec.field(default_factory=list)
     listings: list[tuple[float, tuple[object, ...]]] = msgspec.field(default_factory=list)
     agenda: list[tuple[float, int, Callable[[], None]]] = msgspec.field(default_factory=list)
+    withdrawn_s: dict[str, float] = msgspec.field(default_factory=dict)
     next_token: int = 1
     next_entry: int = 0
     log_lines: list[tuple[str, str, dict[str, object]]] = msgspec.field(default_factory=list)
