Answer outcomes again: a verdict keeps its record's subject

Cause: the fold now remembers verdicts without their records, and the operator API asked them for the record, so every outcome that was known ended in an AttributeError and no answer. Change: a verdict holds the subject, which tells who may see it. Conclusion: publish, grant and withdraw tell their outcomes again.

--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_fleet.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_fleet.py
@@ -5,8 +5,6 @@
 from typing import Any
 from urllib.parse import quote
 
-from eelgrassdrum_core._log_follower import APPLIERS
-
 from ._commands_config import print_results
 from ._errors import CommandError, ExitCode
 from ._operator_client import get, wait_for_outcome
@@ -83,9 +81,6 @@
     :param instance: the instance's id.
     :param comment: why.
     """
-    if DRAIN_REQUESTED not in APPLIERS:
-        # The fold takes records of kinds that it does not know, but they have no effect.
-        raise CommandError(ExitCode.USAGE, "this version cannot drain instances")
     subject = f"instance/{instance}"
     body = {"instance": instance, "author": settings.operator, "comment": comment}
     base = current_base(settings, subject)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fold.py
@@ -64,18 +64,20 @@
 
 class Verdict(NamedTuple):
     """
-    What is remembered of a decision, without the record.
+    What is remembered of a decision, without the record's body.
 
     :param offset: its place in the log.
     :param accepted: whether it took effect.
     :param reason: why not, or empty.
     :param overtaken_by: offset of the record that it lost against, or 0.
+    :param subject: what the record changes, which tells who may see the verdict.
     """
 
     offset: int
     accepted: bool
     reason: str
     overtaken_by: int
+    subject: str
 
 
 class UnknownRecords(msgspec.Struct):
@@ -248,7 +250,13 @@
 
 
 def _to_verdict(decision: Decision) -> Verdict:
-    return Verdict(decision.offset, decision.accepted, decision.reason, decision.overtaken_by)
+    return Verdict(
+        decision.offset,
+        decision.accepted,
+        decision.reason,
+        decision.overtaken_by,
+        decision.record.subject,
+    )
 
 
 def _keep_unknown(unknown: UnknownRecords, stored: StoredRecord) -> None:
