Give the configuration format a public module

Cause: the client reached into private modules of core. Change: eelgrassdrum_core.configuration names what programs that write records need; the fleet's name stands once. Conclusion: no import of a private module of core is left in the client.

--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_config.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_config.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from eelgrassdrum_core import DOCUMENT_PUBLISHED
-from eelgrassdrum_core._config_schema import Document
+from eelgrassdrum_core.configuration import Document
 
 from ._compare import compare
 from ._errors import CommandError, ExitCode
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_keys.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_keys.py
@@ -7,8 +7,12 @@
 import msgspec
 
 from eelgrassdrum_core import KEY_GRANTED, KEY_WITHDRAWN
-from eelgrassdrum_core._config_schema import ANY_WORKSPACE
-from eelgrassdrum_core._config_validate import check_grant, decode_grant, decode_withdrawal
+from eelgrassdrum_core.configuration import (
+    ANY_WORKSPACE,
+    check_grant,
+    decode_grant,
+    decode_withdrawal,
+)
 
 from ._commands_config import InForce, print_results
 from ._errors import CommandError, ExitCode, InvalidInputError
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_errors.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_errors.py
@@ -4,7 +4,7 @@
 
 from enum import IntEnum
 
-from eelgrassdrum_core._config_lines import Fault
+from eelgrassdrum_core.configuration import Fault
 
 
 class ExitCode(IntEnum):
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_key_text.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_key_text.py
@@ -5,7 +5,7 @@
 import secrets
 from typing import NamedTuple
 
-from eelgrassdrum_core._ids import KEY_PREFIX, digest_secret
+from eelgrassdrum_core import KEY_PREFIX, digest_secret
 
 _KEY_ID_BYTES = 5
 _SECRET_BYTES = 32
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_output.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_output.py
@@ -10,7 +10,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from eelgrassdrum_core._config_lines import Fault
+from eelgrassdrum_core.configuration import Fault
 
 from ._errors import CommandError, InvalidInputError
 from ._settings import Settings
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_publish.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_publish.py
@@ -8,9 +8,8 @@
 
 import msgspec
 
-from eelgrassdrum_core import Record, RecordId
-from eelgrassdrum_core._config_schema import NAME_PATTERN
-from eelgrassdrum_core._fold import REASON_FENCED
+from eelgrassdrum_core import REASON_FENCED, Record, RecordId
+from eelgrassdrum_core.configuration import NAME_PATTERN
 
 from ._errors import CommandError, ExitCode
 from ._http import NoAnswerError
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_sources.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_sources.py
@@ -5,10 +5,17 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from eelgrassdrum_core._config_checks import check_across
-from eelgrassdrum_core._config_lines import Fault, Source, dotted, parse_toml
-from eelgrassdrum_core._config_schema import Document
-from eelgrassdrum_core._config_template import TEMPLATE, Rendering, render
+from eelgrassdrum_core.configuration import (
+    TEMPLATE,
+    Document,
+    Fault,
+    Rendering,
+    Source,
+    check_across,
+    dotted,
+    parse_toml,
+    render,
+)
 
 from ._errors import InvalidInputError
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
@@ -7,10 +7,10 @@
 from . import _refusals as refusals
 from ._config import FLEET, Queue, Service, Team
 from ._effects import Identity
-from ._fold import Decision, Verdict, fold_record
+from ._fold import REASON_FENCED, Decision, Verdict, fold_record
 from ._freshness import keyed_work_allowed, proof_age_s
 from ._freshness_withdrawals import KeyWithdrawalAsked, told_instances
-from ._ids import Credential, RecordId, Sender, digest_secret, parse_credential
+from ._ids import KEY_PREFIX, Credential, RecordId, Sender, digest_secret, parse_credential
 from ._membership import is_relay, members, reachable_zones, zone_peers
 from ._membership_aggregates import fleet_number, register_aggregate, zone_number
 from ._membership_state import Member
@@ -44,7 +44,9 @@
     "DOCUMENT_PUBLISHED",
     "FLEET",
     "KEY_GRANTED",
+    "KEY_PREFIX",
     "KEY_WITHDRAWN",
+    "REASON_FENCED",
     "SNAPSHOT_STREAM",
     "AppendSnapshotChunks",
     "Credential",
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
+from ._config_schema import FLEET as FLEET
 from ._config_validate import decode_document
 from ._records import DOCUMENT_PUBLISHED, Record
 
 T = TypeVar("T")
 
-FLEET = "fleet"
 # Earlier revisions kept per document, for history and rollback.
 REVISIONS_KEPT = 20
 
--- a/packages/eelgrassdrum-core/tests/test_config_documents.py
+++ b/packages/eelgrassdrum-core/tests/test_config_documents.py
@@ -5,10 +5,14 @@
 import copy
 from typing import Any
 
-from eelgrassdrum_core._config_checks import check_across
-from eelgrassdrum_core._config_lines import Source
-from eelgrassdrum_core._config_template import render
-from eelgrassdrum_core._config_validate import check_grant, decode_document, decode_grant
+from eelgrassdrum_core.configuration import (
+    Source,
+    check_across,
+    check_grant,
+    decode_document,
+    decode_grant,
+    render,
+)
 
 WORKSPACE = """\
 name = "rose"
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/operator_platform.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/operator_platform.py
@@ -16,8 +16,8 @@
 import msgspec
 
 from eelgrassdrum_cli import run
-from eelgrassdrum_core import StoredRecord, record_from_json
-from eelgrassdrum_core._fold import LogPosition, fold_record
+from eelgrassdrum_core import StoredRecord, fold_record, record_from_json
+from eelgrassdrum_core._fold import LogPosition
 from eelgrassdrum_core._log_follower import APPLIERS
 from eelgrassdrum_core._state import Fold
 
