--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
@@ -16,6 +16,7 @@
     RequestAbandoned,
     Ticked,
 )
+from ._fair_offers import SlotGained, SlotReleased
 from ._handlers import HandlerTable
 from ._refusals import Refusal
 from ._requests import Attempt, Request
@@ -62,6 +63,9 @@
         state.requests.open_tokens.pop(req.token, None)
         yield Reply(req.token, event.attempt)
     yield Emit(CapacityChanged())
+    endpoint = state.endpoints.endpoints.get(attempt.endpoint)
+    if endpoint is not None:
+        yield Emit(SlotReleased(req.service, endpoint.id, endpoint.in_flight))
 
 
 def on_refused(state: State, event: AttemptRefused) -> Iterator[object]:
@@ -107,6 +111,20 @@
     yield Emit(CapacityChanged(req.service))
 
 
+def on_gained(state: State, event: SlotGained) -> Iterator[object]:
+    """
+    Use a slot that another instance left to this one, whatever waits elsewhere.
+    """
+    endpoint = state.endpoints.endpoints.get(event.endpoint)
+    if endpoint is None or endpoint.leaving or endpoint.in_flight >= endpoint.slots:
+        return
+    req = _fair.pop(
+        state.fair, event.service, lambda req: _take_unit(state, req), ignore_ceiling=True
+    )
+    if req is not None:
+        yield _start(state, req, endpoint)
+
+
 def on_abandoned(state: State, event: RequestAbandoned) -> Iterator[object]:
     """
     Forget a waiting request; let a running one end on its own.
@@ -196,4 +214,5 @@
     AttemptRefused: on_refused,
     AttemptFailed: on_failed,
     RequestAbandoned: on_abandoned,
+    SlotGained: on_gained,
 }
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair.py
@@ -28,13 +28,20 @@
     _count(fair, req, 1)
 
 
-def pop(fair: FairState, service_name: str, may_start: Callable[[Request], bool]) -> Request | None:
+def pop(
+    fair: FairState,
+    service_name: str,
+    may_start: Callable[[Request], bool],
+    *,
+    ignore_ceiling: bool = False,
+) -> Request | None:
     """
     Take the request that is next by fair order.
 
     :param fair: changed in place.
     :param service_name: ``WORKSPACE/SERVICE``.
     :param may_start: whether the first request of a team may start now.
+    :param ignore_ceiling: whether teams that wait elsewhere are left out of account.
     :returns: the request, or ``None`` when none may start.
     """
     service = fair.services.get(service_name)
@@ -42,7 +49,7 @@
         return None
     waiting = [team for team in service.teams.values() if is_waiting(team)]
     for team in sorted(waiting, key=lambda team: team.virtual_s):
-        if team.virtual_s > service.ceiling_s:
+        if team.virtual_s > service.ceiling_s and not ignore_ceiling:
             # A team that only waits elsewhere was served less.
             return None
         line = team.urgent or team.normal
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_accounts.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_accounts.py
@@ -16,7 +16,7 @@
 # Time without demand after which a team gets no credit for being away.
 IDLE_S = 1.0
 # How far an account may lie behind or before the level, in seconds of the level's growth.
-MAX_LAG_S = 3.0
+MAX_LAG_S = 0.2
 MAX_LEAD_S = 30.0
 # Time in which the estimate of the level's growth follows a change.
 RATE_TIME_S = 3.0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
@@ -28,11 +28,14 @@
 # Time after its last demand for which a team is told about.
 ROW_VALID_S = 3.0
 # How far a team may run before one that waits elsewhere, in seconds of the level's growth.
-SLACK_S = 0.3
+SLACK_S = 0.1
 # Time after which slots left free are taken again when nobody used them, and for how long.
 HOLD_MAX_S = 2.0
 IGNORE_S = 5.0
 
+# Sources that are whole zones have names that no instance has.
+ZONE_SOURCE_PREFIX = "zone "
+
 
 class ServiceRow(NamedTuple):
     """
@@ -109,7 +112,7 @@
     elif isinstance(message, ZoneServedReported) and message.zone != own.zone:
         _take(
             state,
-            f"zone {message.zone}",
+            f"{ZONE_SOURCE_PREFIX}{message.zone}",
             message.relay,
             message.sequence,
             message.rows,
@@ -188,7 +191,8 @@
         waiting = row.waiting + sum(
             source.waiting.get((service, team), 0)
             for name, source in exchange.sources.items()
-            if not name.startswith("zone ") and state.now_s - source.at_s < SOURCE_VALID_S
+            if not name.startswith(ZONE_SOURCE_PREFIX)
+            and state.now_s - source.at_s < SOURCE_VALID_S
         )
         rows.append(ServiceRow(service, team, round(served_s, 3), waiting))
     return tuple(rows)
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_offers.py
@@ -0,0 +1,127 @@
+"""
+Offers of free slots, so that a slot left to a team that waits elsewhere is used at once.
+
+An offer is a hint: whoever gets it tries the endpoint, and the endpoint still decides.
+"""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from ._effects import Emit, SendPeer
+from ._events import PeerReceived
+from ._fair import is_waiting
+from ._fair_exchange import SOURCE_VALID_S, ZONE_SOURCE_PREFIX, remote_waiting
+from ._handlers import HandlerTable
+from ._membership import members
+from ._membership_state import DEAD
+from ._state import State
+from ._wire import register_message
+
+# Times that an offer is passed on inside the zone that it was sent to.
+MAX_PASSES = 1
+
+
+class SlotReleased(NamedTuple):
+    """
+    An attempt of this instance has ended.
+
+    :param service: ``WORKSPACE/SERVICE``.
+    :param endpoint: id of the endpoint.
+    :param in_flight: attempts that this instance still had there.
+    """
+
+    service: str
+    endpoint: str
+    in_flight: int
+
+
+class SlotGained(NamedTuple):
+    """
+    Another instance left a slot to this one.
+
+    :param service: ``WORKSPACE/SERVICE``.
+    :param endpoint: id of the endpoint.
+    """
+
+    service: str
+    endpoint: str
+
+
+@register_message
+class SlotOffered(NamedTuple):
+    """
+    An endpoint has a slot that the sender leaves to the receiver.
+
+    :param service: ``WORKSPACE/SERVICE``.
+    :param endpoint: id of the endpoint.
+    :param passes: times that the offer was passed on.
+    """
+
+    service: str
+    endpoint: str
+    passes: int
+
+
+def on_released(state: State, event: SlotReleased) -> Iterator[object]:
+    """
+    Offer the slot elsewhere when nothing here took it.
+    """
+    endpoint = state.endpoints.endpoints.get(event.endpoint)
+    if endpoint is None or endpoint.leaving or endpoint.in_flight > event.in_flight:
+        return
+    yield from _offer(state, SlotOffered(event.service, event.endpoint, 0))
+
+
+def on_peer(state: State, event: PeerReceived) -> Iterator[object]:
+    """
+    Try a slot that was offered, or pass the offer on.
+    """
+    offer = event.message
+    if not isinstance(offer, SlotOffered):
+        return
+    service = state.fair.services.get(offer.service)
+    if service is not None and any(is_waiting(team) for team in service.teams.values()):
+        yield Emit(SlotGained(offer.service, offer.endpoint))
+    elif offer.passes < MAX_PASSES:
+        yield from _offer(state, offer._replace(passes=offer.passes + 1))
+
+
+def _offer(state: State, offer: SlotOffered) -> Iterator[object]:
+    team = _least_served(state, offer.service)
+    if team is None:
+        return
+    key = (offer.service, team)
+    # Passed-on offers stay in the zone, so that none wanders between zones.
+    sources = {
+        name: source.waiting[key]
+        for name, source in state.fair.exchange.sources.items()
+        if state.now_s - source.at_s < SOURCE_VALID_S
+        and key in source.waiting
+        and not (offer.passes > 0 and name.startswith(ZONE_SOURCE_PREFIX))
+    }
+    if not sources:
+        return
+    chosen = state.rng.choices(list(sources), list(sources.values()))[0]
+    address = _address(state, chosen)
+    if address is not None:
+        yield SendPeer(address, offer)
+
+
+def _least_served(state: State, service_name: str) -> str | None:
+    service = state.fair.services.get(service_name)
+    if service is None:
+        return None
+    waiting = [name for name in service.teams if remote_waiting(state, service_name, name) > 0]
+    return min(waiting, key=lambda name: service.teams[name].virtual_s, default=None)
+
+
+def _address(state: State, source: str) -> str | None:
+    if not source.startswith(ZONE_SOURCE_PREFIX):
+        peer = state.membership.peers.get(source)
+        return None if peer is None else peer.peer_address
+    zone = source.removeprefix(ZONE_SOURCE_PREFIX)
+    addresses = [m.peer_address for m in members(state) if m.zone == zone and m.state != DEAD]
+    return state.rng.choice(addresses) if addresses else None
+
+
+HANDLERS: HandlerTable = {SlotReleased: on_released, PeerReceived: on_peer}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -12,6 +12,7 @@
     _allowance_recovery,
     _dispatch,
     _fair_exchange,
+    _fair_offers,
     _lifecycle,
     _log_follower,
     _membership_beats,
@@ -31,6 +32,7 @@
     _allowance_balance.HANDLERS,
     _lifecycle.HANDLERS,
     _fair_exchange.HANDLERS,
+    _fair_offers.HANDLERS,
     _admission.HANDLERS,
     _dispatch.HANDLERS,
 )
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_endpoints.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_endpoints.py
@@ -91,7 +91,8 @@
         elif not endpoint.silent and not is_cut(world, zone, endpoint.zone):
             settle(events.AttemptAnswered(effect.attempt, 200, 10))
 
-    run_s = endpoint.run_s * (0.5 + world.rng.random())
+    mean_s = world.run_s_by_team.get(effect.team, endpoint.run_s)
+    run_s = mean_s * (0.5 + world.rng.random())
     later(world, run_s, end)
     later(
         world,
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -162,6 +162,8 @@
 class World(msgspec.Struct):
     """
     Everything that a test drives.
+
+    :param run_s_by_team: mean seconds that a request runs, for teams unlike the others.
     """
 
     rng: random.Random
@@ -178,6 +180,7 @@
     listings: list[tuple[float, tuple[object, ...]]] = msgspec.field(default_factory=list)
     agenda: list[tuple[float, int, Callable[[], None]]] = msgspec.field(default_factory=list)
     next_token: int = 1
+    run_s_by_team: dict[str, float] = msgspec.field(default_factory=dict)
     next_entry: int = 0
     log_lines: list[tuple[str, str, dict[str, object]]] = msgspec.field(default_factory=list)
 
