--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
@@ -139,6 +139,18 @@
     )
 
 
+def update_ceiling(state: State, service_name: str) -> None:
+    """
+    Set how far teams of this instance may run before those that wait elsewhere.
+
+    :param state: the state.
+    :param service_name: ``WORKSPACE/SERVICE``.
+    """
+    service = state.fair.services[service_name]
+    remote = {team: remote_waiting(state, service_name, team) for team in service.teams}
+    _set_ceiling(state, service, remote)
+
+
 def _update_service(state: State, name: str, service: ServiceQueue) -> None:
     remote = {team: remote_waiting(state, name, team) for team in service.teams}
     running = {charge.team for charge in state.fair.charges.values() if charge.service == name}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_offers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_offers.py
@@ -10,7 +10,7 @@
 from ._effects import Emit, SendPeer
 from ._events import PeerReceived
 from ._fair import is_waiting
-from ._fair_exchange import SOURCE_VALID_S, ZONE_SOURCE_PREFIX, remote_waiting
+from ._fair_exchange import SOURCE_VALID_S, ZONE_SOURCE_PREFIX, remote_waiting, update_ceiling
 from ._handlers import HandlerTable
 from ._membership import members
 from ._membership_state import DEAD
@@ -104,9 +104,19 @@
     chosen = state.rng.choices(list(sources), list(sources.values()))[0]
     address = _address(state, chosen)
     if address is not None:
+        _count_offer(state, chosen, key)
         yield SendPeer(address, offer)
 
 
+def _count_offer(state: State, chosen: str, key: tuple[str, str]) -> None:
+    # Until the next report, one request less waits there; so no more slots are left than needed.
+    waiting = state.fair.exchange.sources[chosen].waiting
+    waiting[key] -= 1
+    if waiting[key] <= 0:
+        del waiting[key]
+    update_ceiling(state, key[0])
+
+
 def _least_served(state: State, service_name: str) -> str | None:
     service = state.fair.services.get(service_name)
     if service is None:
