--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_lease.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_lease.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterator
 
-from ._allowance_fold import HolderLease, rank, registered_keys
+from ._allowance_fold import RECLAIMERS, HolderLease, rank, registered_keys
 from ._allowance_messages import (
     HOLDER_RECLAIMED,
     HOLDER_RELEASED,
@@ -32,6 +32,8 @@
 
 LEASE_S = 30.0
 RENEW_AFTER_S = 10.0
+# The same for a holder that lacks reclaimers.
+RENEW_SOON_S = 1.0
 # Remaining lease below which a holder asks its reclaimers to wait.
 EXTEND_BELOW_S = 15.0
 EXTEND_EVERY_S = 2.0
@@ -136,7 +138,8 @@
 
 def _renew(state: State) -> Iterator[object]:
     lease = state.limits.lease
-    is_fresh = lease.until_s - state.now_s > LEASE_S - RENEW_AFTER_S
+    renew_after_s = RENEW_AFTER_S if _has_reclaimers(state) else RENEW_SOON_S
+    is_fresh = lease.until_s - state.now_s > LEASE_S - renew_after_s
     if lease.wanted_at_s is not None or (is_fresh and own_lease(state) is not None):
         return
     lease.wanted_at_s = state.now_s
@@ -145,6 +148,14 @@
     yield _want(state, HOLDER_RENEWED, sender.instance, body)
 
 
+def _has_reclaimers(state: State) -> bool:
+    # Only a holder with reclaimers that live can have its lease extended while the log is out.
+    own = own_lease(state)
+    registered = registered_keys(state.fold.allowances)
+    living = [] if own is None else [key for key in own.reclaimers if key in registered]
+    return len(living) >= min(RECLAIMERS, len(registered) - 1)
+
+
 def _release(state: State) -> Iterator[object]:
     lease = state.limits.lease
     if lease.released or own_lease(state) is None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
@@ -21,14 +21,14 @@
 from ._state import State
 from ._wire import register_message
 
-SEND_EVERY_S = 0.2
-RELAY_EVERY_S = 0.4
+SEND_EVERY_S = 0.1
+RELAY_EVERY_S = 0.2
 # Time for which what another instance told counts.
 SOURCE_VALID_S = 1.5
 # Time after its last demand for which a team is told about.
 ROW_VALID_S = 3.0
 # How far a team may run before one that waits elsewhere, in seconds of the level's growth.
-SLACK_S = 0.1
+SLACK_S = 0.05
 # Time after which slots left free are taken again when nobody used them, and for how long.
 HOLD_MAX_S = 2.0
 IGNORE_S = 5.0
@@ -260,6 +260,8 @@
     source.waiting = {(row.service, row.team): row.waiting for row in rows if row.waiting > 0}
     for row in rows:
         _add_row(state, exchange, source, row, is_peer)
+    for service in {row.service for row in rows}:
+        update_ceiling(state, service)
 
 
 def _add_row(
