--- /dev/null
+++ b/packages/eelgrassdrum-core/tests/test_fair.py
@@ -0,0 +1,159 @@
+"""
+Fair queueing within one instance, and the accounts behind it.
+"""
+
+from eelgrassdrum_core import _fair, _fair_accounts
+from eelgrassdrum_core._fair_state import FairState
+from eelgrassdrum_core._requests import Request
+
+SERVICE = "show/judging"
+RUN_S = 1.0
+
+
+def request(token: int, team: str, *, urgent: bool = False) -> Request:
+    """
+    Make a request of a team.
+    """
+    return Request(
+        token, f"r{token}", "show/scores", SERVICE, team, False, urgent, 0.0, 9.0, 9.0, 9.0, 10
+    )
+
+
+def fill(fair: FairState, team: str, count: int, now_s: float = 0.0) -> None:
+    """
+    Let some requests of a team wait.
+    """
+    for token in range(count):
+        _fair.push(fair, request(token, team), now_s)
+
+
+def run_next(fair: FairState, shares: dict[str, float], run_s: float, now_s: float) -> str:
+    """
+    Start the next request and end it after some time; give its team.
+    """
+    req = _fair.pop(fair, SERVICE, lambda req: True)
+    assert req is not None
+    _fair_accounts.open_charge(fair, "attempt", req, shares[req.team], now_s)
+    _fair_accounts.close_charge(fair, "attempt", now_s + run_s, ran=True)
+    return req.team
+
+
+def account_s(fair: FairState, team: str) -> float:
+    """
+    Give a team's account.
+    """
+    return fair.services[SERVICE].teams[team].virtual_s
+
+
+FIXTURES = {"fair": FairState}
+
+
+def test_starts_follow_shares(fair: FairState) -> None:
+    """
+    A team with twice the share is served twice as often when both wait.
+    """
+    shares = {"x": 2.0, "y": 1.0}
+    fill(fair, "x", 40)
+    fill(fair, "y", 40)
+    served = [run_next(fair, shares, RUN_S, 0.0) for _ in range(30)]
+    assert abs(served.count("x") - 20) <= 1
+
+
+def test_long_requests_count_for_more(fair: FairState) -> None:
+    """
+    A team whose requests run four times as long starts a quarter as many.
+    """
+    fill(fair, "long", 60)
+    fill(fair, "short", 60)
+    served = []
+    for _ in range(50):
+        team = "long" if account_s(fair, "long") <= account_s(fair, "short") else "short"
+        served.append(
+            run_next(fair, {"long": 1.0, "short": 1.0}, 4.0 if team == "long" else 1.0, 0)
+        )
+    assert abs(served.count("long") - 10) <= 2
+
+
+def test_running_work_is_charged_as_it_runs(fair: FairState) -> None:
+    """
+    An attempt is charged an estimate at its start, more as it runs on, and what it took at its end.
+    """
+    fill(fair, "x", 1)
+    req = _fair.pop(fair, SERVICE, lambda req: True)
+    assert req is not None
+    _fair_accounts.open_charge(fair, "a", req, 1.0, 0.0)
+    assert account_s(fair, "x") == _fair_accounts.FIRST_ESTIMATE_S
+    _fair_accounts.accrue(fair, 5.0)
+    assert account_s(fair, "x") == 5.0
+    _fair_accounts.close_charge(fair, "a", 6.0, ran=True)
+    assert account_s(fair, "x") == 6.0
+    fill(fair, "x", 1)
+    _fair_accounts.open_charge(fair, "b", request(1, "x"), 1.0, 6.0)
+    assert account_s(fair, "x") == 12.0
+    _fair_accounts.close_charge(fair, "b", 7.0, ran=False)
+    assert account_s(fair, "x") == 6.0
+
+
+def test_idle_team_returns_at_the_level(fair: FairState) -> None:
+    """
+    A team that was away neither has credit from that time nor owes for it.
+    """
+    fill(fair, "busy", 50)
+    fill(fair, "away", 1)
+    run_next(fair, {"busy": 1.0, "away": 1.0}, RUN_S, 0.0)
+    run_next(fair, {"busy": 1.0, "away": 1.0}, RUN_S, 0.0)
+    for step in range(20):
+        run_next(fair, {"busy": 1.0}, RUN_S, float(step))
+        service = fair.services[SERVICE]
+        _fair_accounts.advance_level(service, step + 1.0, lambda name, team: name == "busy")
+    fill(fair, "away", 1, now_s=30.0)
+    assert abs(account_s(fair, "away") - account_s(fair, "busy")) <= RUN_S
+
+
+def test_accounts_meet_when_nobody_waits(fair: FairState) -> None:
+    """
+    When nobody waits, what teams used before no longer matters.
+    """
+    fill(fair, "x", 1)
+    fill(fair, "y", 1)
+    run_next(fair, {"x": 1.0, "y": 1.0}, 100.0, 0.0)
+    _fair_accounts.advance_level(fair.services[SERVICE], 200.0, lambda name, team: False)
+    assert account_s(fair, "x") == account_s(fair, "y")
+
+
+def test_changed_share_counts_from_now(fair: FairState) -> None:
+    """
+    A new share changes what later work costs, not what was charged before.
+    """
+    fill(fair, "x", 2)
+    run_next(fair, {"x": 1.0}, 4.0, 0.0)
+    run_next(fair, {"x": 4.0}, 4.0, 4.0)
+    assert account_s(fair, "x") == 5.0
+
+
+def test_urgent_goes_first_in_its_team_only(fair: FairState) -> None:
+    """
+    Urgent requests pass others of their team, but give it no larger share.
+    """
+    fill(fair, "x", 3)
+    fill(fair, "y", 3)
+    _fair.push(fair, request(9, "x", urgent=True), 0.0)
+    first = _fair.pop(fair, SERVICE, lambda req: req.team == "x")
+    assert first is not None
+    assert first.token == 9
+    _fair_accounts.open_charge(fair, "a", first, 1.0, 0.0)
+    _fair.push(fair, request(10, "x", urgent=True), 0.0)
+    second = _fair.pop(fair, SERVICE, lambda req: True)
+    assert second is not None
+    assert second.team == "y"
+
+
+def test_team_ahead_leaves_slots_to_others(fair: FairState) -> None:
+    """
+    Above the ceiling nothing starts, unless another instance has left a slot to this one.
+    """
+    fill(fair, "x", 2)
+    fair.services[SERVICE].teams["x"].virtual_s = 2.0
+    fair.services[SERVICE].ceiling_s = 1.0
+    assert _fair.pop(fair, SERVICE, lambda req: True) is None
+    assert _fair.pop(fair, SERVICE, lambda req: True, ignore_ceiling=True) is not None
--- /dev/null
+++ b/packages/eelgrassdrum-testing/tests/test_fair_fleet.py
@@ -0,0 +1,125 @@
+"""
+Fair shares over several entry instances.
+"""
+
+from collections.abc import Callable
+from unittest.mock import patch
+
+from eelgrassdrum_core import _fair_exchange, events
+from eelgrassdrum_core._fair_exchange import ServedReported, ServiceRow
+from eelgrassdrum_core._ids import Sender
+from eelgrassdrum_testing._harness import (
+    QUEUE,
+    SERVICE,
+    TeamPlan,
+    World,
+    advance,
+    deliver,
+    key_text,
+    make_fleet,
+    submit,
+)
+
+STEP_S = 0.05
+TEAMS = (TeamPlan("many", 1.0, 99), TeamPlan("one", 1.0, 99))
+# Instances that each team's callers meet.
+HOMES = {"many": ("entry-a0", "entry-b0", "entry-b1", "entry-c0"), "one": ("entry-a1",)}
+
+
+def make_world() -> World:
+    """
+    Give a fleet of six entry instances and six endpoints.
+    """
+    return make_fleet(9, entries_per_zone=2, slots=2, run_s=0.2, teams=TEAMS)
+
+
+def overload(world: World, seconds: float) -> dict[str, float]:
+    """
+    Keep requests of both teams waiting; give each team's slot-seconds.
+    """
+    used = dict.fromkeys(HOMES, 0.0)
+    for _ in range(round(seconds / STEP_S)):
+        for team, names in HOMES.items():
+            for name in names:
+                entry = world.entries[name]
+                for _ in range(10 - entry.state.fair.queued.get(QUEUE, 0)):
+                    request_id = f"r{world.next_token}"
+                    submit(world, entry, QUEUE, request_id, key=key_text(team), team=f"show/{team}")
+        advance(world, STEP_S)
+        for endpoint in world.endpoints.values():
+            for run in endpoint.running.values():
+                used[run.team.removeprefix("show/")] += STEP_S
+    return used
+
+
+def balance(used: dict[str, float]) -> float:
+    """
+    Give the smaller use divided by the larger.
+    """
+    return min(used.values()) / max(used.values())
+
+
+FIXTURES: dict[str, Callable[[], object]] = {"world": make_world}
+
+
+def test_team_at_one_instance_gets_its_share(world: World) -> None:
+    """
+    A team whose callers meet one instance is served as much as one that meets four.
+    """
+    overload(world, 5.0)
+    assert balance(overload(world, 10.0)) > 0.9
+
+
+def test_share_check_sees_a_missing_exchange(world: World) -> None:
+    """
+    Without aggregates of other instances the same check fails.
+    """
+    with patch.object(_fair_exchange, "_take", lambda *args, **kwargs: None):
+        overload(world, 5.0)
+        assert balance(overload(world, 10.0)) < 0.8
+
+
+def test_slots_stay_in_use(world: World) -> None:
+    """
+    While requests wait, at least nine of ten slots are busy.
+    """
+    overload(world, 5.0)
+    slots = sum(endpoint.slots for endpoint in world.endpoints.values())
+    assert sum(overload(world, 10.0).values()) > 0.9 * slots * 10.0
+
+
+def test_repeated_and_late_reports_count_once(world: World) -> None:
+    """
+    Totals that come twice or out of order are counted once.
+    """
+    entry = world.entries["entry-a0"]
+    sender = Sender("entry-a1", 1, "a")
+
+    def report(sequence: int, served_s: float) -> None:
+        rows = (ServiceRow(SERVICE, "show/one", served_s, 1),)
+        deliver(world, entry, events.PeerReceived(sender, ServedReported(sequence, rows)))
+
+    report(1001, 50.0)
+    account_s = entry.state.fair.services[SERVICE].teams["show/one"].virtual_s
+    for sequence, served_s in ((1003, 54.0), (1002, 52.0), (1003, 54.0)):
+        report(sequence, served_s)
+    after_s = entry.state.fair.services[SERVICE].teams["show/one"].virtual_s
+    assert after_s - account_s == 4.0
+
+
+def test_slots_are_not_left_to_a_silent_instance(world: World) -> None:
+    """
+    When an instance says that requests wait but uses no slot, others take the slots again.
+    """
+    entry = world.entries["entry-a0"]
+    rows = (ServiceRow(SERVICE, "show/one", 0.0, 1000),)
+    started = 0
+    for sequence in range(400):
+        message = ServedReported(10_000 + sequence, rows)
+        deliver(world, entry, events.PeerReceived(Sender("entry-a1", 1, "a"), message))
+        if entry.state.fair.queued.get(QUEUE, 0) < 5:
+            name = f"r{world.next_token}"
+            submit(world, entry, QUEUE, name, key=key_text("many"), team="show/many")
+        advance(world, STEP_S)
+        started = len(world.runs)
+    assert started > 50
