--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_demand.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_demand.py
@@ -24,7 +24,7 @@
 CHANGE_EVERY_S = 0.5
 REFRESH_S = 2.0
 # Time in which a peak of demand falls to a half.
-PEAK_HALF_LIFE_S = 1.0
+PEAK_HALF_LIFE_S = 0.4
 # Peak below which there is no demand left.
 PEAK_FLOOR = 0.5
 # Holders that may balance a team.
