Require word from silent but listed peers before keys are taken

Cause: an instance without the log counted a silent peer as dead after some seconds, and then took its own silence for proof that no withdrawal was missed. Ruled out: the bound itself, which held in a zone cut off from other zones. Change: only the list or a goodbye proves that a peer is gone. Verdicts keep their subject, so that outcomes are shown by scope again.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
@@ -7,7 +7,7 @@
 from . import _refusals as refusals
 from ._config import FLEET, Queue, Service, Team
 from ._effects import Identity
-from ._fold import Decision, fold_record
+from ._fold import Decision, Verdict, fold_record
 from ._freshness import keyed_work_allowed, proof_age_s
 from ._freshness_withdrawals import KeyWithdrawalAsked, told_instances
 from ._ids import Credential, RecordId, Sender, digest_secret, parse_credential
@@ -69,6 +69,7 @@
     "StoredRecord",
     "Team",
     "Tuning",
+    "Verdict",
     "chunk_from_json",
     "chunk_to_json",
     "decode_message",
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fold.py
@@ -67,12 +67,14 @@
     What is remembered of a decision, without the record.
 
     :param offset: its place in the log.
+    :param subject: what the record changes.
     :param accepted: whether it took effect.
     :param reason: why not, or empty.
     :param overtaken_by: offset of the record that it lost against, or 0.
     """
 
     offset: int
+    subject: str
     accepted: bool
     reason: str
     overtaken_by: int
@@ -248,7 +250,13 @@
 
 
 def _to_verdict(decision: Decision) -> Verdict:
-    return Verdict(decision.offset, decision.accepted, decision.reason, decision.overtaken_by)
+    return Verdict(
+        decision.offset,
+        decision.record.subject,
+        decision.accepted,
+        decision.reason,
+        decision.overtaken_by,
+    )
 
 
 def _keep_unknown(unknown: UnknownRecords, stored: StoredRecord) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_freshness.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_freshness.py
@@ -9,14 +9,14 @@
 
 from collections.abc import Iterator
 
-from . import _membership, _refusals
+from . import _refusals
 from ._config import Team
 from ._events import PeerReceived, RecordFolded
 from ._handlers import HandlerTable
 from ._ids import Sender
 from ._log_state import NEVER_S, FoldReplaced, LogReached
 from ._membership_messages import Heartbeat
-from ._membership_state import DEAD, LEAVING
+from ._membership_state import DEAD, LEAVING, Peer
 from ._refusals import Refusal
 from ._state import State
 
@@ -117,17 +117,28 @@
     membership = state.membership
     if not membership.listed or not state.log.caught_up:
         return NEVER_S
+    needed = [peer for peer in membership.peers.values() if _may_have_withdrawn(peer)]
     own_zone = state.identity.sender.zone
-    others = _membership.known_zones(state) - {own_zone}
+    others = {peer.sender.zone for peer in needed} - {own_zone}
     if others:
         heard = [membership.zones.get(zone, NEVER_S) for zone in others]
     else:
-        heard = [p.confirmed_s for p in membership.peers.values() if p.state not in (DEAD, LEAVING)]
+        heard = [peer.confirmed_s for peer in needed]
     oldest_s = min(heard, default=state.now_s)
     behind_s = state.freshness.behind_since_s
     return oldest_s if behind_s == NEVER_S else min(oldest_s, behind_s)
 
 
+def _may_have_withdrawn(peer: Peer) -> bool:
+    """
+    Tell whether an instance may know of a withdrawal that is not known here.
+
+    A silent instance counts as dead after some seconds, but to an instance that is cut off all
+    others are silent, so only the platform's list or a goodbye proves that one is gone.
+    """
+    return peer.state != LEAVING and (peer.listed or peer.state != DEAD)
+
+
 def _note_behind(state: State) -> None:
     freshness = state.freshness
     own_next = state.fold.position.next_offset
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
@@ -156,7 +156,8 @@
         settings = self.settings
         incarnation = settings.incarnation or time.time_ns() // 1_000_000
         sender = Sender(settings.instance, incarnation, settings.zone)
-        return Identity(sender, self.server.address, self.peers.address)
+        advertised = settings.peer_advertise or self.peers.address
+        return Identity(sender, self.server.address, advertised)
 
     def _tuning(self) -> Tuning:
         return Tuning(list_interval_s=self.settings.list_interval_s)
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_api.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_api.py
@@ -138,7 +138,7 @@
 def _await_outcome(call: Call, record_id: RecordId, deadline_s: float) -> None:
     app = call.app
     decision = views.find_decision(app.state, record_id)
-    if decision is not None and not sees_subject(call.scope, decision.record.subject):
+    if decision is not None and not sees_subject(call.scope, decision.subject):
         _answer_forbidden(call)
         return
     if decision is not None or app.scheduler.clock() >= deadline_s:
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from typing import Any
 
-from eelgrassdrum_core import Decision, RecordId, State, refusals
+from eelgrassdrum_core import RecordId, State, Verdict, refusals
 
 from ._operator_scope import Scope, sees_all, sees_name, sees_subject, sees_workspace
 
@@ -149,7 +149,7 @@
     }
 
 
-def find_decision(state: State, record_id: RecordId) -> Decision | None:
+def find_decision(state: State, record_id: RecordId) -> Verdict | None:
     """
     Look up what the fold made of a record.
 
@@ -160,7 +160,7 @@
     return state.fold.position.decisions.get(record_id)
 
 
-def view_outcome(decision: Decision | None) -> dict[str, Any]:
+def view_outcome(decision: Verdict | None) -> dict[str, Any]:
     """
     Show what the fold made of a record.
 
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_settings.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_settings.py
@@ -39,6 +39,7 @@
     :param zone: its availability zone.
     :param listen: ``IP:PORT`` for callers and operators.
     :param peer_listen: ``IP:PORT`` for other entry instances.
+    :param peer_advertise: ``IP:PORT`` that others are told, when it differs from what is bound.
     :param log_url: base of the platform's log service.
     :param list_url: base of the platform's list of instances.
     :param seeds: ``INSTANCE@IP:PORT`` of peers to begin with.
@@ -60,6 +61,7 @@
     log_url: str
     list_url: str
     seeds: tuple[str, ...] = ()
+    peer_advertise: str = ""
     root_digest: str = ""
     incarnation: int = 0
     max_body_bytes: int = 16 * 1024 * 1024
@@ -132,6 +134,7 @@
     "log_url": _url,
     "list_url": _url,
     "seeds": _seeds,
+    "peer_advertise": _address,
     "root_digest": _digest,
     "incarnation": _number(int, 0, 2**53),
     "max_body_bytes": _number(int, 1, 2**30),
@@ -188,6 +191,7 @@
     zone: _option("its availability zone") = None,
     listen: _option("IP:PORT for callers and operators") = None,
     peer_listen: _option("IP:PORT for other entry instances") = None,
+    peer_advertise: _option("IP:PORT that other instances are told, when not the bound one") = None,
     log_url: _option("http://IP:PORT of the platform's log") = None,
     list_url: _option("http://IP:PORT of the list of instances") = None,
     seeds: _option("INSTANCE@IP:PORT of peers, separated by commas") = None,
