Keep a failing effect from taking others with it

A line about another instance clashed with the line's own instance field, so writing it raised, and the effects after it were lost: 65 of 5408 callers of the demonstration were told nothing. The core's fields are written as one object now, a failing effect is logged and passed over, and the demonstration fails on any logged fault.

--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
@@ -4,6 +4,7 @@
 
 import os
 import time
+import traceback
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -45,6 +46,7 @@
 TICK_INTERVAL_S = 0.1
 HOUSEKEEPING_INTERVAL_S = 10.0
 SEED_BYTES = 8
+TRACEBACK_LINES = 8
 CONTROL_CONNS = 4
 PROBE_CONNS = 2
 
@@ -125,7 +127,25 @@
     def _reduce(self, event: object) -> None:
         self.state, produced = reduce(self.state, self.scheduler.clock(), event)
         for effect in produced:
+            self._carry_out_safely(effect)
+
+    def _carry_out_safely(self, effect: object) -> None:
+        # One effect that fails must not keep the others of its event from being carried out.
+        try:
             self.carry_out(effect)
+        except Exception as exc:
+            self._write_exception(exc)
+            if isinstance(effect, effects.Dispatch):
+                self.post(events.AttemptFailed(effect.attempt, sent=True, reason="internal"))
+
+    def _write_exception(self, exc: BaseException) -> None:
+        lines = traceback.format_exception(exc)
+        self.write(
+            "instance.exception",
+            error=type(exc).__name__,
+            message=str(exc),
+            traceback="".join(lines[-TRACEBACK_LINES:]),
+        )
 
     def _open_sockets(self) -> None:
         settings = self.settings
@@ -226,10 +246,5 @@
         _shutdown.on_signal(self, signo)
 
     @handler("exception", channel="*")
-    def _on_exception(self, error_type, value, traceback, handler=None, fevent=None):
-        self.write(
-            "instance.exception",
-            error=error_type.__name__,
-            message=str(value),
-            traceback="".join(traceback) if isinstance(traceback, list) else "",
-        )
+    def _on_exception(self, _type, value, _traceback, handler=None, fevent=None):
+        self._write_exception(value)
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_logging.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_logging.py
@@ -34,10 +34,11 @@
 
     :param instance: id of this instance, part of every line.
     :param zone: its availability zone, part of every line.
-    :returns: a function that takes the action and more fields; it must be given no secrets.
+    :returns: a function that takes the action and more fields, which are written as one object so
+        that they cannot clash with those of the line; it must be given no secrets.
     """
 
-    def write(action: str, **fields: Any) -> None:
-        eliot.log_message(message_type=action, instance=instance, zone=zone, **fields)
+    def write(action: str, /, **fields: Any) -> None:
+        eliot.log_message(message_type=action, instance=instance, zone=zone, fields=fields)
 
     return write
--- a/packages/eelgrassdrum-daemon/tests/test_parts.py
+++ b/packages/eelgrassdrum-daemon/tests/test_parts.py
@@ -2,6 +2,7 @@
 Settings, timers, histograms, kept answers and platform answers, each on its own.
 """
 
+import eliot
 import msgspec
 
 from eelgrassdrum_core import effects, events
@@ -10,6 +11,7 @@
 from eelgrassdrum_daemon._http_messages import HttpAnswer, HttpFailure
 from eelgrassdrum_daemon._list_adapter import parse_instances
 from eelgrassdrum_daemon._log_adapter import _append_event, _read_event
+from eelgrassdrum_daemon._logging import make_writer
 from eelgrassdrum_daemon._settings import parse_settings
 from eelgrassdrum_daemon._timers import Scheduler
 
@@ -180,3 +182,18 @@
     [listed] = parse_instances(answer(200, {"instances": entries}))
     assert listed.id == "ep-1"
     assert parse_instances(answer(200, b"rubbish")) is None
+
+
+def test_fields_of_a_line_do_not_clash_with_its_own() -> None:
+    """
+    A line about another instance keeps both names apart.
+    """
+    lines: list[dict] = []
+    eliot.add_destinations(lines.append)
+    try:
+        make_writer("entry-a1", "a")("member.dead", instance="entry-b1", zone="b")
+    finally:
+        eliot.remove_destination(lines.append)
+    [line] = [line for line in lines if line["message_type"] == "member.dead"]
+    assert (line["instance"], line["zone"]) == ("entry-a1", "a")
+    assert line["fields"] == {"instance": "entry-b1", "zone": "b"}
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/__main__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/__main__.py
@@ -24,7 +24,7 @@
     watch_readiness,
     withdraw_one,
 )
-from ._fleet import Fleet, limits, start_fleet
+from ._fleet import Fleet, find_exceptions, limits, start_fleet
 from ._report import print_histograms, print_teams, print_totals
 from ._shares import distance_to_share, team_use
 from ._verdict import count, find_violations
@@ -47,6 +47,7 @@
     starts: dict[str, int]
     watch: RunningWatch
     changes: Changes
+    exceptions: list[str]
 
 
 async def run(made: Fleet, seconds: float, progress: Progress | None) -> Seen:
@@ -81,7 +82,7 @@
         await keep_metrics(client, entry.process.address, changes)
     starts = await read_runs(client, endpoints)
     _http.close(client)
-    return Seen(callers.outcomes, starts, watch, changes)
+    return Seen(callers.outcomes, starts, watch, changes, find_exceptions(made))
 
 
 async def _later(delay_s, change) -> None:
@@ -120,7 +121,7 @@
     print_teams(console, team_use(scenario, seen.outcomes), team_limits, seen.watch)
     distance = distance_to_share(scenario, seen.outcomes)
     print_totals(console, totals, seen.outcomes, seen.changes, distance)
-    return find_violations(totals, seen.watch, team_limits, seen.changes)
+    return find_violations(totals, seen.watch, team_limits, seen.changes, seen.exceptions)
 
 
 def main(*, seconds: float = 30.0, scenario: str = "gartenschau", progress: bool = True) -> int:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_changes.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_changes.py
@@ -92,7 +92,7 @@
         await asyncio.sleep(POLL_S)
     changes.replaced_s = time.monotonic() - start_s
     changes.exit_code = await asyncio.to_thread(entry.process.popen.wait, EXIT_TIMEOUT_S)
-    del made.entries[entry.id]
+    made.replaced.append(made.entries.pop(entry.id))
 
 
 async def publish_one(made: Fleet, client: _http.Client, changes: Changes) -> None:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_fleet.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_fleet.py
@@ -48,15 +48,17 @@
     :param entries: entry instances by id.
     :param endpoints: endpoints by id.
     :param keys: text of each team's key by ``WORKSPACE/TEAM``.
+    :param replaced: entry instances that were stopped on the way.
     """
 
     scenario: Scenario
     start: Start
     platform: fleet.Platform
     writer: fleet.Writer
-    entries: dict[str, Entry] = {}
-    endpoints: dict[str, Process] = {}
-    keys: dict[str, str] = {}
+    entries: dict[str, Entry] = msgspec.field(default_factory=dict)
+    endpoints: dict[str, Process] = msgspec.field(default_factory=dict)
+    keys: dict[str, str] = msgspec.field(default_factory=dict)
+    replaced: list[Entry] = msgspec.field(default_factory=list)
 
 
 def start_fleet(scenario: Scenario, start: Start) -> Fleet:
@@ -144,6 +146,22 @@
     fleet.put_instance(made.platform, listed)
 
 
+def find_exceptions(made: Fleet) -> list[str]:
+    """
+    Find the faults that entry instances have logged lately.
+
+    :param made: the fleet.
+    :returns: one text each.
+    """
+    found = []
+    for entry in [*made.entries.values(), *made.replaced]:
+        for line in entry.process.output:
+            if '"instance.exception"' in line:
+                fields = msgspec.json.decode(line)["fields"]
+                found.append(f"{fields['error']}: {fields['message']}")
+    return found
+
+
 def publish_all(made: Fleet) -> None:
     """
     Publish the fleet's and every workspace's document, and grant each team a key.
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_verdict.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_verdict.py
@@ -64,7 +64,11 @@
 
 
 def find_violations(
-    totals: Totals, watch: RunningWatch, limits: dict[str, int], changes: Changes
+    totals: Totals,
+    watch: RunningWatch,
+    limits: dict[str, int],
+    changes: Changes,
+    exceptions: list[str],
 ) -> list[str]:
     """
     List what must always hold and did not.
@@ -73,9 +77,10 @@
     :param watch: what ran at once.
     :param limits: upper limits by ``WORKSPACE/TEAM``.
     :param changes: what came of the changes on the way.
+    :param exceptions: faults that entry instances have logged.
     :returns: one line each.
     """
-    found = []
+    found = [f"an entry instance logged a fault: {text}" for text in sorted(set(exceptions))]
     if totals.answered == 0:
         found.append("no request was answered")
     for name in ("lost", "doubled", "false_not_run", "wrong"):
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_watch.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_watch.py
@@ -10,7 +10,7 @@
 from .._process import Process
 from . import _http
 
-SWEEP_INTERVAL_S = 0.1
+SWEEP_INTERVAL_S = 0.05
 
 
 class RunningWatch(msgspec.Struct):
