--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Iterable
+from functools import lru_cache
 
 import xxhash
 
@@ -56,7 +57,9 @@
     :returns: the instances in the order of their ids.
     """
     zone = state.identity.sender.zone
-    return tuple(m for m in members(state) if m.zone == zone and m.state != DEAD)
+    peers = state.membership.peers
+    names = (n for n, peer in peers.items() if peer.sender.zone == zone and peer.state != DEAD)
+    return tuple(_to_member(peers[name]) for name in sorted(names))
 
 
 def reachable_zones(state: State) -> frozenset[str]:
@@ -92,7 +95,9 @@
     :returns: names of zones, sorted.
     """
     own = state.identity.sender
-    return tuple(zone for zone in sorted(known_zones(state)) if own in relays(state, zone))
+    candidates = _relay_candidates(state)
+    others = sorted(known_zones(state) - {own.zone})
+    return tuple(zone for zone in others if own in _choose_relays(zone, candidates))
 
 
 def is_relay(state: State) -> bool:
@@ -113,12 +118,9 @@
     :param zone: the other zone.
     :returns: up to `RELAYS_PER_ZONE_PAIR` instances; none for the own zone.
     """
-    own = state.identity.sender
-    if zone == own.zone:
+    if zone == state.identity.sender.zone:
         return ()
-    peers = state.membership.peers.values()
-    candidates = [p.sender for p in peers if p.sender.zone == own.zone and p.state == ALIVE]
-    return rank(f"relay/{zone}", [own, *candidates])[:RELAYS_PER_ZONE_PAIR]
+    return _choose_relays(zone, _relay_candidates(state))
 
 
 def rank(purpose: str, senders: Iterable[Sender]) -> tuple[Sender, ...]:
@@ -181,6 +183,16 @@
     return tuple(changed)
 
 
+def _relay_candidates(state: State) -> list[Sender]:
+    own = state.identity.sender
+    peers = state.membership.peers.values()
+    return [own, *(p.sender for p in peers if p.sender.zone == own.zone and p.state == ALIVE)]
+
+
+def _choose_relays(zone: str, candidates: list[Sender]) -> tuple[Sender, ...]:
+    return rank(f"relay/{zone}", candidates)[:RELAYS_PER_ZONE_PAIR]
+
+
 def _judge(state: State, peer: Peer) -> str:
     if peer.sender.zone != state.identity.sender.zone:
         return _judge_remote(state, peer)
@@ -234,5 +246,6 @@
     return Member(peer.sender, peer.peer_address, peer.sender.zone, peer.state)
 
 
+@lru_cache(maxsize=65_536)
 def _weight(purpose: str, instance: str) -> int:
     return xxhash.xxh64_intdigest(f"{purpose}/{instance}".encode())
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_beats.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_beats.py
@@ -35,11 +35,9 @@
     membership = state.membership
     yield from _check_pause(state)
     membership.tick_s = state.now_s
-    for member in _membership.update_liveness(state):
-        fields = {"instance": member.sender.instance, "state": member.state}
-        yield WriteLog("member.changed", fields)
     if state.now_s - membership.zone_beat_s >= ZONE_BEAT_S:
         membership.zone_beat_s = state.now_s
+        yield from _judge_others(state)
         _membership_aggregates.collect_own(state)
         yield from _beat_zone(state)
     if state.now_s - membership.relay_beat_s >= RELAY_BEAT_S:
@@ -116,8 +114,15 @@
     yield WriteLog("process.paused", {"gap_s": gap_s})
 
 
+def _judge_others(state: State) -> Iterator[object]:
+    for member in _membership.update_liveness(state):
+        fields = {"instance": member.sender.instance, "state": member.state}
+        yield WriteLog("member.changed", fields)
+
+
 def _beat_zone(state: State) -> Iterator[object]:
     zone = state.identity.sender.zone
+    state.membership.zone_receivers = len(_membership.zone_peers(state))
     for peer in state.membership.peers.values():
         if peer.sender.zone != zone:
             continue
@@ -127,7 +132,10 @@
 
 
 def _beat_other_zones(state: State) -> Iterator[object]:
-    for zone in _membership.relayed_zones(state):
+    zones = _membership.relayed_zones(state)
+    # Every pair of zones has a path from each side, and both carry numbers.
+    state.membership.relay_receivers = 2 * len(zones)
+    for zone in zones:
         peer = _choose_target(state, zone)
         if peer is not None:
             yield SendPeer(peer.peer_address, make_heartbeat(state, peer, wants_answer=True))
@@ -277,16 +285,17 @@
 
 
 def _choose_numbers(state: State, peer: Peer, in_zone: bool) -> tuple[OriginNumbers, ...]:
-    aggregates = state.membership.aggregates
+    membership = state.membership
     if in_zone:
-        receivers = max(1, len(_membership.zone_peers(state)))
-        limit = int(_membership_aggregates.ZONE_NUMBERS_PER_S * ZONE_BEAT_S / receivers)
-        feed = aggregates.zone_feed
+        limit = _membership_aggregates.ZONE_NUMBERS_PER_S * ZONE_BEAT_S
+        receivers = membership.zone_receivers
+        feed = membership.aggregates.zone_feed
     else:
-        receivers = max(1, 2 * len(_membership.relayed_zones(state)))
-        limit = int(_membership_aggregates.RELAY_NUMBERS_PER_S * RELAY_BEAT_S / receivers)
-        feed = aggregates.relay_feed
-    return _membership_aggregates.next_numbers(feed, peer, max(1, limit), state.now_s)
+        limit = _membership_aggregates.RELAY_NUMBERS_PER_S * RELAY_BEAT_S
+        receivers = membership.relay_receivers
+        feed = membership.aggregates.relay_feed
+    share = max(1, int(limit / max(1, receivers)))
+    return _membership_aggregates.next_numbers(feed, peer, share, state.now_s)
 
 
 HANDLERS: HandlerTable = {
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_state.py
@@ -139,6 +139,8 @@
     :param superseded: whether a newer incarnation of this instance is alive.
     :param zone_beat_s: time of the last heartbeats in the zone.
     :param relay_beat_s: time of the last heartbeats to other zones.
+    :param zone_receivers: count of the last heartbeats' receivers in the zone.
+    :param relay_receivers: count of paths to other zones that this instance serves.
     :param aggregates: numbers that instances tell each other.
     """
 
@@ -153,4 +155,6 @@
     superseded: bool = False
     zone_beat_s: float = NEVER_S
     relay_beat_s: float = NEVER_S
+    zone_receivers: int = 0
+    relay_receivers: int = 0
     aggregates: AggregateState = msgspec.field(default_factory=AggregateState)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_entries.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_entries.py
@@ -172,6 +172,7 @@
     data = encode_message(entry.state.identity.sender, effect.message)
     world.network.peer_messages += 1
     world.network.peer_bytes += len(data)
+    world.network.sent_bytes[entry.id] += len(data)
     copies = 1 + (world.rng.random() < world.network.repeat)
     for _ in range(copies):
         if world.rng.random() >= world.network.drop:
@@ -183,6 +184,7 @@
     target = world.entries.get(address)
     if target is None or is_cut(world, from_zone, target.zone):
         return
+    world.network.received_bytes[address] += len(data)
     event = decode_message(data)
     if event is not None:
         deliver(world, target, event)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -3,6 +3,7 @@
 """
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from heapq import heappop, heappush
 from typing import NamedTuple
@@ -152,6 +153,8 @@
     :param drop: share of peer messages lost.
     :param repeat: share of peer messages that come twice.
     :param cuts: pairs of zones (or a zone and the log) that are cut off from each other.
+    :param sent_bytes: bytes of messages sent, by instance.
+    :param received_bytes: bytes of messages received, by instance.
     """
 
     delay_s: float = 0.001
@@ -160,6 +163,8 @@
     cuts: set[frozenset[str]] = msgspec.field(default_factory=set)
     peer_messages: int = 0
     peer_bytes: int = 0
+    sent_bytes: Counter[str] = msgspec.field(default_factory=Counter)
+    received_bytes: Counter[str] = msgspec.field(default_factory=Counter)
 
 
 class World(msgspec.Struct):
