--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership.py
@@ -33,8 +33,8 @@
 # Silent, unlisted instances are forgotten after this time.
 FORGET_AFTER_S = 30.0
 ZONE_IN_TOUCH_S = 5.0
-# Both zones of a pair choose a relay, so every pair has two paths.
-RELAYS_PER_ZONE_PAIR = 1
+# Both zones of a pair choose relays, so every pair has twice as many paths.
+RELAYS_PER_ZONE_PAIR = 2
 PAUSE_GAP_S = 1.0
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_beats.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_beats.py
@@ -84,7 +84,7 @@
         next_offset=state.fold.position.next_offset,
         head_age_ms=_head_age_ms(state),
         wants_answer=wants_answer,
-        zones=_view_zones(state),
+        zones=_view_zones(state, in_zone),
         suspects=_view_suspects(state),
         members=_view_news(state) if in_zone else _view_zone(state),
         numbers=_choose_numbers(state, peer, in_zone),
@@ -200,18 +200,23 @@
     own_zone = state.identity.sender.zone
     if beat.echo_s == NEVER_S:
         return
-    _confirm_zone(state, peer.sender.zone, beat.echo_s)
+    from_own_zone = peer.sender.zone == own_zone
+    if not from_own_zone:
+        _confirm_zone(state, peer.sender.zone, beat.echo_s, from_own_zone)
     for view in beat.zones:
         if view.zone != own_zone:
-            _confirm_zone(state, view.zone, beat.echo_s - view.age_ms / 1000)
+            at_s = beat.echo_s - view.age_ms / 1000
+            _confirm_zone(state, view.zone, at_s, from_own_zone)
 
 
-def _confirm_zone(state: State, zone: str, at_s: float) -> None:
+def _confirm_zone(state: State, zone: str, at_s: float, from_own_zone: bool) -> None:
     membership = state.membership
-    if zone == state.identity.sender.zone:
-        return
     if at_s > membership.zones.get(zone, NEVER_S):
         membership.zones[zone] = at_s
+        if from_own_zone:
+            membership.zones_told.add(zone)
+        else:
+            membership.zones_told.discard(zone)
         if state.now_s - at_s <= _membership.ZONE_IN_TOUCH_S:
             _membership_aggregates.mark_heard(membership.aggregates, zone, state.now_s)
 
@@ -242,9 +247,12 @@
     return state.now_s - state.membership.direct.get(zone, -DIRECT_S) < DIRECT_S
 
 
-def _view_zones(state: State) -> tuple[ZoneView, ...]:
+def _view_zones(state: State, in_zone: bool) -> tuple[ZoneView, ...]:
     views = []
     for zone, at_s in state.membership.zones.items():
+        if in_zone and zone in state.membership.zones_told:
+            # Another instance of this zone knows it first, and tells all.
+            continue
         age_ms = int((state.now_s - at_s) * 1000) + 1
         if age_ms <= MAX_AGE_MS:
             views.append(ZoneView(zone, age_ms))
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_state.py
@@ -131,6 +131,7 @@
     :param peers: other entry instances by id.
     :param listed: whether the platform's list was read since the start.
     :param zones: time up to which each other zone is known to be in touch.
+    :param zones_told: zones of which an instance of the own zone has told last.
     :param direct: time of the last heartbeat that came straight from each other zone.
     :param tick_s: time of the last tick, or -1 before the first.
     :param last_gap_s: length of the last pause between two ticks that was too long.
@@ -147,6 +148,7 @@
     peers: dict[str, Peer] = msgspec.field(default_factory=dict)
     listed: bool = False
     zones: dict[str, float] = msgspec.field(default_factory=dict)
+    zones_told: set[str] = msgspec.field(default_factory=set)
     direct: dict[str, float] = msgspec.field(default_factory=dict)
     tick_s: float = NEVER_S
     last_gap_s: float = 0.0
