--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_process.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_process.py
@@ -29,6 +29,7 @@
 
     ready: bool
     address: str
+    peer_address: str = ""
 
 
 class StartError(Exception):
@@ -46,6 +47,7 @@
     address: str
     popen: subprocess.Popen[bytes]
     output: deque[str]
+    peer_address: str = ""
 
     @property
     def pid(self) -> int:
@@ -133,7 +135,7 @@
         popen.kill()
         popen.wait()
         raise StartError(f"{name} was not ready: {' | '.join(output)}")
-    return Process(name, line.address, popen, output)
+    return Process(name, line.address, popen, output, line.peer_address)
 
 
 def collect_output(
