--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_state.py
@@ -131,6 +131,7 @@
     :param peers: other entry instances by id.
     :param listed: whether the platform's list was read since the start.
     :param zones: time up to which each other zone is known to be in touch.
+    :param zones_told: zones of which an instance of the own zone has told last.
     :param direct: time of the last heartbeat that came straight from each other zone.
     :param tick_s: time of the last tick, or -1 before the first.
     :param last_gap_s: length of the last pause between two ticks that was too long.
@@ -139,12 +140,15 @@
     :param superseded: whether a newer incarnation of this instance is alive.
     :param zone_beat_s: time of the last heartbeats in the zone.
     :param relay_beat_s: time of the last heartbeats to other zones.
+    :param zone_receivers: count of the last heartbeats' receivers in the zone.
+    :param relay_receivers: count of paths to other zones that this instance serves.
     :param aggregates: numbers that instances tell each other.
     """
 
     peers: dict[str, Peer] = msgspec.field(default_factory=dict)
     listed: bool = False
     zones: dict[str, float] = msgspec.field(default_factory=dict)
+    zones_told: set[str] = msgspec.field(default_factory=set)
     direct: dict[str, float] = msgspec.field(default_factory=dict)
     tick_s: float = NEVER_S
     last_gap_s: float = 0.0
@@ -153,4 +157,6 @@
     superseded: bool = False
     zone_beat_s: float = NEVER_S
     relay_beat_s: float = NEVER_S
+    zone_receivers: int = 0
+    relay_receivers: int = 0
     aggregates: AggregateState = msgspec.field(default_factory=AggregateState)
