Give one instance the sole right to run a non-idempotent request

Change: up to three voters per id, chosen by rendezvous hashing, promise a request to one holder before it is dispatched; a majority decides. A voter that restarts votes only after it has learned the claims of the others. Repeats at the same instance join. Queues are bounded by count, bytes, deadline and predicted wait, and retries by a budget. not_run_is_true now takes the exchange of each run into account: a refusal that says not run asks the caller to come again, and a run for that later exchange does not make it false. It is as strict for every exchange that was open when the refusal was told. Callers that repeat now say so.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Iterator
 
-from . import _endpoints, _fair, _refusals
+from . import _endpoints, _fair, _joins, _joins_claims, _overload, _refusals
 from ._config import Queue
 from ._effects import Emit, Refuse
 from ._events import CapacityChanged, RequestReceived
 from ._handlers import HandlerTable
+from ._joins_events import ClaimLost, RequestClaimed
+from ._joins_voters import hash_request
 from ._keys import find_key
 from ._refusals import Refusal, RefusalCode
 from ._requests import Request
@@ -16,7 +18,6 @@
 
 # Team name of callers without a key on a queue that is open to all.
 OPEN_TEAM = "open"
-QUEUE_FULL_RETRY_S = 0.5
 NO_ENDPOINT_RETRY_S = 1.0
 NOT_READY_RETRY_S = 1.0
 STOPPING_RETRY_S = 0.1
@@ -24,36 +25,63 @@
 
 def on_request(state: State, event: RequestReceived) -> Iterator[object]:
     """
-    Queue the request, or refuse it at once.
+    Take the request, let it join an earlier one with the same id, or refuse it at once.
     """
-    refusal = _refuse_instance(state)
-    if refusal is not None:
-        yield Refuse(event.token, refusal)
+    if not state.log.caught_up:
+        yield _refuse(event, Refusal(_refusals.NOT_READY, NOT_READY_RETRY_S))
         return
     queue = state.fold.config.queues.get(event.queue)
     if queue is None:
-        yield Refuse(event.token, Refusal(_refusals.UNKNOWN_QUEUE))
+        yield _refuse(event, Refusal(_refusals.UNKNOWN_QUEUE))
         return
     team = _find_team(state, queue, event)
     if isinstance(team, RefusalCode):
-        yield Refuse(event.token, Refusal(team))
+        yield _refuse(event, Refusal(team))
+        return
+    key = hash_request(team, event.request_id)
+    known = state.joins.known.get(key)
+    if known is not None:
+        yield from _joins.join(state, known, event)
         return
-    refusal = _refuse_load(state, queue, event)
+    refusal = _refuse_load(state, queue, team, event)
     if refusal is not None:
-        yield Refuse(event.token, refusal)
+        yield _refuse(event, refusal)
         return
-    req = _make_request(state, queue, team, event)
-    state.requests.open_tokens[event.token] = req.request_id
-    _fair.push(state.fair, req)
-    yield Emit(CapacityChanged(queue.service))
+    yield from _take(state, _make_request(state, queue, team, key, event))
 
 
-def _refuse_instance(state: State) -> Refusal | None:
-    if state.stopping:
-        return Refusal(_refusals.STOPPING, STOPPING_RETRY_S)
-    if not state.log.caught_up:
-        return Refusal(_refusals.NOT_READY, NOT_READY_RETRY_S)
-    return None
+def on_claimed(state: State, event: RequestClaimed) -> Iterator[object]:
+    """
+    Queue a request that no other instance may run.
+    """
+    _overload.count_waiting(state, event.req, 1)
+    _fair.push(state.fair, event.req)
+    yield Emit(CapacityChanged(event.req.service))
+
+
+def on_claim_lost(state: State, event: ClaimLost) -> Iterator[object]:
+    """
+    Refuse a request that another instance may have run.
+    """
+    known = state.joins.known.get(event.req.key)
+    if known is None or known.req is not event.req:
+        return
+    _overload.count_held(state, -event.req.size_bytes)
+    yield from _joins.refuse_unclaimed(state, event.req, event.refusal)
+
+
+def _take(state: State, req: Request) -> Iterator[object]:
+    _overload.count_held(state, req.size_bytes)
+    _joins.remember(state, req)
+    if req.idempotent:
+        yield Emit(RequestClaimed(req))
+    else:
+        yield from _joins_claims.begin(state, req)
+
+
+def _refuse(event: RequestReceived, refusal: Refusal) -> Refuse:
+    told = _refusals.for_repeat(refusal) if event.repeat else refusal
+    return Refuse(event.token, told)
 
 
 def _find_team(state: State, queue: Queue, event: RequestReceived) -> str | RefusalCode:
@@ -69,19 +97,20 @@
     return key.team
 
 
-def _refuse_load(state: State, queue: Queue, event: RequestReceived) -> Refusal | None:
+def _refuse_load(state: State, queue: Queue, team: str, event: RequestReceived) -> Refusal | None:
+    if state.stopping:
+        return Refusal(_refusals.STOPPING, STOPPING_RETRY_S)
     if not _endpoints.has_any(state.endpoints, queue.service):
         return Refusal(_refusals.NO_ENDPOINT, NO_ENDPOINT_RETRY_S)
-    queued = state.fair.queued.get(queue.name, 0)
-    queued_bytes = state.fair.queued_bytes.get(queue.name, 0) + event.size_bytes
-    if event.size_bytes > queue.max_bytes:
-        return Refusal(_refusals.BODY_TOO_LARGE)
-    if queued >= queue.max_queued or queued_bytes > queue.max_bytes:
-        return Refusal(_refusals.QUEUE_FULL, QUEUE_FULL_RETRY_S)
-    return None
+    if _joins.is_full(state):
+        return Refusal(_refusals.OVERLOADED, _overload.retry_after(state, NOT_READY_RETRY_S))
+    timeout_s = event.timeout_s or state.tuning.default_timeout_s
+    return _overload.check(state, queue, team, event.size_bytes, timeout_s)
 
 
-def _make_request(state: State, queue: Queue, team: str, event: RequestReceived) -> Request:
+def _make_request(
+    state: State, queue: Queue, team: str, key: int, event: RequestReceived
+) -> Request:
     timeout_s = event.timeout_s or state.tuning.default_timeout_s
     deadline_s = state.now_s + timeout_s
     return Request(
@@ -94,11 +123,18 @@
         urgent=event.urgent,
         arrived_s=state.now_s,
         deadline_s=deadline_s,
-        start_by_s=min(deadline_s, state.now_s + queue.max_wait_s),
+        start_by_s=_overload.start_limit(state, queue, timeout_s),
         max_run_s=queue.max_run_s,
         size_bytes=event.size_bytes,
         body_hash=event.body_hash,
+        # Without a claim nobody can tell whether the earlier exchange has run.
+        may_have_run=event.repeat and event.idempotent,
+        key=key,
     )
 
 
-HANDLERS: HandlerTable = {RequestReceived: on_request}
+HANDLERS: HandlerTable = {
+    RequestReceived: on_request,
+    RequestClaimed: on_claimed,
+    ClaimLost: on_claim_lost,
+}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
@@ -2,11 +2,11 @@
 Dispatch: sends waiting requests to endpoints, and settles what comes back.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
-from . import _endpoints, _fair, _limits, _refusals
+from . import _endpoints, _fair, _joins, _limits, _overload, _refusals, _retries
 from ._config import Team
-from ._effects import Dispatch, DropAnswer, Emit, ObserveLatency, Refuse, Reply, WriteLog
+from ._effects import Dispatch, DropAnswer, Emit, ObserveLatency, WriteLog
 from ._endpoints import Endpoint
 from ._events import (
     AttemptAnswered,
@@ -17,13 +17,12 @@
     Ticked,
 )
 from ._handlers import HandlerTable
+from ._overload import OPEN_SHARE
 from ._refusals import Refusal
 from ._requests import Attempt, Request
 from ._state import State
 
-WAIT_RETRY_S = 1.0
-# Share of callers on an open queue that came without a key.
-OPEN_SHARE = 1.0
+MIN_ATTEMPT_S = 0.001
 
 
 def on_capacity(state: State, event: CapacityChanged) -> Iterator[object]:
@@ -39,8 +38,10 @@
     """
     Refuse what has waited too long, and look for free capacity.
     """
-    for req in _fair.remove_where(state.fair, lambda req: req.start_by_s <= state.now_s):
-        yield from _refuse(state, req, Refusal(_refusals.WAIT_TOO_LONG, WAIT_RETRY_S))
+    for req in _remove_waiting(state, lambda req: req.start_by_s <= state.now_s):
+        wait_s = _overload.predict_wait(state, req.service, req.team)
+        refusal = Refusal(_refusals.WAIT_TOO_LONG, _overload.retry_after(state, wait_s))
+        yield from _refuse(state, req, refusal)
     yield Emit(CapacityChanged())
 
 
@@ -55,11 +56,8 @@
         return
     req = attempt.request
     yield from _account(state, attempt)
-    if attempt.abandoned:
-        yield DropAnswer(event.attempt)
-    else:
-        state.requests.open_tokens.pop(req.token, None)
-        yield Reply(req.token, event.attempt)
+    _overload.count_held(state, -req.size_bytes)
+    yield from _joins.answer(state, req, event.attempt, event.status, event.size_bytes)
     yield Emit(CapacityChanged())
 
 
@@ -91,12 +89,13 @@
         yield from _requeue(state, attempt)
         return
     req = attempt.request
+    req.may_have_run = True
+    _overload.note_end(state, req, state.now_s - attempt.started_s)
     if req.idempotent and req.tries < state.tuning.max_tries and req.start_by_s > state.now_s:
         yield from _requeue(state, attempt)
         return
     code = _refusals.RUN_TIMEOUT if event.reason == "timeout" else _refusals.OUTCOME_UNKNOWN
-    if not attempt.abandoned:
-        yield from _refuse(state, req, Refusal(code, None, event.reason))
+    yield from _refuse(state, req, Refusal(code, None, event.reason))
     yield Emit(CapacityChanged(req.service))
 
 
@@ -104,12 +103,11 @@
     """
     Forget a waiting request; let a running one end on its own.
     """
-    _fair.remove_where(state.fair, lambda req: req.token == event.token)
-    state.requests.open_tokens.pop(event.token, None)
-    for attempt in state.requests.attempts.values():
-        if attempt.request.token == event.token:
-            attempt.abandoned = True
-    return iter(())
+    req = _joins.abandon(state, event.token)
+    if req is None or any(a.request is req for a in state.requests.attempts.values()):
+        return
+    _remove_waiting(state, lambda waiting: waiting is req)
+    yield from _let_go(state, req)
 
 
 def _pump(state: State, service: str) -> Iterator[object]:
@@ -118,13 +116,17 @@
         endpoint = _endpoints.choose(state.endpoints, service, sender.zone, state.now_s)
         if endpoint is None:
             return
-        req = _fair.pop(state.fair, service, lambda req: _take_unit(state, req))
+        req = _fair.pop(state.fair, service, lambda req: _may_start(state, req))
         if req is None:
             return
+        _overload.count_waiting(state, req, -1)
         yield _start(state, req, endpoint)
 
 
-def _take_unit(state: State, req: Request) -> bool:
+def _may_start(state: State, req: Request) -> bool:
+    # After a pause the limit may have passed without a tick.
+    if req.start_by_s <= state.now_s:
+        return False
     team = state.fold.config.teams.get(req.team)
     if team is None:
         return req.team.endswith("/open")
@@ -136,6 +138,8 @@
     attempt_id = f"{sender.instance}.{sender.incarnation}.{state.requests.next_attempt}"
     state.requests.next_attempt += 1
     req.tries += 1
+    if req.tries == 1:
+        _retries.note_first(state.overload, req.queue)
     endpoint.in_flight += 1
     state.requests.attempts[attempt_id] = Attempt(attempt_id, req, endpoint.id, state.now_s)
     return Dispatch(
@@ -143,7 +147,7 @@
         req.token,
         endpoint.id,
         endpoint.address,
-        max(0.001, min(req.deadline_s - state.now_s, req.max_run_s)),
+        max(MIN_ATTEMPT_S, min(req.deadline_s - state.now_s, req.max_run_s)),
         req.request_id,
         req.team,
         req.queue,
@@ -168,18 +172,40 @@
     run_s = state.now_s - attempt.started_s
     team: Team | None = state.fold.config.teams.get(req.team)
     _fair.charge(state.fair, req, run_s, OPEN_SHARE if team is None else team.share)
+    _overload.note_end(state, req, run_s)
     yield ObserveLatency(req.queue, req.team, attempt.started_s - req.arrived_s, run_s)
 
 
 def _requeue(state: State, attempt: Attempt) -> Iterator[object]:
-    if not attempt.abandoned:
-        _fair.push(state.fair, attempt.request, first=True)
-    yield Emit(CapacityChanged(attempt.request.service))
+    req = attempt.request
+    if not _joins.is_waited_for(state, req):
+        yield from _let_go(state, req)
+    elif _retries.try_take(state.overload, req.queue):
+        _overload.count_waiting(state, req, 1)
+        _fair.push(state.fair, req, first=True)
+    else:
+        wait_s = _overload.predict_wait(state, req.service, req.team)
+        refusal = Refusal(_refusals.RETRIES_SPENT, _overload.retry_after(state, wait_s))
+        yield from _refuse(state, req, refusal)
+    yield Emit(CapacityChanged(req.service))
+
+
+def _remove_waiting(state: State, condition: Callable[[Request], bool]) -> list[Request]:
+    removed = _fair.remove_where(state.fair, condition)
+    for req in removed:
+        _overload.count_waiting(state, req, -1)
+    return removed
+
+
+def _let_go(state: State, req: Request) -> Iterator[object]:
+    _overload.count_held(state, -req.size_bytes)
+    yield from _joins.forget(state, req)
 
 
 def _refuse(state: State, req: Request, refusal: Refusal) -> Iterator[object]:
-    state.requests.open_tokens.pop(req.token, None)
-    yield Refuse(req.token, refusal)
+    _overload.count_held(state, -req.size_bytes)
+    told = _refusals.for_repeat(refusal) if req.may_have_run else refusal
+    yield from _joins.refuse(state, req, told)
 
 
 HANDLERS: HandlerTable = {
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_events.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_events.py
@@ -43,6 +43,7 @@
     :param timeout_s: seconds that the caller will wait, or ``None``.
     :param size_bytes: length of the body.
     :param body_hash: hash of the body, to tell a repeat from another request with the same id.
+    :param repeat: whether the caller says that it has sent the request before.
     """
 
     token: int
@@ -54,6 +55,7 @@
     timeout_s: float | None
     size_bytes: int
     body_hash: int = 0
+    repeat: bool = False
 
 
 class RequestAbandoned(NamedTuple):
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_claims.py
@@ -0,0 +1,130 @@
+"""
+Claims of this instance: the sole right to run a non-idempotent request.
+"""
+
+from collections.abc import Iterator
+
+from . import _joins_voters, _joins_votes, _refusals
+from ._effects import Emit, SendPeer
+from ._events import PeerReceived, Ticked
+from ._handlers import HandlerTable
+from ._joins_events import ClaimLost, RequestClaimed
+from ._joins_messages import ClaimReleased, ClaimVoted, ClaimWanted
+from ._joins_state import PendingClaim
+from ._refusals import Refusal
+from ._requests import Request
+from ._state import State
+
+# An outcome is kept for this time after the caller's deadline.
+KEEP_S = 60.0
+RESEND_S = 0.2
+HELD_RETRY_S = 1.0
+UNRESOLVED_RETRY_S = 2.0
+
+
+def begin(state: State, req: Request) -> Iterator[object]:
+    """
+    Ask the voters of a request's id for the right to run it.
+
+    :param state: the pending claims are changed in place.
+    :param req: the request.
+    :returns: effects; one of them emits `RequestClaimed` or, now or later, `ClaimLost`.
+    """
+    joins = state.joins
+    number = joins.next_number
+    joins.next_number += 1
+    give_up_s = state.now_s + _joins_voters.GIVE_UP_S
+    pending = PendingClaim(req.key, number, req, set(), give_up_s, state.now_s + RESEND_S)
+    joins.pending[number] = pending
+    joins.known[req.key].claim = number
+    yield from _ask(state, pending)
+
+
+def give_up(state: State, key: int, number: int) -> Iterator[object]:
+    """
+    Release a claim under which nothing ran.
+
+    :param state: the claims are changed in place.
+    :param key: hash of the request's id.
+    :param number: this instance's number of the claim.
+    :returns: messages to the voters.
+    """
+    state.joins.pending.pop(number, None)
+    released = ClaimReleased(key, number)
+    _joins_votes.release(state.joins, state.identity.sender, released)
+    for instance in _other_voters(state, key):
+        yield SendPeer(state.joins.addresses[instance], released)
+
+
+def on_peer(state: State, event: PeerReceived) -> Iterator[object]:
+    """
+    Count a vote.
+    """
+    if not isinstance(event.message, ClaimVoted):
+        return
+    pending = state.joins.pending.get(event.message.number)
+    if pending is None:
+        return
+    if event.message.granted:
+        pending.granted.add(event.sender.instance)
+        yield from _settle(state, pending)
+    else:
+        yield from _lose(state, pending, _refuse_held(event.message))
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Ask voters that have not answered once more, or give up.
+    """
+    for pending in list(state.joins.pending.values()):
+        if pending.give_up_s <= state.now_s:
+            refusal = Refusal(_refusals.UNRESOLVED, UNRESOLVED_RETRY_S)
+            yield from _lose(state, pending, refusal)
+        elif pending.resend_s <= state.now_s:
+            pending.resend_s = state.now_s + RESEND_S
+            yield from _ask(state, pending)
+
+
+def _ask(state: State, pending: PendingClaim) -> Iterator[object]:
+    req = pending.req
+    keep_s = max(0.0, req.deadline_s - state.now_s) + KEEP_S
+    wanted = ClaimWanted(pending.key, pending.number, req.body_hash, keep_s)
+    own = state.identity.sender
+    if state.joins.whole and own.instance in _joins_voters.all_voters(state.joins, pending.key):
+        own_vote = _joins_votes.vote(state, own, wanted)
+        if not own_vote.granted:
+            yield from _lose(state, pending, _refuse_held(own_vote))
+            return
+        pending.granted.add(own.instance)
+    for instance in _other_voters(state, pending.key):
+        if instance not in pending.granted:
+            yield SendPeer(state.joins.addresses[instance], wanted)
+    yield from _settle(state, pending)
+
+
+def _settle(state: State, pending: PendingClaim) -> Iterator[object]:
+    # After a pause of this process a late majority may rest on votes that were lost since.
+    if pending.give_up_s <= state.now_s:
+        return
+    if _joins_voters.has_majority(state.joins, pending.key, pending.granted):
+        del state.joins.pending[pending.number]
+        yield Emit(RequestClaimed(pending.req))
+
+
+def _lose(state: State, pending: PendingClaim, refusal: Refusal) -> Iterator[object]:
+    yield from give_up(state, pending.key, pending.number)
+    yield Emit(ClaimLost(pending.req, refusal))
+
+
+def _refuse_held(voted: ClaimVoted) -> Refusal:
+    if voted.conflict:
+        return Refusal(_refusals.REQUEST_CONFLICT)
+    return Refusal(_refusals.HELD_ELSEWHERE, HELD_RETRY_S, f"held by {voted.holder}")
+
+
+def _other_voters(state: State, key: int) -> list[str]:
+    voters = _joins_voters.all_voters(state.joins, key) - {state.identity.sender.instance}
+    return sorted(instance for instance in voters if instance in state.joins.addresses)
+
+
+HANDLERS: HandlerTable = {PeerReceived: on_peer, Ticked: on_tick}
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_votes.py
@@ -0,0 +1,165 @@
+"""
+Votes on claims of request ids, and their recovery after a start.
+
+A vote is a promise kept in memory only. An instance that has just started may have promised
+something before, so it votes on nothing until others have told it all the claims that it may
+have voted for. Its votes count anew only after the claims of before are decided.
+"""
+
+from bisect import bisect_left
+from collections.abc import Iterator
+
+from . import _joins_voters
+from ._effects import SendPeer, WriteLog
+from ._events import InstancesListed, PeerReceived, Ticked
+from ._handlers import HandlerTable
+from ._ids import Sender
+from ._joins_messages import (
+    ClaimCopy,
+    ClaimReleased,
+    ClaimsTold,
+    ClaimsWanted,
+    ClaimVoted,
+    ClaimWanted,
+)
+from ._joins_state import Claim, Holder, JoinState
+from ._state import State
+
+CLAIMS_PER_MESSAGE = 500
+RECOVERY_INTERVAL_S = 0.5
+SWEEP_INTERVAL_S = 5.0
+
+
+def on_listed(state: State, event: InstancesListed) -> Iterator[object]:
+    """
+    Take over who may vote.
+    """
+    _joins_voters.update_rosters(state, event.instances)
+    yield from _check_whole(state)
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Go on with the recovery, and forget what has expired.
+    """
+    joins = state.joins
+    yield from _check_whole(state)
+    if not joins.whole and joins.recovery_starts_s <= state.now_s and joins.rosters:
+        yield from _ask_for_claims(state)
+    if state.now_s - joins.swept_s >= SWEEP_INTERVAL_S:
+        joins.swept_s = state.now_s
+        _joins_voters.forget_rosters(state)
+        for key in [k for k, claim in joins.claims.items() if claim.expires_s <= state.now_s]:
+            del joins.claims[key]
+
+
+def on_peer(state: State, event: PeerReceived) -> Iterator[object]:
+    """
+    Vote on a claim, release one, or pass claims on to an instance that has just started.
+    """
+    message = event.message
+    address = state.joins.addresses.get(event.sender.instance, "")
+    if isinstance(message, ClaimWanted) and state.joins.whole and address:
+        yield SendPeer(address, vote(state, event.sender, message))
+    elif isinstance(message, ClaimReleased):
+        release(state.joins, event.sender, message)
+    elif isinstance(message, ClaimsWanted) and address:
+        yield SendPeer(address, _tell_claims(state, message.from_key))
+    elif isinstance(message, ClaimsTold):
+        yield from _take_claims(state, event.sender, message)
+
+
+def vote(state: State, sender: Sender, wanted: ClaimWanted) -> ClaimVoted:
+    """
+    Promise a request to an instance, unless it is promised to another.
+
+    :param state: the claims are changed in place.
+    :param sender: the instance.
+    :param wanted: its claim.
+    :returns: the vote.
+    """
+    claims = state.joins.claims
+    holder = Holder(sender.instance, sender.incarnation)
+    current = claims.get(wanted.key)
+    if current is not None and current.expires_s > state.now_s and current.holder != holder:
+        conflict = current.body_hash != wanted.body_hash
+        return ClaimVoted(wanted.number, False, current.holder.instance, conflict)
+    expires_s = state.now_s + min(wanted.keep_s, _joins_voters.MAX_KEEP_S)
+    claims[wanted.key] = Claim(holder, wanted.number, wanted.body_hash, expires_s)
+    return ClaimVoted(wanted.number, True)
+
+
+def release(joins: JoinState, sender: Sender, released: ClaimReleased) -> None:
+    """
+    Take back a promise whose holder has run nothing.
+
+    :param joins: the claims are changed in place.
+    :param sender: the holder.
+    :param released: which promise.
+    """
+    claim = joins.claims.get(released.key)
+    if claim is None or claim.number != released.number:
+        return
+    if claim.holder == Holder(sender.instance, sender.incarnation):
+        del joins.claims[released.key]
+
+
+def _check_whole(state: State) -> Iterator[object]:
+    joins = state.joins
+    if joins.whole or not joins.rosters:
+        return
+    others = _joins_voters.co_voters(joins, state.identity.sender.instance)
+    # When all others are starting too, there is no memory left that could be waited for.
+    if (
+        others <= joins.recovered
+        or (others <= joins.starting and not joins.recovered & others)
+        or joins.recovery_ends_s <= state.now_s
+    ):
+        joins.whole = True
+        yield WriteLog("claims.recovered", {"claims": len(joins.claims)})
+
+
+def _ask_for_claims(state: State) -> Iterator[object]:
+    joins = state.joins
+    if state.now_s - joins.recovery_asked_s < RECOVERY_INTERVAL_S:
+        return
+    joins.recovery_asked_s = state.now_s
+    others = _joins_voters.co_voters(joins, state.identity.sender.instance)
+    for instance in sorted(others - joins.recovered):
+        if instance in joins.addresses:
+            from_key = joins.next_keys.get(instance, 0)
+            yield SendPeer(joins.addresses[instance], ClaimsWanted(from_key))
+
+
+def _tell_claims(state: State, from_key: int) -> ClaimsTold:
+    claims = state.joins.claims
+    keys = sorted(claims)
+    start = bisect_left(keys, from_key)
+    end = start + CLAIMS_PER_MESSAGE
+    copies = tuple(
+        ClaimCopy(key, *claim.holder, claim.number, claim.body_hash, claim.expires_s - state.now_s)
+        for key, claim in ((key, claims[key]) for key in keys[start:end])
+    )
+    next_key = keys[end] if end < len(keys) else None
+    return ClaimsTold(from_key, next_key, state.joins.whole, copies)
+
+
+def _take_claims(state: State, sender: Sender, told: ClaimsTold) -> Iterator[object]:
+    joins = state.joins
+    if joins.whole or told.from_key != joins.next_keys.get(sender.instance, 0):
+        return
+    for copy in told.claims:
+        if copy.left_s > 0 and copy.key not in joins.claims:
+            holder = Holder(copy.instance, copy.incarnation)
+            expires_s = state.now_s + copy.left_s
+            joins.claims[copy.key] = Claim(holder, copy.number, copy.body_hash, expires_s)
+    if told.next_key is not None:
+        joins.next_keys[sender.instance] = told.next_key
+        yield SendPeer(joins.addresses[sender.instance], ClaimsWanted(told.next_key))
+        return
+    joins.next_keys[sender.instance] = 0
+    (joins.recovered if told.whole else joins.starting).add(sender.instance)
+    yield from _check_whole(state)
+
+
+HANDLERS: HandlerTable = {InstancesListed: on_listed, Ticked: on_tick, PeerReceived: on_peer}
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_overload.py
@@ -0,0 +1,197 @@
+"""
+Overload control: a request that cannot start in time is refused when it arrives.
+
+The wait is predicted from the rate at which the service has worked off its queue. A team's wait
+follows from its own waiting requests and its part of the rate, so that one team's burst does not
+get another team's requests refused.
+"""
+
+from collections.abc import Iterator
+
+from . import _refusals
+from ._config import Queue
+from ._events import Ticked
+from ._handlers import HandlerTable
+from ._overload_state import ServiceLoad
+from ._refusals import Refusal
+from ._requests import Request
+from ._state import State
+
+# Samples are merged with this weight, so the rate follows a change in about a second.
+RATE_WEIGHT = 0.2
+RUN_WEIGHT = 0.05
+SAMPLE_S = 0.1
+MIN_RETRY_S = 0.1
+MAX_RETRY_S = 30.0
+RETRY_SPREAD = 0.5
+# Share of callers on an open queue that came without a key.
+OPEN_SHARE = 1.0
+
+
+def load_of(state: State, service: str) -> ServiceLoad:
+    """
+    Give what waits for a service.
+
+    :param state: an entry is added when there is none.
+    :param service: ``WORKSPACE/SERVICE``.
+    :returns: the entry.
+    """
+    load = state.overload.services.get(service)
+    if load is None:
+        load = state.overload.services[service] = ServiceLoad(sampled_s=state.now_s)
+    return load
+
+
+def count_held(state: State, size_bytes: int) -> None:
+    """
+    Add to the length of the bodies held.
+
+    :param state: changed in place.
+    :param size_bytes: length, negative when a body is let go.
+    """
+    overload = state.overload
+    overload.held_bytes += size_bytes
+    overload.most_held_bytes = max(overload.most_held_bytes, overload.held_bytes)
+
+
+def count_waiting(state: State, req: Request, step: int) -> None:
+    """
+    Note that a request begins or ends to wait.
+
+    :param state: changed in place.
+    :param req: the request.
+    :param step: 1 or -1.
+    """
+    load = load_of(state, req.service)
+    load.total += step
+    left = load.waiting.get(req.team, 0) + step
+    if left:
+        load.waiting[req.team] = left
+    else:
+        del load.waiting[req.team]
+    if load.total == 0:
+        load.busy = False
+
+
+def note_end(state: State, req: Request, run_s: float) -> None:
+    """
+    Note that an attempt has run and ended.
+
+    :param state: changed in place.
+    :param req: its request.
+    :param run_s: seconds that it ran.
+    """
+    load = load_of(state, req.service)
+    load.ended += 1
+    weight = RUN_WEIGHT if load.run_s else 1.0
+    load.run_s += weight * (run_s - load.run_s)
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Sample the rate of each service that was busy all the time since the last sample.
+    """
+    for load in state.overload.services.values():
+        elapsed_s = state.now_s - load.sampled_s
+        if elapsed_s < SAMPLE_S / 2:
+            continue
+        if load.busy:
+            sample = load.ended / elapsed_s
+            load.rate += (RATE_WEIGHT if load.rate else 1.0) * (sample - load.rate)
+        load.ended = 0
+        load.sampled_s = state.now_s
+        load.busy = load.total > 0
+    return iter(())
+
+
+def predict_wait(state: State, service: str, team: str) -> float:
+    """
+    Predict how long a new request of a team would wait.
+
+    :param state: the state.
+    :param service: ``WORKSPACE/SERVICE``.
+    :param team: ``WORKSPACE/TEAM``.
+    :returns: seconds; 0 when the rate is not known.
+    """
+    load = load_of(state, service)
+    if load.total == 0 or load.rate <= 0:
+        return 0.0
+    own = load.waiting.get(team, 0) / (load.rate * _part(state, load, team))
+    return min(load.total / load.rate, own)
+
+
+def start_limit(state: State, queue: Queue, timeout_s: float) -> float:
+    """
+    Give the time until which a new request must start for its answer to come in time.
+
+    :param state: the state.
+    :param queue: its queue.
+    :param timeout_s: seconds that its caller waits.
+    :returns: the time.
+    """
+    run_s = load_of(state, queue.service).run_s
+    return state.now_s + min(queue.max_wait_s, max(timeout_s / 2, timeout_s - run_s))
+
+
+def check(
+    state: State, queue: Queue, team: str, size_bytes: int, timeout_s: float
+) -> Refusal | None:
+    """
+    Tell whether a new request is refused because of what is already here.
+
+    :param state: the state.
+    :param queue: its queue.
+    :param team: its team.
+    :param size_bytes: length of its body.
+    :param timeout_s: seconds that its caller waits.
+    :returns: the refusal, or ``None``.
+    """
+    queued = state.fair.queued.get(queue.name, 0)
+    queued_bytes = state.fair.queued_bytes.get(queue.name, 0) + size_bytes
+    wait_s = predict_wait(state, queue.service, team)
+    if size_bytes > queue.max_bytes:
+        return Refusal(_refusals.BODY_TOO_LARGE)
+    if state.overload.held_bytes + size_bytes > state.tuning.max_held_bytes:
+        return Refusal(_refusals.OVERLOADED, retry_after(state, wait_s))
+    if queued_bytes > queue.max_bytes or _is_full(state, queue, team, queued):
+        return Refusal(_refusals.QUEUE_FULL, retry_after(state, wait_s))
+    allowed_s = start_limit(state, queue, timeout_s) - state.now_s
+    if wait_s > allowed_s:
+        return Refusal(_refusals.WAIT_TOO_LONG, retry_after(state, wait_s - allowed_s))
+    return None
+
+
+def retry_after(state: State, wait_s: float) -> float:
+    """
+    Say when a repeat is useful, spread so that callers do not come back at one moment.
+
+    :param state: the state, for its random numbers.
+    :param wait_s: seconds after which there is room.
+    :returns: seconds.
+    """
+    least_s = min(max(wait_s, MIN_RETRY_S), MAX_RETRY_S)
+    return round(least_s * (1 + RETRY_SPREAD * state.rng.random()), 3)
+
+
+def _is_full(state: State, queue: Queue, team: str, queued: int) -> bool:
+    if queued >= queue.max_queued:
+        return True
+    if 2 * queued < queue.max_queued:
+        return False
+    # The second half of the queue is kept for teams that hold less than their part of it.
+    load = load_of(state, queue.service)
+    return load.waiting.get(team, 0) >= queue.max_queued * _part(state, load, team)
+
+
+def _part(state: State, load: ServiceLoad, team: str) -> float:
+    active = {*load.waiting, team}
+    shares = {name: _share(state, name) for name in active}
+    return shares[team] / sum(shares.values())
+
+
+def _share(state: State, team_name: str) -> float:
+    team = state.fold.config.teams.get(team_name)
+    return OPEN_SHARE if team is None else team.share
+
+
+HANDLERS: HandlerTable = {Ticked: on_tick}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -5,7 +5,17 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable
 
-from . import _admission, _dispatch, _lifecycle, _log_follower, _outbox
+from . import (
+    _admission,
+    _dispatch,
+    _joins,
+    _joins_claims,
+    _joins_votes,
+    _lifecycle,
+    _log_follower,
+    _outbox,
+    _overload,
+)
 from ._effects import Emit
 from ._handlers import Handler, HandlerTable
 from ._state import State
@@ -15,6 +25,10 @@
     _log_follower.HANDLERS,
     _outbox.HANDLERS,
     _lifecycle.HANDLERS,
+    _overload.HANDLERS,
+    _joins_votes.HANDLERS,
+    _joins_claims.HANDLERS,
+    _joins.HANDLERS,
     _admission.HANDLERS,
     _dispatch.HANDLERS,
 )
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_refusals.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_refusals.py
@@ -39,6 +39,16 @@
     detail: str = ""
 
 
+def for_repeat(refusal: Refusal) -> Refusal:
+    """
+    Give a refusal as told to a caller that has sent the request before.
+
+    :param refusal: a refusal that says what is true of this exchange.
+    :returns: the same, but it says nothing about earlier exchanges of the request.
+    """
+    return refusal._replace(code=refusal.code._replace(run_state=UNKNOWN))
+
+
 NOT_READY = RefusalCode("not_ready", 503, NOT_RUN, "this instance has no whole configuration yet")
 STOPPING = RefusalCode("stopping", 503, NOT_RUN, "this instance is leaving; try again elsewhere")
 UNKNOWN_QUEUE = RefusalCode("unknown_queue", 404, NOT_RUN, "there is no such queue for this key")
@@ -52,6 +62,9 @@
 BODY_TOO_LARGE = RefusalCode("body_too_large", 413, NOT_RUN, "the body is larger than allowed")
 QUEUE_FULL = RefusalCode("queue_full", 503, NOT_RUN, "the queue is full")
 OVERLOADED = RefusalCode("overloaded", 503, NOT_RUN, "this instance is out of memory for bodies")
+RETRIES_SPENT = RefusalCode(
+    "retries_spent", 503, NOT_RUN, "attempts did not start, and no more may be made now"
+)
 WAIT_TOO_LONG = RefusalCode("wait_too_long", 503, NOT_RUN, "the request could not start in time")
 LIMIT_REACHED = RefusalCode("limit_reached", 429, NOT_RUN, "the team's upper limit is reached")
 NO_ENDPOINT = RefusalCode("no_endpoint", 503, NOT_RUN, "no endpoint of the service can be reached")
@@ -60,7 +73,13 @@
 )
 RUN_TIMEOUT = RefusalCode("run_timeout", 504, UNKNOWN, "the request did not answer in time")
 REQUEST_CONFLICT = RefusalCode(
-    "request_conflict", 409, NOT_RUN, "another request has used this request id"
+    "request_conflict", 409, UNKNOWN, "another request has used this request id"
+)
+HELD_ELSEWHERE = RefusalCode(
+    "held_elsewhere", 409, UNKNOWN, "another instance has taken the request; its outcome is there"
+)
+UNRESOLVED = RefusalCode(
+    "unresolved", 503, UNKNOWN, "instances that may know the request id cannot be reached"
 )
 
 ALL_CODES: tuple[RefusalCode, ...] = (
@@ -75,10 +94,13 @@
     BODY_TOO_LARGE,
     QUEUE_FULL,
     OVERLOADED,
+    RETRIES_SPENT,
     WAIT_TOO_LONG,
     LIMIT_REACHED,
     NO_ENDPOINT,
     OUTCOME_UNKNOWN,
     RUN_TIMEOUT,
     REQUEST_CONFLICT,
+    HELD_ELSEWHERE,
+    UNRESOLVED,
 )
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_requests.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_requests.py
@@ -23,6 +23,8 @@
     :param size_bytes: length of its body.
     :param tries: attempts made so far.
     :param body_hash: hash of its body.
+    :param may_have_run: whether some attempt may have run without an answer.
+    :param key: hash of its team and id, under which instances speak of it.
     """
 
     token: int
@@ -39,6 +41,8 @@
     size_bytes: int
     tries: int = 0
     body_hash: int = 0
+    may_have_run: bool = False
+    key: int = 0
 
 
 class Attempt(msgspec.Struct):
@@ -49,11 +53,9 @@
     :param request: the request.
     :param endpoint: id of the endpoint.
     :param started_s: time of dispatch.
-    :param abandoned: whether nobody waits for the answer any more.
     """
 
     id: str
     request: Request
     endpoint: str
     started_s: float
-    abandoned: bool = False
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -12,8 +12,10 @@
 from ._endpoints import EndpointState
 from ._fair import FairState
 from ._fold import LogPosition
+from ._joins_state import JoinState
 from ._keys import KeyFold
 from ._limits import LimitState
+from ._overload_state import OverloadState
 from ._records import Record
 from ._requests import Attempt
 
@@ -29,6 +31,7 @@
     :param list_interval_s: seconds between two reads of the instance list.
     :param log_wait_s: seconds that a read of the log waits for records.
     :param log_retry_s: seconds between reads while the log is out.
+    :param max_held_bytes: length of all bodies that the instance holds at once.
     """
 
     entry_instances: int = 9
@@ -38,6 +41,7 @@
     list_interval_s: float = 1.0
     log_wait_s: float = 10.0
     log_retry_s: float = 0.5
+    max_held_bytes: int = 64 * 1024 * 1024
 
 
 class Fold(msgspec.Struct):
@@ -110,6 +114,8 @@
     fair: FairState = msgspec.field(default_factory=FairState)
     limits: LimitState = msgspec.field(default_factory=LimitState)
     endpoints: EndpointState = msgspec.field(default_factory=EndpointState)
+    joins: JoinState = msgspec.field(default_factory=JoinState)
+    overload: OverloadState = msgspec.field(default_factory=OverloadState)
 
 
 def new_state(identity: Identity, tuning: Tuning) -> State:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_endpoints.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_endpoints.py
@@ -66,6 +66,7 @@
         endpoint.id,
         world.now_s,
         sent_s,
+        effect.token,
     )
     world.runs.append(run)
     if endpoint.fail_fast:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_faults.py
@@ -257,6 +257,7 @@
                 team=submission.team,
                 idempotent=submission.idempotent,
                 timeout_s=4.0,
+                repeat=True,
             )
 
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -25,6 +25,7 @@
     :param endpoint: where it ran.
     :param started_s: virtual time.
     :param sent_s: virtual time of the dispatch.
+    :param token: the exchange whose body was sent.
     """
 
     attempt: str
@@ -34,6 +35,7 @@
     endpoint: str
     started_s: float
     sent_s: float
+    token: int = 0
 
 
 class Submission(NamedTuple):
