Repeat a share of all requests in the fault schedules

Cause: repeats came only with one of the faults, so most schedules could not break the rule. An idempotent request has no claim, so a refusal after its admission says that the outcome is unknown.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
@@ -127,8 +127,8 @@
         max_run_s=queue.max_run_s,
         size_bytes=event.size_bytes,
         body_hash=event.body_hash,
-        # Without a claim nobody can tell whether the earlier exchange has run.
-        may_have_run=event.repeat and event.idempotent,
+        # Without a claim nobody can tell whether a repeat of it runs elsewhere meanwhile.
+        may_have_run=event.idempotent,
         key=key,
     )
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_requests.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_requests.py
@@ -23,7 +23,7 @@
     :param size_bytes: length of its body.
     :param tries: attempts made so far.
     :param body_hash: hash of its body.
-    :param may_have_run: whether some attempt may have run without an answer.
+    :param may_have_run: whether it may have run without an answer, here or elsewhere.
     :param key: hash of its team and id, under which instances speak of it.
     """
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
@@ -19,7 +19,7 @@
     publish,
     withdraw_key,
 )
-from ._load import send_one, start_load
+from ._load import send_again, send_one, start_load
 from ._log import append, operator_append
 from ._world import LOG, Entry, FakeEndpoint, Outcome, Run, World, advance, is_cut, later
 
@@ -53,6 +53,7 @@
     "operator_append",
     "pause_entry",
     "publish",
+    "send_again",
     "send_one",
     "start_entry",
     "start_load",
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_schedules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_schedules.py
@@ -11,6 +11,7 @@
 
 LOAD_S = 12.0
 RATE = 30.0
+REPEAT_SHARE = 0.15
 CHECK_EVERY_S = 0.25
 # After the load has ended, every exchange must end within its caller's timeout.
 DRAIN_S = 12.0
@@ -50,7 +51,7 @@
     planned = tuple((round(rng.uniform(0.5, LOAD_S * 0.6), 2), name) for name in names)
     for at_s, name in planned:
         later(world, at_s, _strike(world, name))
-    start_load(world, RATE, LOAD_S)
+    start_load(world, RATE, LOAD_S, REPEAT_SHARE)
     violations = watch(world, LOAD_S + DRAIN_S)
     violations.update(dict.fromkeys(check_final(world)))
     answered = sum(outcome.answer is not None for outcome in world.outcomes)
