--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
@@ -55,7 +55,7 @@
     Queue a request that no other instance may run.
     """
     _overload.count_waiting(state, event.req, 1)
-    _fair.push(state.fair, event.req)
+    _fair.push(state.fair, event.req, state.now_s)
     yield Emit(CapacityChanged(event.req.service))
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
@@ -4,7 +4,16 @@
 
 from collections.abc import Callable, Iterator
 
-from . import _endpoints, _fair, _joins, _limits, _overload, _refusals, _retries
+from . import (
+    _endpoints,
+    _fair,
+    _fair_accounts,
+    _joins,
+    _limits,
+    _overload,
+    _refusals,
+    _retries,
+)
 from ._config import Team
 from ._effects import Dispatch, DropAnswer, Emit, ObserveLatency, WriteLog
 from ._endpoints import Endpoint
@@ -55,6 +64,7 @@
         yield DropAnswer(event.attempt)
         return
     req = attempt.request
+    _limits.give_back(state, req.team)
     yield from _account(state, attempt)
     _overload.count_held(state, -req.size_bytes)
     yield from _joins.answer(state, req, event.attempt, event.status, event.size_bytes)
@@ -72,6 +82,8 @@
     if endpoint is not None:
         endpoint.leaving = endpoint.leaving or event.leaving
         endpoint.retry_at_s = state.now_s + state.tuning.refused_pause_s
+    _limits.give_back(state, attempt.request.team)
+    _fair_accounts.close_charge(state.fair, attempt.id, state.now_s, ran=False)
     yield from _requeue(state, attempt)
 
 
@@ -86,11 +98,15 @@
     if endpoint is not None:
         endpoint.retry_at_s = state.now_s + state.tuning.refused_pause_s
     if not event.sent:
+        _limits.give_back(state, attempt.request.team)
+        _fair_accounts.close_charge(state.fair, attempt.id, state.now_s, ran=False)
         yield from _requeue(state, attempt)
         return
     req = attempt.request
     req.may_have_run = True
     _overload.note_end(state, req, state.now_s - attempt.started_s)
+    _fair_accounts.close_charge(state.fair, attempt.id, state.now_s, ran=True)
+    _limits.linger(state, attempt.id, req.team, attempt.endpoint)
     if req.idempotent and req.tries < state.tuning.max_tries and req.start_by_s > state.now_s:
         yield from _requeue(state, attempt)
         return
@@ -130,7 +146,7 @@
     team = state.fold.config.teams.get(req.team)
     if team is None:
         return req.team.endswith("/open")
-    return _limits.try_take(state.limits, team, state.tuning.entry_instances)
+    return _limits.try_take(state, team)
 
 
 def _start(state: State, req: Request, endpoint: Endpoint) -> Dispatch:
@@ -142,6 +158,9 @@
         _retries.note_first(state.overload, req.queue)
     endpoint.in_flight += 1
     state.requests.attempts[attempt_id] = Attempt(attempt_id, req, endpoint.id, state.now_s)
+    team: Team | None = state.fold.config.teams.get(req.team)
+    share = OPEN_SHARE if team is None else team.share
+    _fair_accounts.open_charge(state.fair, attempt_id, req, share, state.now_s)
     return Dispatch(
         attempt_id,
         req.token,
@@ -162,17 +181,14 @@
     endpoint = state.endpoints.endpoints.get(attempt.endpoint)
     if endpoint is not None:
         endpoint.in_flight -= 1
-    if attempt.request.team in state.limits.running:
-        _limits.give_back(state.limits, attempt.request.team)
     return attempt
 
 
 def _account(state: State, attempt: Attempt) -> Iterator[object]:
     req = attempt.request
     run_s = state.now_s - attempt.started_s
-    team: Team | None = state.fold.config.teams.get(req.team)
-    _fair.charge(state.fair, req, run_s, OPEN_SHARE if team is None else team.share)
     _overload.note_end(state, req, run_s)
+    _fair_accounts.close_charge(state.fair, attempt.id, state.now_s, ran=True)
     yield ObserveLatency(req.queue, req.team, attempt.started_s - req.arrived_s, run_s)
 
 
@@ -182,7 +198,7 @@
         yield from _let_go(state, req)
     elif _retries.try_take(state.overload, req.queue):
         _overload.count_waiting(state, req, 1)
-        _fair.push(state.fair, req, first=True)
+        _fair.push(state.fair, req, state.now_s, first=True)
     else:
         wait_s = _overload.predict_wait(state, req.service, req.team)
         refusal = Refusal(_refusals.RETRIES_SPENT, _overload.retry_after(state, wait_s))
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -7,12 +7,17 @@
 
 from . import (
     _admission,
+    _allowance_balance,
+    _allowance_lease,
+    _allowance_recovery,
     _dispatch,
+    _fair_exchange,
     _joins,
     _joins_claims,
     _joins_votes,
     _lifecycle,
     _log_follower,
+    _membership_beats,
     _outbox,
     _overload,
 )
@@ -24,7 +29,12 @@
 DOMAINS: tuple[HandlerTable, ...] = (
     _log_follower.HANDLERS,
     _outbox.HANDLERS,
+    _membership_beats.HANDLERS,
+    _allowance_lease.HANDLERS,
+    _allowance_recovery.HANDLERS,
+    _allowance_balance.HANDLERS,
     _lifecycle.HANDLERS,
+    _fair_exchange.HANDLERS,
     _overload.HANDLERS,
     _joins_votes.HANDLERS,
     _joins_claims.HANDLERS,
