--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_entries.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_entries.py
@@ -100,6 +100,7 @@
     timeout_s: float | None = None,
     size_bytes: int = 100,
     repeat: bool = False,
+    body_hash: int | None = None,
 ) -> int:
     """
     Send a caller's request to an instance.
@@ -115,6 +116,7 @@
     :param timeout_s: seconds that the caller waits.
     :param size_bytes: length of the body.
     :param repeat: whether the caller says that it has sent the request before.
+    :param body_hash: hash of the body; follows from the request id when ``None``.
     :returns: the exchange.
     """
     token = world.next_token
@@ -124,6 +126,8 @@
     world.submissions[token] = Submission(
         token, entry.id, request_id, queue, team, key_id, idempotent, world.now_s
     )
+    if body_hash is None:
+        body_hash = xxhash.xxh32_intdigest(f"{queue} {request_id}".encode())
     event = events.RequestReceived(
         token,
         request_id,
@@ -133,7 +137,7 @@
         urgent,
         timeout_s,
         size_bytes,
-        xxhash.xxh32_intdigest(f"{queue} {request_id}".encode()),
+        body_hash,
         repeat,
     )
     deliver(world, entry, event)
