Probe endpoints, eject those that fail, and split slots under load

Cause: a leaving endpoint that still accepts got work until the list said so, endpoints that failed at once were rewarded with more, and the instances of a zone met at the same slots. Change: probes shared in the zone, news of leaving endpoints, ejection with a trial of three attempts, slow start, and slots split by wanted counts once the zone wants most of them. A new fault lets an endpoint leave that still accepts, with a list 30 s late.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
@@ -6,6 +6,7 @@
 
 from . import (
     _endpoints,
+    _endpoints_health,
     _fair,
     _fair_accounts,
     _joins,
@@ -16,7 +17,7 @@
 )
 from ._config import Team
 from ._effects import Dispatch, DropAnswer, Emit, ObserveLatency, WriteLog
-from ._endpoints import Endpoint
+from ._endpoints_state import Endpoint
 from ._events import (
     AttemptAnswered,
     AttemptFailed,
@@ -32,6 +33,7 @@
 from ._state import State
 
 MIN_ATTEMPT_S = 0.001
+FAILED_STATUS = 500
 
 
 def on_capacity(state: State, event: CapacityChanged) -> Iterator[object]:
@@ -67,6 +69,10 @@
     _limits.give_back(state, req.team)
     yield from _account(state, attempt)
     _overload.count_held(state, -req.size_bytes)
+    failed = event.status >= FAILED_STATUS
+    run_s = state.now_s - attempt.started_s
+    usual_s = _overload.load_of(state, req.service).run_s
+    _endpoints_health.note_answer(state, attempt.endpoint, failed, run_s, usual_s)
     yield from _joins.answer(state, req, event.attempt, event.status, event.size_bytes)
     yield Emit(CapacityChanged())
 
@@ -79,9 +85,10 @@
     if attempt is None:
         return
     endpoint = state.endpoints.endpoints.get(attempt.endpoint)
-    if endpoint is not None:
-        endpoint.leaving = endpoint.leaving or event.leaving
-        endpoint.retry_at_s = state.now_s + state.tuning.refused_pause_s
+    if event.leaving:
+        yield from _endpoints_health.note_leaving(state, attempt.endpoint)
+    elif endpoint is not None:
+        endpoint.retry_at_s = max(endpoint.retry_at_s, state.now_s + state.tuning.refused_pause_s)
     _limits.give_back(state, attempt.request.team)
     _fair_accounts.close_charge(state.fair, attempt.id, state.now_s, ran=False)
     yield from _requeue(state, attempt)
@@ -94,14 +101,13 @@
     attempt = _end_attempt(state, event.attempt)
     if attempt is None:
         return
-    endpoint = state.endpoints.endpoints.get(attempt.endpoint)
-    if endpoint is not None:
-        endpoint.retry_at_s = state.now_s + state.tuning.refused_pause_s
     if not event.sent:
+        _endpoints_health.note_unreachable(state, attempt.endpoint)
         _limits.give_back(state, attempt.request.team)
         _fair_accounts.close_charge(state.fair, attempt.id, state.now_s, ran=False)
         yield from _requeue(state, attempt)
         return
+    yield from _endpoints_health.note_timeout(state, attempt.endpoint)
     req = attempt.request
     req.may_have_run = True
     _overload.note_end(state, req, state.now_s - attempt.started_s)
@@ -128,8 +134,7 @@
 
 def _pump(state: State, service: str) -> Iterator[object]:
     while True:
-        sender = state.identity.sender
-        endpoint = _endpoints.choose(state.endpoints, service, sender.zone, state.now_s)
+        endpoint = _endpoints.choose(state, service)
         if endpoint is None:
             return
         req = _fair.pop(state.fair, service, lambda req: _may_start(state, req))
@@ -157,6 +162,7 @@
     if req.tries == 1:
         _retries.note_first(state.overload, req.queue)
     endpoint.in_flight += 1
+    endpoint.used_s = state.now_s
     state.requests.attempts[attempt_id] = Attempt(attempt_id, req, endpoint.id, state.now_s)
     team: Team | None = state.fold.config.teams.get(req.team)
     share = OPEN_SHARE if team is None else team.share
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints.py
@@ -2,79 +2,98 @@
 Endpoints of each service, and the choice of one for an attempt.
 """
 
-import msgspec
+import xxhash
 
+from ._endpoints_state import Endpoint, EndpointState
 from ._events import ListedInstance
+from ._state import State
 
+# An endpoint that the list has left out is remembered, so that an older list cannot revive it.
+FORGET_AFTER_S = 60.0
+# A new endpoint gets its full work after this time when others of its service are older.
+SLOW_START_S = 5.0
+# Part of the slots of another zone's endpoint that one instance may use.
+REMOTE_PART = 4
 
-class Endpoint(msgspec.Struct):
-    """
-    What is known of one endpoint.
-
-    :param in_flight: attempts that this instance has there.
-    :param leaving: whether it gets no new work.
-    :param retry_at_s: time before which it gets no new work, after a refusal.
-    """
-
-    id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    in_flight: int = 0
-    leaving: bool = False
-    retry_at_s: float = 0.0
 
-
-class EndpointState(msgspec.Struct):
-    """
-    Endpoints by id.
-    """
-
-    endpoints: dict[str, Endpoint] = msgspec.field(default_factory=dict)
-
-
-def update_from_list(state: EndpointState, listed: tuple[ListedInstance, ...]) -> None:
+def update_from_list(
+    state: EndpointState, listed: tuple[ListedInstance, ...], now_s: float
+) -> None:
     """
     Take over the platform's list, which lags.
 
+    An endpoint that is leaving stays so until the list shows a newer incarnation of it.
+
     :param state: changed in place.
     :param listed: all instances of the list.
+    :param now_s: time.
     """
     known = {item.id: item for item in listed if item.role == "endpoint"}
-    for endpoint_id in list(state.endpoints):
-        if endpoint_id not in known and state.endpoints[endpoint_id].in_flight == 0:
-            del state.endpoints[endpoint_id]
+    for endpoint in list(state.endpoints.values()):
+        endpoint.listed = endpoint.id in known
+        is_old = now_s - endpoint.listed_s > FORGET_AFTER_S
+        if not endpoint.listed and is_old and endpoint.in_flight == 0:
+            del state.endpoints[endpoint.id]
     for item in known.values():
-        current = state.endpoints.get(item.id)
-        if current is None or current.address != item.address:
-            in_flight = 0 if current is None else current.in_flight
-            current = state.endpoints[item.id] = Endpoint(
-                item.id, item.service, item.address, item.zone, item.slots, in_flight
-            )
-        if item.state == "leaving":
-            current.leaving = True
+        _take_item(state, item, now_s)
 
 
-def choose(state: EndpointState, service: str, zone: str, now_s: float) -> Endpoint | None:
+def renew(endpoint: Endpoint, incarnation: int, now_s: float) -> None:
     """
-    Choose the endpoint with the most free slots, the own zone first.
+    Forget what was known of an older incarnation.
 
-    :param state: what is known of endpoints.
-    :param service: ``WORKSPACE/SERVICE``.
-    :param zone: availability zone of this instance.
+    :param endpoint: changed in place.
+    :param incarnation: the newer incarnation.
     :param now_s: time.
+    """
+    endpoint.incarnation = incarnation
+    endpoint.leaving = False
+    endpoint.retry_at_s = 0.0
+    endpoint.since_s = now_s
+    endpoint.failure_rate = 0.0
+    endpoint.samples = 0
+    endpoint.ejections = 0
+    endpoint.trial_left = 0
+    endpoint.silent_probes = 0
+
+
+def choose(state: State, service: str) -> Endpoint | None:
+    """
+    Choose the least loaded endpoint, in another zone only when the own zone has no room.
+
+    :param state: the state.
+    :param service: ``WORKSPACE/SERVICE``.
     :returns: an endpoint with a free slot, or ``None``.
     """
+    own = state.identity.sender
+    usable = [
+        endpoint
+        for endpoint in state.endpoints.endpoints.values()
+        if endpoint.service == service and is_usable(endpoint, state.now_s)
+    ]
+    oldest_s = min((endpoint.since_s for endpoint in usable), default=0.0)
     free = [
         endpoint
-        for endpoint in state.endpoints.values()
-        if endpoint.service == service
-        and not endpoint.leaving
-        and endpoint.in_flight < endpoint.slots
-        and endpoint.retry_at_s <= now_s
+        for endpoint in usable
+        if endpoint.in_flight < _room(state, endpoint, own.zone, oldest_s)
     ]
-    return min(free, key=lambda e: (e.zone != zone, e.in_flight / e.slots, e.id), default=None)
+
+    def load(endpoint: Endpoint) -> tuple[bool, float, int]:
+        tie = xxhash.xxh32_intdigest(f"{own.instance} {endpoint.id}".encode())
+        return endpoint.zone != own.zone, endpoint.in_flight / endpoint.slots, tie
+
+    return min(free, key=load, default=None)
+
+
+def is_usable(endpoint: Endpoint, now_s: float) -> bool:
+    """
+    Tell whether an endpoint may get new work.
+
+    :param endpoint: the endpoint.
+    :param now_s: time.
+    :returns: whether it may.
+    """
+    return endpoint.listed and not endpoint.leaving and endpoint.retry_at_s <= now_s
 
 
 def has_any(state: EndpointState, service: str) -> bool:
@@ -85,4 +104,38 @@
     :param service: ``WORKSPACE/SERVICE``.
     :returns: whether there is one.
     """
-    return any(e.service == service and not e.leaving for e in state.endpoints.values())
+    return any(
+        endpoint.service == service and endpoint.listed and not endpoint.leaving
+        for endpoint in state.endpoints.values()
+    )
+
+
+def _take_item(state: EndpointState, item: ListedInstance, now_s: float) -> None:
+    endpoint = state.endpoints.get(item.id)
+    if endpoint is None:
+        endpoint = Endpoint(item.id, item.service, item.address, item.zone, item.slots)
+        endpoint.since_s = now_s
+        endpoint.incarnation = item.incarnation
+        state.endpoints[item.id] = endpoint
+    elif item.incarnation > endpoint.incarnation:
+        renew(endpoint, item.incarnation, now_s)
+    endpoint.listed = True
+    endpoint.listed_s = now_s
+    if item.incarnation == endpoint.incarnation:
+        endpoint.address = item.address
+        endpoint.service = item.service
+        endpoint.zone = item.zone
+        endpoint.slots = item.slots
+        endpoint.leaving = endpoint.leaving or item.state == "leaving"
+
+
+def _room(state: State, endpoint: Endpoint, own_zone: str, oldest_s: float) -> int:
+    if endpoint.trial_left:
+        return 1
+    if endpoint.zone != own_zone:
+        return max(1, endpoint.slots // REMOTE_PART)
+    slots = state.endpoints.shares.get(endpoint.id, endpoint.slots)
+    age_s = state.now_s - endpoint.since_s
+    if age_s < SLOW_START_S and endpoint.since_s - oldest_s >= SLOW_START_S:
+        return min(slots, max(1, int(endpoint.slots * age_s / SLOW_START_S)))
+    return slots
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints_health.py
@@ -0,0 +1,220 @@
+"""
+Health of endpoints: probes, failures, ejection and careful re-entry.
+
+The instances of a zone share the probes of its endpoints: one of them, chosen by rendezvous
+hashing, probes often and tells the others of a change. The others probe seldom, yet often enough
+to notice a leaving endpoint in time when that one is lost.
+"""
+
+from collections.abc import Iterator
+
+import xxhash
+
+from . import _endpoints
+from ._effects import Emit, ProbeEndpoint, SendPeer, WriteLog
+from ._endpoints_messages import EndpointLeaving
+from ._endpoints_state import Endpoint
+from ._events import CapacityChanged, EndpointProbed, PeerReceived, Ticked
+from ._handlers import HandlerTable
+from ._membership import zone_peers
+from ._membership_state import ALIVE
+from ._state import State
+
+DUTY_PROBE_S = 1.0
+OTHER_PROBE_S = 3.0
+# Endpoints of other zones are probed while this instance has sent them work lately.
+REMOTE_USE_S = 10.0
+PROBE_TIMEOUT_S = 1.0
+# Probes in a row without an answer after which an endpoint gets no work.
+MAX_SILENT_PROBES = 2
+FAILURE_WEIGHT = 0.2
+# A failure counts for more when it comes much sooner than answers of the service do.
+FAST_FAILURE_WEIGHT = 0.4
+FAST_PART = 0.3
+MIN_SAMPLES = 3
+EJECT_RATE = 0.5
+# An endpoint is not to blame when others of its service fail nearly as often.
+EJECT_OVER_OTHERS = 0.3
+EJECT_S = 0.5
+MAX_EJECT_S = 30.0
+TRIAL_ATTEMPTS = 3
+
+
+def note_answer(state: State, endpoint_id: str, failed: bool, run_s: float, usual_s: float) -> None:
+    """
+    Note that an attempt was answered.
+
+    :param state: the endpoint is changed in place.
+    :param endpoint_id: its id.
+    :param failed: whether the answer was a failure of the endpoint.
+    :param run_s: seconds that the attempt took.
+    :param usual_s: mean seconds that attempts of the service take.
+    """
+    endpoint = state.endpoints.endpoints.get(endpoint_id)
+    if endpoint is None:
+        return
+    weight = FAILURE_WEIGHT
+    if failed and run_s < FAST_PART * usual_s:
+        weight = FAST_FAILURE_WEIGHT
+    endpoint.samples += 1
+    endpoint.failure_rate += weight * (float(failed) - endpoint.failure_rate)
+    if failed:
+        _judge(state, endpoint)
+        return
+    endpoint.trial_left = max(0, endpoint.trial_left - 1)
+    if endpoint.trial_left == 0 and endpoint.failure_rate < EJECT_RATE / 2:
+        endpoint.ejections = 0
+
+
+def note_unreachable(state: State, endpoint_id: str) -> None:
+    """
+    Note that no connection to an endpoint could be opened.
+
+    :param state: the endpoint is changed in place.
+    :param endpoint_id: its id.
+    """
+    endpoint = state.endpoints.endpoints.get(endpoint_id)
+    if endpoint is not None:
+        _eject(state, endpoint)
+
+
+def note_timeout(state: State, endpoint_id: str) -> Iterator[object]:
+    """
+    Note that an attempt got no answer, and ask the endpoint on a new connection.
+
+    :param state: the endpoint is changed in place.
+    :param endpoint_id: its id.
+    :returns: the probe.
+    """
+    endpoint = state.endpoints.endpoints.get(endpoint_id)
+    if endpoint is None:
+        return
+    endpoint.samples += 1
+    endpoint.failure_rate += FAILURE_WEIGHT * (1.0 - endpoint.failure_rate)
+    _judge(state, endpoint)
+    yield _probe(state, endpoint)
+
+
+def note_leaving(state: State, endpoint_id: str) -> Iterator[object]:
+    """
+    Note that an endpoint has said that it is leaving, and tell the zone.
+
+    :param state: the endpoint is changed in place.
+    :param endpoint_id: its id.
+    :returns: messages to the instances of the zone.
+    """
+    endpoint = state.endpoints.endpoints.get(endpoint_id)
+    if endpoint is None or endpoint.leaving:
+        return
+    endpoint.leaving = True
+    yield WriteLog("endpoint.leaving", {"endpoint": endpoint_id})
+    for member in zone_peers(state):
+        yield SendPeer(member.peer_address, EndpointLeaving(endpoint_id, endpoint.incarnation))
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Send the probes that are due.
+    """
+    alive = [m.sender.instance for m in zone_peers(state) if m.state == ALIVE]
+    for endpoint in state.endpoints.endpoints.values():
+        interval_s = _probe_interval(state, endpoint, alive)
+        if interval_s is not None and state.now_s - endpoint.probed_s >= interval_s:
+            yield _probe(state, endpoint)
+
+
+def on_probed(state: State, event: EndpointProbed) -> Iterator[object]:
+    """
+    Take in what a probe has shown.
+    """
+    endpoint = state.endpoints.endpoints.get(event.endpoint)
+    if endpoint is None or (event.healthy and event.incarnation < endpoint.incarnation):
+        return
+    if not event.healthy:
+        endpoint.silent_probes += 1
+        if endpoint.silent_probes >= MAX_SILENT_PROBES:
+            _eject(state, endpoint)
+        return
+    if event.incarnation > endpoint.incarnation:
+        _endpoints.renew(endpoint, event.incarnation, state.now_s)
+    was_silent = endpoint.silent_probes > 0
+    endpoint.silent_probes = 0
+    if event.leaving:
+        yield from note_leaving(state, endpoint.id)
+    elif was_silent and endpoint.retry_at_s > state.now_s:
+        endpoint.retry_at_s = state.now_s
+        yield Emit(CapacityChanged(endpoint.service))
+
+
+def on_peer(state: State, event: PeerReceived) -> Iterator[object]:
+    """
+    Learn from another instance that an endpoint is leaving.
+    """
+    if isinstance(event.message, EndpointLeaving):
+        endpoint = state.endpoints.endpoints.get(event.message.endpoint)
+        if endpoint is not None and endpoint.incarnation <= event.message.incarnation:
+            endpoint.incarnation = event.message.incarnation
+            endpoint.leaving = True
+    return iter(())
+
+
+def _probe(state: State, endpoint: Endpoint) -> ProbeEndpoint:
+    endpoint.probed_s = state.now_s
+    return ProbeEndpoint(endpoint.id, endpoint.address, PROBE_TIMEOUT_S)
+
+
+def _probe_interval(state: State, endpoint: Endpoint, alive: list[str]) -> float | None:
+    if endpoint.leaving or not endpoint.listed:
+        return None
+    own = state.identity.sender
+    if endpoint.zone != own.zone:
+        is_used = endpoint.used_s >= 0 and state.now_s - endpoint.used_s < REMOTE_USE_S
+        return OTHER_PROBE_S if is_used else None
+
+    def weight(instance: str) -> int:
+        return xxhash.xxh64_intdigest(f"probe {endpoint.id} {instance}".encode())
+
+    has_duty = max([*alive, own.instance], key=weight) == own.instance
+    return DUTY_PROBE_S if has_duty else OTHER_PROBE_S
+
+
+def _judge(state: State, endpoint: Endpoint) -> None:
+    if endpoint.trial_left:
+        _eject(state, endpoint)
+        return
+    others = [
+        other
+        for other in state.endpoints.endpoints.values()
+        if other.service == endpoint.service and other is not endpoint and other.listed
+    ]
+    usual = sum(other.failure_rate for other in others) / len(others) if others else 1.0
+    is_worse = endpoint.failure_rate > max(EJECT_RATE, usual + EJECT_OVER_OTHERS)
+    if endpoint.samples >= MIN_SAMPLES and is_worse and _may_eject(state, endpoint):
+        _eject(state, endpoint)
+
+
+def _may_eject(state: State, endpoint: Endpoint) -> bool:
+    # At least half of the service stays, so that the rest does not collapse under its work.
+    alike = [
+        other
+        for other in state.endpoints.endpoints.values()
+        if other.service == endpoint.service and other.zone == endpoint.zone and not other.leaving
+    ]
+    out = sum(other.retry_at_s > state.now_s or other.trial_left > 0 for other in alike)
+    return 2 * (out + 1) <= max(2, len(alike))
+
+
+def _eject(state: State, endpoint: Endpoint) -> None:
+    pause_s = min(MAX_EJECT_S, EJECT_S * 2**endpoint.ejections)
+    endpoint.ejections = min(endpoint.ejections + 1, 10)
+    endpoint.trial_left = TRIAL_ATTEMPTS
+    endpoint.retry_at_s = max(endpoint.retry_at_s, state.now_s + pause_s)
+    endpoint.failure_rate = 0.0
+    endpoint.samples = 0
+
+
+HANDLERS: HandlerTable = {
+    Ticked: on_tick,
+    EndpointProbed: on_probed,
+    PeerReceived: on_peer,
+}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_lifecycle.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_lifecycle.py
@@ -34,7 +34,7 @@
     """
     Take over the list.
     """
-    _endpoints.update_from_list(state.endpoints, event.instances)
+    _endpoints.update_from_list(state.endpoints, event.instances, state.now_s)
     yield Emit(CapacityChanged())
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_aggregates.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_aggregates.py
@@ -75,6 +75,25 @@
     return _sum_zone(state, hash_name(aggregate, name))
 
 
+def zone_numbers(state: "State", aggregate: str, name: str) -> dict[str, int]:
+    """
+    Give one number of each instance of the own zone, as last told.
+
+    :param state: the state.
+    :param aggregate: name of the aggregate.
+    :param name: name of the number.
+    :returns: numbers by instance, this instance's own included.
+    """
+    key = hash_name(aggregate, name)
+    aggregates = state.membership.aggregates
+    valid_since_s = state.now_s - VALID_S
+    return {
+        origin: numbers.get(key, 0)
+        for origin, numbers in aggregates.numbers.items()
+        if _is_own_zone(state, origin) and aggregates.heard_s[origin] >= valid_since_s
+    }
+
+
 def hash_name(aggregate: str, name: str) -> int:
     """
     Give the number under which a name is sent.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -11,7 +11,7 @@
 from ._allowance_state import LimitState
 from ._config import ConfigFold
 from ._effects import Identity
-from ._endpoints import EndpointState
+from ._endpoints_state import EndpointState
 from ._fair_state import FairState
 from ._fold import LogPosition
 from ._joins_state import JoinState
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_faults.py
@@ -175,6 +175,19 @@
         endpoint.leaving_since_s = world.now_s
 
 
+def leaving_endpoint_that_accepts(world: World) -> None:
+    """
+    Let an endpoint leave that still runs what it gets; only its health and the list say so.
+
+    :param world: the world.
+    """
+    endpoint = _any_endpoint(world)
+    endpoint.refuses_leaving = False
+    if endpoint.leaving_since_s is None:
+        endpoint.leaving_since_s = world.now_s
+    world.list_lag_s = 30.0
+
+
 def failing_endpoint(world: World) -> None:
     """
     Let an endpoint fail all that it gets at once.
@@ -317,6 +330,7 @@
     "endpoint goes silent": silent_endpoint,
     "endpoint unreachable": unreachable_endpoint,
     "endpoint leaves": leaving_endpoint,
+    "endpoint leaves, still accepts": leaving_endpoint_that_accepts,
     "endpoint fails everything": failing_endpoint,
     "endpoint slow": slow_endpoint,
     "operators race": racing_operators,
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -103,6 +103,7 @@
     :param running: attempts running there, with their runs.
     :param answers: request id that each attempt's answer carries.
     :param leaving_since_s: when it began to leave, or ``None``.
+    :param refuses_leaving: whether it refuses attempts once it is leaving.
     :param silent: whether attempts get no answer although they run.
     :param fail_fast: whether it answers every attempt with status 500 at once.
     :param reachable: whether connections can be opened.
@@ -115,6 +116,7 @@
     run_s: float
     running: dict[str, Run] = msgspec.field(default_factory=dict)
     leaving_since_s: float | None = None
+    refuses_leaving: bool = True
     silent: bool = False
     fail_fast: bool = False
     reachable: bool = True
@@ -177,6 +179,7 @@
     submissions: dict[int, Submission] = msgspec.field(default_factory=dict)
     outcomes: list[Outcome] = msgspec.field(default_factory=list)
     runs: list[Run] = msgspec.field(default_factory=list)
+    refused: int = 0
     listings: list[tuple[float, tuple[object, ...]]] = msgspec.field(default_factory=list)
     agenda: list[tuple[float, int, Callable[[], None]]] = msgspec.field(default_factory=list)
     next_token: int = 1
