Give no work to endpoints that no probe has lately shown live

Cause: an endpoint of another zone was first used 8 s after it began to leave; a request that waited in the socket of a paused instance was refused as not run though a repeat had run. Change: new work needs a probe of the last 4.5 s that showed the endpoint live; refusals right after a pause say unknown.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from . import _endpoints, _fair, _joins, _joins_claims, _overload, _refusals
+from . import _endpoints, _fair, _joins, _joins_claims, _membership, _overload, _refusals
 from ._config import Queue
 from ._effects import Emit, Refuse
 from ._events import CapacityChanged, RequestReceived
@@ -21,6 +21,7 @@
 NO_ENDPOINT_RETRY_S = 1.0
 NOT_READY_RETRY_S = 1.0
 STOPPING_RETRY_S = 0.1
+LATE_ARRIVAL_S = 0.25
 
 
 def on_request(state: State, event: RequestReceived) -> Iterator[object]:
@@ -28,15 +29,15 @@
     Take the request, let it join an earlier one with the same id, or refuse it at once.
     """
     if not state.log.caught_up:
-        yield _refuse(event, Refusal(_refusals.NOT_READY, NOT_READY_RETRY_S))
+        yield _refuse(state, event, Refusal(_refusals.NOT_READY, NOT_READY_RETRY_S))
         return
     queue = state.fold.config.queues.get(event.queue)
     if queue is None:
-        yield _refuse(event, Refusal(_refusals.UNKNOWN_QUEUE))
+        yield _refuse(state, event, Refusal(_refusals.UNKNOWN_QUEUE))
         return
     team = _find_team(state, queue, event)
     if isinstance(team, RefusalCode):
-        yield _refuse(event, Refusal(team))
+        yield _refuse(state, event, Refusal(team))
         return
     key = hash_request(team, event.request_id)
     known = state.joins.known.get(key)
@@ -45,7 +46,7 @@
         return
     refusal = _refuse_load(state, queue, team, event)
     if refusal is not None:
-        yield _refuse(event, refusal)
+        yield _refuse(state, event, refusal)
         return
     yield from _take(state, _make_request(state, queue, team, key, event))
 
@@ -79,8 +80,10 @@
         yield from _joins_claims.begin(state, req)
 
 
-def _refuse(event: RequestReceived, refusal: Refusal) -> Refuse:
-    told = _refusals.for_repeat(refusal) if event.repeat else refusal
+def _refuse(state: State, event: RequestReceived, refusal: Refusal) -> Refuse:
+    # After a pause the request may have waited here unseen, and a repeat run elsewhere.
+    is_late = _membership.pause_s(state) > LATE_ARRIVAL_S
+    told = _refusals.for_repeat(refusal) if event.repeat or is_late else refusal
     return Refuse(event.token, told)
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints.py
@@ -10,6 +10,9 @@
 
 # An endpoint that the list has left out is remembered, so that an older list cannot revive it.
 FORGET_AFTER_S = 60.0
+# An endpoint gets new work for this time after a probe that showed it live.
+LIVE_FOR_S = 4.5
+FIRST_PROBE_S = 1.0
 # A new endpoint gets its full work after this time when others of its service are older.
 SLOW_START_S = 5.0
 # Part of the slots of another zone's endpoint that one instance may use.
@@ -69,7 +72,7 @@
     usable = [
         endpoint
         for endpoint in state.endpoints.endpoints.values()
-        if endpoint.service == service and is_usable(endpoint, state.now_s)
+        if endpoint.service == service and is_usable(endpoint, own.zone, state.now_s)
     ]
     oldest_s = min((endpoint.since_s for endpoint in usable), default=0.0)
     free = [
@@ -85,15 +88,23 @@
     return min(free, key=load, default=None)
 
 
-def is_usable(endpoint: Endpoint, now_s: float) -> bool:
+def is_usable(endpoint: Endpoint, own_zone: str, now_s: float) -> bool:
     """
     Tell whether an endpoint may get new work.
 
     :param endpoint: the endpoint.
+    :param own_zone: availability zone of this instance.
     :param now_s: time.
     :returns: whether it may.
     """
-    return endpoint.listed and not endpoint.leaving and endpoint.retry_at_s <= now_s
+    if not endpoint.listed or endpoint.leaving or endpoint.retry_at_s > now_s:
+        return False
+    if endpoint.live_s < 0:
+        # The first probe may still be on its way; work for another zone waits for it.
+        if endpoint.zone != own_zone:
+            return False
+        return endpoint.first_probe_s < 0 or now_s - endpoint.first_probe_s <= FIRST_PROBE_S
+    return now_s - endpoint.live_s <= LIVE_FOR_S
 
 
 def has_any(state: EndpointState, service: str) -> bool:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints_health.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints_health.py
@@ -18,11 +18,12 @@
 from ._handlers import HandlerTable
 from ._membership import zone_peers
 from ._membership_state import ALIVE
+from ._overload import load_of
 from ._state import State
 
 DUTY_PROBE_S = 1.0
 OTHER_PROBE_S = 3.0
-# Endpoints of other zones are probed while this instance has sent them work lately.
+# Endpoints of other zones are probed while work for them waits, or was sent to them lately.
 REMOTE_USE_S = 10.0
 PROBE_TIMEOUT_S = 1.0
 # Probes in a row without an answer after which an endpoint gets no work.
@@ -137,12 +138,16 @@
         return
     if event.incarnation > endpoint.incarnation:
         _endpoints.renew(endpoint, event.incarnation, state.now_s)
-    was_silent = endpoint.silent_probes > 0
-    endpoint.silent_probes = 0
     if event.leaving:
         yield from note_leaving(state, endpoint.id)
-    elif was_silent and endpoint.retry_at_s > state.now_s:
-        endpoint.retry_at_s = state.now_s
+        return
+    own_zone = state.identity.sender.zone
+    was_usable = _endpoints.is_usable(endpoint, own_zone, state.now_s)
+    if endpoint.silent_probes:
+        endpoint.silent_probes = 0
+        endpoint.retry_at_s = min(endpoint.retry_at_s, state.now_s)
+    endpoint.live_s = endpoint.probed_s
+    if not was_usable:
         yield Emit(CapacityChanged(endpoint.service))
 
 
@@ -160,6 +165,8 @@
 
 def _probe(state: State, endpoint: Endpoint) -> ProbeEndpoint:
     endpoint.probed_s = state.now_s
+    if endpoint.first_probe_s < 0:
+        endpoint.first_probe_s = state.now_s
     return ProbeEndpoint(endpoint.id, endpoint.address, PROBE_TIMEOUT_S)
 
 
@@ -169,7 +176,8 @@
     own = state.identity.sender
     if endpoint.zone != own.zone:
         is_used = endpoint.used_s >= 0 and state.now_s - endpoint.used_s < REMOTE_USE_S
-        return OTHER_PROBE_S if is_used else None
+        is_wanted = load_of(state, endpoint.service).total > 0
+        return OTHER_PROBE_S if is_used or is_wanted else None
 
     def weight(instance: str) -> int:
         return xxhash.xxh64_intdigest(f"probe {endpoint.id} {instance}".encode())
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints_state.py
@@ -22,6 +22,8 @@
     :param trial_left: attempts that must succeed, one by one, before it gets its full work.
     :param silent_probes: probes in a row that got no answer.
     :param probed_s: time of the last probe, or -1.
+    :param first_probe_s: time of the first probe, or -1.
+    :param live_s: time at which a probe was sent that showed it live, or -1.
     :param used_s: time of the last attempt, or -1.
     """
 
@@ -43,6 +45,8 @@
     trial_left: int = 0
     silent_probes: int = 0
     probed_s: float = -1.0
+    first_probe_s: float = -1.0
+    live_s: float = -1.0
     used_s: float = -1.0
 
 
