--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
@@ -4,14 +4,23 @@
 
 from collections.abc import Iterator
 
-from . import _endpoints, _fair, _joins, _joins_claims, _membership, _overload, _refusals
+from . import (
+    _endpoints,
+    _fair,
+    _freshness,
+    _joins,
+    _joins_claims,
+    _membership,
+    _overload,
+    _refusals,
+)
 from ._config import Queue
 from ._effects import Emit, Refuse
 from ._events import CapacityChanged, RequestReceived
 from ._handlers import HandlerTable
 from ._joins_events import ClaimLost, RequestClaimed
 from ._joins_voters import hash_request
-from ._keys import find_key
+from ._keys import find_key, key_name
 from ._refusals import Refusal, RefusalCode
 from ._requests import Request
 from ._state import State
@@ -39,7 +48,12 @@
     if isinstance(team, RefusalCode):
         yield _refuse(state, event, Refusal(team))
         return
-    key = hash_request(team, event.request_id)
+    if event.credential is not None and not _may_take_key(state, team):
+        if queue.keyed:
+            yield _refuse(state, event, _freshness.refuse_unverified(state))
+            return
+        team = f"{queue.workspace}/{OPEN_TEAM}"
+    key = hash_request(_scope(queue, team, event), event.request_id)
     known = state.joins.known.get(key)
     if known is not None:
         yield from _joins.join(state, known, event)
@@ -92,6 +106,8 @@
         if queue.keyed:
             return _refusals.KEY_REQUIRED
         return f"{queue.workspace}/{OPEN_TEAM}"
+    if _freshness.is_withdrawn(state, key_name(queue.workspace, event.credential.key_id)):
+        return _refusals.KEY_REFUSED
     key = find_key(state.fold.keys, queue, event.credential)
     if isinstance(key, RefusalCode):
         return key
@@ -100,6 +116,17 @@
     return key.team
 
 
+def _scope(queue: Queue, team: str, event: RequestReceived) -> str:
+    # On a queue open to all, a key counts for its team at one instance and not at another.
+    if queue.keyed or event.credential is None:
+        return team
+    return f"{queue.workspace} {event.credential.digest}"
+
+
+def _may_take_key(state: State, team: str) -> bool:
+    return _freshness.keyed_work_allowed(state, state.fold.config.teams[team])
+
+
 def _refuse_load(state: State, queue: Queue, team: str, event: RequestReceived) -> Refusal | None:
     if state.stopping:
         return Refusal(_refusals.STOPPING, STOPPING_RETRY_S)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_claims.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_claims.py
@@ -34,7 +34,7 @@
     number = joins.next_number
     joins.next_number += 1
     give_up_s = state.now_s + _joins_voters.GIVE_UP_S
-    pending = PendingClaim(req.key, number, req, set(), give_up_s, state.now_s + RESEND_S)
+    pending = PendingClaim(req.key, number, req, set(), set(), give_up_s, state.now_s + RESEND_S)
     joins.pending[number] = pending
     joins.known[req.key].claim = number
     yield from _ask(state, pending)
@@ -65,11 +65,7 @@
     pending = state.joins.pending.get(event.message.number)
     if pending is None:
         return
-    if event.message.granted:
-        pending.granted.add(event.sender.instance)
-        yield from _settle(state, pending)
-    else:
-        yield from _lose(state, pending, _refuse_held(event.message))
+    yield from _count(state, pending, event.sender.instance, event.message)
 
 
 def on_tick(state: State, event: Ticked) -> Iterator[object]:
@@ -92,21 +88,23 @@
     own = state.identity.sender
     if state.joins.whole and own.instance in _joins_voters.all_voters(state.joins, pending.key):
         own_vote = _joins_votes.vote(state, own, wanted)
-        if not own_vote.granted:
-            yield from _lose(state, pending, _refuse_held(own_vote))
-            return
-        pending.granted.add(own.instance)
+        yield from _count(state, pending, own.instance, own_vote)
+    if pending.number not in state.joins.pending:
+        return
     for instance in _other_voters(state, pending.key):
         if instance not in pending.granted:
             yield SendPeer(state.joins.addresses[instance], wanted)
-    yield from _settle(state, pending)
 
 
-def _settle(state: State, pending: PendingClaim) -> Iterator[object]:
+def _count(state: State, pending: PendingClaim, voter: str, voted: ClaimVoted) -> Iterator[object]:
     # After a pause of this process a late majority may rest on votes that were lost since.
     if pending.give_up_s <= state.now_s:
         return
-    if _joins_voters.has_majority(state.joins, pending.key, pending.granted):
+    (pending.granted if voted.granted else pending.denied).add(voter)
+    left = _joins_voters.all_voters(state.joins, pending.key) - pending.denied
+    if not _joins_voters.has_majority(state.joins, pending.key, left):
+        yield from _lose(state, pending, _refuse_held(voted))
+    elif _joins_voters.has_majority(state.joins, pending.key, pending.granted):
         del state.joins.pending[pending.number]
         yield Emit(RequestClaimed(pending.req))
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_state.py
@@ -52,6 +52,7 @@
     :param number: this instance's number of the claim.
     :param req: the request.
     :param granted: voters that granted it.
+    :param denied: voters that did not.
     :param give_up_s: time at which the request is refused.
     :param resend_s: time at which the voters are asked again.
     """
@@ -60,6 +61,7 @@
     number: int
     req: Request
     granted: set[str]
+    denied: set[str]
     give_up_s: float
     resend_s: float
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -14,6 +14,8 @@
     _dispatch,
     _endpoints_health,
     _fair_exchange,
+    _freshness,
+    _freshness_withdrawals,
     _joins,
     _joins_claims,
     _joins_votes,
@@ -22,6 +24,9 @@
     _membership_beats,
     _outbox,
     _overload,
+    _relay,
+    _snapshots_maker,
+    _snapshots_seek,
 )
 from ._effects import Emit
 from ._handlers import Handler, HandlerTable
@@ -32,6 +37,11 @@
     _log_follower.HANDLERS,
     _outbox.HANDLERS,
     _membership_beats.HANDLERS,
+    _snapshots_seek.HANDLERS,
+    _snapshots_maker.HANDLERS,
+    _relay.HANDLERS,
+    _freshness.HANDLERS,
+    _freshness_withdrawals.HANDLERS,
     _allowance_lease.HANDLERS,
     _allowance_recovery.HANDLERS,
     _allowance_balance.HANDLERS,
