--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -3,6 +3,7 @@
 """
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from heapq import heappop, heappush
 from typing import NamedTuple
@@ -25,6 +26,7 @@
     :param endpoint: where it ran.
     :param started_s: virtual time.
     :param sent_s: virtual time of the dispatch.
+    :param token: the exchange whose body was sent.
     """
 
     attempt: str
@@ -34,6 +36,7 @@
     endpoint: str
     started_s: float
     sent_s: float
+    token: int = 0
 
 
 class Submission(NamedTuple):
@@ -101,6 +104,7 @@
     :param running: attempts running there, with their runs.
     :param answers: request id that each attempt's answer carries.
     :param leaving_since_s: when it began to leave, or ``None``.
+    :param refuses_leaving: whether it refuses attempts once it is leaving.
     :param silent: whether attempts get no answer although they run.
     :param fail_fast: whether it answers every attempt with status 500 at once.
     :param reachable: whether connections can be opened.
@@ -113,6 +117,7 @@
     run_s: float
     running: dict[str, Run] = msgspec.field(default_factory=dict)
     leaving_since_s: float | None = None
+    refuses_leaving: bool = True
     silent: bool = False
     fail_fast: bool = False
     reachable: bool = True
@@ -152,6 +157,8 @@
     :param drop: share of peer messages lost.
     :param repeat: share of peer messages that come twice.
     :param cuts: pairs of zones (or a zone and the log) that are cut off from each other.
+    :param sent_bytes: bytes of messages sent, by instance.
+    :param received_bytes: bytes of messages received, by instance.
     """
 
     delay_s: float = 0.001
@@ -160,12 +167,15 @@
     cuts: set[frozenset[str]] = msgspec.field(default_factory=set)
     peer_messages: int = 0
     peer_bytes: int = 0
+    sent_bytes: Counter[str] = msgspec.field(default_factory=Counter)
+    received_bytes: Counter[str] = msgspec.field(default_factory=Counter)
 
 
 class World(msgspec.Struct):
     """
     Everything that a test drives.
 
+    :param run_s_by_team: mean seconds that a request runs, for teams unlike the others.
     :param withdrawn_s: virtual time of each key's withdrawal, by the key's id.
     """
 
@@ -180,10 +190,12 @@
     submissions: dict[int, Submission] = msgspec.field(default_factory=dict)
     outcomes: list[Outcome] = msgspec.field(default_factory=list)
     runs: list[Run] = msgspec.field(default_factory=list)
+    refused: int = 0
     listings: list[tuple[float, tuple[object, ...]]] = msgspec.field(default_factory=list)
     agenda: list[tuple[float, int, Callable[[], None]]] = msgspec.field(default_factory=list)
     withdrawn_s: dict[str, float] = msgspec.field(default_factory=dict)
     next_token: int = 1
+    run_s_by_team: dict[str, float] = msgspec.field(default_factory=dict)
     next_entry: int = 0
     log_lines: list[tuple[str, str, dict[str, object]]] = msgspec.field(default_factory=list)
 
