--- a/packages/eelgrassdrum-cli/tests/test_commands.py
+++ b/packages/eelgrassdrum-cli/tests/test_commands.py
@@ -24,6 +24,7 @@
 
 def test_a_rollback_is_a_new_revision(platform: Platform) -> None:
     """Rolling back publishes the earlier document on top of the one in force."""
+    command(platform, "publish", FLEET)
     for share in ("4.0", "5.0"):
         changed = Path(GRAZ).read_text().replace("share = 4.0", f"share = {share}")
         with tempfile.TemporaryDirectory() as folder:
@@ -33,13 +34,26 @@
             file = str(Path(folder, "graz.toml"))
             assert command(platform, "publish", file).code == ExitCode.OK
     assert command(platform, "diff", GRAZ).code == ExitCode.DIFFERENT
-    assert command(platform, "rollback", "graz", "--to", "1").code == ExitCode.OK
+    assert command(platform, "rollback", "graz", "--to", "2").code == ExitCode.OK
     assert command(platform, "diff", GRAZ).code == ExitCode.OK
     revisions = command(platform, "history", "graz").json()
-    assert [item["revision"] for item in revisions] == [3, 2, 1]
+    assert [item["revision"] for item in revisions] == [4, 3, 2]
     assert command(platform, "rollback", "graz", "--to", "9").code == ExitCode.NOT_FOUND
 
 
+def test_the_fold_refuses_services_that_the_fleet_does_not_share(platform: Platform) -> None:
+    """A workspace needs the fleet first, and the fleet keeps what workspaces use."""
+    alone = command(platform, "publish", GRAZ)
+    assert (alone.code, alone.json()[0]["reason"]) == (ExitCode.REJECTED, "service_not_shared")
+    assert command(platform, "publish", FLEET, GRAZ).code == ExitCode.OK
+    with tempfile.TemporaryDirectory() as folder:
+        hidden = Path(folder, "fleet.toml")
+        hidden.write_text(Path(FLEET).read_text().replace("shared = true", "shared = false"))
+        taken_back = command(platform, "publish", str(hidden))
+    assert taken_back.json()[0]["reason"] == "service_not_shared"
+    assert command(platform, "diff", FLEET, GRAZ).code == ExitCode.OK
+
+
 def test_a_granted_key_is_printed_once_and_only_its_digest_is_logged(platform: Platform) -> None:
     """The log never holds a secret, and a withdrawn key stays withdrawn."""
     command(platform, "publish", FLEET, GRAZ)
