Settle the meeting of claims, credits and offers

Change: a slot gained from a peer takes the same path as a free one; tests of keys and of a cut-off zone use ids that name the zone, or idempotent requests, since others need a majority of voters that a cut may put out of reach.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
@@ -133,9 +133,10 @@
     if endpoint is None or endpoint.leaving or endpoint.in_flight >= endpoint.slots:
         return
     req = _fair.pop(
-        state.fair, event.service, lambda req: _take_unit(state, req), ignore_ceiling=True
+        state.fair, event.service, lambda req: _may_start(state, req), ignore_ceiling=True
     )
     if req is not None:
+        _overload.count_waiting(state, req, -1)
         yield _start(state, req, endpoint)
 
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_callers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_callers.py
@@ -45,17 +45,24 @@
     stopped: threading.Event = msgspec.field(default_factory=threading.Event)
 
 
-def send_request(address: str, path: str, request_id: str, key: str) -> Told:
+def send_request(
+    address: str, path: str, request_id: str, key: str, *, idempotent: bool = False
+) -> Told:
     """
-    Send one non-idempotent request.
+    Send one request.
 
     :param address: ``IP:PORT`` of an entry instance.
     :param path: path of the queue.
     :param request_id: id of the request.
     :param key: text of the key, or empty.
+    :param idempotent: whether running it twice does no harm.
     :returns: what it was told; a broken connection counts as unknown.
     """
-    headers = {"X-Request-Id": request_id, "X-Timeout-Ms": str(int(TIMEOUT_S * 1000))}
+    headers = {
+        "X-Request-Id": request_id,
+        "X-Timeout-Ms": str(int(TIMEOUT_S * 1000)),
+        "X-Idempotent": str(int(idempotent)),
+    }
     if key:
         headers["X-Key"] = key
     try:
