--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_lease.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_lease.py
@@ -34,6 +34,8 @@
 RENEW_AFTER_S = 10.0
 # The same for a holder that lacks reclaimers.
 RENEW_SOON_S = 1.0
+# Time after which a renewal whose fate is open is wanted again.
+WANTED_VALID_S = 60.0
 # Remaining lease below which a holder asks its reclaimers to wait.
 EXTEND_BELOW_S = 15.0
 EXTEND_EVERY_S = 2.0
@@ -140,7 +142,8 @@
     lease = state.limits.lease
     renew_after_s = RENEW_AFTER_S if _has_reclaimers(state) else RENEW_SOON_S
     is_fresh = lease.until_s - state.now_s > LEASE_S - renew_after_s
-    if lease.wanted_at_s is not None or (is_fresh and own_lease(state) is not None):
+    is_open = lease.wanted_at_s is not None and state.now_s - lease.wanted_at_s < WANTED_VALID_S
+    if is_open or state.membership.superseded or (is_fresh and own_lease(state) is not None):
         return
     lease.wanted_at_s = state.now_s
     sender = state.identity.sender
--- a/packages/eelgrassdrum-core/tests/test_allowance_fold.py
+++ b/packages/eelgrassdrum-core/tests/test_allowance_fold.py
@@ -32,7 +32,8 @@
     Publish a document with one team.
     """
     team = {"name": "judges", "share": 1.0, "limit": limit, "grace_s": grace_s}
-    body = {"name": "show", "document": {"teams": [team]}}
+    document = {"teams": [team]}
+    body = {"name": "show", "document": document, "author": "op", "comment": ""}
     write(state, DOCUMENT_PUBLISHED, "document/show", body, "operator")
 
 
