Let the longest line give way in a full queue

A team that floods a queue kept all others out of it. A request of a team with a shorter line for its share now takes the place of the newest one of the longest line, which is refused at once as not run.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from . import _endpoints, _fair, _freshness, _refusals
+from . import _endpoints, _fair, _fair_room, _freshness, _refusals
 from ._config import Queue
 from ._effects import Emit, Refuse
 from ._events import CapacityChanged, RequestReceived
@@ -43,6 +43,7 @@
             yield Refuse(event.token, _freshness.refuse_unverified(state))
             return
         team = f"{queue.workspace}/{OPEN_TEAM}"
+    yield from _make_room(state, queue, team, event)
     refusal = _refuse_load(state, queue, event)
     if refusal is not None:
         yield Refuse(event.token, refusal)
@@ -80,6 +81,16 @@
     return _freshness.keyed_work_allowed(state, state.fold.config.teams[team])
 
 
+def _make_room(state: State, queue: Queue, team: str, event: RequestReceived) -> Iterator[object]:
+    refusal = _refuse_load(state, queue, event)
+    if refusal is None or refusal.code != _refusals.QUEUE_FULL:
+        return
+    excess = _fair_room.take_excess(state.fair, queue.service, queue.name, team)
+    if excess is not None:
+        state.requests.open_tokens.pop(excess.token, None)
+        yield Refuse(excess.token, refusal)
+
+
 def _refuse_load(state: State, queue: Queue, event: RequestReceived) -> Refusal | None:
     if not _endpoints.has_any(state.endpoints, queue.service):
         return Refusal(_refusals.NO_ENDPOINT, NO_ENDPOINT_RETRY_S)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair.py
@@ -25,7 +25,7 @@
         line.appendleft(req)
     else:
         line.append(req)
-    _count(fair, req, 1)
+    count_request(fair, req, 1)
 
 
 def pop(
@@ -56,7 +56,7 @@
         team.is_blocked = not may_start(line[0])
         if not team.is_blocked:
             req = line.popleft()
-            _count(fair, req, -1)
+            count_request(fair, req, -1)
             return req
     return None
 
@@ -100,20 +100,32 @@
                     line.extend(kept)
                     removed.extend(taken)
     for req in removed:
-        _count(fair, req, -1)
+        count_request(fair, req, -1)
     return removed
 
 
-def _count(fair: FairState, req: Request, step: int) -> None:
+def count_request(fair: FairState, req: Request, step: int) -> None:
+    """
+    Count a request that begins or ceases to wait.
+
+    :param fair: changed in place.
+    :param req: the request.
+    :param step: 1 or -1.
+    """
     fair.queued[req.queue] = fair.queued.get(req.queue, 0) + step
     size = step * req.size_bytes
     fair.queued_bytes[req.queue] = fair.queued_bytes.get(req.queue, 0) + size
+    key = (req.queue, req.team)
+    fair.queued_by_team[key] = fair.queued_by_team.get(key, 0) + step
+    if fair.queued_by_team[key] == 0:
+        del fair.queued_by_team[key]
 
 
 __all__ = [
     "FairState",
     "ServiceQueue",
     "TeamQueue",
+    "count_request",
     "count_waiting",
     "is_waiting",
     "pop",
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_room.py
@@ -0,0 +1,51 @@
+"""
+Room in a full queue: the team with the longest line for its share gives way.
+
+Otherwise a team that floods a queue would keep all others out of it, whatever their shares.
+"""
+
+from collections import deque
+
+from ._fair import count_request
+from ._fair_state import FairState, TeamQueue
+from ._requests import Request
+
+
+def take_excess(fair: FairState, service_name: str, queue: str, team_name: str) -> Request | None:
+    """
+    Take out a waiting request of a team that has more than its part of a full queue.
+
+    :param fair: changed in place.
+    :param service_name: ``WORKSPACE/SERVICE``.
+    :param queue: ``WORKSPACE/QUEUE``.
+    :param team_name: team that needs room.
+    :returns: the newest request of the longest line, or ``None`` when the team that needs room
+        would have the longest line itself.
+    """
+    service = fair.services.get(service_name)
+    if service is None:
+        return None
+
+    def length(name: str, team: TeamQueue) -> float:
+        return fair.queued_by_team.get((queue, name), 0) / team.share
+
+    longest = max(service.teams, key=lambda name: length(name, service.teams[name]), default=None)
+    if longest is None or longest == team_name:
+        return None
+    own = service.teams.get(team_name, TeamQueue())
+    if length(longest, service.teams[longest]) <= length(team_name, own) + 1 / own.share:
+        return None
+    req = _take_newest(service.teams[longest].normal, queue)
+    if req is not None:
+        count_request(fair, req, -1)
+    return req
+
+
+def _take_newest(line: deque[Request], queue: str) -> Request | None:
+    for place in range(len(line) - 1, -1, -1):
+        # A request that was tried may have run, so it can't be refused as not run.
+        if line[place].queue == queue and line[place].tries == 0:
+            req = line[place]
+            del line[place]
+            return req
+    return None
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_state.py
@@ -117,6 +117,7 @@
     :param services: queues by service.
     :param queued: waiting requests by queue.
     :param queued_bytes: bytes of their bodies by queue.
+    :param queued_by_team: waiting requests by queue and team.
     :param charges: charges by attempt.
     :param run_times: last observed run times by queue and team.
     :param exchange: aggregates of other instances.
@@ -125,6 +126,7 @@
     services: dict[str, ServiceQueue] = msgspec.field(default_factory=dict)
     queued: dict[str, int] = msgspec.field(default_factory=dict)
     queued_bytes: dict[str, int] = msgspec.field(default_factory=dict)
+    queued_by_team: dict[tuple[str, str], int] = msgspec.field(default_factory=dict)
     charges: dict[str, Charge] = msgspec.field(default_factory=dict)
     run_times: dict[tuple[str, str], deque[float]] = msgspec.field(default_factory=dict)
     exchange: FairExchange = msgspec.field(default_factory=FairExchange)
--- a/packages/eelgrassdrum-core/tests/test_fair.py
+++ b/packages/eelgrassdrum-core/tests/test_fair.py
@@ -2,7 +2,7 @@
 Fair queueing within one instance, and the accounts behind it.
 """
 
-from eelgrassdrum_core import _fair, _fair_accounts
+from eelgrassdrum_core import _fair, _fair_accounts, _fair_room
 from eelgrassdrum_core._fair_state import FairState
 from eelgrassdrum_core._requests import Request
 
@@ -157,3 +157,26 @@
     fair.services[SERVICE].ceiling_s = 1.0
     assert _fair.pop(fair, SERVICE, lambda req: True) is None
     assert _fair.pop(fair, SERVICE, lambda req: True, ignore_ceiling=True) is not None
+
+
+def test_flood_gives_way_in_a_full_queue(fair: FairState) -> None:
+    """
+    In a full queue the longest line loses its newest request to a team with a shorter one.
+    """
+    fill(fair, "flood", 10)
+    fill(fair, "small", 2)
+    excess = _fair_room.take_excess(fair, SERVICE, "show/scores", "small")
+    assert excess is not None
+    assert (excess.team, excess.token) == ("flood", 9)
+    assert fair.queued["show/scores"] == 11
+    assert _fair_room.take_excess(fair, SERVICE, "show/scores", "flood") is None
+
+
+def test_tried_requests_keep_their_place(fair: FairState) -> None:
+    """
+    A request that was tried may have run, so it is never taken out as not run.
+    """
+    fill(fair, "flood", 10)
+    for req in fair.services[SERVICE].teams["flood"].normal:
+        req.tries = 1
+    assert _fair_room.take_excess(fair, SERVICE, "show/scores", "small") is None
