--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_aggregates.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_aggregates.py
@@ -21,9 +21,9 @@
 Provider = Callable[[Any], Mapping[str, int]]
 
 # Numbers that an instance sends to all instances of its zone together.
-ZONE_NUMBERS_PER_S = 600
+ZONE_NUMBERS_PER_S = 300
 # Numbers that a relay sends to all other zones together.
-RELAY_NUMBERS_PER_S = 300
+RELAY_NUMBERS_PER_S = 150
 # Numbers that have changed by less than this share are not sent again.
 CHANGE_SHARE = 0.1
 # A peer is sent everything again after this time, since messages can be lost.
--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/capacity/__init__.py
@@ -0,0 +1,3 @@
+"""
+Works out what each role costs at the size that the project is designed for.
+"""
