--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_refusal_advice.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_refusal_advice.py
@@ -23,7 +23,10 @@
     "no_endpoint": "Repeat it; if it lasts, look at the pool of the service.",
     "outcome_unknown": "Repeat it under the same request id, which runs it no second time.",
     "run_timeout": "It may still be running. Ask `explain` with its id before a repeat.",
+    "retries_spent": "Repeat it after retry_after_s; look for endpoints that cannot be reached.",
     "request_conflict": "Use a request id of your own for each request.",
+    "held_elsewhere": "Repeat it after retry_after_s; the instance named holds the outcome.",
+    "unresolved": "Repeat it under the same request id, or an id that names a zone in touch.",
 }
 
 
--- a/packages/eelgrassdrum-core/tests/test_membership.py
+++ b/packages/eelgrassdrum-core/tests/test_membership.py
@@ -55,9 +55,11 @@
 
 def sent(produced: list, address: str) -> list:
     """
-    Give the messages to one address.
+    Give the messages of membership to one address.
     """
-    return [e.message for e in produced if isinstance(e, effects.SendPeer) and e.address == address]
+    sends = [effect for effect in produced if isinstance(effect, effects.SendPeer)]
+    messages = [effect.message for effect in sends if effect.address == address]
+    return [message for message in messages if isinstance(message, Heartbeat | Superseded)]
 
 
 def states(state: State) -> dict[str, str]:
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_caller_api.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_caller_api.py
@@ -67,6 +67,7 @@
             timeout_s=_timeout_s(headers),
             size_bytes=len(exchange.body),
             body_hash=xxhash.xxh3_64_intdigest(exchange.body),
+            repeat=_flag(headers, "X-Repeat"),
         )
     except BadHeaderError as exc:
         return refusals.Refusal(refusals.BAD_REQUEST, detail=str(exc))
--- a/packages/eelgrassdrum-daemon/tests/test_bad_input.py
+++ b/packages/eelgrassdrum-daemon/tests/test_bad_input.py
@@ -234,7 +234,8 @@
     assert b"HTTP/1.1 503 " in answers
     assert b"HTTP/1.1 408 " in answers
     assert process.memory_info().rss - before_bytes < MEMORY_SLACK_BYTES
-    wait_until(lambda: submit(running, {}, b"x" * 90_000) == 200)
+    headers = {"X-Request-Id": "r-large"}
+    wait_until(lambda: submit(running, headers, b"x" * 90_000) == 200)
 
 
 def test_rubbish_from_the_log_changes_nothing(running: Running) -> None:
