Reject queues that use a service which the fleet does not share

Cause: only the client held references to the fleet's services, and only when given both files. Change: the fold rejects a workspace whose queues use a service that the fleet in force does not share, and a fleet that takes back a service in use. Conclusion: references hold whoever publishes.

--- a/packages/eelgrassdrum-cli/tests/test_commands.py
+++ b/packages/eelgrassdrum-cli/tests/test_commands.py
@@ -40,6 +40,19 @@
     assert command(platform, "rollback", "graz", "--to", "9").code == ExitCode.NOT_FOUND
 
 
+def test_the_fold_refuses_services_that_the_fleet_does_not_share(platform: Platform) -> None:
+    """A workspace needs the fleet first, and the fleet keeps what workspaces use."""
+    alone = command(platform, "publish", GRAZ)
+    assert (alone.code, alone.json()[0]["reason"]) == (ExitCode.REJECTED, "service_not_shared")
+    assert command(platform, "publish", FLEET, GRAZ).code == ExitCode.OK
+    with tempfile.TemporaryDirectory() as folder:
+        hidden = Path(folder, "fleet.toml")
+        hidden.write_text(Path(FLEET).read_text().replace("shared = true", "shared = false"))
+        taken_back = command(platform, "publish", str(hidden))
+    assert taken_back.json()[0]["reason"] == "service_not_shared"
+    assert command(platform, "diff", FLEET, GRAZ).code == ExitCode.OK
+
+
 def test_a_granted_key_is_printed_once_and_only_its_digest_is_logged(platform: Platform) -> None:
     """The log never holds a secret, and a withdrawn key stays withdrawn."""
     command(platform, "publish", FLEET, GRAZ)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
@@ -5,7 +5,8 @@
 from . import _effects as effects
 from . import _events as events
 from . import _refusals as refusals
-from ._config import FLEET, Queue, Service, Team
+from ._config import Queue, Service, Team
+from ._config_schema import FLEET
 from ._effects import Identity
 from ._fold import REASON_FENCED, Decision, Verdict, fold_record
 from ._freshness import keyed_work_allowed, proof_age_s
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ._config_schema import FLEET as FLEET
+from ._config_schema import FLEET
 from ._config_validate import decode_document
 from ._records import DOCUMENT_PUBLISHED, Record
 
@@ -16,6 +16,7 @@
 REVISIONS_KEPT = 20
 
 REASON_INVALID = "invalid_document"
+REASON_NOT_SHARED = "service_not_shared"
 
 
 class Service(NamedTuple):
@@ -132,6 +133,8 @@
     fields = cast(dict[str, Any], document)
     revision = DocumentRevision(offset, record.body["author"], record.body["comment"], fields)
     services, queues, teams = _read_document(name, fields)
+    if _breaks_references(config, name, services, queues):
+        return REASON_NOT_SHARED
     revisions = config.documents.setdefault(name, [])
     revisions.append(revision)
     del revisions[:-REVISIONS_KEPT]
@@ -141,6 +144,25 @@
     return ""
 
 
+def _breaks_references(
+    config: ConfigFold, name: str, services: dict[str, Service], queues: dict[str, Queue]
+) -> bool:
+    """
+    Tell whether a queue would use a service of the fleet that is not there or not shared.
+
+    A new document of the fleet is held against the queues of each workspace.
+    """
+    offered = services if name == FLEET else config.services
+    used = config.queues if name == FLEET else queues
+    for queue in used.values():
+        if queue.workspace == FLEET or not queue.service.startswith(f"{FLEET}/"):
+            continue
+        service = offered.get(queue.service)
+        if service is None or not service.shared:
+            return True
+    return False
+
+
 def _replace(current: dict[str, T], workspace: str, new: dict[str, T]) -> dict[str, T]:
     kept = {key: value for key, value in current.items() if not key.startswith(f"{workspace}/")}
     return {**kept, **new}
