Bound the answers held, and drop idle connections once one went silent

An answer that the caller does not read holds back new requests, one beyond the largest size is given up, and a header that would break the caller's answer in two is malformed. The seeds setting is gone: the core has no event for it yet, so it did nothing.

--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_parser.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_parser.py
@@ -4,12 +4,14 @@
 
 from typing import NamedTuple
 
+from circuits.web.headers import Headers
 from circuits.web.parsers import HttpParser
 from circuits.web.parsers.http import INVALID_CHUNK
 
 KIND_REQUEST = 0
 KIND_RESPONSE = 1
 BODILESS_STATUSES = frozenset({204, 304})
+UNSAFE_CHARACTERS = frozenset("\r\n\0")
 MISSING_TERMINATOR = "chunk missing terminator"
 
 
@@ -75,3 +77,17 @@
     if not (length.isascii() and length.isdigit()):
         raise MalformedMessageError(400, "malformed Content-Length")
     return Framing(int(length))
+
+
+def check_values(headers: Headers) -> None:
+    """
+    Check that no header's value breaks the message that it is passed on in.
+
+    The parser decodes escapes, so a value can hold a line break that was not one when sent.
+
+    :param headers: the parsed headers.
+    :raises MalformedMessageError: when one does.
+    """
+    for _, value in headers.items():
+        if not UNSAFE_CHARACTERS.isdisjoint(value) or not value.isascii():
+            raise MalformedMessageError(400, "a header holds a character that cannot be passed on")
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
@@ -6,7 +6,6 @@
 answers are read by the circuits parser.
 """
 
-import errno
 import socket
 from collections import defaultdict, deque
 from functools import partial
@@ -20,17 +19,18 @@
     BODILESS_STATUSES,
     KIND_RESPONSE,
     MalformedMessageError,
+    check_values,
     feed,
     framing,
 )
 from ._http_state import ClientConn, PoolCounters
+from ._sockets import begin_connect, is_open
 from ._timers import Scheduler
 
 READ_BYTES = 256 * 1024
 DEFAULT_CONNS_PER_ADDRESS = 64
 IDLE_CONNS_PER_ADDRESS = 16
 MAX_IDLE_S = 60.0
-CONNECT_PENDING = frozenset({0, errno.EINPROGRESS})
 
 
 class HttpPool(BaseComponent):
@@ -48,7 +48,8 @@
         poller: BasePoller,
         scheduler: Scheduler,
         conns_per_address: int = DEFAULT_CONNS_PER_ADDRESS,
-        max_answer_bytes: int = 64 * 1024 * 1024,
+        max_answer_bytes: int = 16 * 1024 * 1024,
+        max_buffered_bytes: int = 64 * 1024 * 1024,
         **_options: str,
     ) -> None:
         """
@@ -58,11 +59,14 @@
         :param scheduler: runs the deadlines.
         :param conns_per_address: most connections to one address.
         :param max_answer_bytes: larger answers are failures.
+        :param max_buffered_bytes: answers held in part; those beyond are failures.
         """
         self.poller = poller
         self.scheduler = scheduler
         self.conns_per_address = conns_per_address
         self.max_answer_bytes = max_answer_bytes
+        self.max_buffered_bytes = max_buffered_bytes
+        self.buffered_bytes = 0
         self.counters = PoolCounters()
         self._conns: dict[socket.socket, ClientConn] = {}
         self._open_conns: dict[str, int] = defaultdict(int)
@@ -80,7 +84,6 @@
             return None
         conn.req = req
         conn.parser = HttpParser(KIND_RESPONSE)
-        conn.received_bytes = 0
         conn.sent_bytes = 0
         conn.out.append(memoryview(encode_head(req)))
         if req.body:
@@ -121,32 +124,16 @@
         return None
 
     def _is_usable(self, conn: ClientConn) -> bool:
-        if self.scheduler.clock() - conn.idle_since_s > MAX_IDLE_S:
-            return False
-        try:
-            conn.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        # Either the end of the stream, or bytes that belong to no request.
-        return False
+        is_fresh = self.scheduler.clock() - conn.idle_since_s <= MAX_IDLE_S
+        return is_fresh and is_open(conn.sock)
 
     def _open(self, req: ClientRequest) -> ClientConn | None:
         if self._open_conns[req.address] >= self.conns_per_address:
             self.counters.full += 1
             req.on_done(HttpFailure("pool_full", sent=False))
             return None
-        host, _, port = req.address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        try:
-            code = sock.connect_ex((host, int(port)))
-        except (OSError, ValueError, OverflowError):
-            code = errno.EADDRNOTAVAIL
-        if code not in CONNECT_PENDING:
-            sock.close()
+        sock = begin_connect(req.address)
+        if sock is None:
             req.on_done(HttpFailure("connect", sent=False))
             return None
         conn = ClientConn(sock, req.address)
@@ -228,7 +215,9 @@
 
     def _take_data(self, conn: ClientConn, data: bytes) -> None:
         conn.received_bytes += len(data)
-        if conn.received_bytes > self.max_answer_bytes:
+        self.buffered_bytes += len(data)
+        is_over = self.buffered_bytes > self.max_buffered_bytes
+        if is_over or conn.received_bytes > self.max_answer_bytes:
             self._fail(conn, "answer_too_large")
             return
         try:
@@ -247,6 +236,7 @@
         body = parser.recv_body()
         if length is not None and len(body) != length:
             raise MalformedMessageError(400, "more bytes than the answer's length")
+        check_values(parser.get_headers())
         answer = HttpAnswer(status, dict(parser.get_headers()), body)
         if conn.req.is_expected is None or conn.req.is_expected(answer):
             self._finish(conn, answer)
@@ -257,6 +247,7 @@
     def _finish(self, conn: ClientConn, answer: HttpAnswer) -> None:
         req, conn.req = conn.req, None
         self.scheduler.cancel(conn.deadline)
+        self._release(conn)
         idle = self._idle[conn.address]
         # An answer that came before the whole request was sent leaves the connection out of step.
         reusable = not conn.out and conn.parser.should_keep_alive()
@@ -273,9 +264,16 @@
         self._close(conn)
         if req is None:
             return
+        if reason == "timeout":
+            # Whatever lost track of this connection may have lost the idle ones as well.
+            self.close_address(conn.address)
         self.counters.failed += 1
         req.on_done(HttpFailure(reason, sent=conn.sent_bytes > 0))
 
+    def _release(self, conn: ClientConn) -> None:
+        self.buffered_bytes -= conn.received_bytes
+        conn.received_bytes = 0
+
     def _drop_idle(self, conn: ClientConn) -> None:
         idle = self._idle.get(conn.address)
         if idle and conn in idle:
@@ -286,6 +284,7 @@
         if self._conns.pop(conn.sock, None) is None:
             return
         self.scheduler.cancel(conn.deadline)
+        self._release(conn)
         self._open_conns[conn.address] -= 1
         if not self._open_conns[conn.address]:
             del self._open_conns[conn.address]
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
@@ -102,7 +102,11 @@
             res.headers[name] = value
         conn.closing = res.close
         conn.deadline = self._after(IDLE_TIMEOUT_S, conn)
-        self.fire(write(conn.sock, encode_answer(res, body)))
+        data = encode_answer(res, body)
+        # An answer is never refused for want of memory; what it takes up holds back new requests.
+        conn.held_bytes = len(data)
+        self.buffered_bytes += len(data)
+        self.fire(write(conn.sock, data))
         if res.close:
             self.fire(close(conn.sock))
 
@@ -153,6 +157,13 @@
             self.counters.abandoned += 1
             self.on_abandoned(conn.token)
 
+    @handler("_write", priority=-1)
+    def _on_written(self, sock):
+        conn = self._conns.get(sock)
+        is_quiet = conn is not None and conn.token is None and conn.parser is None
+        if is_quiet and not self._tcp._buffers.get(sock):
+            self._release(conn)
+
     @handler("read")
     def _on_read(self, sock, data):
         conn = self._conns.get(sock)
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
@@ -23,6 +23,8 @@
         "instance": sender.instance,
         "incarnation": sender.incarnation,
         "zone": sender.zone,
+        "address": state.identity.address,
+        "peer_address": state.identity.peer_address,
         "revision": state.fold.position.next_offset - 1,
         "head": state.log.head,
         "caught_up": state.log.caught_up,
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_request_head.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_request_head.py
@@ -11,7 +11,7 @@
 from circuits.web.headers import Headers
 from circuits.web.parsers import HttpParser
 
-from ._http_parser import MalformedMessageError, framing
+from ._http_parser import MalformedMessageError, check_values, framing
 
 VERSIONS = ((1, 0), (1, 1))
 HOST_PATTERN = re.compile(r"([\w.-]+|\[[0-9a-fA-F:.]+\])(:[0-9]{1,5})?")
@@ -54,9 +54,7 @@
     :raises MalformedMessageError: when the request cannot be taken.
     """
     headers = parser.get_headers()
-    # The parser decodes escapes, so a value can hold a line break that was not one when sent.
-    if any("\r" in value or "\n" in value for _, value in headers.items()):
-        raise MalformedMessageError(400, "a header holds a line break")
+    check_values(headers)
     if parser.get_version() not in VERSIONS:
         raise MalformedMessageError(505, "only HTTP/1.0 and HTTP/1.1 are spoken")
     if not HOST_PATTERN.fullmatch(headers.get("Host", "")) and parser.get_version() != (1, 0):
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_settings.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_settings.py
@@ -41,7 +41,6 @@
     :param peer_listen: ``IP:PORT`` for other entry instances.
     :param log_url: base of the platform's log service.
     :param list_url: base of the platform's list of instances.
-    :param seeds: ``INSTANCE@IP:PORT`` of peers to begin with.
     :param root_digest: SHA-256 of the first operator's secret, in hex.
     :param incarnation: number that grows with each start, or 0 for the time in milliseconds.
     :param max_body_bytes: largest body of a request.
@@ -59,7 +58,6 @@
     peer_listen: str
     log_url: str
     list_url: str
-    seeds: tuple[str, ...] = ()
     root_digest: str = ""
     incarnation: int = 0
     max_body_bytes: int = 16 * 1024 * 1024
@@ -96,15 +94,6 @@
     return text.rstrip("/")
 
 
-def _seeds(text: str) -> tuple[str, ...]:
-    seeds = tuple(part for part in text.split(",") if part)
-    for seed in seeds:
-        name, _, address = seed.partition("@")
-        _name(name)
-        _address(address)
-    return seeds
-
-
 def _digest(text: str) -> str:
     if text and not DIGEST_PATTERN.fullmatch(text):
         raise ValueError("needs 64 hexadecimal digits")
@@ -131,7 +120,6 @@
     "peer_listen": _address,
     "log_url": _url,
     "list_url": _url,
-    "seeds": _seeds,
     "root_digest": _digest,
     "incarnation": _number(int, 0, 2**53),
     "max_body_bytes": _number(int, 1, 2**30),
@@ -190,7 +178,6 @@
     peer_listen: _option("IP:PORT for other entry instances") = None,
     log_url: _option("http://IP:PORT of the platform's log") = None,
     list_url: _option("http://IP:PORT of the list of instances") = None,
-    seeds: _option("INSTANCE@IP:PORT of peers, separated by commas") = None,
     root_digest: _option("SHA-256 of the first operator's secret, in hex") = None,
     incarnation: _option("number that grows with each start; 0 takes the time") = None,
     max_body_bytes: _option("largest body of a request, in bytes") = None,
--- a/packages/eelgrassdrum-daemon/tests/test_http_pool.py
+++ b/packages/eelgrassdrum-daemon/tests/test_http_pool.py
@@ -269,3 +269,22 @@
     loop.root.run()
     assert outcomes[0] == HttpFailure("pool_full", sent=False)
     assert [outcome.reason for outcome in outcomes[1:]] == ["timeout", "timeout"]
+
+
+def test_header_with_an_escaped_line_break_is_not_passed_on(loop: Loop, server: Callable) -> None:
+    """
+    An answer whose header would break the caller's answer in two is malformed.
+    """
+    answer = ANSWER.replace(b"a1", b"a1\\r\\nX-Key: x")
+    assert exchange(loop, post(server(Script([answer])))) == [HttpFailure("malformed", sent=True)]
+
+
+def test_too_large_answer_is_given_up(loop: Loop, server: Callable) -> None:
+    """
+    An answer beyond the largest size fails, and its bytes no longer count as held.
+    """
+    loop.pool.max_answer_bytes = 100_000
+    answer = ANSWER.replace(b"Content-Length: 4", b"Content-Length: 300000") + b"x" * 299_996
+    [outcome] = exchange(loop, post(server(Script([answer]))))
+    assert outcome == HttpFailure("answer_too_large", sent=True)
+    assert loop.pool.buffered_bytes == 0
--- a/packages/eelgrassdrum-daemon/tests/test_parts.py
+++ b/packages/eelgrassdrum-daemon/tests/test_parts.py
@@ -44,7 +44,7 @@
     All faults are reported at once, each with its flag.
     """
     assert faults_of([f"--{name}={text}" for name, text in GOOD.items()]) == set()
-    bad = ["--zone", "A b", "--listen", "here:1", "--read-timeout-s", "soon", "--seeds", "x"]
+    bad = ["--zone", "A b", "--listen", "here:1", "--read-timeout-s", "soon", "--root-digest", "x"]
     assert faults_of(bad) == {
         "--instance",
         "--zone",
@@ -53,7 +53,7 @@
         "--log-url",
         "--list-url",
         "--read-timeout-s",
-        "--seeds",
+        "--root-digest",
     }
 
 
