--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_beats.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_beats.py
@@ -35,11 +35,9 @@
     membership = state.membership
     yield from _check_pause(state)
     membership.tick_s = state.now_s
-    for member in _membership.update_liveness(state):
-        fields = {"instance": member.sender.instance, "state": member.state}
-        yield WriteLog("member.changed", fields)
     if state.now_s - membership.zone_beat_s >= ZONE_BEAT_S:
         membership.zone_beat_s = state.now_s
+        yield from _judge_others(state)
         _membership_aggregates.collect_own(state)
         yield from _beat_zone(state)
     if state.now_s - membership.relay_beat_s >= RELAY_BEAT_S:
@@ -86,7 +84,7 @@
         next_offset=state.fold.position.next_offset,
         head_age_ms=_head_age_ms(state),
         wants_answer=wants_answer,
-        zones=_view_zones(state),
+        zones=_view_zones(state, in_zone),
         suspects=_view_suspects(state),
         members=_view_news(state) if in_zone else _view_zone(state),
         numbers=_choose_numbers(state, peer, in_zone),
@@ -116,8 +114,15 @@
     yield WriteLog("process.paused", {"gap_s": gap_s})
 
 
+def _judge_others(state: State) -> Iterator[object]:
+    for member in _membership.update_liveness(state):
+        fields = {"instance": member.sender.instance, "state": member.state}
+        yield WriteLog("member.changed", fields)
+
+
 def _beat_zone(state: State) -> Iterator[object]:
     zone = state.identity.sender.zone
+    state.membership.zone_receivers = len(_membership.zone_peers(state))
     for peer in state.membership.peers.values():
         if peer.sender.zone != zone:
             continue
@@ -127,7 +132,10 @@
 
 
 def _beat_other_zones(state: State) -> Iterator[object]:
-    for zone in _membership.relayed_zones(state):
+    zones = _membership.relayed_zones(state)
+    # Every pair of zones has a path from each side, and both carry numbers.
+    state.membership.relay_receivers = 2 * len(zones)
+    for zone in zones:
         peer = _choose_target(state, zone)
         if peer is not None:
             yield SendPeer(peer.peer_address, make_heartbeat(state, peer, wants_answer=True))
@@ -192,18 +200,23 @@
     own_zone = state.identity.sender.zone
     if beat.echo_s == NEVER_S:
         return
-    _confirm_zone(state, peer.sender.zone, beat.echo_s)
+    from_own_zone = peer.sender.zone == own_zone
+    if not from_own_zone:
+        _confirm_zone(state, peer.sender.zone, beat.echo_s, from_own_zone)
     for view in beat.zones:
         if view.zone != own_zone:
-            _confirm_zone(state, view.zone, beat.echo_s - view.age_ms / 1000)
+            at_s = beat.echo_s - view.age_ms / 1000
+            _confirm_zone(state, view.zone, at_s, from_own_zone)
 
 
-def _confirm_zone(state: State, zone: str, at_s: float) -> None:
+def _confirm_zone(state: State, zone: str, at_s: float, from_own_zone: bool) -> None:
     membership = state.membership
-    if zone == state.identity.sender.zone:
-        return
     if at_s > membership.zones.get(zone, NEVER_S):
         membership.zones[zone] = at_s
+        if from_own_zone:
+            membership.zones_told.add(zone)
+        else:
+            membership.zones_told.discard(zone)
         if state.now_s - at_s <= _membership.ZONE_IN_TOUCH_S:
             _membership_aggregates.mark_heard(membership.aggregates, zone, state.now_s)
 
@@ -234,9 +247,12 @@
     return state.now_s - state.membership.direct.get(zone, -DIRECT_S) < DIRECT_S
 
 
-def _view_zones(state: State) -> tuple[ZoneView, ...]:
+def _view_zones(state: State, in_zone: bool) -> tuple[ZoneView, ...]:
     views = []
     for zone, at_s in state.membership.zones.items():
+        if in_zone and zone in state.membership.zones_told:
+            # Another instance of this zone knows it first, and tells all.
+            continue
         age_ms = int((state.now_s - at_s) * 1000) + 1
         if age_ms <= MAX_AGE_MS:
             views.append(ZoneView(zone, age_ms))
@@ -277,16 +293,17 @@
 
 
 def _choose_numbers(state: State, peer: Peer, in_zone: bool) -> tuple[OriginNumbers, ...]:
-    aggregates = state.membership.aggregates
+    membership = state.membership
     if in_zone:
-        receivers = max(1, len(_membership.zone_peers(state)))
-        limit = int(_membership_aggregates.ZONE_NUMBERS_PER_S * ZONE_BEAT_S / receivers)
-        feed = aggregates.zone_feed
+        limit = _membership_aggregates.ZONE_NUMBERS_PER_S * ZONE_BEAT_S
+        receivers = membership.zone_receivers
+        feed = membership.aggregates.zone_feed
     else:
-        receivers = max(1, 2 * len(_membership.relayed_zones(state)))
-        limit = int(_membership_aggregates.RELAY_NUMBERS_PER_S * RELAY_BEAT_S / receivers)
-        feed = aggregates.relay_feed
-    return _membership_aggregates.next_numbers(feed, peer, max(1, limit), state.now_s)
+        limit = _membership_aggregates.RELAY_NUMBERS_PER_S * RELAY_BEAT_S
+        receivers = membership.relay_receivers
+        feed = membership.aggregates.relay_feed
+    share = max(1, int(limit / max(1, receivers)))
+    return _membership_aggregates.next_numbers(feed, peer, share, state.now_s)
 
 
 HANDLERS: HandlerTable = {
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from typing import Any
 
-from eelgrassdrum_core import Decision, RecordId, State, refusals
+from eelgrassdrum_core import RecordId, State, Verdict, refusals
 
 from ._operator_scope import Scope, sees_all, sees_name, sees_subject, sees_workspace
 
@@ -151,7 +151,34 @@
     }
 
 
-def find_decision(state: State, record_id: RecordId) -> Decision | None:
+def view_keys(state: State, workspace: str) -> list[dict[str, Any]]:
+    """
+    List the keys of a workspace without anything secret.
+
+    :param state: state of the instance.
+    :param workspace: the workspace.
+    :returns: plain data by key id; a withdrawn key no longer has a team.
+    """
+    prefix = f"{workspace}/"
+    shown = {
+        name: {
+            "team": key.team,
+            "queues": key.queues,
+            "state": "granted",
+            "revision": key.offset,
+        }
+        for name, key in state.fold.keys.granted.items()
+    }
+    for name, offset in state.fold.keys.withdrawn.items():
+        shown[name] = {"team": "", "queues": (), "state": "withdrawn", "revision": offset}
+    return [
+        {"key_id": name.removeprefix(prefix), **shown[name]}
+        for name in sorted(shown)
+        if name.startswith(prefix)
+    ]
+
+
+def find_decision(state: State, record_id: RecordId) -> Verdict | None:
     """
     Look up what the fold made of a record.
 
@@ -162,7 +189,7 @@
     return state.fold.position.decisions.get(record_id)
 
 
-def view_outcome(decision: Decision | None) -> dict[str, Any]:
+def view_outcome(decision: Verdict | None) -> dict[str, Any]:
     """
     Show what the fold made of a record.
 
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_settings.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_settings.py
@@ -39,6 +39,7 @@
     :param zone: its availability zone.
     :param listen: ``IP:PORT`` for callers and operators.
     :param peer_listen: ``IP:PORT`` for other entry instances.
+    :param peer_advertise: ``IP:PORT`` that others are told, when it differs from what is bound.
     :param log_url: base of the platform's log service.
     :param list_url: base of the platform's list of instances.
     :param root_digest: SHA-256 of the first operator's secret, in hex.
@@ -58,6 +59,7 @@
     peer_listen: str
     log_url: str
     list_url: str
+    peer_advertise: str = ""
     root_digest: str = ""
     incarnation: int = 0
     max_body_bytes: int = 16 * 1024 * 1024
@@ -120,6 +122,7 @@
     "peer_listen": _address,
     "log_url": _url,
     "list_url": _url,
+    "peer_advertise": _address,
     "root_digest": _digest,
     "incarnation": _number(int, 0, 2**53),
     "max_body_bytes": _number(int, 1, 2**30),
@@ -176,6 +179,7 @@
     zone: _option("its availability zone") = None,
     listen: _option("IP:PORT for callers and operators") = None,
     peer_listen: _option("IP:PORT for other entry instances") = None,
+    peer_advertise: _option("IP:PORT that other instances are told, when not the bound one") = None,
     log_url: _option("http://IP:PORT of the platform's log") = None,
     list_url: _option("http://IP:PORT of the list of instances") = None,
     root_digest: _option("SHA-256 of the first operator's secret, in hex") = None,
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_endpoints.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_endpoints.py
@@ -54,8 +54,9 @@
     if endpoint is None or not endpoint.reachable or is_cut(world, zone, endpoint.zone):
         deliver(events.AttemptFailed(effect.attempt, False, "connect"))
         return
-    if endpoint.leaving_since_s is not None or len(endpoint.running) >= endpoint.slots:
-        leaving = endpoint.leaving_since_s is not None
+    leaving = endpoint.leaving_since_s is not None
+    if (leaving and endpoint.refuses_leaving) or len(endpoint.running) >= endpoint.slots:
+        world.refused += 1
         deliver(events.AttemptRefused(effect.attempt, leaving))
         return
     run = Run(
@@ -66,6 +67,7 @@
         endpoint.id,
         world.now_s,
         sent_s,
+        effect.token,
     )
     world.runs.append(run)
     if endpoint.fail_fast:
@@ -91,7 +93,8 @@
         elif not endpoint.silent and not is_cut(world, zone, endpoint.zone):
             settle(events.AttemptAnswered(effect.attempt, 200, 10))
 
-    run_s = endpoint.run_s * (0.5 + world.rng.random())
+    mean_s = world.run_s_by_team.get(effect.team, endpoint.run_s)
+    run_s = mean_s * (0.5 + world.rng.random())
     later(world, run_s, end)
     later(
         world,
