--- a/packages/eelgrassdrum-cli/tests/test_publish.py
+++ b/packages/eelgrassdrum-cli/tests/test_publish.py
@@ -115,3 +115,5 @@
     assert command(platform, "status", entry_url=NOWHERE).code == ExitCode.UNREACHABLE
     assert command(platform, "history", "fleet", operator_key="x").code == ExitCode.NOT_ALLOWED
     assert command(platform, "history", "graz").code == ExitCode.NOT_FOUND
+    # The status of this fake instance tells nothing of pools.
+    assert command(platform, "pools").code == ExitCode.NOT_FOUND
