Test that a boolean is no number, whatever the bounds

Change: a test without a lower bound that looks at the reason. Conclusion: the type check is held again.

--- a/packages/eelgrassdrum-core/tests/test_config_documents.py
+++ b/packages/eelgrassdrum-core/tests/test_config_documents.py
@@ -242,6 +242,14 @@
     assert places(template, PARAMETERS) == [("w.toml", 14, "parameters.executors.default")]
 
 
+def test_a_boolean_is_no_number() -> None:
+    """A value of another type is refused for its type, whatever bounds there are."""
+    template = TEMPLATE.replace("min = 4\n", "")
+    faulty = PARAMETERS.replace('show = "rose"', 'show = "rose"\nexecutors = true')
+    [fault] = render(Source("t.toml", template), Source("p.toml", faulty)).faults
+    assert "is not of the type int" in fault.message
+
+
 def test_a_list_is_no_part_of_a_string() -> None:
     """A list can be used whole only."""
     template = TEMPLATE.replace("${show}-show", "${show}-${teams}")
