Write to callers directly, and keep closed sockets out of the poller

In the demonstration an instance that stopped logged two faults: an accept on the closed listener and a write to a socket that was closed while its event was queued, which also left the socket in the poller's lists. The listener leaves the poller first and is closed when no event can be queued.

--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
@@ -13,7 +13,7 @@
 from functools import partial
 
 from circuits import BaseComponent, handler
-from circuits.net.events import close, write
+from circuits.net.events import close
 from circuits.net.sockets import TCPServer
 from circuits.web.parsers import HttpParser
 from circuits.web.wrappers import Response
@@ -67,6 +67,7 @@
         self.exchanges: dict[int, Exchange] = {}
         self.buffered_bytes = 0
         self._is_closing = False
+        self._is_deaf = False
         self._conns: dict[socket.socket, ServerConn] = {}
         self._tokens = itertools.count(1)
         self._tcp = TCPServer(bind, channel=CHANNEL, bufsize=READ_BYTES).register(self)
@@ -106,7 +107,7 @@
         # An answer is never refused for want of memory; what it takes up holds back new requests.
         conn.held_bytes = len(data)
         self.buffered_bytes += len(data)
-        self.fire(write(conn.sock, data))
+        self._write(conn, data)
         if res.close:
             self.fire(close(conn.sock))
 
@@ -130,8 +131,12 @@
         Take no new connections, and close those that wait for no answer.
         """
         self.close_after_answers()
-        if self._tcp._sock is not None:
-            self._tcp._close(self._tcp._sock)
+        listener = self._tcp._sock
+        if listener is not None and not self._is_deaf:
+            self._is_deaf = True
+            self._tcp._poller.discard(listener)
+            # An event that says that a client waits may be queued already.
+            self.scheduler.call_later(FLUSH_POLL_S, partial(self._tcp._close, listener))
         for conn in list(self._conns.values()):
             if conn.token is None and conn.parser is None:
                 # What was written but not yet sent goes out first.
@@ -221,7 +226,7 @@
         conn.length_bytes = check_head(conn.parser, self.limits.max_body_bytes)
         wants_continue = conn.parser.get_headers().get("Expect", "").lower() == "100-continue"
         if conn.length_bytes and wants_continue:
-            self.fire(write(conn.sock, CONTINUE))
+            self._write(conn, CONTINUE)
 
     def _finish_request(self, conn: ServerConn) -> None:
         parser, conn.parser = conn.parser, None
@@ -256,12 +261,18 @@
         conn.parser = None
         conn.closing = True
         self._release(conn)
-        self.fire(write(conn.sock, encode_error(status, reason, run_state)))
+        self._write(conn, encode_error(status, reason, run_state))
         # What the client still sends is read and dropped for a while: closing at once would
         # reset the connection, and the client could lose the answer.
         conn.deadline = self._after(LINGER_S, conn)
         self.scheduler.call_later(FLUSH_POLL_S, partial(self._half_close, conn))
 
+    def _write(self, conn: ServerConn, data: bytes | memoryview) -> None:
+        # The socket may be closed while the event that says so is still queued. Writing to it
+        # would leave it in the poller's lists for good.
+        if conn.sock.fileno() >= 0:
+            self._tcp.write(conn.sock, data)
+
     def _half_close(self, conn: ServerConn) -> None:
         if conn.sock not in self._conns:
             return
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_changes.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_changes.py
@@ -28,6 +28,7 @@
 
     :param exit_code: of the entry instance that was replaced, ``None`` when it did not end.
     :param replaced_s: seconds from the signal until its replacement was ready.
+    :param drained_s: seconds from the signal until the replaced instance had ended.
     :param roll_out_s: seconds from the append until the last entry instance had it in force,
         ``None`` when one never had.
     :param withdrawn_s: seconds from the append until the key was last taken.
@@ -37,6 +38,7 @@
 
     exit_code: int | None = None
     replaced_s: float | None = None
+    drained_s: float | None = None
     roll_out_s: float | None = None
     withdrawn_s: float = 0.0
     withdrawn_tries: int = 0
@@ -85,6 +87,7 @@
     entry = made.entries[next(iter(sorted(made.entries)))]
     await keep_metrics(client, entry.process.address, changes)
     start_s = time.monotonic()
+    entry.is_leaving = True
     entry.process.popen.terminate()
     await asyncio.to_thread(list_entry, made, entry, "leaving")
     new = await asyncio.to_thread(start_entry, made, f"{entry.id}-new", entry.zone)
@@ -92,6 +95,7 @@
         await asyncio.sleep(POLL_S)
     changes.replaced_s = time.monotonic() - start_s
     changes.exit_code = await asyncio.to_thread(entry.process.popen.wait, EXIT_TIMEOUT_S)
+    changes.drained_s = time.monotonic() - start_s
     made.replaced.append(made.entries.pop(entry.id))
 
 
@@ -108,7 +112,9 @@
     revision = await asyncio.to_thread(fleet.publish, made.writer, workspace.id, document)
     start_s = time.monotonic()
     path = f"/v1/operator/documents/{workspace.id}"
-    waiting = {entry.process.address for entry in made.entries.values()}
+    # An instance that leaves takes no callers, so what it has in force matters to nobody.
+    staying = [entry for entry in made.entries.values() if not entry.is_leaving]
+    waiting = {entry.process.address for entry in staying}
     while waiting and time.monotonic() - start_s < ROLL_OUT_TIMEOUT_S:
         for address in sorted(waiting):
             if await _revision(client, address, path) >= revision:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_fleet.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_fleet.py
@@ -33,12 +33,14 @@
     One entry instance.
 
     :param peer_address: ``IP:PORT`` for other entry instances.
+    :param is_leaving: whether it was asked to stop.
     """
 
     id: str
     zone: str
     process: Process
     peer_address: str
+    is_leaving: bool = False
 
 
 class Fleet(msgspec.Struct):
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_report.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_report.py
@@ -108,6 +108,7 @@
         console.print(f"distance to the exact shares during bursts: {distance:.3f}")
     console.print(f"roll-out of the published document: {_seconds(changes.roll_out_s)}")
     console.print(f"replacement of an entry instance: {_seconds(changes.replaced_s)}")
+    console.print(f"graceful stop of the replaced one: {_seconds(changes.drained_s)}")
     console.print(
         f"the withdrawn key was last taken after {changes.withdrawn_s:.2f} s "
         f"({changes.withdrawn_tries} tries)"
