Bound the demonstration's wait for a granted key

A probe that repeated one request id got the first answer again for good, so the run never ended when that answer was a refusal. Each probe has an id of its own and the wait ends.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_changes.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_changes.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import itertools
 import time
 from typing import Any
 
@@ -32,7 +33,8 @@
     :param roll_out_s: seconds from the append until the last entry instance had it in force,
         ``None`` when one never had.
     :param withdrawn_s: seconds from the append until the key was last taken.
-    :param withdrawn_tries: requests sent with the key after its withdrawal.
+    :param withdrawn_tries: requests sent with the key after its withdrawal; 0 when it was never
+        taken before.
     :param metrics: metrics of entry instances, the replaced one included.
     """
 
@@ -140,7 +142,12 @@
         fleet.grant_key, made.writer, workspace.id, team.id, EXTRA_KEY_ID, "t0day"
     )
     path = f"/v1/queues/{workspace.id}/{made.scenario.services[-1]}/requests"
-    while not await _is_taken(client, choose(balancer), path, key, "granted"):
+    granted_s = time.monotonic()
+    for number in itertools.count():
+        if await _is_taken(client, choose(balancer), path, key, f"granted-{number}"):
+            break
+        if time.monotonic() - granted_s > ROLL_OUT_TIMEOUT_S:
+            return
         await asyncio.sleep(POLL_S)
     await asyncio.to_thread(fleet.withdraw_key, made.writer, workspace.id, EXTRA_KEY_ID)
     start_s = time.monotonic()
@@ -174,7 +181,7 @@
 
 
 async def _is_taken(client: _http.Client, address: str, path: str, key: str, name: str) -> bool:
-    headers = {"X-Request-Id": f"probe-{name}-{address}", "X-Key": key}
+    headers = {"X-Request-Id": f"probe-{name}", "X-Key": key}
     try:
         answer = await _http.request(client, address, "POST", path, headers, b'{"work_ms": 1}')
     except _http.NoAnswerError:
