Withdraw keys at an entry instance when the log takes nothing

Cause: with the log out an operator could not withdraw a key, though instances could pass it on. Change: POST /v1/operator/withdrawals, used by keys withdraw when the log took nothing or its answer is unknown; status shows the age of the proof of freshness.

--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_keys.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_keys.py
@@ -17,7 +17,7 @@
 from ._commands_config import InForce, print_results
 from ._errors import CommandError, ExitCode, InvalidInputError
 from ._key_text import new_key
-from ._operator_client import get_typed
+from ._operator_client import get_typed, tell_withdrawal
 from ._output import print_fields, print_rows
 from ._publish import EXIT_CODES, publish
 from ._records import key_subject
@@ -87,6 +87,8 @@
     """
     Withdraw a key. A withdrawn key never works again, whatever else is published.
 
+    While the log is out, the entry instances withdraw the key and bring that to the log later.
+
     :param workspace: the key's workspace.
     :param key_id: the key's id.
     """
@@ -94,11 +96,34 @@
     decoded = decode_withdrawal(body)
     if isinstance(decoded, list):
         raise InvalidInputError(decoded)
-    # A withdrawal builds on nothing, so that no other change can get in its way.
-    result = publish(settings, KEY_WITHDRAWN, key_subject(workspace, key_id), None, body)
+    try:
+        # A withdrawal builds on nothing, so that no other change can get in its way.
+        result = publish(settings, KEY_WITHDRAWN, key_subject(workspace, key_id), None, body)
+    except CommandError as exc:
+        if exc.code != ExitCode.NOT_SENT:
+            raise
+        return _withdraw_at_instance(settings, workspace, key_id, exc)
+    if result.state == "unknown":
+        return _withdraw_at_instance(settings, workspace, key_id, None)
     return print_results(settings, [result])
 
 
+def _withdraw_at_instance(
+    settings: Settings, workspace: str, key_id: str, exc: CommandError | None
+) -> int:
+    spread = tell_withdrawal(settings, workspace, key_id)
+    if spread is None:
+        if exc is not None:
+            raise exc
+        raise CommandError(
+            ExitCode.UNKNOWN, "the outcome is unknown, and no entry instance took it"
+        )
+    fields = {"state": "withdrawn_ahead_of_log", **msgspec.structs.asdict(spread)}
+    print_fields(settings, fields)
+    # Not in force everywhere yet: the operator has to see to the instances that are cut off.
+    return ExitCode.OK if spread.told >= spread.others else ExitCode.UNKNOWN
+
+
 def list_keys(workspace: str, /, *, settings: Settings = NO_SETTINGS) -> int:
     """
     List the keys of a workspace, granted and withdrawn.
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_operator_client.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_operator_client.py
@@ -36,6 +36,16 @@
     overtaken_by: Any = None
 
 
+class Spread(msgspec.Struct, frozen=True):
+    """
+    How many of the other entry instances have a withdrawal.
+    """
+
+    instance: str
+    told: int
+    others: int
+
+
 def get(settings: Settings, path: str, extra_s: float = 0.0) -> Any:
     """
     Ask the entry instances in turn until one answers.
@@ -93,6 +103,28 @@
         raise CommandError(ExitCode.UNREACHABLE, message) from exc
 
 
+def tell_withdrawal(settings: Settings, workspace: str, key_id: str) -> Spread | None:
+    """
+    Withdraw a key at the first entry instance that takes it, which works without the log.
+
+    :param settings: where the entry instances are, and the operator's key.
+    :param workspace: the key's workspace.
+    :param key_id: the key's id.
+    :returns: how far the withdrawal has come, or ``None`` when no instance took it.
+    """
+    headers = {"Authorization": f"Bearer {settings.operator_key}"} if settings.operator_key else {}
+    path = f"/withdrawals/{quote(workspace, safe='')}/{quote(key_id, safe='')}"
+    for entry_url in settings.entry_url:
+        url = f"{entry_url.rstrip('/')}/v1/operator{path}?wait={LONG_POLL_S:.1f}"
+        try:
+            answer = call("POST", url, timeout_s=CALL_TIMEOUT_S + LONG_POLL_S, headers=headers)
+            if answer.status == STATUS_OK:
+                return msgspec.convert(answer.content, Spread)
+        except (NoAnswerError, msgspec.ValidationError):
+            continue
+    return None
+
+
 def wait_for_outcome(settings: Settings, record_id: RecordId, timeout_s: float) -> Outcome:
     """
     Wait until the fold has accepted or rejected a record.
--- a/packages/eelgrassdrum-cli/tests/test_against_daemon.py
+++ b/packages/eelgrassdrum-cli/tests/test_against_daemon.py
@@ -14,7 +14,7 @@
 from eelgrassdrum_cli._key_text import new_key
 from eelgrassdrum_testing import _daemon as fleet
 from eelgrassdrum_testing._http_client import call
-from eelgrassdrum_testing._process import Process, processes
+from eelgrassdrum_testing._process import Process, kill, processes
 from eelgrassdrum_testing._wait import wait_until
 from eelgrassdrum_testing.operator_platform import Platform, Result, command
 
@@ -27,12 +27,13 @@
 
 class Running(NamedTuple):
     """
-    An entry instance, the log's URL and the key of an operator of the whole fleet.
+    An entry instance, the log's URL, the key of an operator of the whole fleet, and the log.
     """
 
     daemon: Process
     log_url: str
     key: str
+    log: Process
 
 
 def make_running() -> Iterator[Running]:
@@ -41,7 +42,7 @@
         platform = fleet.start_platform(start)
         daemon = fleet.start_daemon(start, platform, "entry-a1", "a", root_digest=root.digest)
         fleet.wait_ready(daemon)
-        yield Running(daemon, f"http://{platform.log.address}", root.text)
+        yield Running(daemon, f"http://{platform.log.address}", root.text, platform.log)
 
 
 def operate(running: Running, *arguments: str, key: str = "") -> Result:
@@ -115,3 +116,15 @@
     teams = operate(running, "teams", key=desk.text).json()
     assert {team["team"].split("/")[0] for team in teams} == {"graz"}
     assert operate(running, "status", key="egd_desk_wrong").code == ExitCode.NOT_ALLOWED
+
+
+def test_a_key_is_withdrawn_with_the_log_gone(running: Running) -> None:
+    """With the log gone the entry instance takes the withdrawal, and the key opens nothing."""
+    operate(running, "publish", *FILES)
+    granted = operate(running, "keys", "grant", "graz", "judges").json()
+    assert refusal(running, granted["key"]) == "no_endpoint"
+    kill(running.log)
+    withdrawn = operate(running, "keys", "withdraw", "graz", granted["key"].split("_")[1])
+    assert withdrawn.code == ExitCode.OK
+    assert withdrawn.json()["state"] == "withdrawn_ahead_of_log"
+    assert refusal(running, granted["key"]) == "key_refused"
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_freshness_withdrawals.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_freshness_withdrawals.py
@@ -18,7 +18,7 @@
 from ._keys import key_name
 from ._log_state import NEVER_S, FoldReplaced
 from ._membership_messages import Heartbeat
-from ._membership_state import ALIVE
+from ._membership_state import ALIVE, DEAD, LEAVING, Peer
 from ._records import KEY_WITHDRAWN
 from ._relay import reads_log
 from ._state import State
@@ -27,6 +27,8 @@
 MAX_TOLD = 1000
 # Another instance appends a withdrawal when its first one has not in this time.
 TAKEOVER_S = 5.0
+# A withdrawal has reached all of a zone so long after it left here, when the zone is in touch.
+SPREAD_S = 1.0
 
 
 class KeyWithdrawalAsked(NamedTuple):
@@ -114,13 +116,29 @@
 
 def told_instances(state: State) -> int:
     """
-    Count the peers that have every withdrawal of this instance.
+    Count the peers that are not gone and have every withdrawal of this instance.
+
+    A peer in another zone counts once this instance has heard so from it, or once its whole zone
+    was in touch after the last withdrawal was heard of.
 
     :param state: the state.
     :returns: the count.
     """
-    version = state.freshness.version
-    return sum(peer.withdrawn_seen >= version for peer in state.membership.peers.values())
+    return sum(
+        _is_told(state, peer)
+        for peer in state.membership.peers.values()
+        if peer.state not in (DEAD, LEAVING)
+    )
+
+
+def _is_told(state: State, peer: Peer) -> bool:
+    freshness = state.freshness
+    if peer.withdrawn_seen >= freshness.version:
+        return True
+    if peer.sender.zone == state.identity.sender.zone or not freshness.withdrawn:
+        return not freshness.withdrawn
+    zone_s = state.membership.zones.get(peer.sender.zone, NEVER_S)
+    return zone_s - SPREAD_S >= max(freshness.withdrawn.values())
 
 
 def _add(state: State, name: str) -> Iterator[object]:
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_api.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_api.py
@@ -10,6 +10,7 @@
 
 from . import _metrics
 from . import _operator_views as views
+from . import _operator_withdrawal as withdrawal
 from ._caller_api import BadHeaderError, read_credential
 from ._operator_scope import Scope, find_scope, sees_all, sees_name, sees_subject, sees_workspace
 from ._server_answers import JSON_HEADERS, encode_json
@@ -58,7 +59,7 @@
     :param app: the entry instance.
     :param exchange: the request.
     """
-    if exchange.req.method != "GET":
+    if exchange.req.method not in ROUTES:
         _answer(app, exchange.token, STATUS_METHOD, {"error": "method_not_allowed"})
         return
     try:
@@ -74,7 +75,7 @@
         return
     name, parts = _split(exchange.req.path)
     query = {key: values[-1] for key, values in parse_qs(exchange.req.qs).items()}
-    route = ROUTES.get(name, _answer_not_found)
+    route = ROUTES[exchange.req.method].get(name, _answer_not_found)
     route(Call(app, exchange.token, scope, parts, query))
 
 
@@ -162,6 +163,32 @@
     app.scheduler.call_later(OUTCOME_POLL_S, check_again)
 
 
+def _withdraw(call: Call) -> None:
+    wait_s = _read_wait_s(call.query.get("wait", "0"))
+    if len(call.parts) != 2 or wait_s is None:
+        _answer(call.app, call.token, STATUS_BAD_REQUEST, {"error": "bad_request"})
+    elif not sees_workspace(call.scope, call.parts[0]):
+        _answer_forbidden(call)
+    else:
+        withdrawal.withdraw(call.app, *call.parts)
+        _await_spread(call, call.app.scheduler.clock() + wait_s)
+
+
+def _await_spread(call: Call, deadline_s: float) -> None:
+    app = call.app
+    is_over = app.scheduler.clock() >= deadline_s or app.waiting_outcomes >= MAX_WAITING
+    if is_over or withdrawal.is_spread(app.state):
+        _answer_ok(call, withdrawal.view_spread(app.state))
+        return
+
+    def check_again() -> None:
+        app.waiting_outcomes -= 1
+        _await_spread(call, deadline_s)
+
+    app.waiting_outcomes += 1
+    app.scheduler.call_later(OUTCOME_POLL_S, check_again)
+
+
 def _read_record_id(parts: list[str]) -> RecordId | None:
     if len(parts) != 3 or not (parts[1].isdecimal() and parts[2].isdecimal()):
         return None
@@ -198,12 +225,16 @@
     _answer_ok(call, shown)
 
 
-ROUTES: dict[str, Callable[[Call], None]] = {
-    "status": _answer_status,
-    "documents": _answer_documents,
-    "subjects": _answer_subjects,
-    "keys": _answer_keys,
-    "outcomes": _answer_outcome,
-    "explain": _answer_explain,
-    "metrics": _answer_metrics,
+# Routes by method.
+ROUTES: dict[str, dict[str, Callable[[Call], None]]] = {
+    "GET": {
+        "status": _answer_status,
+        "documents": _answer_documents,
+        "subjects": _answer_subjects,
+        "keys": _answer_keys,
+        "outcomes": _answer_outcome,
+        "explain": _answer_explain,
+        "metrics": _answer_metrics,
+    },
+    "POST": {"withdrawals": _withdraw},
 }
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
@@ -3,9 +3,10 @@
 """
 
 from collections import Counter
+from math import isinf
 from typing import Any
 
-from eelgrassdrum_core import RecordId, State, Verdict, refusals
+from eelgrassdrum_core import RecordId, State, Verdict, proof_age_s, reachable_zones, refusals
 
 from ._operator_scope import Scope, sees_all, sees_name, sees_subject, sees_workspace
 
@@ -27,6 +28,7 @@
         "head": state.log.head,
         "caught_up": state.log.caught_up,
         "log_available": state.log.available,
+        "freshness": _view_freshness(state),
         "stopping": state.stopping,
         "teams": _view_teams(state, scope),
         "queues": _view_queues(state, scope),
@@ -35,6 +37,16 @@
     }
 
 
+def _view_freshness(state: State) -> dict[str, Any]:
+    age_s = proof_age_s(state)
+    return {
+        "proof_age_s": None if isinf(age_s) else round(age_s, 3),
+        "bound_s": state.tuning.key_freshness_s,
+        "zones_in_touch": sorted(reachable_zones(state)),
+        "withdrawals_ahead_of_log": len(state.freshness.withdrawn),
+    }
+
+
 def _view_teams(state: State, scope: Scope) -> list[dict[str, Any]]:
     running = Counter(attempt.request.team for attempt in state.requests.attempts.values())
     return [
--- a/packages/eelgrassdrum-daemon/tests/test_operator_api.py
+++ b/packages/eelgrassdrum-daemon/tests/test_operator_api.py
@@ -147,3 +147,19 @@
     fleet.publish(running.writer, "fleet", {**FLEET_DOCUMENT, "operators": []})
     wait_until(lambda: get(running, "/v1/operator/status", SHOW_KEY).status == 401)
     assert get(running, "/v1/operator/status").status == 200
+
+
+def test_key_is_withdrawn_at_an_instance(running: Running) -> None:
+    """
+    A withdrawal by an operator of the workspace is in the log afterwards; others may not do it.
+    """
+    path = "/v1/operator/withdrawals/show/k9?wait=5"
+    headers = {"Authorization": f"Bearer {SHOW_KEY}"}
+    foreign = "/v1/operator/withdrawals/roads/k9"
+    assert call(running.daemon.address, "POST", foreign, headers=headers).status == 403
+    assert call(running.daemon.address, "POST", path).status == 401
+    answer = call(running.daemon.address, "POST", path, headers=headers)
+    assert (answer.status, answer.json()["told"], answer.json()["others"]) == (200, 0, 0)
+    keys = "/v1/operator/subjects?prefix=key/"
+    wait_until(lambda: "key/show/k9" in get(running, keys, SHOW_KEY).json()["subjects"])
+    assert get(running, "/v1/operator/status").json()["freshness"]["proof_age_s"] < 60.0
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/capacity/_process_cost.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/capacity/_process_cost.py
@@ -11,31 +11,32 @@
 from .._process import processes
 from ._fit import Estimate, fit_line
 
-COUNTS = (1, 2, 3)
+ZONE_COUNTS = (1, 2, 3)
+ENTRIES_PER_ZONE = 3
 SETTLE_S = 4.0
 MEASURE_S = 10.0
-TODAY = 9
+ZONES = 16
 MEMORY_BUDGET_MB = 256.0
 CPU_BUDGET = 0.04
 
 
 def estimate_processes() -> Iterator[Estimate]:
     """
-    Measure daemons at rest, one to three of them in one zone.
+    Measure daemons at rest, three in each of one to three zones.
 
-    :returns: memory and processor time of one of them in today's fleet.
+    :returns: memory and processor time of one of them.
     """
-    runs = [_measure(count) for count in COUNTS]
-    memory = fit_line(COUNTS, [run[0] for run in runs], TODAY)
-    cpu = fit_line(COUNTS, [run[1] for run in runs], TODAY)
-    role, size = "entry instance", "processes"
+    runs = [_measure(count) for count in ZONE_COUNTS]
+    memory = fit_line(ZONE_COUNTS, [run[0] for run in runs], ZONES)
+    cpu = fit_line(ZONE_COUNTS, [run[1] for run in runs], ZONES)
+    role, size = "entry instance, process", "zones of 3"
     yield Estimate(
         role,
         "resident memory at rest",
         "MB",
         memory.slope,
         size,
-        TODAY,
+        ZONES,
         memory.at,
         memory.error,
         MEMORY_BUDGET_MB,
@@ -46,37 +47,38 @@
         "share of a core",
         cpu.slope,
         size,
-        TODAY,
+        ZONES,
         cpu.at,
         cpu.error,
         CPU_BUDGET,
     )
 
 
-def _measure(count: int) -> tuple[float, float]:
+def _measure(zones: int) -> tuple[float, float]:
     with processes() as start:
         platform = _daemon.start_platform(start)
         daemons = []
-        for number in range(count):
-            name = f"entry-a{number}"
-            daemon = _daemon.start_daemon(start, platform, name, "a")
-            _daemon.put_instance(platform, _daemon_entry(name, daemon))
+        for number in range(zones * ENTRIES_PER_ZONE):
+            zone = f"z{number % zones}"
+            name = f"entry-{number}"
+            daemon = _daemon.start_daemon(start, platform, name, zone)
+            _daemon.put_instance(platform, _daemon_entry(name, zone, daemon))
             daemons.append(psutil.Process(daemon.pid))
         sleep(SETTLE_S)
         before = [_cpu_s(daemon) for daemon in daemons]
         sleep(MEASURE_S)
         used_s = [_cpu_s(d) - spent for d, spent in zip(daemons, before, strict=True)]
         memory_mb = max(daemon.memory_info().rss for daemon in daemons) / 1e6
-    return memory_mb, max(used_s) / MEASURE_S
+    return memory_mb, sum(used_s) / len(used_s) / MEASURE_S
 
 
-def _daemon_entry(name: str, daemon: _daemon.Process) -> dict[str, object]:
+def _daemon_entry(name: str, zone: str, daemon: _daemon.Process) -> dict[str, object]:
     return {
         "id": name,
         "role": "entry",
         "address": daemon.address,
         "peer_address": daemon.peer_address,
-        "zone": "a",
+        "zone": zone,
         "state": "live",
         "incarnation": 1,
     }
--- a/packages/eelgrassdrum-testing/tests/test_keys_freshness.py
+++ b/packages/eelgrassdrum-testing/tests/test_keys_freshness.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from unittest import mock
 
-from eelgrassdrum_core import KeyWithdrawalAsked, proof_age_s, refusals
+from eelgrassdrum_core import KeyWithdrawalAsked, proof_age_s, refusals, told_instances
 from eelgrassdrum_core import _freshness as freshness
 from eelgrassdrum_testing._harness import (
     DEFAULT_TEAMS,
@@ -159,6 +159,24 @@
     assert ask(world, "entry-b1", "judges") == "answered"
 
 
+def test_operator_learns_how_far_a_withdrawal_has_come(world: World) -> None:
+    """
+    The instance that took a withdrawal counts the others that have it, and none that is cut off.
+    """
+    world.log.outage = True
+    entry = world.entries["entry-a0"]
+    advance(world, 5.0)
+    cut_off(world, "c")
+    deliver(world, entry, KeyWithdrawalAsked("show", "members-key"))
+    assert told_instances(entry.state) == 0
+    advance(world, BOUND_S)
+    assert told_instances(entry.state) == 3
+    world.network.cuts.clear()
+    advance(world, BOUND_S)
+    assert told_instances(entry.state) == 5
+    assert all("show/members-key" in e.state.freshness.withdrawn for e in world.entries.values())
+
+
 def test_withdrawal_outlives_its_first_instance(world: World) -> None:
     """
     When the instance that took a withdrawal dies during the outage, the others bring it to the log.
