--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_beats.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_beats.py
@@ -4,28 +4,20 @@
 
 from collections.abc import Iterator
 
-from . import _freshness_withdrawals, _membership, _membership_aggregates
+from . import _membership, _membership_aggregates, _membership_heartbeat
 from ._effects import Emit, SendPeer, WriteLog
 from ._events import InstancesListed, PeerReceived, StopRequested, Ticked
 from ._handlers import HandlerTable
 from ._ids import Sender
-from ._membership_messages import Heartbeat, MemberView, OriginNumbers, Superseded, ZoneView
+from ._membership_heartbeat import RELAY_BEAT_S, ZONE_BEAT_S
+from ._membership_messages import Heartbeat, MemberView, Superseded
 from ._membership_state import ALIVE, DEAD, LEAVING, NEVER_S, Peer
 from ._state import State
 
-ZONE_BEAT_S = 0.5
-RELAY_BEAT_S = 1.0
 # Heartbeats to instances that count as dead go out at this interval.
 DEAD_BEAT_S = 5.0
 # A relay that hears nothing from another zone turns to its next instance after this time.
 RETARGET_S = 2.0
-# A changed liveness is told to others for this time.
-NEWS_S = 10.0
-# An instance tells its zone about members of zones that it heard itself within this time.
-DIRECT_S = 3.0
-MAX_VIEWS = 32
-# Small enough to fit a count of milliseconds into three bytes of MessagePack.
-MAX_AGE_MS = 65_535
 
 
 def on_tick(state: State, event: Ticked) -> Iterator[object]:
@@ -65,40 +57,6 @@
         yield from _take_heartbeat(state, event.sender, event.message)
 
 
-def make_heartbeat(state: State, peer: Peer, *, wants_answer: bool = False) -> Heartbeat:
-    """
-    Make the heartbeat for one peer.
-
-    :param state: what was sent to the peer is noted in its entry.
-    :param peer: the receiver.
-    :param wants_answer: whether it is to answer at once.
-    :returns: the message.
-    """
-    in_zone = peer.sender.zone == state.identity.sender.zone
-    peer.sent_s = state.now_s
-    return Heartbeat(
-        sent_s=state.now_s,
-        echo_s=peer.echo_s,
-        peer_address=state.identity.peer_address,
-        leaving=state.stopping,
-        next_offset=state.fold.position.next_offset,
-        head_age_ms=_head_age_ms(state),
-        wants_answer=wants_answer,
-        zones=_view_zones(state, in_zone),
-        suspects=_view_suspects(state),
-        members=_view_news(state) if in_zone else _view_zone(state),
-        numbers=_choose_numbers(state, peer, in_zone),
-        withdrawn=_freshness_withdrawals.untold(state, peer.withdrawn_seen),
-        withdrawn_version=state.freshness.version,
-        withdrawn_seen=peer.withdrawn_version,
-    )
-
-
-def _head_age_ms(state: State) -> int:
-    head_s = state.freshness.head_s
-    return -1 if head_s == NEVER_S else int((state.now_s - head_s) * 1000) + 1
-
-
 def _check_pause(state: State) -> Iterator[object]:
     gap_s = _membership.pause_s(state)
     if gap_s <= _membership.PAUSE_GAP_S:
@@ -128,7 +86,7 @@
             continue
         if peer.state == DEAD and state.now_s - peer.sent_s < DEAD_BEAT_S:
             continue
-        yield SendPeer(peer.peer_address, make_heartbeat(state, peer))
+        yield SendPeer(peer.peer_address, _membership_heartbeat.make_heartbeat(state, peer))
 
 
 def _beat_other_zones(state: State) -> Iterator[object]:
@@ -138,7 +96,10 @@
     for zone in zones:
         peer = _choose_target(state, zone)
         if peer is not None:
-            yield SendPeer(peer.peer_address, make_heartbeat(state, peer, wants_answer=True))
+            yield SendPeer(
+                peer.peer_address,
+                _membership_heartbeat.make_heartbeat(state, peer, wants_answer=True),
+            )
 
 
 def _choose_target(state: State, zone: str) -> Peer | None:
@@ -180,7 +141,7 @@
         _membership_aggregates.mark_heard(state.membership.aggregates, sender.instance, state.now_s)
     _membership_aggregates.take_numbers(state, sender.zone, beat.numbers)
     if beat.wants_answer:
-        yield SendPeer(peer.peer_address, make_heartbeat(state, peer))
+        yield SendPeer(peer.peer_address, _membership_heartbeat.make_heartbeat(state, peer))
 
 
 def _note_peer(state: State, peer: Peer, beat: Heartbeat) -> None:
@@ -230,7 +191,9 @@
         if peer is None or peer.sender.zone == own_zone:
             continue
         zone = peer.sender.zone
-        has_authority = zone == from_zone or not _is_heard_directly(state, zone)
+        has_authority = zone == from_zone or not _membership_heartbeat.is_heard_directly(
+            state, zone
+        )
         if has_authority and view.incarnation == peer.sender.incarnation:
             _note_view(state, peer, view)
 
@@ -243,69 +206,6 @@
         peer.changed_s = state.now_s
 
 
-def _is_heard_directly(state: State, zone: str) -> bool:
-    return state.now_s - state.membership.direct.get(zone, -DIRECT_S) < DIRECT_S
-
-
-def _view_zones(state: State, in_zone: bool) -> tuple[ZoneView, ...]:
-    views = []
-    for zone, at_s in state.membership.zones.items():
-        if in_zone and zone in state.membership.zones_told:
-            # Another instance of this zone knows it first, and tells all.
-            continue
-        age_ms = int((state.now_s - at_s) * 1000) + 1
-        if age_ms <= MAX_AGE_MS:
-            views.append(ZoneView(zone, age_ms))
-    return tuple(views)
-
-
-def _view_suspects(state: State) -> tuple[str, ...]:
-    since_s = state.now_s - _membership.SUSPECT_AFTER_S
-    zone = state.identity.sender.zone
-    silent = [
-        instance
-        for instance, peer in state.membership.peers.items()
-        if peer.sender.zone == zone and peer.heard_s < since_s
-    ]
-    return tuple(silent[:MAX_VIEWS])
-
-
-def _view_zone(state: State) -> tuple[MemberView, ...]:
-    own = state.identity.sender
-    views = [MemberView(own.instance, own.incarnation, LEAVING if state.stopping else ALIVE)]
-    for member in _membership.members(state):
-        if member.zone == own.zone:
-            sender = member.sender
-            views.append(MemberView(sender.instance, sender.incarnation, member.state))
-    return tuple(views[:MAX_VIEWS])
-
-
-def _view_news(state: State) -> tuple[MemberView, ...]:
-    own_zone = state.identity.sender.zone
-    news = [
-        MemberView(peer.sender.instance, peer.sender.incarnation, peer.state)
-        for peer in state.membership.peers.values()
-        if peer.sender.zone != own_zone
-        and _is_heard_directly(state, peer.sender.zone)
-        and (peer.state in (DEAD, LEAVING) or state.now_s - peer.changed_s < NEWS_S)
-    ]
-    return tuple(news[:MAX_VIEWS])
-
-
-def _choose_numbers(state: State, peer: Peer, in_zone: bool) -> tuple[OriginNumbers, ...]:
-    membership = state.membership
-    if in_zone:
-        limit = _membership_aggregates.ZONE_NUMBERS_PER_S * ZONE_BEAT_S
-        receivers = membership.zone_receivers
-        feed = membership.aggregates.zone_feed
-    else:
-        limit = _membership_aggregates.RELAY_NUMBERS_PER_S * RELAY_BEAT_S
-        receivers = membership.relay_receivers
-        feed = membership.aggregates.relay_feed
-    share = max(1, int(limit / max(1, receivers)))
-    return _membership_aggregates.next_numbers(feed, peer, share, state.now_s)
-
-
 HANDLERS: HandlerTable = {
     Ticked: on_tick,
     InstancesListed: on_listed,
--- a/packages/eelgrassdrum-core/tests/test_membership.py
+++ b/packages/eelgrassdrum-core/tests/test_membership.py
@@ -5,7 +5,7 @@
 from eelgrassdrum_core import Identity, Sender, State, Tuning, effects, events, new_state, reduce
 from eelgrassdrum_core import _membership as membership
 from eelgrassdrum_core import _membership_aggregates as aggregates
-from eelgrassdrum_core import _membership_beats as beats
+from eelgrassdrum_core import _membership_heartbeat as heartbeat
 from eelgrassdrum_core._membership_messages import Heartbeat, MemberView, Superseded, ZoneView
 
 OWN = Sender("a1", 5, "a")
@@ -244,4 +244,4 @@
     messages = [m for name in ("a2", "a3") for m in sent(produced, name)]
     count = sum(len(item.numbers) for message in messages for item in message.numbers)
     allowed = aggregates.ZONE_NUMBERS_PER_S * 2
-    assert 0 < count <= allowed + aggregates.ZONE_NUMBERS_PER_S * beats.ZONE_BEAT_S
+    assert 0 < count <= allowed + aggregates.ZONE_NUMBERS_PER_S * heartbeat.ZONE_BEAT_S
