--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_snapshots_seek.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_snapshots_seek.py
@@ -11,7 +11,7 @@
 from ._effects import Emit, WriteLog
 from ._events import PeerReceived, Started, Ticked
 from ._handlers import HandlerTable
-from ._log_state import FollowLog, SnapshotNeeded
+from ._log_state import FollowLog, LogReached, SnapshotNeeded
 from ._snapshots_chunks import ChunkError, SnapshotChunk, is_complete, join_chunks
 from ._snapshots_codec import SnapshotError
 from ._snapshots_install import install
@@ -50,6 +50,14 @@
     state.snapshots.searches += 1
 
 
+def on_reached(state: State, event: LogReached) -> Iterator[object]:
+    """
+    Search without delay the next time, since the fold is whole again.
+    """
+    state.snapshots.searches = 0
+    return iter(())
+
+
 def on_read(state: State, event: SnapshotsRead) -> Iterator[object]:
     """
     Take the chunks, use the newest whole snapshot, or read further back.
@@ -201,6 +209,7 @@
 HANDLERS: HandlerTable = {
     Started: on_started,
     SnapshotNeeded: on_needed,
+    LogReached: on_reached,
     SnapshotsRead: on_read,
     SnapshotsTruncated: on_truncated,
     SnapshotsUnavailable: on_unavailable,
