--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_balance.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_balance.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator, Mapping
 
 from . import _allowance_demand as demand
-from ._allowance_fold import TeamAllowance, registered_keys
+from ._allowance_fold import TeamAllowance
 from ._allowance_lease import own_lease
 from ._allowance_messages import (
     ALLOWANCE_MOVED,
@@ -30,6 +30,8 @@
 
 # Time for which the last report of a holder counts.
 REPORT_VALID_S = 6.0
+# Time between two rounds of balancing.
+BALANCE_EVERY_S = 0.2
 # Time between two records of one team, and for the answers to a question.
 MOVE_EVERY_S = 1.0
 ASK_WAIT_S = 0.2
@@ -48,8 +50,12 @@
     """
     if own_lease(state) is None or state.limits.lease.released:
         return
+    demand.refresh_holders(state)
     yield from demand.report(state)
-    _refill_tokens(state)
+    elapsed_s = state.now_s - state.limits.balance.balanced_at_s
+    if elapsed_s < BALANCE_EVERY_S:
+        return
+    _refill_tokens(state, elapsed_s)
     if not state.log.available or state.limits.lease.until_s <= state.now_s:
         return
     names = {*state.limits.balance.teams, *_unspread_teams(state)}
@@ -91,10 +97,9 @@
     return parts
 
 
-def _refill_tokens(state: State) -> None:
+def _refill_tokens(state: State, elapsed_s: float) -> None:
     balance = state.limits.balance
-    elapsed_s = state.now_s - balance.run_at_s
-    balance.run_at_s = state.now_s
+    balance.balanced_at_s = state.now_s
     balance.tokens = min(RECORDS_BURST, balance.tokens + elapsed_s * RECORDS_PER_S)
 
 
@@ -142,7 +147,7 @@
 
 def _wants(state: State, view: TeamBalance) -> dict[str, int]:
     wants = {}
-    for key in registered_keys(state.fold.allowances):
+    for key in state.limits.balance.holders:
         heard = view.demands.get(key)
         is_valid = heard is not None and state.now_s - heard.at_s < REPORT_VALID_S
         wants[key] = heard.row.units if heard is not None and is_valid else 0
@@ -155,7 +160,7 @@
 ) -> dict[str, int]:
     current = revision(state, team.name)
     usable = {}
-    for key in registered_keys(state.fold.allowances):
+    for key in state.limits.balance.holders:
         usable[key] = allowance.held.get(key, 0)
         heard = view.demands.get(key)
         if heard is not None and heard.row.revision == current:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_demand.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_demand.py
@@ -40,15 +40,24 @@
     :returns: keys of the holders.
     """
     balance = state.limits.balance
-    keys = tuple(registered_keys(state.fold.allowances))
-    if keys != balance.ranked_for:
-        balance.ranked_for = keys
-        balance.ranks.clear()
     if team not in balance.ranks:
-        balance.ranks[team] = rank(team, list(keys))[:BALANCERS]
+        balance.ranks[team] = rank(team, list(balance.holders))[:BALANCERS]
     return balance.ranks[team]
 
 
+def refresh_holders(state: State) -> None:
+    """
+    Take over the holders from the fold; balancers are chosen among them.
+
+    :param state: changed in place.
+    """
+    balance = state.limits.balance
+    keys = tuple(registered_keys(state.fold.allowances))
+    if keys != balance.holders:
+        balance.holders = keys
+        balance.ranks.clear()
+
+
 def waiting_units(state: State) -> dict[str, int]:
     """
     Count the waiting requests at this instance.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_allowance_state.py
@@ -99,9 +99,9 @@
     :param peaks: recent peak of the demand at this instance, by team.
     :param reported: demand reported last, by team, with own time.
     :param reported_at_s: own time of the last report.
-    :param run_at_s: own time of the last balancing.
-    :param ranks: balancers of each team, for the holders in ``ranked_for``.
-    :param ranked_for: keys of the holders that the ranks are for.
+    :param balanced_at_s: own time of the last balancing.
+    :param ranks: balancers of each team, chosen among the holders.
+    :param holders: keys of the holders.
     :param tokens: records that may be written now.
     """
 
@@ -109,9 +109,9 @@
     peaks: dict[str, float] = msgspec.field(default_factory=dict)
     reported: dict[str, HolderDemand] = msgspec.field(default_factory=dict)
     reported_at_s: float = 0.0
-    run_at_s: float = 0.0
+    balanced_at_s: float = 0.0
     ranks: dict[str, list[str]] = msgspec.field(default_factory=dict)
-    ranked_for: tuple[str, ...] = ()
+    holders: tuple[str, ...] = ()
     tokens: float = 0.0
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
@@ -23,8 +23,11 @@
 
 SEND_EVERY_S = 0.1
 RELAY_EVERY_S = 0.1
-# Time for which what another instance told counts.
+# Rows sent each second to the zone, and as many to other zones; with more the intervals grow.
+ROWS_PER_S = 400.0
+# Time for which what another instance told counts, at least and in intervals of its messages.
 SOURCE_VALID_S = 1.5
+SOURCE_VALID_INTERVALS = 3.0
 # Time after its last demand for which a team is told about.
 ROW_VALID_S = 3.0
 # How far a team may run before one that waits elsewhere, in seconds of the level's growth.
@@ -91,11 +94,9 @@
     for name, service in state.fair.services.items():
         _update_service(state, name, service)
     exchange = state.fair.exchange
-    if state.now_s - exchange.sent_at_s >= SEND_EVERY_S:
-        exchange.sent_at_s = state.now_s
+    if state.now_s >= exchange.send_at_s:
         yield from _tell_zone(state)
-    if state.now_s - exchange.relayed_at_s >= RELAY_EVERY_S:
-        exchange.relayed_at_s = state.now_s
+    if state.now_s >= exchange.relay_at_s:
         yield from _tell_other_zones(state)
 
 
@@ -135,10 +136,22 @@
     return sum(
         source.waiting.get((service, team), 0)
         for source in state.fair.exchange.sources.values()
-        if state.now_s - source.at_s < SOURCE_VALID_S
+        if is_valid(state, source)
     )
 
 
+def is_valid(state: State, source: RemoteSource) -> bool:
+    """
+    Tell whether what another instance told last still counts.
+
+    :param state: the state.
+    :param source: the other instance.
+    :returns: whether it was heard lately.
+    """
+    valid_s = max(SOURCE_VALID_S, SOURCE_VALID_INTERVALS * source.interval_s)
+    return state.now_s - source.at_s < valid_s
+
+
 def update_ceiling(state: State, service_name: str) -> None:
     """
     Set how far teams of this instance may run before those that wait elsewhere.
@@ -203,8 +216,7 @@
         waiting = row.waiting + sum(
             source.waiting.get((service, team), 0)
             for name, source in exchange.sources.items()
-            if not name.startswith(ZONE_SOURCE_PREFIX)
-            and state.now_s - source.at_s < SOURCE_VALID_S
+            if not name.startswith(ZONE_SOURCE_PREFIX) and is_valid(state, source)
         )
         rows.append(ServiceRow(service, team, round(served_s, 3), waiting))
     return tuple(rows)
@@ -214,6 +226,8 @@
     rows = tuple(_own_rows(state).values())
     if not rows:
         return
+    sent_rows = len(rows) * len(zone_peers(state))
+    state.fair.exchange.send_at_s = state.now_s + max(SEND_EVERY_S, sent_rows / ROWS_PER_S)
     state.fair.exchange.sequence += 1
     yield from _send_to_zone(state, ServedReported(state.fair.exchange.sequence, rows))
 
@@ -228,6 +242,8 @@
     rows = _zone_rows(state) if zones else ()
     if not rows:
         return
+    sent_rows = len(rows) * len(zones)
+    state.fair.exchange.relay_at_s = state.now_s + max(RELAY_EVERY_S, sent_rows / ROWS_PER_S)
     own = state.identity.sender
     sequence = state.fair.exchange.sequence
     message = ZoneServedReported(own.zone, holder_key(own), sequence, rows)
@@ -250,12 +266,13 @@
 ) -> None:
     exchange = state.fair.exchange
     source = exchange.sources.get(name)
-    is_valid = source is not None and state.now_s - source.at_s < SOURCE_VALID_S
-    if source is None or (source.origin != origin and (is_peer or not is_valid)):
+    is_replaced = source is not None and (is_peer or not is_valid(state, source))
+    if source is None or (source.origin != origin and is_replaced):
         source = exchange.sources[name] = RemoteSource(origin, sequence - 1, state.now_s)
     if source.origin != origin or sequence <= source.sequence:
         return
     source.sequence = sequence
+    source.interval_s = state.now_s - source.at_s
     source.at_s = state.now_s
     source.waiting = {(row.service, row.team): row.waiting for row in rows if row.waiting > 0}
     for row in rows:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_offers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_offers.py
@@ -10,7 +10,7 @@
 from ._effects import Emit, SendPeer
 from ._events import PeerReceived
 from ._fair import is_waiting
-from ._fair_exchange import SOURCE_VALID_S, ZONE_SOURCE_PREFIX, remote_waiting, update_ceiling
+from ._fair_exchange import ZONE_SOURCE_PREFIX, is_valid, remote_waiting, update_ceiling
 from ._handlers import HandlerTable
 from ._membership import members
 from ._membership_state import DEAD
@@ -95,7 +95,7 @@
     sources = {
         name: source.waiting[key]
         for name, source in state.fair.exchange.sources.items()
-        if state.now_s - source.at_s < SOURCE_VALID_S
+        if is_valid(state, source)
         and key in source.waiting
         and not (offer.passes > 0 and name.startswith(ZONE_SOURCE_PREFIX))
     }
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_state.py
@@ -81,6 +81,7 @@
     :param origin: key of the instance that counts.
     :param sequence: number of its last message.
     :param at_s: own time of its arrival.
+    :param interval_s: time between its last two messages.
     :param served: resource-seconds by service and team.
     :param waiting: waiting requests by service and team.
     """
@@ -88,6 +89,7 @@
     origin: str
     sequence: int
     at_s: float
+    interval_s: float = 0.0
     served: dict[tuple[str, str], float] = msgspec.field(default_factory=dict)
     waiting: dict[tuple[str, str], int] = msgspec.field(default_factory=dict)
 
@@ -99,15 +101,15 @@
     :param sources: by id of a zone peer, or by name of another zone.
     :param zone_served: resource-seconds of the zone peers, as seen here.
     :param sequence: number of the last message sent.
-    :param sent_at_s: time of the last message to zone peers.
-    :param relayed_at_s: time of the last message to other zones.
+    :param send_at_s: time of the next message to zone peers.
+    :param relay_at_s: time of the next message to other zones.
     """
 
     sources: dict[str, RemoteSource] = msgspec.field(default_factory=dict)
     zone_served: dict[tuple[str, str], float] = msgspec.field(default_factory=dict)
     sequence: int = 0
-    sent_at_s: float = 0.0
-    relayed_at_s: float = 0.0
+    send_at_s: float = 0.0
+    relay_at_s: float = 0.0
 
 
 class FairState(msgspec.Struct):
