--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
@@ -5,12 +5,13 @@
 from . import _effects as effects
 from . import _events as events
 from . import _refusals as refusals
-from ._config import FLEET, Queue, Service, Team
+from ._config import Queue, Service, Team
+from ._config_schema import FLEET
 from ._effects import Identity
-from ._fold import Decision, Verdict, fold_record
+from ._fold import REASON_FENCED, Decision, Verdict, fold_record
 from ._freshness import keyed_work_allowed, proof_age_s
 from ._freshness_withdrawals import KeyWithdrawalAsked, told_instances
-from ._ids import Credential, RecordId, Sender, digest_secret, parse_credential
+from ._ids import KEY_PREFIX, Credential, RecordId, Sender, digest_secret, parse_credential
 from ._membership import is_relay, members, reachable_zones, zone_peers
 from ._membership_aggregates import fleet_number, register_aggregate, zone_number
 from ._membership_state import Member
@@ -44,7 +45,9 @@
     "DOCUMENT_PUBLISHED",
     "FLEET",
     "KEY_GRANTED",
+    "KEY_PREFIX",
     "KEY_WITHDRAWN",
+    "REASON_FENCED",
     "SNAPSHOT_STREAM",
     "AppendSnapshotChunks",
     "Credential",
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_aggregates.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_membership_aggregates.py
@@ -21,9 +21,9 @@
 Provider = Callable[[Any], Mapping[str, int]]
 
 # Numbers that an instance sends to all instances of its zone together.
-ZONE_NUMBERS_PER_S = 600
+ZONE_NUMBERS_PER_S = 300
 # Numbers that a relay sends to all other zones together.
-RELAY_NUMBERS_PER_S = 300
+RELAY_NUMBERS_PER_S = 150
 # Numbers that have changed by less than this share are not sent again.
 CHANGE_SHARE = 0.1
 # A peer is sent everything again after this time, since messages can be lost.
@@ -75,6 +75,25 @@
     return _sum_zone(state, hash_name(aggregate, name))
 
 
+def zone_numbers(state: "State", aggregate: str, name: str) -> dict[str, int]:
+    """
+    Give one number of each instance of the own zone, as last told.
+
+    :param state: the state.
+    :param aggregate: name of the aggregate.
+    :param name: name of the number.
+    :returns: numbers by instance, this instance's own included.
+    """
+    key = hash_name(aggregate, name)
+    aggregates = state.membership.aggregates
+    valid_since_s = state.now_s - VALID_S
+    return {
+        origin: numbers.get(key, 0)
+        for origin, numbers in aggregates.numbers.items()
+        if _is_own_zone(state, origin) and aggregates.heard_s[origin] >= valid_since_s
+    }
+
+
 def hash_name(aggregate: str, name: str) -> int:
     """
     Give the number under which a name is sent.
