--- a/packages/eelgrassdrum-testing/tests/test_fair_fleet.py
+++ b/packages/eelgrassdrum-testing/tests/test_fair_fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from unittest.mock import patch
 
-from eelgrassdrum_core import _fair_exchange, events
+from eelgrassdrum_core import _fair_accounts, _fair_exchange, effects, events, reduce
 from eelgrassdrum_core._fair_exchange import ServedReported, ServiceRow
 from eelgrassdrum_core._ids import Sender
 from eelgrassdrum_testing._harness import (
@@ -133,3 +133,23 @@
     with patch.object(_fair_exchange, "HOLD_MAX_S", 1e9):
         stuck = starts_beside_a_mute_instance(make_world())
     assert started > 1.5 * stuck
+
+
+def test_told_rows_are_bounded(world: World) -> None:
+    """
+    With hundreds of active teams an instance tells fewer rows a second than the bound, and some.
+    """
+    entry = world.entries["entry-a0"]
+    teams = [f"show/t{number}" for number in range(300)]
+    told = 0
+    for _ in range(100):
+        world.now_s += world.tick_s
+        for name in teams:
+            team = _fair_accounts.find_team(entry.state.fair, SERVICE, name)
+            team.active_at_s = world.now_s
+        _, produced = reduce(entry.state, world.now_s, events.Ticked())
+        messages = [effect.message for effect in produced if isinstance(effect, effects.SendPeer)]
+        told += sum(len(message.rows) for message in messages if hasattr(message, "rows"))
+    seconds = 100 * world.tick_s
+    # Rows to the zone and rows to other zones each have the bound, and a first burst is free.
+    assert 0 < told <= 2 * _fair_exchange.ROWS_PER_S * seconds + 4 * len(teams)
