Check the end of a lease where units are taken

The mutation of the lease was no longer seen by its scenario: a resumed instance now refuses what waited through the pause, and a holder cut off from the log hears of its reclaim from peers. The check is replaced by one on taking units at the lease's end, with its own mutation; a scenario with a holder whose extensions are lost is added. Request ids name the zone, and a cut zone is no longer cut off from itself.

--- a/packages/eelgrassdrum-core/tests/test_allowance_lease.py
+++ b/packages/eelgrassdrum-core/tests/test_allowance_lease.py
@@ -2,8 +2,19 @@
 Leases of holders: extensions and reclaims.
 """
 
-from eelgrassdrum_core import State, Tuning, effects, events, new_state, reduce
-from eelgrassdrum_core._allowance_fold import HolderLease
+from unittest.mock import patch
+
+from eelgrassdrum_core import (
+    State,
+    Team,
+    Tuning,
+    _limits,
+    effects,
+    events,
+    new_state,
+    reduce,
+)
+from eelgrassdrum_core._allowance_fold import HolderLease, TeamAllowance
 from eelgrassdrum_core._allowance_lease import EXTEND_BELOW_S, LEASE_S, lapse_wait_s
 from eelgrassdrum_core._allowance_messages import ExtensionAsked, ExtensionGiven
 from eelgrassdrum_core._effects import Identity
@@ -124,3 +135,34 @@
 
     assert asked(NOW_S + LEASE_S - EXTEND_BELOW_S - 1.0) == set()
     assert asked(NOW_S + LEASE_S - EXTEND_BELOW_S + 1.0) == {"p-e2", "p-e3"}
+
+
+def takes(state: State, now_s: float, grace_s: float) -> bool:
+    """
+    Tell whether a unit can be taken at some time, and give it back.
+    """
+    team = Team("show/judges", "show", 1.0, 10, 0, grace_s)
+    state.fold.allowances.teams[team.name] = TeamAllowance({"e1:1": 1})
+    state.now_s = now_s
+    taken = _limits.try_take(state, team)
+    _limits.give_back(state, team.name)
+    return taken
+
+
+def test_lapsed_lease_gives_no_unit(state: State) -> None:
+    """
+    A unit is taken until the lease ends, or the team's grace after it, and not from then on.
+    """
+    end_s = NOW_S + LEASE_S
+    assert takes(state, end_s - 0.01, 0.0)
+    assert not takes(state, end_s, 0.0)
+    assert takes(state, end_s + 4.99, 5.0)
+    assert not takes(state, end_s + 5.0, 5.0)
+
+
+def test_lease_check_sees_a_lease_without_end(state: State) -> None:
+    """
+    Without a look at the lease the same check finds a unit taken after its end.
+    """
+    with patch.object(_limits, "usable_units", _limits.promised_units):
+        assert takes(state, NOW_S + 10 * LEASE_S, 0.0)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_fair.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_fair.py
@@ -149,7 +149,7 @@
         count = int(mean) + (rng.random() < mean % 1.0)
         for _ in range(count):
             entry = world.entries[rng.choice(names[HOMES[team.name]])]
-            request_id = f"r{world.next_token}"
+            request_id = f"{entry.zone}.{world.next_token}"
             key = key_text(team.name)
             submit(world, entry, QUEUE, request_id, key=key, team=f"show/{team.name}")
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_limits.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_limits.py
@@ -34,6 +34,8 @@
 
 STEP_S = 0.05
 LIMIT = 36
+# Enough that an entry instance's part of the slots is more than the limit.
+SLOTS = 40
 SMALL_LIMIT = 7
 TEAMS = (TeamPlan("judges", 1.0, LIMIT), TeamPlan("members", 1.0, SMALL_LIMIT, 20.0))
 LIMITS = {f"show/{team.name}": team.limit for team in TEAMS}
@@ -81,7 +83,7 @@
     :param seed: seed of the world.
     :returns: the world.
     """
-    return make_fleet(seed, entries_per_zone=3, slots=10, run_s=0.3, teams=TEAMS, settle_s=6.0)
+    return make_fleet(seed, entries_per_zone=3, slots=SLOTS, run_s=0.3, teams=TEAMS, settle_s=6.0)
 
 
 def running(world: World) -> Counter[str]:
@@ -105,7 +107,7 @@
     for name in names:
         entry = world.entries[name]
         for _ in range(backlog - entry.state.fair.queued.get(QUEUE, 0)):
-            request_id = f"r{world.next_token}"
+            request_id = f"{entry.zone}.{world.next_token}"
             submit(world, entry, QUEUE, request_id, key=key_text("judges"), team="show/judges")
 
 
@@ -219,7 +221,7 @@
                 world,
                 entry,
                 QUEUE,
-                f"r{world.next_token}",
+                f"{entry.zone}.{world.next_token}",
                 key=key_text(team),
                 team=f"show/{team}",
                 timeout_s=timeout_s,
--- a/packages/eelgrassdrum-testing/tests/test_limits_faults.py
+++ b/packages/eelgrassdrum-testing/tests/test_limits_faults.py
@@ -9,7 +9,9 @@
 from eelgrassdrum_core import (
     _allowance_demand,
     _allowance_fold,
+    _allowance_lease,
     _allowance_recovery,
+    _freshness,
     _limits,
     events,
 )
@@ -56,7 +58,7 @@
         for name in names:
             entry = world.entries[name]
             if entry.alive and entry.state.fair.queued.get(QUEUE, 0) < 20:
-                request_id = f"r{world.next_token}"
+                request_id = f"{entry.zone}.{world.next_token}"
                 submit(world, entry, QUEUE, request_id, key=key_text("judges"), team=JUDGES)
         advance(world, STEP_S)
         if running(world) > limit:
@@ -83,7 +85,8 @@
     """
     Cut a zone off from all others and from the log.
     """
-    world.network.cuts.update(frozenset((zone, other)) for other in ("a", "b", "c", LOG))
+    others = {"a", "b", "c", LOG} - {zone}
+    world.network.cuts.update(frozenset((zone, other)) for other in others)
 
 
 def kill_holders(world: World) -> list[int]:
@@ -102,9 +105,20 @@
     """
     Pause a holder past its lease while requests wait for it, and resume it.
     """
-    passed = drive(world, 3.0, ["entry-a0", "entry-a1"])
-    pause_entry(world, entry_of(world, "entry-a0"), 60.0)
-    return passed + drive(world, 70.0, ["entry-a0", "entry-b0"])
+    with patch.object(_freshness, "keyed_work_allowed", lambda state, team: True):
+        passed = drive(world, 3.0, ["entry-a0", "entry-a1"])
+        pause_entry(world, entry_of(world, "entry-a0"), 60.0)
+        return passed + drive(world, 70.0, ["entry-a0", "entry-b0"])
+
+
+def outlive_lease(world: World) -> list[int]:
+    """
+    Cut a holder off from the log and lose all extensions, so that only its lease stops it.
+    """
+    with patch.object(_allowance_lease, "_give_extension", lambda *args: iter(())):
+        passed = drive(world, 3.0, ["entry-a0", "entry-b0"])
+        world.network.cuts.add(frozenset(("a", LOG)))
+        return passed + drive(world, 80.0, ["entry-a0", "entry-b0"])
 
 
 def lose_outcomes(world: World) -> list[int]:
@@ -163,7 +177,6 @@
         "_may_run",
         lambda *_: 0,
     ),
-    "leases never end": (pause_holder, _limits, "usable_units", _limits.promised_units),
     "lost outcomes free units": (
         lose_outcomes,
         _limits,
@@ -180,7 +193,8 @@
     """
     Give each scenario.
     """
-    yield from (kill_holders, pause_holder, lose_outcomes, shift_demand, return_while_cut)
+    yield from (kill_holders, pause_holder, outlive_lease)
+    yield from (lose_outcomes, shift_demand, return_while_cut)
 
 
 def test_limit_holds_in_every_scenario() -> None:
