--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_fair.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_fair.py
@@ -1,7 +1,8 @@
 """
 Fair shares over the fleet: distance to the exact water-filling share.
 
-The exact share is worked out at every sample from all that runs and waits anywhere. The
+The exact share is worked out at every sample from all that runs and waits anywhere, and from what
+was refused a moment ago, so that refusing a team's requests does not make its share smaller. The
 baselines are serving in the order of arrival, and fair queueing without aggregates of others.
 """
 
@@ -36,6 +37,8 @@
 WARM_UP_S = 20.0
 RUN_S = 70.0
 SEEDS = (1, 2, 3)
+# Time for which a refused request counts as wanting a slot.
+REFUSED_WANT_S = 1.0
 SLOTS = 4
 ALL_SLOTS = 24
 NO_LIMIT = 999
@@ -166,13 +169,18 @@
 
 def count_demand(world: World, running: Counter[str]) -> dict[str, float]:
     """
-    Count what runs and waits anywhere.
+    Count what runs and waits anywhere, and what was refused lately.
 
     :param world: the world.
     :param running: running units by team.
     :returns: units by team.
     """
     demand = {team: float(running[team]) for team in SHARES}
+    for outcome in reversed(world.outcomes):
+        if outcome.at_s < world.now_s - REFUSED_WANT_S:
+            break
+        if outcome.refusal is not None:
+            demand[world.submissions[outcome.token].team] += 1.0
     for entry in world.entries.values():
         service = entry.state.fair.services.get(SERVICE)
         for name, team in service.teams.items() if service else ():
