--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
@@ -141,6 +141,9 @@
         endpoint = _endpoints.choose(state, service)
         if endpoint is None:
             return
+        if endpoint.zone == state.identity.sender.zone:
+            # A slot that is split to this instance is of no use to teams of others.
+            _fair.lift_ceiling(state.fair, service)
         req = _fair.pop(state.fair, service, lambda req: _may_start(state, req))
         if req is None:
             return
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_overload.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_overload.py
@@ -175,6 +175,18 @@
     return round(least_s * (1 + RETRY_SPREAD * state.rng.random()), 3)
 
 
+def share_of(state: State, team_name: str) -> float:
+    """
+    Give a team's weight.
+
+    :param state: the state.
+    :param team_name: ``WORKSPACE/TEAM``.
+    :returns: its share; callers without a key have one of their own.
+    """
+    team = state.fold.config.teams.get(team_name)
+    return OPEN_SHARE if team is None else team.share
+
+
 def _is_full(state: State, queue: Queue, team: str, queued: int) -> bool:
     if queued >= queue.max_queued:
         return True
@@ -187,13 +199,8 @@
 
 def _part(state: State, load: ServiceLoad, team: str) -> float:
     active = {*load.waiting, team}
-    shares = {name: _share(state, name) for name in active}
+    shares = {name: share_of(state, name) for name in active}
     return shares[team] / sum(shares.values())
 
 
-def _share(state: State, team_name: str) -> float:
-    team = state.fold.config.teams.get(team_name)
-    return OPEN_SHARE if team is None else team.share
-
-
 HANDLERS: HandlerTable = {Ticked: on_tick}
--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_overload.py
@@ -0,0 +1,129 @@
+"""
+Overload: goodput far beyond capacity, memory, retries, and ways to share slots.
+
+Upstream propagation is modelled by reading every caller in the order of arrival and refusing
+nobody: what is not yet read waits until its caller gives up.
+"""
+
+from collections.abc import Iterator
+from unittest.mock import patch
+
+from eelgrassdrum_core import _credits as credits
+from eelgrassdrum_core import _overload as overload
+from eelgrassdrum_core import _retries as retries
+
+from .._harness import World
+from ._fleet_load import CAPACITY_PER_S, LoadResult, quantile, run_load
+from ._measure import Bench, Measure, measure
+
+SEED = 5
+SECONDS = 5.0
+ONCE = 0.9 * CAPACITY_PER_S
+TENFOLD = 10 * ONCE
+MEMORY_BYTES = 20_000
+
+
+def goodput() -> Iterator[Measure]:
+    """
+    Compare ten times the load with one, and early refusal with upstream propagation.
+    """
+    once = run_load(SEED, ONCE, SECONDS)
+    tenfold = run_load(SEED, TENFOLD, SECONDS)
+    unread = _run_unread()
+    yield measure("overload_goodput_1x", once.goodput_per_s, "requests/s", at_least=0.9 * ONCE)
+    yield measure(
+        "overload_goodput_10x",
+        tenfold.goodput_per_s,
+        "requests/s",
+        baseline=once.goodput_per_s,
+        at_least=0.9,
+    )
+    yield measure(
+        "overload_goodput_10x_against_upstream_propagation",
+        tenfold.goodput_per_s,
+        "requests/s",
+        baseline=unread.goodput_per_s,
+        at_least=1.0,
+    )
+    yield measure(
+        "overload_refusal_time_10x", tenfold.refusal_s, "s", baseline=unread.refusal_s, at_most=0.5
+    )
+    yield measure("overload_answer_p99_10x", quantile(tenfold.waits_s, 0.99), "s", at_most=4.0)
+
+
+def slots() -> Iterator[Measure]:
+    """
+    Compare ways to share slots at 0.9 of capacity.
+    """
+    split = run_load(SEED, ONCE, SECONDS)
+    with patch.object(credits, "split", _split_nothing):
+        optimistic = run_load(SEED, ONCE, SECONDS)
+    with patch.object(credits, "split", _split_equally):
+        equal = run_load(SEED, ONCE, SECONDS)
+    for name, other in (("optimistic", optimistic), ("equal", equal)):
+        yield measure(
+            f"slots_goodput_against_{name}",
+            split.goodput_per_s,
+            "requests/s",
+            baseline=other.goodput_per_s,
+            at_least=1.0,
+        )
+        yield measure(
+            f"slots_p99_against_{name}",
+            quantile(split.waits_s, 0.99),
+            "s",
+            baseline=quantile(other.waits_s, 0.99),
+        )
+        yield measure(f"slots_refused_attempts_{name}", other.refused_attempts, "attempts")
+    yield measure("slots_refused_attempts", split.refused_attempts, "attempts")
+
+
+def bounds() -> Iterator[Measure]:
+    """
+    Print what bounds memory and retries.
+    """
+    small = run_load(SEED, TENFOLD, SECONDS / 2, max_held_bytes=MEMORY_BYTES // 10)
+    held = max(entry.state.overload.most_held_bytes for entry in small.world.entries.values())
+    yield measure("overload_most_body_bytes", held, "bytes", at_most=MEMORY_BYTES // 10)
+    broken = run_load(SEED, ONCE / 2, SECONDS, _break_endpoints)
+    budgets = [
+        budget
+        for entry in broken.world.entries.values()
+        for budget in entry.state.overload.budgets.values()
+    ]
+    firsts = sum(budget.firsts for budget in budgets)
+    done = sum(budget.retries for budget in budgets)
+    allowed = retries.RETRY_SHARE * firsts + retries.MAX_SAVED_RETRIES * len(budgets)
+    yield measure("overload_first_attempts", firsts, "attempts")
+    yield measure("overload_retries", done, "attempts", baseline=allowed, at_most=1.0)
+
+
+def _run_unread() -> LoadResult:
+    with (
+        patch.object(overload, "check", lambda *_: None),
+        patch.object(overload, "start_limit", lambda state, _, timeout_s: state.now_s + timeout_s),
+    ):
+        return run_load(SEED, TENFOLD, SECONDS)
+
+
+def _split_nothing(endpoints, wanted, shares, instances):
+    return {name: {e.id: e.slots for e in endpoints} for name in instances}
+
+
+def _split_equally(endpoints, wanted, shares, instances):
+    return _split(endpoints, {}, shares, instances)
+
+
+_split = credits.split
+
+
+def _break_endpoints(world: World) -> None:
+    for endpoint in list(world.endpoints.values())[::2]:
+        endpoint.reachable = False
+
+
+BENCHES: dict[str, Bench] = {
+    "overload_goodput": goodput,
+    "overload_slots": slots,
+    "overload_bounds": bounds,
+}
