--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints.py
@@ -80,6 +80,18 @@
         for endpoint in usable
         if endpoint.in_flight < _room(state, endpoint, own.zone, oldest_s)
     ]
+    return pick(state, free)
+
+
+def pick(state: State, free: list[Endpoint]) -> Endpoint | None:
+    """
+    Pick the least loaded endpoint, those of the own zone first.
+
+    :param state: the state.
+    :param free: endpoints with a free slot.
+    :returns: one of them, or ``None`` when there is none.
+    """
+    own = state.identity.sender
 
     def load(endpoint: Endpoint) -> tuple[bool, float, int]:
         tie = xxhash.xxh32_intdigest(f"{own.instance} {endpoint.id}".encode())
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints_health.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints_health.py
@@ -208,7 +208,7 @@
         for other in state.endpoints.endpoints.values()
         if other.service == endpoint.service and other.zone == endpoint.zone and not other.leaving
     ]
-    out = sum(other.retry_at_s > state.now_s or other.trial_left > 0 for other in alike)
+    out = sum(other.trial_left > 0 for other in alike)
     return 2 * (out + 1) <= max(2, len(alike))
 
 
--- /dev/null
+++ b/packages/eelgrassdrum-core/tests/test_endpoints.py
@@ -0,0 +1,159 @@
+"""
+Endpoints: leaving, ejection, re-entry and the choice among them.
+"""
+
+from eelgrassdrum_core import Identity, Sender, State, Tuning, effects, events, new_state, reduce
+from eelgrassdrum_core import _endpoints as endpoints
+from eelgrassdrum_core import _endpoints_health as health
+from eelgrassdrum_core._endpoints_messages import EndpointLeaving
+
+SERVICE = "show/judging"
+LISTED = tuple(
+    events.ListedInstance(f"ep-{zone}{n}", "endpoint", f"{zone}{n}", zone, service=SERVICE, slots=4)
+    for zone, n in (("a", 1), ("a", 2), ("b", 1))
+)
+
+
+def make_state() -> State:
+    """
+    Give an instance in zone a that knows two endpoints of its zone and one of another.
+    """
+    identity = Identity(Sender("entry-a1", 1, "a"), "127.0.0.1:1", "127.0.0.1:2")
+    state = new_state(identity, Tuning())
+    reduce(state, 1.0, events.InstancesListed(LISTED))
+    return state
+
+
+def chosen(state: State) -> str:
+    """
+    Give the id of the endpoint that the next attempt would go to.
+    """
+    endpoint = endpoints.choose(state, SERVICE)
+    return "" if endpoint is None else endpoint.id
+
+
+def fail(state: State, endpoint: str, times: int) -> None:
+    """
+    Let an endpoint fail much sooner than others answer.
+    """
+    for _ in range(times):
+        health.note_answer(state, endpoint, True, 0.001, 0.1)
+
+
+FIXTURES = {"state": make_state}
+
+
+def test_leaving_is_believed_until_a_newer_incarnation(state: State) -> None:
+    """
+    After a refusal that says leaving, a list that still says live changes nothing; a newer
+    incarnation in the list does.
+    """
+    list(health.note_leaving(state, "ep-a1"))
+    reduce(state, 2.0, events.InstancesListed(LISTED))
+    assert state.endpoints.endpoints["ep-a1"].leaving
+    newer = LISTED[0]._replace(incarnation=1)
+    reduce(state, 3.0, events.InstancesListed((newer, *LISTED[1:])))
+    assert not state.endpoints.endpoints["ep-a1"].leaving
+
+
+def test_news_of_a_peer_is_believed(state: State) -> None:
+    """
+    An endpoint that a peer saw leaving gets no new work.
+    """
+    sender = Sender("entry-a2", 1, "a")
+    reduce(state, 2.0, events.PeerReceived(sender, EndpointLeaving("ep-a1", 0)))
+    assert chosen(state) == "ep-a2"
+
+
+def test_work_needs_a_recent_sign_of_life(state: State) -> None:
+    """
+    An endpoint whose probes show nothing any more gets no new work.
+    """
+    _, produced = reduce(state, 2.0, events.Ticked())
+    probed = {e.endpoint for e in produced if isinstance(e, effects.ProbeEndpoint)}
+    assert probed == {"ep-a1", "ep-a2"}
+    for name in probed:
+        reduce(state, 2.01, events.EndpointProbed(name, True))
+    state.now_s = 2.0 + endpoints.LIVE_FOR_S
+    assert chosen(state) in probed
+    state.now_s += 0.1
+    assert chosen(state) == ""
+
+
+def test_other_zone_is_used_only_without_room_in_the_own(state: State) -> None:
+    """
+    Work goes to another zone when the own endpoints are full, and the other's was seen live.
+    """
+    reduce(state, 1.1, events.EndpointProbed("ep-b1", True))
+    state.endpoints.endpoints["ep-b1"].live_s = 1.0
+    assert chosen(state).startswith("ep-a")
+    for name in ("ep-a1", "ep-a2"):
+        state.endpoints.endpoints[name].in_flight = 4
+    assert chosen(state) == "ep-b1"
+    state.endpoints.full.add((SERVICE, "b"))
+    assert chosen(state) == ""
+
+
+def test_fast_failures_are_not_rewarded(state: State) -> None:
+    """
+    An endpoint that fails everything at once is taken out, and tried with one attempt at a time.
+    """
+    fail(state, "ep-a1", 3)
+    bad = state.endpoints.endpoints["ep-a1"]
+    assert bad.retry_at_s > state.now_s
+    assert chosen(state) == "ep-a2"
+    state.now_s = bad.retry_at_s
+    bad.in_flight = 1
+    state.endpoints.endpoints["ep-a2"].in_flight = 4
+    assert chosen(state) == ""
+    fail(state, "ep-a1", 1)
+    assert bad.retry_at_s - state.now_s == 2 * health.EJECT_S
+
+
+def test_not_all_endpoints_are_ejected(state: State) -> None:
+    """
+    When both endpoints of the zone fail, one at least keeps its work.
+    """
+    for _ in range(10):
+        fail(state, "ep-a1", 1)
+        fail(state, "ep-a2", 1)
+    out = [e for e in state.endpoints.endpoints.values() if e.retry_at_s > state.now_s]
+    assert len(out) <= 1
+
+
+def test_trial_ends_after_successes(state: State) -> None:
+    """
+    After some answers in a row an ejected endpoint gets its full work again.
+    """
+    fail(state, "ep-a1", 3)
+    for _ in range(health.TRIAL_ATTEMPTS):
+        health.note_answer(state, "ep-a1", False, 0.1, 0.1)
+    endpoint = state.endpoints.endpoints["ep-a1"]
+    assert (endpoint.trial_left, endpoint.ejections) == (0, 0)
+
+
+def test_silent_probes_take_an_endpoint_out_and_an_answer_brings_it_back(state: State) -> None:
+    """
+    Two probes without an answer eject; the next answer on a new connection ends that at once.
+    """
+    state.endpoints.endpoints["ep-a1"].probed_s = 1.0
+    reduce(state, 1.5, events.EndpointProbed("ep-a1", False))
+    reduce(state, 1.6, events.EndpointProbed("ep-a1", False))
+    assert state.endpoints.endpoints["ep-a1"].retry_at_s > 1.6
+    reduce(state, 1.7, events.EndpointProbed("ep-a1", True))
+    assert state.endpoints.endpoints["ep-a1"].retry_at_s <= 1.7
+
+
+def test_a_new_endpoint_starts_slowly(state: State) -> None:
+    """
+    Beside older ones a new endpoint gets a growing part of its slots.
+    """
+    newcomer = LISTED[0]._replace(id="ep-a3", address="a3")
+    reduce(state, 20.0, events.InstancesListed((*LISTED, newcomer)))
+    for name in ("ep-a1", "ep-a2"):
+        state.endpoints.endpoints[name].in_flight = 4
+    state.endpoints.endpoints["ep-a3"].in_flight = 1
+    assert chosen(state) == ""
+    state.now_s = 20.0 + endpoints.SLOW_START_S
+    state.endpoints.endpoints["ep-a3"].live_s = state.now_s
+    assert chosen(state) == "ep-a3"
--- /dev/null
+++ b/packages/eelgrassdrum-core/tests/test_overload.py
@@ -0,0 +1,135 @@
+"""
+Overload control: predicted waits, retry budgets and the split of slots.
+"""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eelgrassdrum_core import Identity, Sender, State, Tuning, new_state, refusals
+from eelgrassdrum_core import _credits as credits
+from eelgrassdrum_core import _overload as overload
+from eelgrassdrum_core import _retries as retries
+from eelgrassdrum_core._config import Queue
+from eelgrassdrum_core._endpoints_state import Endpoint
+from eelgrassdrum_core._overload_state import OverloadState, ServiceLoad
+
+SERVICE = "show/judging"
+ENDPOINTS = [Endpoint(f"ep-{n}", SERVICE, f"ep-{n}", "a", slots) for n, slots in enumerate((4, 2))]
+SLOTS = 6
+FIXED = settings(derandomize=True, database=None, deadline=None)
+COUNTS = st.dictionaries(st.sampled_from("abcd"), st.integers(0, 300), max_size=4)
+
+
+def make_state() -> State:
+    """
+    Give an instance whose service works off ten requests a second.
+    """
+    identity = Identity(Sender("entry-a1", 1, "a"), "127.0.0.1:1", "127.0.0.1:2")
+    state = new_state(identity, Tuning(max_held_bytes=1000))
+    load = ServiceLoad({"show/flood": 40}, total=40, rate=10.0, run_s=0.1)
+    state.overload.services[SERVICE] = load
+    return state
+
+
+def make_queue() -> Queue:
+    """
+    Give a queue of the service.
+    """
+    return Queue("show/scores", "show", SERVICE, True, 100, 10_000, 3.0, 5.0)
+
+
+FIXTURES = {"state": make_state, "queue": make_queue}
+
+
+def test_a_request_that_cannot_start_in_time_is_refused_at_once(state: State, queue: Queue) -> None:
+    """
+    A wait beyond the queue's bound is refused as not run, with the time until there is room.
+    """
+    refusal = overload.check(state, queue, "show/flood", 10, 30.0)
+    assert refusal.code == refusals.WAIT_TOO_LONG
+    assert refusal.code.run_state == refusals.NOT_RUN
+    assert 1.0 <= refusal.retry_after_s <= 1.5
+
+
+def test_retry_times_are_spread(state: State, queue: Queue) -> None:
+    """
+    Callers refused at one moment are told different times.
+    """
+    told = {overload.check(state, queue, "show/flood", 10, 30.0).retry_after_s for _ in range(20)}
+    assert len(told) > 15
+
+
+def test_one_team_does_not_get_another_refused(state: State, queue: Queue) -> None:
+    """
+    A team with nothing waiting is taken while another floods the queue.
+    """
+    assert overload.check(state, queue, "show/calm", 10, 30.0) is None
+
+
+def test_bodies_are_bounded(state: State, queue: Queue) -> None:
+    """
+    A body that would pass the instance's bound is refused as not run.
+    """
+    overload.count_held(state, 995)
+    refusal = overload.check(state, queue, "show/calm", 10, 30.0)
+    assert refusal.code == refusals.OVERLOADED
+
+
+def test_second_half_of_a_queue_is_kept_for_small_teams(state: State, queue: Queue) -> None:
+    """
+    A team that holds its part of a half-full queue is refused, another is not.
+    """
+    state.fair.queued[queue.name] = 60
+    state.overload.services[SERVICE].waiting = {"show/flood": 60, "show/calm": 1}
+    state.overload.services[SERVICE].rate = 1000.0
+    assert overload.check(state, queue, "show/flood", 10, 30.0).code == refusals.QUEUE_FULL
+    assert overload.check(state, queue, "show/calm", 10, 30.0) is None
+
+
+@FIXED
+@given(st.lists(st.booleans(), max_size=400))
+def test_retries_stay_within_their_budget(steps: list[bool]) -> None:
+    """
+    After any order of first attempts and retries, retries are at most their share and the saved.
+    """
+    state = OverloadState()
+    firsts = taken = 0
+    for is_first in steps:
+        if is_first:
+            retries.note_first(state, "q")
+            firsts += 1
+        else:
+            taken += retries.try_take(state, "q")
+        assert taken <= retries.RETRY_SHARE * firsts + retries.MAX_SAVED_RETRIES + 1e-6
+
+
+@FIXED
+@given(st.dictionaries(st.sampled_from(["t1", "t2", "t3"]), COUNTS), st.integers(1, 4))
+def test_split_gives_each_slot_once(wanted: dict[str, dict[str, int]], instances: int) -> None:
+    """
+    The parts of all instances make up each endpoint's slots exactly.
+    """
+    names = list("abcd"[:instances])
+    told = {team: {n: by.get(n, 0) for n in names} for team, by in wanted.items()}
+    parts = credits.split(ENDPOINTS, told, {"t1": 1.0, "t2": 2.0, "t3": 5.0}, names)
+    for endpoint in ENDPOINTS:
+        assert sum(part[endpoint.id] for part in parts.values()) == endpoint.slots
+
+
+def test_split_follows_shares_not_demand() -> None:
+    """
+    A team that floods one instance leaves another team's instance its share of the slots.
+    """
+    wanted = {"t1": {"a": 500, "b": 0}, "t2": {"a": 0, "b": 10}}
+    parts = credits.split(ENDPOINTS, wanted, {"t1": 1.0, "t2": 1.0}, ["a", "b"])
+    assert [sum(part.values()) for part in parts.values()] == [SLOTS / 2, SLOTS / 2]
+
+
+def test_fill_is_work_conserving() -> None:
+    """
+    What one team does not want goes to the others by their weights.
+    """
+    given_slots = credits.fill(12, {"t1": 1, "t2": 50, "t3": 50}, {"t1": 8.0, "t2": 1.0, "t3": 2.0})
+    assert given_slots["t1"] == 1.0
+    assert round(given_slots["t3"] / given_slots["t2"], 6) == 2.0
+    assert round(sum(given_slots.values()), 6) == 12.0
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_endpoints.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_endpoints.py
@@ -146,6 +146,7 @@
         leaving = endpoint.leaving_since_s is not None
         deliver(events.EndpointProbed(endpoint.id, True, leaving, endpoint.incarnation, running))
 
+    world.probes += 1
     later(world, world.network.delay_s * 2, answer)
 
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -185,6 +185,7 @@
     outcomes: list[Outcome] = msgspec.field(default_factory=list)
     runs: list[Run] = msgspec.field(default_factory=list)
     refused: int = 0
+    probes: int = 0
     listings: list[tuple[float, tuple[object, ...]]] = msgspec.field(default_factory=list)
     agenda: list[tuple[float, int, Callable[[], None]]] = msgspec.field(default_factory=list)
     withdrawn_s: dict[str, float] = msgspec.field(default_factory=dict)
