--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
@@ -26,6 +26,7 @@
     RequestAbandoned,
     Ticked,
 )
+from ._fair_offers import SlotGained, SlotReleased
 from ._handlers import HandlerTable
 from ._overload import OPEN_SHARE
 from ._refusals import Refusal
@@ -75,6 +76,9 @@
     _endpoints_health.note_answer(state, attempt.endpoint, failed, run_s, usual_s)
     yield from _joins.answer(state, req, event.attempt, event.status, event.size_bytes)
     yield Emit(CapacityChanged())
+    endpoint = state.endpoints.endpoints.get(attempt.endpoint)
+    if endpoint is not None:
+        yield Emit(SlotReleased(req.service, endpoint.id, endpoint.in_flight))
 
 
 def on_refused(state: State, event: AttemptRefused) -> Iterator[object]:
@@ -125,6 +129,21 @@
     yield Emit(CapacityChanged(req.service))
 
 
+def on_gained(state: State, event: SlotGained) -> Iterator[object]:
+    """
+    Use a slot that another instance left to this one, whatever waits elsewhere.
+    """
+    endpoint = state.endpoints.endpoints.get(event.endpoint)
+    if endpoint is None or endpoint.leaving or endpoint.in_flight >= endpoint.slots:
+        return
+    req = _fair.pop(
+        state.fair, event.service, lambda req: _may_start(state, req), ignore_ceiling=True
+    )
+    if req is not None:
+        _overload.count_waiting(state, req, -1)
+        yield _start(state, req, endpoint)
+
+
 def on_abandoned(state: State, event: RequestAbandoned) -> Iterator[object]:
     """
     Forget a waiting request; let a running one end on its own.
@@ -253,4 +272,5 @@
     AttemptRefused: on_refused,
     AttemptFailed: on_failed,
     RequestAbandoned: on_abandoned,
+    SlotGained: on_gained,
 }
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair.py
@@ -25,16 +25,23 @@
         line.appendleft(req)
     else:
         line.append(req)
-    _count(fair, req, 1)
+    count_request(fair, req, 1)
 
 
-def pop(fair: FairState, service_name: str, may_start: Callable[[Request], bool]) -> Request | None:
+def pop(
+    fair: FairState,
+    service_name: str,
+    may_start: Callable[[Request], bool],
+    *,
+    ignore_ceiling: bool = False,
+) -> Request | None:
     """
     Take the request that is next by fair order.
 
     :param fair: changed in place.
     :param service_name: ``WORKSPACE/SERVICE``.
     :param may_start: whether the first request of a team may start now.
+    :param ignore_ceiling: whether teams that wait elsewhere are left out of account.
     :returns: the request, or ``None`` when none may start.
     """
     service = fair.services.get(service_name)
@@ -42,14 +49,14 @@
         return None
     waiting = [team for team in service.teams.values() if is_waiting(team)]
     for team in sorted(waiting, key=lambda team: team.virtual_s):
-        if team.virtual_s > service.ceiling_s:
+        if team.virtual_s > service.ceiling_s and not ignore_ceiling:
             # A team that only waits elsewhere was served less.
             return None
         line = team.urgent or team.normal
         team.is_blocked = not may_start(line[0])
         if not team.is_blocked:
             req = line.popleft()
-            _count(fair, req, -1)
+            count_request(fair, req, -1)
             return req
     return None
 
@@ -105,20 +112,32 @@
                     line.extend(kept)
                     removed.extend(taken)
     for req in removed:
-        _count(fair, req, -1)
+        count_request(fair, req, -1)
     return removed
 
 
-def _count(fair: FairState, req: Request, step: int) -> None:
+def count_request(fair: FairState, req: Request, step: int) -> None:
+    """
+    Count a request that begins or ceases to wait.
+
+    :param fair: changed in place.
+    :param req: the request.
+    :param step: 1 or -1.
+    """
     fair.queued[req.queue] = fair.queued.get(req.queue, 0) + step
     size = step * req.size_bytes
     fair.queued_bytes[req.queue] = fair.queued_bytes.get(req.queue, 0) + size
+    key = (req.queue, req.team)
+    fair.queued_by_team[key] = fair.queued_by_team.get(key, 0) + step
+    if fair.queued_by_team[key] == 0:
+        del fair.queued_by_team[key]
 
 
 __all__ = [
     "FairState",
     "ServiceQueue",
     "TeamQueue",
+    "count_request",
     "count_waiting",
     "is_waiting",
     "lift_ceiling",
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -3,6 +3,7 @@
 """
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from heapq import heappop, heappush
 from typing import NamedTuple
@@ -156,6 +157,8 @@
     :param drop: share of peer messages lost.
     :param repeat: share of peer messages that come twice.
     :param cuts: pairs of zones (or a zone and the log) that are cut off from each other.
+    :param sent_bytes: bytes of messages sent, by instance.
+    :param received_bytes: bytes of messages received, by instance.
     """
 
     delay_s: float = 0.001
@@ -164,12 +167,15 @@
     cuts: set[frozenset[str]] = msgspec.field(default_factory=set)
     peer_messages: int = 0
     peer_bytes: int = 0
+    sent_bytes: Counter[str] = msgspec.field(default_factory=Counter)
+    received_bytes: Counter[str] = msgspec.field(default_factory=Counter)
 
 
 class World(msgspec.Struct):
     """
     Everything that a test drives.
 
+    :param run_s_by_team: mean seconds that a request runs, for teams unlike the others.
     :param withdrawn_s: virtual time of each key's withdrawal, by the key's id.
     """
 
@@ -190,6 +196,7 @@
     agenda: list[tuple[float, int, Callable[[], None]]] = msgspec.field(default_factory=list)
     withdrawn_s: dict[str, float] = msgspec.field(default_factory=dict)
     next_token: int = 1
+    run_s_by_team: dict[str, float] = msgspec.field(default_factory=dict)
     next_entry: int = 0
     log_lines: list[tuple[str, str, dict[str, object]]] = msgspec.field(default_factory=list)
 
