--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_state.py
@@ -0,0 +1,126 @@
+"""
+What an entry instance keeps about the fleet besides the fold.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+from ._fleet_messages import ObservedInstance, ServiceLoad
+
+NEVER_S = float("-inf")
+
+
+class AskedRecord(NamedTuple):
+    """
+    A record that was asked for and is not decided yet.
+
+    :param base: revision that it builds on.
+    :param at_s: time of asking.
+    """
+
+    base: int
+    at_s: float
+
+
+class StepProgress(msgspec.Struct):
+    """
+    How far this controller has come with one step of an instance.
+
+    :param epoch: the step.
+    :param since_s: time at which this controller first saw the step.
+    :param sent_s: time at which the platform was last asked.
+    :param is_acknowledged: whether the platform has done all that the step needs.
+    :param is_rebooted: whether the platform has rebooted the instance in this step.
+    :param failures: times that the platform failed to do it.
+    """
+
+    epoch: int
+    since_s: float
+    sent_s: float = NEVER_S
+    is_acknowledged: bool = False
+    is_rebooted: bool = False
+    failures: int = 0
+
+
+class Setback(NamedTuple):
+    """
+    Drains of an instance that did not end in time.
+
+    :param drains: how many in a row.
+    :param retry_at_s: time before which it is not drained again.
+    """
+
+    drains: int
+    retry_at_s: float
+
+
+class Observation(msgspec.Struct):
+    """
+    The platform's inventory as last read.
+
+    :param at_s: the platform's time in it.
+    :param asked_s: own time at which the read was asked for; after a pause that is long ago.
+    :param instances: instances by id.
+    :param seen_s: own time at which each instance was last in the inventory.
+    """
+
+    at_s: float = 0.0
+    asked_s: float = NEVER_S
+    instances: dict[str, ObservedInstance] = msgspec.field(default_factory=dict)
+    seen_s: dict[str, float] = msgspec.field(default_factory=dict)
+
+
+class LoadReport(NamedTuple):
+    """
+    What one entry instance last told of its load.
+
+    :param rows: one per service.
+    :param at_s: own time of its arrival.
+    """
+
+    rows: tuple[ServiceLoad, ...]
+    at_s: float
+
+
+class DemandHistory(msgspec.Struct):
+    """
+    How often a service's demand was how large; older samples count less.
+
+    :param weights: weight by demand in whole instances, rounded up.
+    :param updated_s: time of the last sample.
+    """
+
+    weights: list[float] = msgspec.field(default_factory=list)
+    updated_s: float = NEVER_S
+
+
+class FleetState(msgspec.Struct):
+    """
+    State of controllers, moves and planning at this instance.
+
+    :param renewed_s: own time at which each entry instance was last seen to write to the log.
+    :param log_lost_s: own time at which the log was last out of reach.
+    :param preferred_since_s: time since which this instance is first choice of a shard.
+    :param asked: records asked for, by subject.
+    :param progress: steps under way by instance.
+    :param setbacks: instances whose drains did not end.
+    :param loads: load of each service by entry instance.
+    :param demand: history of demand by service.
+    :param planned_s: time of the last plan by shard.
+    """
+
+    checked_s: float = NEVER_S
+    observed_s: float = NEVER_S
+    reported_s: float = NEVER_S
+    sampled_s: float = NEVER_S
+    log_lost_s: float = NEVER_S
+    observation: Observation = msgspec.field(default_factory=Observation)
+    renewed_s: dict[str, float] = msgspec.field(default_factory=dict)
+    preferred_since_s: dict[str, float] = msgspec.field(default_factory=dict)
+    asked: dict[str, AskedRecord] = msgspec.field(default_factory=dict)
+    progress: dict[str, StepProgress] = msgspec.field(default_factory=dict)
+    setbacks: dict[str, Setback] = msgspec.field(default_factory=dict)
+    loads: dict[str, LoadReport] = msgspec.field(default_factory=dict)
+    demand: dict[str, DemandHistory] = msgspec.field(default_factory=dict)
+    planned_s: dict[str, float] = msgspec.field(default_factory=dict)
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_view.py
@@ -0,0 +1,134 @@
+"""
+What this instance sees of the fleet: the platform's inventory and each service's load.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from ._controllers import owned_shards
+from ._effects import SendPeer
+from ._events import PeerReceived, Ticked
+from ._fleet_messages import FleetObserved, ReadFleet, ServiceLoad, ServiceLoadReported
+from ._fleet_state import LoadReport
+from ._handlers import HandlerTable
+from ._pools import pools_of
+from ._state import State
+
+OBSERVE_EVERY_S = 1.0
+# An older inventory starts no stop and lets none go on.
+OBSERVATION_VALID_S = 5.0
+# An instance that the inventory leaves out this long counts as gone for good.
+GONE_AFTER_S = 600.0
+REPORT_EVERY_S = 2.0
+REPORT_VALID_S = 10.0
+
+
+def is_fresh(state: State) -> bool:
+    """
+    Tell whether the inventory is new enough to act on.
+
+    :param state: the state.
+    :returns: whether it is.
+    """
+    return state.now_s - state.fleet.observation.asked_s <= OBSERVATION_VALID_S
+
+
+def down_instances(state: State) -> frozenset[str]:
+    """
+    Give the instances that are down or unseen.
+
+    :param state: the state.
+    :returns: ids of instances of the fold; all of them while the inventory is too old.
+    """
+    known = state.fold.pools.instances
+    if not is_fresh(state):
+        return frozenset(known)
+    seen = state.fleet.observation.instances
+    return frozenset(name for name in known if name not in seen or not seen[name].is_up)
+
+
+def service_units(state: State) -> Counter[str]:
+    """
+    Add up what all entry instances reported lately.
+
+    :param state: the state.
+    :returns: requests that run or wait, by service.
+    """
+    units: Counter[str] = Counter()
+    for report in state.fleet.loads.values():
+        if state.now_s - report.at_s <= REPORT_VALID_S:
+            for row in report.rows:
+                units[row.service] += row.units
+    return units
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Read the inventory while a shard is controlled here, and report the load to controllers.
+    """
+    fleet = state.fleet
+    if owned_shards(state) and state.now_s - fleet.observed_s >= OBSERVE_EVERY_S:
+        fleet.observed_s = state.now_s
+        yield ReadFleet(state.now_s)
+    if state.now_s - fleet.reported_s >= REPORT_EVERY_S:
+        fleet.reported_s = state.now_s
+        yield from _report_load(state)
+
+
+def on_observed(state: State, event: FleetObserved) -> Iterator[object]:
+    """
+    Take over the inventory unless a newer one is known.
+    """
+    observation = state.fleet.observation
+    if event.at_s < observation.at_s:
+        return
+    observation.at_s, observation.asked_s = event.at_s, event.asked_s
+    observation.instances = {item.id: item for item in event.instances}
+    observation.seen_s.update(dict.fromkeys(observation.instances, state.now_s))
+    for name, seen_s in list(observation.seen_s.items()):
+        if name not in observation.instances and state.now_s - seen_s > 2 * GONE_AFTER_S:
+            del observation.seen_s[name]
+    yield from ()
+
+
+def on_peer(state: State, event: PeerReceived) -> Iterator[object]:
+    """
+    Note another instance's load.
+    """
+    if isinstance(event.message, ServiceLoadReported):
+        report = LoadReport(event.message.rows, state.now_s)
+        state.fleet.loads[event.sender.instance] = report
+    yield from ()
+
+
+def _report_load(state: State) -> Iterator[object]:
+    rows = _own_rows(state)
+    state.fleet.loads[state.identity.sender.instance] = LoadReport(rows, state.now_s)
+    for instance, shards in _other_controllers(state).items():
+        peer = state.membership.peers.get(instance)
+        services = {p.service for shard in shards for p in pools_of(state.fold, shard).values()}
+        wanted = tuple(row for row in rows if row.service in services)
+        if peer is not None and wanted:
+            yield SendPeer(peer.peer_address, ServiceLoadReported(wanted))
+
+
+def _other_controllers(state: State) -> dict[str, list[str]]:
+    controllers: dict[str, list[str]] = {}
+    for shard, claim in state.fold.pools.claims.items():
+        controllers.setdefault(claim.instance, []).append(shard)
+    controllers.pop(state.identity.sender.instance, None)
+    return controllers
+
+
+def _own_rows(state: State) -> tuple[ServiceLoad, ...]:
+    units = Counter(attempt.request.service for attempt in state.requests.attempts.values())
+    for name, service in state.fair.services.items():
+        units[name] += sum(len(team.urgent) + len(team.normal) for team in service.teams.values())
+    return tuple(ServiceLoad(name, count) for name, count in sorted(units.items()))
+
+
+HANDLERS: HandlerTable = {
+    Ticked: on_tick,
+    FleetObserved: on_observed,
+    PeerReceived: on_peer,
+}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_log_follower.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_log_follower.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from . import _allowance_fold, _config, _keys
+from . import _allowance_fold, _config, _keys, _moves_fold, _pools_fold
 from ._effects import Emit, ReadLog, WriteLog
 from ._events import LogRead, LogTruncated, LogUnavailable, RecordFolded, Started
 from ._fold import Applier, Decision, fold_record
@@ -24,6 +24,8 @@
     **{kind: _for_slice("config", applier) for kind, applier in _config.APPLIERS.items()},
     **{kind: _for_slice("keys", applier) for kind, applier in _keys.APPLIERS.items()},
     **_allowance_fold.APPLIERS,
+    **_pools_fold.APPLIERS,
+    **_moves_fold.APPLIERS,
 }
 
 
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_moves.py
@@ -0,0 +1,211 @@
+"""
+Carries out the steps of moves: drain, leave, reboot, join.
+
+Each call to the platform carries the epoch of its step and may be repeated, so a controller that
+takes over begins the step anew. A record is asked for only after the platform has done the step.
+Without the log no step begins; an instance that has left is still brought into its new pool.
+
+A drain that doesn't end is never forced: after `DRAIN_LIMIT_S` the instance is called back, and
+drained again after a pause that doubles each time. From `STUCK_AFTER` such drains on, it is shown
+to the operators as stuck.
+"""
+
+from collections.abc import Iterator
+
+from ._controllers import ask_record, claim_of, owned_shards
+from ._effects import WriteLog
+from ._events import Ticked
+from ._fleet_messages import (
+    DONE,
+    DRAIN,
+    DRAINING,
+    FAILED,
+    JOIN,
+    LEFT,
+    MOVE_ABORTED,
+    MOVE_JOINED,
+    MOVE_LEFT,
+    REBOOT,
+    DrainInstance,
+    JoinPool,
+    RebootInstance,
+    StepReported,
+    move_subject,
+)
+from ._fleet_state import Setback, StepProgress
+from ._fleet_view import down_instances, is_fresh
+from ._handlers import HandlerTable
+from ._pools import FleetInstance, pools_of, shard_of
+from ._pools_budget import budget_of
+from ._state import State
+
+RESEND_S = 1.0
+# Added to the longest run time of the pool's queues.
+DRAIN_MARGIN_S = 30.0
+DRAIN_LIMIT_DEFAULT_S = 900.0
+SETBACK_PAUSE_S = 600.0
+LONGEST_PAUSE_S = 86_400.0
+STUCK_AFTER = 3
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Push on every move of the shards that are controlled here.
+    """
+    owned = frozenset(owned_shards(state))
+    moving = state.fold.pools.moving
+    for name in [name for name in state.fleet.progress if name not in moving]:
+        del state.fleet.progress[name]
+    for name in list(moving):
+        entry = state.fold.pools.instances[name]
+        if shard_of(entry.pool) in owned:
+            yield from _push(state, name, entry)
+
+
+def on_reported(state: State, event: StepReported) -> Iterator[object]:
+    """
+    Take the platform's answer, if it is about the present step.
+    """
+    entry = state.fold.pools.instances.get(event.instance)
+    progress = state.fleet.progress.get(event.instance)
+    if entry is None or progress is None or not entry.epoch == event.epoch == progress.epoch:
+        return
+    if event.state == FAILED:
+        progress.failures += 1
+        yield WriteLog("move.step_failed", {"instance": event.instance, "action": event.action})
+    if event.state != DONE:
+        return
+    if event.action == REBOOT:
+        progress.is_rebooted = True
+        progress.sent_s = float("-inf")
+    wanted = DRAIN if entry.step == DRAINING else JOIN
+    progress.is_acknowledged = progress.is_acknowledged or event.action == wanted
+    if shard_of(entry.pool) in owned_shards(state):
+        yield from _push(state, event.instance, entry)
+
+
+def drain_limit_s(state: State, entry: FleetInstance) -> float:
+    """
+    Give the time that an instance has to finish what it runs.
+
+    :param state: the state.
+    :param entry: the instance.
+    :returns: seconds.
+    """
+    pool = pools_of(state.fold, shard_of(entry.pool)).get(entry.pool)
+    service = "" if pool is None else pool.service
+    queues = state.fold.config.queues.values()
+    longest = max((q.max_run_s for q in queues if service and q.service == service), default=None)
+    return DRAIN_LIMIT_DEFAULT_S if longest is None else longest + DRAIN_MARGIN_S
+
+
+def stuck_instances(state: State) -> list[str]:
+    """
+    Give the instances whose drains failed to end again and again.
+
+    :param state: the state.
+    :returns: ids, sorted.
+    """
+    setbacks = state.fleet.setbacks.items()
+    return sorted(name for name, setback in setbacks if setback.drains >= STUCK_AFTER)
+
+
+def _push(state: State, name: str, entry: FleetInstance) -> Iterator[object]:
+    progress = state.fleet.progress.get(name)
+    if progress is None or progress.epoch != entry.epoch:
+        progress = StepProgress(entry.epoch, state.now_s)
+        state.fleet.progress[name] = progress
+    if progress.is_acknowledged:
+        yield from _record_step(state, name, entry)
+        return
+    if entry.step == DRAINING and not is_fresh(state):
+        return
+    if entry.step == DRAINING and _must_return(state, name, entry, progress):
+        yield from _ask_step(state, MOVE_ABORTED, name, entry)
+        return
+    if state.now_s - progress.sent_s >= RESEND_S:
+        progress.sent_s = state.now_s
+        yield _call(name, entry, progress)
+
+
+def _record_step(state: State, name: str, entry: FleetInstance) -> Iterator[object]:
+    if entry.step == DRAINING:
+        state.fleet.setbacks.pop(name, None)
+        yield from _ask_step(state, MOVE_LEFT, name, entry)
+    else:
+        yield from _ask_step(state, MOVE_JOINED, name, entry)
+
+
+def _call(name: str, entry: FleetInstance, progress: StepProgress) -> object:
+    if entry.step == DRAINING:
+        return DrainInstance(name, entry.epoch)
+    if entry.step == LEFT and not progress.is_rebooted:
+        return RebootInstance(name, entry.epoch)
+    return JoinPool(name, entry.pool, entry.epoch)
+
+
+def _must_return(state: State, name: str, entry: FleetInstance, progress: StepProgress) -> bool:
+    if state.now_s - progress.since_s > drain_limit_s(state, entry):
+        _note_setback(state, name)
+        return True
+    return _exceeds_budget(state, name, entry)
+
+
+def _note_setback(state: State, name: str) -> None:
+    last = state.fleet.setbacks.get(name)
+    if last is not None and state.now_s < last.retry_at_s:
+        return
+    count = 1 if last is None else last.drains + 1
+    pause_s = min(SETBACK_PAUSE_S * 2 ** (count - 1), LONGEST_PAUSE_S)
+    state.fleet.setbacks[name] = Setback(count, state.now_s + pause_s)
+
+
+def _exceeds_budget(state: State, name: str, entry: FleetInstance) -> bool:
+    """
+    Tell whether failures since the start of a drain mean that it must be called back.
+
+    The newest drains of a service are called back first, as many as are missing.
+    """
+    down = down_instances(state)
+    if name in down:
+        return False
+    pools = pools_of(state.fold, shard_of(entry.pool))
+    pool = pools.get(entry.pool)
+    if pool is None:
+        return False
+    missing = -budget_of(state.fold, pool, down).room
+    if missing <= 0:
+        return False
+    instances = state.fold.pools.instances
+    drains = [
+        (instances[other].epoch, other)
+        for other in state.fold.pools.moving
+        if instances[other].step == DRAINING and _shares_budget(state, entry, instances[other])
+    ]
+    return name in [other for _, other in sorted(drains, reverse=True)[:missing]]
+
+
+def _shares_budget(state: State, entry: FleetInstance, other: FleetInstance) -> bool:
+    if entry.pool == other.pool:
+        return True
+    left = pools_of(state.fold, shard_of(entry.pool)).get(entry.pool)
+    right = pools_of(state.fold, shard_of(other.pool)).get(other.pool)
+    if left is None or right is None or not left.service:
+        return False
+    return left.service == right.service
+
+
+def _ask_step(state: State, kind: str, name: str, entry: FleetInstance) -> Iterator[object]:
+    seen = state.fleet.observation.instances.get(name)
+    body = {
+        "instance": name,
+        "claim": claim_of(state, shard_of(entry.pool)),
+        "booted_at_s": seen.booted_at_s if seen is not None and entry.step == LEFT else 0.0,
+    }
+    yield from ask_record(state, kind, move_subject(name), body)
+
+
+HANDLERS: HandlerTable = {
+    Ticked: on_tick,
+    StepReported: on_reported,
+}
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_moves_fold.py
@@ -0,0 +1,164 @@
+"""
+What records of the steps of a move mean.
+
+The pool of an instance changes in one record only, ``move.left``, which an instance reaches once it
+has drained. Each step names the claim of the controller that made it, so a controller that was
+replaced can't go on.
+"""
+
+from collections.abc import Callable
+
+from . import _fleet_records as records
+from ._fleet_messages import (
+    DRAINING,
+    IN_SERVICE,
+    LEFT,
+    MOVE_ABORTED,
+    MOVE_JOINED,
+    MOVE_LEFT,
+    MOVE_STARTED,
+    RETURNING,
+)
+from ._fleet_records import (
+    REASON_INVALID_MOVE,
+    REASON_NOT_CONTROLLER,
+    REASON_OTHER_WANTED,
+    REASON_OVER_BUDGET,
+    REASON_POOL_FULL,
+    REASON_UNKNOWN_POOL,
+    REASON_WRONG_STEP,
+    StartedBody,
+    StepBody,
+)
+from ._pools import FleetInstance, FoldView, arriving, find_pool, put_in_pool
+from ._pools_budget import may_stop
+from ._records import Record
+
+
+def apply_started(fold: FoldView, offset: int, record: Record) -> str:
+    """
+    Begin to drain an instance, if its service's budget has room.
+
+    :param fold: changed in place.
+    :param offset: the record's place in the log.
+    :param record: a ``move.started`` record.
+    :returns: a reason to reject it, or an empty text.
+    """
+    body = records.read(record, StartedBody)
+    entry = None if body is None else records.entry(fold, record, body.instance)
+    if body is None or entry is None:
+        return REASON_INVALID_MOVE
+    if not records.holds_claim(fold, record, entry.pool, body.claim):
+        return REASON_NOT_CONTROLLER
+    reason = _reason_against(fold, entry, body)
+    if reason:
+        return reason
+    entry.target, entry.purpose = body.target, body.purpose
+    _advance(fold, body.instance, DRAINING, offset)
+    return ""
+
+
+def apply_left(fold: FoldView, offset: int, record: Record) -> str:
+    """
+    Move a drained instance from its pool to its target.
+
+    :param fold: changed in place.
+    :param offset: the record's place in the log.
+    :param record: a ``move.left`` record.
+    :returns: a reason to reject it, or an empty text.
+    """
+    body = records.read(record, StepBody)
+    entry = None if body is None else records.entry(fold, record, body.instance)
+    if body is None or entry is None:
+        return REASON_INVALID_MOVE
+    if not records.holds_claim(fold, record, entry.pool, body.claim):
+        return REASON_NOT_CONTROLLER
+    if entry.step != DRAINING:
+        return REASON_WRONG_STEP
+    put_in_pool(fold.pools, body.instance, entry.target)
+    _advance(fold, body.instance, LEFT, offset)
+    return ""
+
+
+def apply_joined(fold: FoldView, offset: int, record: Record) -> str:
+    """
+    Count an instance as in service again.
+
+    :param fold: changed in place.
+    :param offset: the record's place in the log.
+    :param record: a ``move.joined`` record.
+    :returns: a reason to reject it, or an empty text.
+    """
+    body = records.read(record, StepBody)
+    entry = None if body is None else records.entry(fold, record, body.instance)
+    if body is None or entry is None:
+        return REASON_INVALID_MOVE
+    if not records.holds_claim(fold, record, entry.pool, body.claim):
+        return REASON_NOT_CONTROLLER
+    if entry.step not in (LEFT, RETURNING):
+        return REASON_WRONG_STEP
+    if entry.step == LEFT:
+        entry.wanted = "" if entry.wanted == entry.pool else entry.wanted
+        entry.booted_at_s = max(entry.booted_at_s, body.booted_at_s)
+    entry.target, entry.purpose = "", ""
+    _advance(fold, body.instance, IN_SERVICE, offset)
+    return ""
+
+
+def apply_aborted(fold: FoldView, offset: int, record: Record) -> str:
+    """
+    Call an instance back that is still draining; one that has left goes on to its new pool.
+
+    :param fold: changed in place.
+    :param offset: the record's place in the log.
+    :param record: a ``move.aborted`` record.
+    :returns: a reason to reject it, or an empty text.
+    """
+    body = records.read(record, StepBody)
+    entry = None if body is None else records.entry(fold, record, body.instance)
+    if body is None or entry is None:
+        return REASON_INVALID_MOVE
+    if not records.holds_claim(fold, record, entry.pool, body.claim):
+        return REASON_NOT_CONTROLLER
+    if entry.step != DRAINING:
+        return REASON_WRONG_STEP
+    entry.target = entry.pool
+    _advance(fold, body.instance, RETURNING, offset)
+    return ""
+
+
+def _reason_against(fold: FoldView, entry: FleetInstance, body: StartedBody) -> str:
+    if entry.step != IN_SERVICE:
+        return REASON_WRONG_STEP
+    if entry.wanted and body.target != entry.wanted:
+        return REASON_OTHER_WANTED
+    if not records.is_way(fold, entry.pool, body.target):
+        return REASON_UNKNOWN_POOL
+    if body.target != entry.pool and _is_full(fold, body.target):
+        return REASON_POOL_FULL
+    if not may_stop(fold, body.instance, body.target, frozenset(body.down)):
+        return REASON_OVER_BUDGET
+    return ""
+
+
+def _is_full(fold: FoldView, name: str) -> bool:
+    pool = find_pool(fold, name)
+    members = len(fold.pools.members.get(name, ()))
+    return pool is None or members + arriving(fold.pools, name) >= pool.max
+
+
+def _advance(fold: FoldView, instance: str, step: str, offset: int) -> None:
+    entry = fold.pools.instances[instance]
+    entry.step, entry.epoch = step, offset
+    if step == IN_SERVICE:
+        fold.pools.moving.pop(instance, None)
+    else:
+        fold.pools.moving[instance] = True
+
+
+APPLIERS: dict[str, Callable[[FoldView, int, Record], str]] = {
+    MOVE_STARTED: apply_started,
+    MOVE_LEFT: apply_left,
+    MOVE_JOINED: apply_joined,
+    MOVE_ABORTED: apply_aborted,
+}
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools.py
@@ -0,0 +1,242 @@
+"""
+Pools as configured, and who is in them as decided by the log.
+"""
+
+from bisect import insort
+from typing import Any, NamedTuple, Protocol
+
+import msgspec
+
+from ._allowance_fold import AllowanceFold
+from ._config import ConfigFold, qualify
+from ._fleet_messages import DRAINING, IN_SERVICE, LEFT
+
+
+class Pool(NamedTuple):
+    """
+    A configured pool.
+
+    :param name: ``WORKSPACE/POOL``.
+    :param role: ``endpoint`` or ``worker``.
+    :param service: ``WORKSPACE/SERVICE``, or empty.
+    :param min: instances that moves away must leave.
+    :param target: instances that it should have.
+    :param max: instances that moves may bring it to.
+    :param spare: whether its instances wait for use elsewhere.
+    """
+
+    name: str
+    role: str
+    service: str
+    min: int
+    target: int
+    max: int
+    spare: bool
+
+
+class FleetInstance(msgspec.Struct):
+    """
+    One instance of the fold.
+
+    :param pool: the one pool that it belongs to.
+    :param step: ``in_service``, ``draining``, ``left`` or ``returning``.
+    :param epoch: offset of the record that brought it to this step.
+    :param target: pool that a move leads to, or empty.
+    :param wanted: pool that an operator wants it in, or empty.
+    :param purpose: ``move`` or ``maintenance`` while a move is under way.
+    :param booted_at_s: platform's time of its last recorded boot.
+    """
+
+    pool: str
+    zone: str
+    rack: str
+    step: str = IN_SERVICE
+    epoch: int = 0
+    target: str = ""
+    wanted: str = ""
+    purpose: str = ""
+    booted_at_s: float = 0.0
+
+
+class Claim(NamedTuple):
+    """
+    Who controls a shard.
+
+    :param instance: the entry instance.
+    :param incarnation: its incarnation.
+    :param offset: record of the claim, which fences earlier ones.
+    """
+
+    instance: str
+    incarnation: int
+    offset: int
+
+
+class DocumentPools(NamedTuple):
+    """
+    Pools of one document.
+
+    :param offset: revision of the document that they were read from.
+    :param pools: pools by full name.
+    """
+
+    offset: int
+    pools: dict[str, Pool]
+
+
+class PoolFold(msgspec.Struct):
+    """
+    Instances, their pools, and controllers as decided by the log.
+
+    :param members: ids of a pool's instances, sorted.
+    :param moving: ids of instances that are not in service.
+    :param read: pools by document, read again when the document changes.
+    """
+
+    instances: dict[str, FleetInstance] = msgspec.field(default_factory=dict)
+    members: dict[str, list[str]] = msgspec.field(default_factory=dict)
+    moving: dict[str, bool] = msgspec.field(default_factory=dict)
+    claims: dict[str, Claim] = msgspec.field(default_factory=dict)
+    read: dict[str, DocumentPools] = msgspec.field(default_factory=dict)
+
+
+class FoldView(Protocol):
+    """
+    The part of the folded state that pools depend on.
+    """
+
+    config: ConfigFold
+    pools: PoolFold
+    allowances: AllowanceFold
+
+
+def shard_of(pool: str) -> str:
+    """
+    Give the shard that controls a pool: the document that the pool stands in.
+
+    :param pool: ``WORKSPACE/POOL``.
+    :returns: the document's name.
+    """
+    return pool.partition("/")[0]
+
+
+def pools_of(fold: FoldView, shard: str) -> dict[str, Pool]:
+    """
+    Give the pools of a document in force.
+
+    :param fold: the folded state.
+    :param shard: name of the document.
+    :returns: pools by full name.
+    """
+    revisions = fold.config.documents.get(shard)
+    if not revisions:
+        return {}
+    newest = revisions[-1]
+    known = fold.pools.read.get(shard)
+    if known is None or known.offset != newest.offset:
+        pools = [_read_pool(shard, item) for item in newest.document.get("pools", [])]
+        known = DocumentPools(newest.offset, {pool.name: pool for pool in pools})
+        fold.pools.read[shard] = known
+    return known.pools
+
+
+def find_pool(fold: FoldView, name: str) -> Pool | None:
+    """
+    Find a pool by its full name.
+
+    :param fold: the folded state.
+    :param name: ``WORKSPACE/POOL``.
+    :returns: the pool, or ``None`` when no document has it.
+    """
+    return pools_of(fold, shard_of(name)).get(name)
+
+
+def shards(fold: FoldView) -> list[str]:
+    """
+    Give the documents that have pools.
+
+    :param fold: the folded state.
+    :returns: their names, sorted.
+    """
+    return [name for name in sorted(fold.config.documents) if pools_of(fold, name)]
+
+
+def put_in_pool(pools: PoolFold, instance: str, pool: str) -> None:
+    """
+    Make an instance a member of a pool, and of no other.
+
+    :param pools: changed in place.
+    :param instance: id of the instance.
+    :param pool: ``WORKSPACE/POOL``.
+    """
+    entry = pools.instances[instance]
+    take_out_of_pool(pools, instance)
+    insort(pools.members.setdefault(pool, []), instance)
+    entry.pool = pool
+
+
+def take_out_of_pool(pools: PoolFold, instance: str) -> None:
+    """
+    Remove an instance from the members of its pool.
+
+    :param pools: changed in place.
+    :param instance: id of the instance.
+    """
+    members = pools.members.get(pools.instances[instance].pool, [])
+    if instance in members:
+        members.remove(instance)
+
+
+def arriving(pools: PoolFold, pool: str) -> int:
+    """
+    Count the instances that drain to come to a pool.
+
+    :param pools: the folded pools.
+    :param pool: ``WORKSPACE/POOL``.
+    :returns: instances that are not members yet.
+    """
+    return sum(_is_leaving_for(pools.instances[name], pool) for name in pools.moving)
+
+
+def departing(pools: PoolFold, pool: str) -> int:
+    """
+    Count the members of a pool that drain to go elsewhere.
+
+    :param pools: the folded pools.
+    :param pool: ``WORKSPACE/POOL``.
+    :returns: instances that are members still.
+    """
+    moving = (pools.instances[name] for name in pools.moving)
+    return sum(
+        entry.pool == pool and entry.step == DRAINING and entry.target != pool for entry in moving
+    )
+
+
+def coming(pools: PoolFold, pool: str) -> int:
+    """
+    Count the members of a pool that have left another one and are not in service yet.
+
+    :param pools: the folded pools.
+    :param pool: ``WORKSPACE/POOL``.
+    :returns: instances that are members already.
+    """
+    moving = (pools.instances[name] for name in pools.moving)
+    return sum(entry.pool == pool and entry.step == LEFT for entry in moving)
+
+
+def _is_leaving_for(entry: FleetInstance, pool: str) -> bool:
+    return entry.step == DRAINING and entry.target == pool and entry.pool != pool
+
+
+def _read_pool(shard: str, item: dict[str, Any]) -> Pool:
+    service = item.get("service", "")
+    size = item["size"]
+    return Pool(
+        qualify(shard, item["name"]),
+        item["role"],
+        qualify(shard, service) if service else "",
+        int(size["min"]),
+        int(size["target"]),
+        int(size["max"]),
+        bool(item.get("spare", False)),
+    )
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools_control.py
@@ -0,0 +1,236 @@
+"""
+Plans the shards that are controlled here: takes new instances in, follows operators' wishes, and
+starts the moves that pay.
+"""
+
+from collections.abc import Iterator
+
+from ._controllers import ask_record, claim_of, owned_shards
+from ._events import Ticked
+from ._fleet_messages import (
+    IN_SERVICE,
+    INSTANCE_ADDED,
+    INSTANCE_REMOVED,
+    MOVE_STARTED,
+    PURPOSE_MOVE,
+    move_subject,
+)
+from ._fleet_state import NEVER_S, DemandHistory
+from ._fleet_view import GONE_AFTER_S, down_instances, is_fresh, service_units
+from ._handlers import HandlerTable
+from ._pools import Pool, arriving, departing, pools_of, shard_of
+from ._pools_budget import budget_of, may_stop
+from ._pools_forecast import add_sample, used_parts
+from ._pools_planner import PoolNeed, Weights, plan_moves
+from ._state import State
+
+SAMPLE_EVERY_S = 2.0
+PLAN_EVERY_S = 5.0
+ADDED_PER_PLAN = 200
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Sample the demand, and plan each shard when its turn has come.
+    """
+    if state.now_s - state.fleet.sampled_s >= SAMPLE_EVERY_S:
+        state.fleet.sampled_s = state.now_s
+        _sample_demand(state)
+    if state.stopping or not state.log.available or not is_fresh(state):
+        return
+    for shard in owned_shards(state):
+        if state.now_s - state.fleet.planned_s.get(shard, NEVER_S) >= PLAN_EVERY_S:
+            state.fleet.planned_s[shard] = state.now_s
+            yield from plan_shard(state, shard)
+
+
+def plan_shard(state: State, shard: str) -> Iterator[object]:
+    """
+    Ask for the records that a shard needs now.
+
+    :param state: the state.
+    :param shard: name of the document.
+    :returns: the effects.
+    """
+    yield from _take_in(state, shard)
+    yield from _forget_gone(state, shard)
+    down = down_instances(state)
+    yield from _follow_operators(state, shard, down)
+    weights = weights_of(state)
+    moves = plan_moves(needs_of(state, shard, down), weights)
+    taken: set[str] = set()
+    for move in moves:
+        name = _choose_instance(state, move.origin, move.target, down, taken)
+        if name is not None:
+            taken.add(name)
+            yield from start_move(state, name, move.target, PURPOSE_MOVE, down)
+
+
+def start_move(
+    state: State, name: str, target: str, purpose: str, down: frozenset[str]
+) -> Iterator[object]:
+    """
+    Ask for the record that lets an instance drain.
+
+    :param state: the state.
+    :param name: id of the instance.
+    :param target: pool that it goes to.
+    :param purpose: ``move`` or ``maintenance``.
+    :param down: instances that are down or unseen.
+    :returns: the effects.
+    """
+    shard = shard_of(state.fold.pools.instances[name].pool)
+    body = {
+        "instance": name,
+        "target": target,
+        "purpose": purpose,
+        "claim": claim_of(state, shard),
+        "down": sorted(item for item in down if _is_of(state, item, shard)),
+    }
+    yield from ask_record(state, MOVE_STARTED, move_subject(name), body)
+
+
+def needs_of(state: State, shard: str, down: frozenset[str]) -> list[PoolNeed]:
+    """
+    Describe a shard's pools for the planner.
+
+    :param state: the state.
+    :param shard: name of the document.
+    :param down: instances that are down or unseen.
+    :returns: one need per pool.
+    """
+    return [_need_of(state, pool, down) for pool in pools_of(state.fold, shard).values()]
+
+
+def weights_of(state: State) -> Weights:
+    """
+    Give the weights of the fleet's document.
+
+    :param state: the state.
+    :returns: the weights, all 1 without a document.
+    """
+    revisions = state.fold.config.documents.get("fleet")
+    if not revisions:
+        return Weights()
+    measures = revisions[-1].document["measures"]
+    return Weights(**{name: float(measures[name]) for name in Weights._fields})
+
+
+def is_paused(state: State, name: str) -> bool:
+    """
+    Tell whether an instance may not be drained again yet.
+
+    :param state: the state.
+    :param name: id of the instance.
+    :returns: whether its last drains did not end and its pause lasts.
+    """
+    setback = state.fleet.setbacks.get(name)
+    return setback is not None and state.now_s < setback.retry_at_s
+
+
+def _need_of(state: State, pool: Pool, down: frozenset[str]) -> PoolNeed:
+    fold = state.fold
+    members = len(fold.pools.members.get(pool.name, ()))
+    size = members + arriving(fold.pools, pool.name) - departing(fold.pools, pool.name)
+    history = state.fleet.demand.get(pool.service)
+    room = budget_of(fold, pool, down).room
+    return PoolNeed(
+        pool.name,
+        pool.role,
+        pool.min,
+        pool.target,
+        pool.max,
+        pool.spare,
+        size,
+        room,
+        used_parts(history, pool.target, pool.max),
+    )
+
+
+def _take_in(state: State, shard: str) -> Iterator[object]:
+    pools = pools_of(state.fold, shard)
+    known = state.fold.pools.instances
+    count = 0
+    for item in state.fleet.observation.instances.values():
+        if item.id in known or item.pool not in pools or count >= ADDED_PER_PLAN:
+            continue
+        count += 1
+        body = {
+            "instance": item.id,
+            "pool": item.pool,
+            "zone": item.zone,
+            "rack": item.rack,
+            "booted_at_s": item.booted_at_s,
+            "claim": claim_of(state, shard),
+        }
+        yield from ask_record(state, INSTANCE_ADDED, move_subject(item.id), body)
+
+
+def _forget_gone(state: State, shard: str) -> Iterator[object]:
+    seen_s = state.fleet.observation.seen_s
+    for name, entry in state.fold.pools.instances.items():
+        if shard_of(entry.pool) != shard or name in state.fleet.observation.instances:
+            continue
+        if state.now_s - seen_s.setdefault(name, state.now_s) >= GONE_AFTER_S:
+            body = {"instance": name, "claim": claim_of(state, shard)}
+            yield from ask_record(state, INSTANCE_REMOVED, move_subject(name), body)
+
+
+def _follow_operators(state: State, shard: str, down: frozenset[str]) -> Iterator[object]:
+    for name, entry in state.fold.pools.instances.items():
+        if not entry.wanted or entry.step != IN_SERVICE or shard_of(entry.pool) != shard:
+            continue
+        if not is_paused(state, name) and may_stop(state.fold, name, entry.wanted, down):
+            yield from start_move(state, name, entry.wanted, PURPOSE_MOVE, down)
+
+
+def _choose_instance(
+    state: State, origin: str, target: str, down: frozenset[str], taken: set[str]
+) -> str | None:
+    """
+    Choose the instance of a pool whose zone can best miss it, the longest without a reboot first.
+    """
+    pools = state.fold.pools
+    able = [
+        name
+        for name in pools.members.get(origin, ())
+        if pools.instances[name].step == IN_SERVICE
+        and not pools.instances[name].wanted
+        and name not in down
+        and name not in taken
+        and not is_paused(state, name)
+    ]
+    here = _zone_counts(state, origin)
+    there = _zone_counts(state, target)
+
+    def order(name: str) -> tuple[int, float, str]:
+        entry = pools.instances[name]
+        balance = there.get(entry.zone, 0) - here[entry.zone]
+        return balance, entry.booted_at_s, name
+
+    return min(able, key=order, default=None)
+
+
+def _zone_counts(state: State, pool: str) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for name in state.fold.pools.members.get(pool, ()):
+        zone = state.fold.pools.instances[name].zone
+        counts[zone] = counts.get(zone, 0) + 1
+    return counts
+
+
+def _sample_demand(state: State) -> None:
+    slots = {e.service: e.slots for e in state.endpoints.endpoints.values()}
+    units = service_units(state)
+    for shard in owned_shards(state):
+        for service in {pool.service for pool in pools_of(state.fold, shard).values()}:
+            if service in slots:
+                history = state.fleet.demand.setdefault(service, DemandHistory())
+                add_sample(history, units[service] / slots[service], state.now_s)
+
+
+def _is_of(state: State, name: str, shard: str) -> bool:
+    return shard_of(state.fold.pools.instances[name].pool) == shard
+
+
+HANDLERS: HandlerTable = {Ticked: on_tick}
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools_fold.py
@@ -0,0 +1,160 @@
+"""
+What records of controllers, instances and operators' wishes mean.
+"""
+
+from collections.abc import Callable
+
+from . import _fleet_records as records
+from ._fleet_messages import (
+    CONTROLLER_CLAIMED,
+    DRAIN_REQUESTED,
+    IN_SERVICE,
+    INSTANCE_ADDED,
+    INSTANCE_REMOVED,
+    MOVE_REQUESTED,
+    controller_subject,
+    move_subject,
+)
+from ._fleet_records import (
+    REASON_INVALID_MOVE,
+    REASON_NO_SPARE,
+    REASON_NOT_CONTROLLER,
+    REASON_UNKNOWN_POOL,
+    REASON_WRONG_STEP,
+    AddedBody,
+    ClaimBody,
+    DrainBody,
+    RequestedBody,
+    StepBody,
+)
+from ._pools import (
+    Claim,
+    FleetInstance,
+    FoldView,
+    find_pool,
+    pools_of,
+    put_in_pool,
+    shard_of,
+    take_out_of_pool,
+)
+from ._records import Record
+
+
+def apply_claim(fold: FoldView, offset: int, record: Record) -> str:
+    """
+    Give a shard to a controller.
+
+    :param fold: changed in place.
+    :param offset: the record's place in the log.
+    :param record: a ``controller.claimed`` record.
+    :returns: a reason to reject it, or an empty text.
+    """
+    body = records.read(record, ClaimBody)
+    if body is None or record.subject != controller_subject(body.shard):
+        return REASON_INVALID_MOVE
+    holder = fold.allowances.holders.get(record.id.writer)
+    if holder is None or holder.incarnation != record.id.incarnation:
+        return REASON_NOT_CONTROLLER
+    fold.pools.claims[body.shard] = Claim(record.id.writer, record.id.incarnation, offset)
+    return ""
+
+
+def apply_added(fold: FoldView, offset: int, record: Record) -> str:
+    """
+    Take a new instance into a pool.
+
+    :param fold: changed in place.
+    :param offset: the record's place in the log.
+    :param record: an ``instance.added`` record.
+    :returns: a reason to reject it, or an empty text.
+    """
+    body = records.read(record, AddedBody)
+    if body is None or record.subject != move_subject(body.instance):
+        return REASON_INVALID_MOVE
+    if body.instance in fold.pools.instances:
+        return REASON_WRONG_STEP
+    if find_pool(fold, body.pool) is None:
+        return REASON_UNKNOWN_POOL
+    if not records.holds_claim(fold, record, body.pool, body.claim):
+        return REASON_NOT_CONTROLLER
+    entry = FleetInstance(body.pool, body.zone, body.rack, epoch=offset)
+    entry.booted_at_s = body.booted_at_s
+    fold.pools.instances[body.instance] = entry
+    put_in_pool(fold.pools, body.instance, body.pool)
+    return ""
+
+
+def apply_removed(fold: FoldView, offset: int, record: Record) -> str:
+    """
+    Forget an instance that the platform no longer has.
+
+    :param fold: changed in place.
+    :param offset: the record's place in the log.
+    :param record: an ``instance.removed`` record.
+    :returns: a reason to reject it, or an empty text.
+    """
+    body = records.read(record, StepBody)
+    entry = None if body is None else records.entry(fold, record, body.instance)
+    if body is None or entry is None:
+        return REASON_INVALID_MOVE
+    if not records.holds_claim(fold, record, entry.pool, body.claim):
+        return REASON_NOT_CONTROLLER
+    take_out_of_pool(fold.pools, body.instance)
+    fold.pools.moving.pop(body.instance, None)
+    del fold.pools.instances[body.instance]
+    return ""
+
+
+def apply_requested(fold: FoldView, offset: int, record: Record) -> str:
+    """
+    Note the pool that an operator wants an instance in; its controller starts the move.
+
+    :param fold: changed in place.
+    :param offset: the record's place in the log.
+    :param record: a ``move.requested`` record.
+    :returns: a reason to reject it, or an empty text.
+    """
+    body = records.read(record, RequestedBody)
+    entry = None if body is None else records.entry(fold, record, body.instance)
+    if body is None or entry is None:
+        return REASON_INVALID_MOVE
+    if entry.step != IN_SERVICE:
+        return REASON_WRONG_STEP
+    if body.pool and not records.is_way(fold, entry.pool, body.pool):
+        return REASON_UNKNOWN_POOL
+    entry.wanted = body.pool if body.pool != entry.pool else ""
+    return ""
+
+
+def apply_drain_request(fold: FoldView, offset: int, record: Record) -> str:
+    """
+    Note that an operator wants an instance in the spare pool.
+
+    :param fold: changed in place.
+    :param offset: the record's place in the log.
+    :param record: an ``instance.drain_requested`` record.
+    :returns: a reason to reject it, or an empty text.
+    """
+    body = records.read(record, DrainBody)
+    entry = None if body is None else fold.pools.instances.get(body.instance)
+    if body is None or entry is None or record.subject != f"instance/{body.instance}":
+        return REASON_INVALID_MOVE
+    if entry.step != IN_SERVICE:
+        return REASON_WRONG_STEP
+    pools = pools_of(fold, shard_of(entry.pool)).values()
+    spares = [
+        pool.name for pool in pools if pool.spare and records.is_way(fold, entry.pool, pool.name)
+    ]
+    if not spares:
+        return REASON_NO_SPARE
+    entry.wanted = spares[0] if entry.pool not in spares else ""
+    return ""
+
+
+APPLIERS: dict[str, Callable[[FoldView, int, Record], str]] = {
+    CONTROLLER_CLAIMED: apply_claim,
+    INSTANCE_ADDED: apply_added,
+    INSTANCE_REMOVED: apply_removed,
+    DRAIN_REQUESTED: apply_drain_request,
+    MOVE_REQUESTED: apply_requested,
+}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -10,12 +10,16 @@
     _allowance_balance,
     _allowance_lease,
     _allowance_recovery,
+    _controllers,
     _dispatch,
     _fair_exchange,
+    _fleet_view,
     _lifecycle,
     _log_follower,
     _membership_beats,
+    _moves,
     _outbox,
+    _pools_control,
 )
 from ._effects import Emit
 from ._handlers import Handler, HandlerTable
@@ -33,6 +37,10 @@
     _fair_exchange.HANDLERS,
     _admission.HANDLERS,
     _dispatch.HANDLERS,
+    _fleet_view.HANDLERS,
+    _controllers.HANDLERS,
+    _moves.HANDLERS,
+    _pools_control.HANDLERS,
 )
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -13,9 +13,11 @@
 from ._effects import Identity
 from ._endpoints import EndpointState
 from ._fair_state import FairState
+from ._fleet_state import FleetState
 from ._fold import LogPosition
 from ._keys import KeyFold
 from ._membership_state import MembershipState
+from ._pools import PoolFold
 from ._records import Record
 from ._requests import Attempt
 
@@ -51,6 +53,7 @@
     config: ConfigFold = msgspec.field(default_factory=ConfigFold)
     keys: KeyFold = msgspec.field(default_factory=KeyFold)
     allowances: AllowanceFold = msgspec.field(default_factory=AllowanceFold)
+    pools: PoolFold = msgspec.field(default_factory=PoolFold)
 
 
 class LogState(msgspec.Struct):
@@ -114,6 +117,7 @@
     limits: LimitState = msgspec.field(default_factory=LimitState)
     endpoints: EndpointState = msgspec.field(default_factory=EndpointState)
     membership: MembershipState = msgspec.field(default_factory=MembershipState)
+    fleet: FleetState = msgspec.field(default_factory=FleetState)
 
 
 def new_state(identity: Identity, tuning: Tuning) -> State:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
@@ -21,6 +21,9 @@
 )
 from ._load import send_one, start_load
 from ._log import append, operator_append
+from ._machines import add_machines, fail_machine
+from ._platform import Machine, PlannedStop, Platform
+from ._pool_fleet import make_pool_fleet, pool_document, reference_fold, request_move
 from ._world import LOG, Entry, FakeEndpoint, Outcome, Run, World, advance, is_cut, later
 
 __all__ = [
@@ -34,7 +37,10 @@
     "WORKSPACE",
     "Entry",
     "FakeEndpoint",
+    "Machine",
     "Outcome",
+    "Platform",
+    "PlannedStop",
     "Run",
     "TeamPlan",
     "World",
@@ -58,5 +64,11 @@
     "start_entry",
     "start_load",
     "submit",
+    "add_machines",
+    "fail_machine",
+    "make_pool_fleet",
+    "pool_document",
+    "reference_fold",
+    "request_move",
     "withdraw_key",
 ]
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -11,6 +11,8 @@
 
 from eelgrassdrum_core import Record, State, refusals
 
+from ._platform import Platform
+
 LOG = "log"
 
 
@@ -172,6 +174,7 @@
     network: Network = msgspec.field(default_factory=Network)
     entries: dict[str, Entry] = msgspec.field(default_factory=dict)
     endpoints: dict[str, FakeEndpoint] = msgspec.field(default_factory=dict)
+    platform: Platform = msgspec.field(default_factory=Platform)
     submissions: dict[int, Submission] = msgspec.field(default_factory=dict)
     outcomes: list[Outcome] = msgspec.field(default_factory=list)
     runs: list[Run] = msgspec.field(default_factory=list)
