--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_app.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_app.py
@@ -7,7 +7,7 @@
 
 from cyclopts import App, ArgumentCollection, CycloptsError, Parameter, config
 
-from . import _commands_config, _commands_fleet, _commands_keys
+from . import _commands_config, _commands_fleet, _commands_keys, _commands_moves
 from ._errors import CommandError, ExitCode
 from ._output import print_error
 from ._settings import ENVIRONMENT_PREFIX, Settings
@@ -37,6 +37,7 @@
     app.command(_make_keys_app())
     app.command(_commands_fleet.outcome)
     app.command(_commands_fleet.drain)
+    app.command(_commands_moves.move)
     app.command(_commands_fleet.pools)
     app.command(_commands_fleet.teams)
     app.command(_commands_fleet.status)
--- /dev/null
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_moves.py
@@ -0,0 +1,25 @@
+"""
+Commands on single instances: move.
+"""
+
+from eelgrassdrum_core._fleet_messages import MOVE_REQUESTED, move_subject
+
+from ._commands_config import print_results
+from ._publish import current_base, publish
+from ._settings import NO_SETTINGS, Settings
+
+
+def move(
+    instance: str, pool: str, /, *, comment: str = "", settings: Settings = NO_SETTINGS
+) -> int:
+    """
+    Ask for an instance to move to a pool. The controller starts it once the budget allows it.
+
+    :param instance: the instance's id.
+    :param pool: WORKSPACE/POOL; the pool that it is in takes an earlier wish back.
+    :param comment: why.
+    """
+    subject = move_subject(instance)
+    body = {"instance": instance, "pool": pool, "author": settings.operator, "comment": comment}
+    base = current_base(settings, subject)
+    return print_results(settings, [publish(settings, MOVE_REQUESTED, subject, base, body)])
--- /dev/null
+++ b/packages/eelgrassdrum-cli/tests/test_moves.py
@@ -0,0 +1,20 @@
+"""
+Commands on single instances.
+"""
+
+from eelgrassdrum_cli import ExitCode
+from eelgrassdrum_testing import operator_platform as fakes
+from eelgrassdrum_testing.operator_platform import Platform, command
+
+FIXTURES = {"platform": fakes.platform}
+
+
+def test_a_move_names_instance_and_pool_and_its_rejection_is_told(platform: Platform) -> None:
+    """The record of a move holds what was asked, and an unknown instance ends with its reason."""
+    result = command(platform, "move", "i1", "fleet/judging", "--comment", "show day")
+    assert result.code == ExitCode.REJECTED
+    assert "invalid_move" in result.out
+    record = platform.records[-1]
+    assert (record["kind"], record["subject"]) == ("move.requested", "move/i1")
+    body = {"instance": "i1", "pool": "fleet/judging", "author": "staff", "comment": "show day"}
+    assert record["body"] == body
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_app.py
@@ -32,6 +32,7 @@
 from ._list_adapter import make_list_reader
 from ._log_adapter import make_log_adapter
 from ._logging import Write
+from ._machine_adapter import make_machine_effects
 from ._peers import Peers
 from ._recent import RecentRequests
 from ._routes import handle_exchange
@@ -168,9 +169,8 @@
         log = make_log_adapter(
             parse_base_url(settings.log_url), self.control, self.scheduler, self.post
         )
-        read_list = make_list_reader(
-            parse_base_url(settings.list_url), self.control, self.post, self._write_log
-        )
+        list_base = parse_base_url(settings.list_url)
+        read_list = make_list_reader(list_base, self.control, self.post, self._write_log)
         return {
             effects.Dispatch: partial(_delivery.dispatch, self, endpoints.dispatch),
             effects.Reply: partial(_delivery.reply, self),
@@ -184,6 +184,7 @@
             effects.WriteLog: self._write_log,
             effects.ObserveLatency: partial(_metrics.observe, self.metrics),
             effects.Leave: partial(_shutdown.on_leave, self),
+            **make_machine_effects(list_base, self.control, self.post, self._write_log),
         }
 
     def _drop_answer(self, effect: effects.DropAnswer) -> None:
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_views.py
@@ -7,6 +7,7 @@
 
 from eelgrassdrum_core import Decision, RecordId, State, refusals
 
+from ._operator_fleet import view_pools
 from ._operator_scope import Scope, sees_all, sees_name, sees_subject, sees_workspace
 
 
@@ -30,6 +31,7 @@
         "stopping": state.stopping,
         "teams": _view_teams(state, scope),
         "queues": _view_queues(state, scope),
+        "pools": view_pools(state, scope),
         "endpoints": _view_endpoints(state, scope),
         "members": _view_members(state) if sees_all(scope) else [],
     }
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_pools.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_pools.py
@@ -28,6 +28,7 @@
 from eelgrassdrum_core._records import Record
 from eelgrassdrum_core._state import State
 
+from .._fleet_invariants import FINAL
 from .._fleet_schedules import run_schedule
 from .._harness._pool_fleet import ROOM_ABOVE_TARGET, SPARE_INSTANCES
 from .._scenario import CONSORTIUM, GARTENSCHAU, Scenario
@@ -44,6 +45,7 @@
 CORE_SHARE = 0.04
 REPEATS = 5
 TICK_S = 0.1
+TICKS = 50
 # Part of the fleet that is on the move.
 MOVING_SHARE = 0.005
 
@@ -182,9 +184,10 @@
     for scenario in (GARTENSCHAU, CONSORTIUM):
         runs = [run_schedule(seed, scenario) for seed in SCHEDULE_SEEDS]
         prefix = f"pools.{scenario.name}"
-        for rule in ("one_pool", "serves_its_pool", "stops_cut", "stops_keep"):
-            broken = sum(text.startswith(rule) for run in runs for text in run.violations)
-            yield measure(f"{prefix}.{rule}.broken", broken, "times", at_most=0)
+        for rule in FINAL:
+            name = rule.__name__
+            broken = sum(text.startswith(f"{name}:") for run in runs for text in run.violations)
+            yield measure(f"{prefix}.{name}.broken", broken, "times", at_most=0)
         stops = sum(run.stops for run in runs)
         yield measure(f"{prefix}.planned_stops", stops, "stops", at_least=1)
         takeovers = sum(run.takeovers for run in runs)
@@ -200,7 +203,7 @@
     for instances, pools in PLAN_SIZES:
         state = make_state(instances, pools)
         plan_s = min(_time(partial(_plan, state)) for _ in range(REPEATS))
-        tick_s = min(_time(partial(_tick, state)) for _ in range(REPEATS))
+        tick_s = _time(partial(_ticks, state)) / TICKS
         label = f"pools.plan.{instances}"
         yield measure(f"{label}.plan_ms", plan_s * 1e3, "ms")
         yield measure(f"{label}.tick_ms", tick_s * 1e3, "ms")
@@ -250,6 +253,11 @@
         pass
 
 
+def _ticks(state: State) -> None:
+    for _ in range(TICKS):
+        _tick(state)
+
+
 def _tick(state: State) -> None:
     # As much later as a tick, so that what is worked out once for each moment is worked out anew.
     state.fleet.planned_s["fleet"] = state.now_s + TICK_S
