--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_config.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ._config_validate import decode_document
+from ._pools_config import Pool, read_pools
 from ._records import DOCUMENT_PUBLISHED, Record
 
 T = TypeVar("T")
@@ -103,6 +104,7 @@
     services: dict[str, Service] = msgspec.field(default_factory=dict)
     queues: dict[str, Queue] = msgspec.field(default_factory=dict)
     teams: dict[str, Team] = msgspec.field(default_factory=dict)
+    pools: dict[str, dict[str, Pool]] = msgspec.field(default_factory=dict)
 
 
 def qualify(workspace: str, name: str) -> str:
@@ -138,6 +140,7 @@
     config.services = _replace(config.services, name, services)
     config.queues = _replace(config.queues, name, queues)
     config.teams = _replace(config.teams, name, teams)
+    config.pools[name] = read_pools(name, fields)
     return ""
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools.py
@@ -3,35 +3,14 @@
 """
 
 from bisect import insort
-from typing import Any, NamedTuple, Protocol
+from typing import NamedTuple, Protocol
 
 import msgspec
 
 from ._allowance_fold import AllowanceFold
-from ._config import ConfigFold, qualify
+from ._config import ConfigFold
 from ._fleet_messages import DRAINING, IN_SERVICE, LEFT
-
-
-class Pool(NamedTuple):
-    """
-    A configured pool.
-
-    :param name: ``WORKSPACE/POOL``.
-    :param role: ``endpoint`` or ``worker``.
-    :param service: ``WORKSPACE/SERVICE``, or empty.
-    :param min: instances that moves away must leave.
-    :param target: instances that it should have.
-    :param max: instances that moves may bring it to.
-    :param spare: whether its instances wait for use elsewhere.
-    """
-
-    name: str
-    role: str
-    service: str
-    min: int
-    target: int
-    max: int
-    spare: bool
+from ._pools_config import Pool
 
 
 class FleetInstance(msgspec.Struct):
@@ -72,32 +51,18 @@
     offset: int
 
 
-class DocumentPools(NamedTuple):
-    """
-    Pools of one document.
-
-    :param offset: revision of the document that they were read from.
-    :param pools: pools by full name.
-    """
-
-    offset: int
-    pools: dict[str, Pool]
-
-
 class PoolFold(msgspec.Struct):
     """
     Instances, their pools, and controllers as decided by the log.
 
     :param members: ids of a pool's instances, sorted.
     :param moving: ids of instances that are not in service.
-    :param read: pools by document, read again when the document changes.
     """
 
     instances: dict[str, FleetInstance] = msgspec.field(default_factory=dict)
     members: dict[str, list[str]] = msgspec.field(default_factory=dict)
     moving: dict[str, bool] = msgspec.field(default_factory=dict)
     claims: dict[str, Claim] = msgspec.field(default_factory=dict)
-    read: dict[str, DocumentPools] = msgspec.field(default_factory=dict)
 
 
 class FoldView(Protocol):
@@ -128,16 +93,7 @@
     :param shard: name of the document.
     :returns: pools by full name.
     """
-    revisions = fold.config.documents.get(shard)
-    if not revisions:
-        return {}
-    newest = revisions[-1]
-    known = fold.pools.read.get(shard)
-    if known is None or known.offset != newest.offset:
-        pools = [_read_pool(shard, item) for item in newest.document.get("pools", [])]
-        known = DocumentPools(newest.offset, {pool.name: pool for pool in pools})
-        fold.pools.read[shard] = known
-    return known.pools
+    return fold.config.pools.get(shard, {})
 
 
 def find_pool(fold: FoldView, name: str) -> Pool | None:
@@ -158,7 +114,7 @@
     :param fold: the folded state.
     :returns: their names, sorted.
     """
-    return [name for name in sorted(fold.config.documents) if pools_of(fold, name)]
+    return [name for name, pools in sorted(fold.config.pools.items()) if pools]
 
 
 def put_in_pool(pools: PoolFold, instance: str, pool: str) -> None:
@@ -226,17 +182,3 @@
 
 def _is_leaving_for(entry: FleetInstance, pool: str) -> bool:
     return entry.step == DRAINING and entry.target == pool and entry.pool != pool
-
-
-def _read_pool(shard: str, item: dict[str, Any]) -> Pool:
-    service = item.get("service", "")
-    size = item["size"]
-    return Pool(
-        qualify(shard, item["name"]),
-        item["role"],
-        qualify(shard, service) if service else "",
-        int(size["min"]),
-        int(size["target"]),
-        int(size["max"]),
-        bool(item.get("spare", False)),
-    )
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools_budget.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools_budget.py
@@ -10,7 +10,8 @@
 from typing import NamedTuple
 
 from ._fleet_messages import IN_SERVICE
-from ._pools import FoldView, Pool, departing, pools_of, shard_of, shards
+from ._pools import FoldView, departing, pools_of, shard_of, shards
+from ._pools_config import Pool
 
 
 class Budget(NamedTuple):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools_control.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools_control.py
@@ -18,8 +18,9 @@
 from ._fleet_state import NEVER_S, DemandHistory
 from ._fleet_view import GONE_AFTER_S, down_instances, is_fresh, service_units
 from ._handlers import HandlerTable
-from ._pools import Pool, arriving, departing, find_pool, pools_of, shard_of
+from ._pools import arriving, departing, find_pool, pools_of, shard_of
 from ._pools_budget import budget_members, budget_of, may_stop
+from ._pools_config import Pool
 from ._pools_forecast import add_sample, used_parts
 from ._pools_planner import PoolNeed, Weights, plan_moves
 from ._state import State
