--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
@@ -21,18 +21,21 @@
 from ._state import State
 from ._wire import register_message
 
-SEND_EVERY_S = 0.2
-RELAY_EVERY_S = 0.4
+SEND_EVERY_S = 0.1
+RELAY_EVERY_S = 0.2
 # Time for which what another instance told counts.
 SOURCE_VALID_S = 1.5
 # Time after its last demand for which a team is told about.
 ROW_VALID_S = 3.0
 # How far a team may run before one that waits elsewhere, in seconds of the level's growth.
-SLACK_S = 0.3
+SLACK_S = 0.05
 # Time after which slots left free are taken again when nobody used them, and for how long.
 HOLD_MAX_S = 2.0
 IGNORE_S = 5.0
 
+# Sources that are whole zones have names that no instance has.
+ZONE_SOURCE_PREFIX = "zone "
+
 
 class ServiceRow(NamedTuple):
     """
@@ -109,7 +112,7 @@
     elif isinstance(message, ZoneServedReported) and message.zone != own.zone:
         _take(
             state,
-            f"zone {message.zone}",
+            f"{ZONE_SOURCE_PREFIX}{message.zone}",
             message.relay,
             message.sequence,
             message.rows,
@@ -136,6 +139,18 @@
     )
 
 
+def update_ceiling(state: State, service_name: str) -> None:
+    """
+    Set how far teams of this instance may run before those that wait elsewhere.
+
+    :param state: the state.
+    :param service_name: ``WORKSPACE/SERVICE``.
+    """
+    service = state.fair.services[service_name]
+    remote = {team: remote_waiting(state, service_name, team) for team in service.teams}
+    _set_ceiling(state, service, remote)
+
+
 def _update_service(state: State, name: str, service: ServiceQueue) -> None:
     remote = {team: remote_waiting(state, name, team) for team in service.teams}
     running = {charge.team for charge in state.fair.charges.values() if charge.service == name}
@@ -188,7 +203,8 @@
         waiting = row.waiting + sum(
             source.waiting.get((service, team), 0)
             for name, source in exchange.sources.items()
-            if not name.startswith("zone ") and state.now_s - source.at_s < SOURCE_VALID_S
+            if not name.startswith(ZONE_SOURCE_PREFIX)
+            and state.now_s - source.at_s < SOURCE_VALID_S
         )
         rows.append(ServiceRow(service, team, round(served_s, 3), waiting))
     return tuple(rows)
@@ -244,6 +260,8 @@
     source.waiting = {(row.service, row.team): row.waiting for row in rows if row.waiting > 0}
     for row in rows:
         _add_row(state, exchange, source, row, is_peer)
+    for service in {row.service for row in rows}:
+        update_ceiling(state, service)
 
 
 def _add_row(
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -10,14 +10,16 @@
 from ._allowance_state import LimitState
 from ._config import ConfigFold
 from ._effects import Identity
-from ._endpoints import EndpointState
+from ._endpoints_state import EndpointState
 from ._fair_state import FairState
 from ._fleet_state import FleetState
 from ._fold import LogPosition
 from ._freshness_state import FreshnessState
+from ._joins_state import JoinState
 from ._keys import KeyFold
 from ._log_state import LogState, LogTail, Outbox
 from ._membership_state import MembershipState
+from ._overload_state import OverloadState
 from ._pools import PoolFold
 from ._relay_state import RelayState
 from ._requests import Attempt
@@ -36,6 +38,7 @@
     :param list_interval_s: seconds between two reads of the instance list.
     :param log_wait_s: seconds that a read of the log waits for records.
     :param log_retry_s: seconds between reads while the log is out.
+    :param max_held_bytes: length of all bodies that the instance holds at once.
     :param key_freshness_s: age of the last proof of having heard of every withdrawal up to which
         keys are taken.
     :param snapshot_interval_s: seconds between two snapshots.
@@ -49,6 +52,7 @@
     list_interval_s: float = 1.0
     log_wait_s: float = 1.0
     log_retry_s: float = 0.5
+    max_held_bytes: int = 64 * 1024 * 1024
     key_freshness_s: float = 4.0
     snapshot_interval_s: float = 600.0
     snapshot_records: int = 2000
@@ -99,6 +103,8 @@
     fair: FairState = msgspec.field(default_factory=FairState)
     limits: LimitState = msgspec.field(default_factory=LimitState)
     endpoints: EndpointState = msgspec.field(default_factory=EndpointState)
+    joins: JoinState = msgspec.field(default_factory=JoinState)
+    overload: OverloadState = msgspec.field(default_factory=OverloadState)
     membership: MembershipState = msgspec.field(default_factory=MembershipState)
     fleet: FleetState = msgspec.field(default_factory=FleetState)
     tail: LogTail = msgspec.field(default_factory=LogTail)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
@@ -19,7 +19,7 @@
     publish,
     withdraw_key,
 )
-from ._load import send_one, start_load
+from ._load import send_again, send_one, start_load
 from ._log import append, operator_append
 from ._machines import add_machines, fail_machine
 from ._platform import Machine, PlannedStop, Platform
@@ -66,6 +66,7 @@
     "publish_next",
     "reference_fold",
     "request_move",
+    "send_again",
     "send_one",
     "start_entry",
     "start_load",
