--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_state.py
@@ -101,6 +101,18 @@
     at_s: float
 
 
+class KnownFailures(NamedTuple):
+    """
+    Instances that were down when the last order of maintenance came.
+
+    :param order: revision of the order.
+    :param names: those that are down still.
+    """
+
+    order: int
+    names: frozenset[str]
+
+
 class DemandHistory(msgspec.Struct):
     """
     How often a service's demand was how large; older samples count less.
@@ -127,6 +139,9 @@
     :param loads: load of each service by entry instance.
     :param demand: history of demand by service.
     :param planned_s: time of the last plan by shard.
+    :param maintained_s: time of the last plan of maintenance by shard.
+    :param known_failures: failures that a shard's last order has accepted.
+    :param stopped_s: time at which instances were last seen stopped for maintenance.
     """
 
     checked_s: float = NEVER_S
@@ -144,3 +159,6 @@
     loads: dict[str, LoadReport] = msgspec.field(default_factory=dict)
     demand: dict[str, DemandHistory] = msgspec.field(default_factory=dict)
     planned_s: dict[str, float] = msgspec.field(default_factory=dict)
+    maintained_s: dict[str, float] = msgspec.field(default_factory=dict)
+    stopped_s: dict[str, float] = msgspec.field(default_factory=dict)
+    known_failures: dict[str, KnownFailures] = msgspec.field(default_factory=dict)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_view.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_view.py
@@ -48,6 +48,19 @@
     return names
 
 
+def platform_now_s(state: State) -> float:
+    """
+    Estimate the platform's time.
+
+    :param state: the state.
+    :returns: seconds, 0 before an inventory was read.
+    """
+    observation = state.fleet.observation
+    if observation.asked_s == NEVER_S:
+        return 0.0
+    return observation.at_s + state.now_s - observation.asked_s
+
+
 def service_units(state: State) -> Counter[str]:
     """
     Add up what all entry instances reported lately.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_log_follower.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_log_follower.py
@@ -6,7 +6,15 @@
 
 import msgspec
 
-from . import _allowance_fold, _config, _keys, _moves_fold, _pools_fold, _snapshots_fold
+from . import (
+    _allowance_fold,
+    _config,
+    _keys,
+    _maintenance_fold,
+    _moves_fold,
+    _pools_fold,
+    _snapshots_fold,
+)
 from ._effects import Emit, ReadLog, WriteLog
 from ._events import LogRead, LogTruncated, LogUnavailable, RecordFolded, Started
 from ._fold import Applier, Decision, fold_record
@@ -34,6 +42,7 @@
     **_allowance_fold.APPLIERS,
     **_pools_fold.APPLIERS,
     **_moves_fold.APPLIERS,
+    **_maintenance_fold.APPLIERS,
 }
 
 
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_maintenance.py
@@ -0,0 +1,276 @@
+"""
+Carries maintenance on: stops what is due within the budgets, and pauses when failures look related.
+
+Every move of an instance reboots it, so an instance is due by the age of its last boot, or when it
+has not been rebooted since a round began.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from ._controllers import ask_record, claim_of, owned_shards
+from ._effects import WriteLog
+from ._events import Ticked
+from ._fleet_messages import (
+    DRAINING,
+    IN_SERVICE,
+    LEFT,
+    MAINTENANCE_ORDERED,
+    PURPOSE_MAINTENANCE,
+    maintenance_subject,
+)
+from ._fleet_state import NEVER_S, KnownFailures
+from ._fleet_view import down_instances, is_fresh, platform_now_s
+from ._handlers import HandlerTable
+from ._maintenance_fold import PAUSE, Round
+from ._pools import FleetInstance, arriving, departing, pools_of, shard_of
+from ._pools_budget import budget_of
+from ._pools_config import Pool
+from ._pools_control import is_paused, start_move, weights_of
+from ._state import State
+from ._waves_planner import BudgetRoom, WaveInstance, WavePool, WaveView, plan_wave
+
+PERIOD_S = 14 * 86_400.0
+# Part of the period after which an instance is due, so that the rest is left for the work.
+DUE_AFTER = 0.7
+PLAN_EVERY_S = 5.0
+# Keeps a large round from filling the log with records.
+STOPS_PER_PLAN = 50
+# Time after a stop during which a failure of the instance is held against the round.
+WATCH_S = 300.0
+FAILED_TRIES = 2
+# Failures from which a round is paused: of stopped instances, and of others in one rack or zone.
+RELATED_STOPS = 2
+RELATED_IN_RACK = 2
+RELATED_IN_ZONE = 3
+# Part of a zone's instances that must be down in a large zone.
+RELATED_ZONE_SHARE = 0.02
+CONTROLLER = "controller"
+
+
+def on_tick(state: State, event: Ticked) -> Iterator[object]:
+    """
+    Plan the maintenance of each shard that is controlled here when its turn has come.
+    """
+    if state.stopping or not state.log.available or not is_fresh(state):
+        return
+    for shard in owned_shards(state):
+        planned_s = state.fleet.maintained_s.get(shard, NEVER_S)
+        if state.now_s - planned_s >= PLAN_EVERY_S:
+            state.fleet.maintained_s[shard] = state.now_s
+            yield from maintain_shard(state, shard)
+
+
+def maintain_shard(state: State, shard: str) -> Iterator[object]:
+    """
+    Ask for the stops of a shard that are due now, or for a pause.
+
+    :param state: the state.
+    :param shard: name of the document.
+    :returns: the effects.
+    """
+    _note_stops(state, shard)
+    current = round_of(state, shard)
+    if current.is_paused:
+        return
+    down = down_instances(state)
+    view = view_of(state, shard, down)
+    if not any(item.is_due for pool in view.pools for item in pool.instances):
+        return
+    reason = related_failures(state, shard, down)
+    if reason:
+        yield from _pause(state, shard, reason)
+        return
+    for stop in plan_wave(view, STOPS_PER_PLAN):
+        yield from start_move(state, stop.instance, stop.target, PURPOSE_MAINTENANCE, down)
+
+
+def round_of(state: State, shard: str) -> Round:
+    """
+    Give the maintenance round of a shard.
+
+    :param state: the state.
+    :param shard: name of the document.
+    :returns: the round.
+    """
+    return state.fold.maintenance.rounds.get(shard, Round())
+
+
+def is_due(state: State, name: str, entry: FleetInstance) -> bool:
+    """
+    Tell whether an instance is to be maintained.
+
+    :param state: the state.
+    :param name: id of the instance.
+    :param entry: the instance.
+    :returns: whether the round has not reached it, or its last boot is long ago.
+    """
+    if entry.booted_offset < round_of(state, shard_of(entry.pool)).offset:
+        return True
+    return age_s(state, name, entry) >= PERIOD_S * DUE_AFTER
+
+
+def age_s(state: State, name: str, entry: FleetInstance) -> float:
+    """
+    Give the time since the last boot of an instance.
+
+    :param state: the state.
+    :param name: id of the instance.
+    :param entry: the instance.
+    :returns: seconds of the platform's time, 0 before an inventory was read.
+    """
+    seen = state.fleet.observation.instances.get(name)
+    booted_at_s = max(entry.booted_at_s, 0.0 if seen is None else seen.booted_at_s)
+    return max(0.0, platform_now_s(state) - booted_at_s)
+
+
+def view_of(state: State, shard: str, down: frozenset[str]) -> WaveView:
+    """
+    Describe a shard for the planner of waves.
+
+    :param state: the state.
+    :param shard: name of the document.
+    :param down: instances that are down or unseen.
+    :returns: plain data.
+    """
+    pools = pools_of(state.fold, shard).values()
+    budgets: dict[str, BudgetRoom] = {}
+    for pool in pools:
+        _add_budget(state, budgets, pool, down)
+    wave_pools = tuple(_wave_pool(state, pool, down) for pool in pools)
+    return WaveView(wave_pools, budgets, weights_of(state).roll_out_time > 0)
+
+
+def related_failures(state: State, shard: str, down: frozenset[str]) -> str:
+    """
+    Look for failures that may have one cause.
+
+    :param state: the state.
+    :param shard: name of the document.
+    :param down: instances that are down or unseen.
+    :returns: what was found, or an empty text.
+    """
+    instances = state.fold.pools.instances
+    new = down - _known_failures(state, shard, down)
+    stopped = _failed_stops(state, shard, new)
+    if len(stopped) >= RELATED_STOPS:
+        return f"{len(stopped)} maintained instances failed: {', '.join(stopped)}"
+    failed = [
+        instances[name]
+        for name in new
+        if shard_of(instances[name].pool) == shard and instances[name].step == IN_SERVICE
+    ]
+    for rack, count in Counter(entry.rack for entry in failed).most_common(1):
+        if count >= RELATED_IN_RACK:
+            return f"{count} instances of rack {rack} are down"
+    for zone, count in Counter(entry.zone for entry in failed).most_common(1):
+        size = sum(entry.zone == zone for entry in instances.values())
+        if count >= max(RELATED_IN_ZONE, RELATED_ZONE_SHARE * size):
+            return f"{count} instances of zone {zone} are down"
+    return ""
+
+
+def _known_failures(state: State, shard: str, down: frozenset[str]) -> frozenset[str]:
+    """
+    Give the failures that were there at the last order, which its operator has accepted.
+    """
+    order = state.fold.position.revisions.get(maintenance_subject(shard), 0)
+    known = state.fleet.known_failures.get(shard)
+    names = down if known is None or known.order != order else known.names & down
+    state.fleet.known_failures[shard] = KnownFailures(order, names)
+    return names
+
+
+def _failed_stops(state: State, shard: str, down: frozenset[str]) -> list[str]:
+    fleet = state.fleet
+    failed = []
+    for name in fleet.stopped_s:
+        entry = state.fold.pools.instances.get(name)
+        if entry is None or shard_of(entry.pool) != shard:
+            continue
+        progress = fleet.progress.get(name)
+        is_failing = progress is not None and progress.failures >= FAILED_TRIES
+        if is_failing or (entry.step == IN_SERVICE and name in down):
+            failed.append(name)
+    return sorted(failed)
+
+
+def _note_stops(state: State, shard: str) -> None:
+    """
+    Remember which instances are stopped for maintenance, or were until a while ago.
+    """
+    fleet, instances = state.fleet, state.fold.pools.instances
+    for name in state.fold.pools.moving:
+        entry = instances[name]
+        if entry.purpose == PURPOSE_MAINTENANCE and shard_of(entry.pool) == shard:
+            fleet.stopped_s[name] = state.now_s
+    for name, at_s in list(fleet.stopped_s.items()):
+        if name not in instances or state.now_s - at_s > WATCH_S:
+            del fleet.stopped_s[name]
+
+
+def _pause(state: State, shard: str, reason: str) -> Iterator[object]:
+    body = {
+        "shard": shard,
+        "action": PAUSE,
+        "author": CONTROLLER,
+        "reason": reason,
+        "claim": claim_of(state, shard),
+    }
+    state.fleet.stopped_s.clear()
+    yield WriteLog("maintenance.paused", {"shard": shard, "reason": reason})
+    yield from ask_record(state, MAINTENANCE_ORDERED, maintenance_subject(shard), body)
+
+
+def _add_budget(
+    state: State, budgets: dict[str, BudgetRoom], pool: Pool, down: frozenset[str]
+) -> None:
+    instances = state.fold.pools.instances
+    away = [
+        instances[name]
+        for name in state.fold.pools.moving
+        if instances[name].pool == pool.name and instances[name].step in (DRAINING, LEFT)
+    ]
+    name = pool.service or pool.name
+    known = budgets.get(name)
+    room = budget_of(state.fold, pool, down).room if known is None else known.room
+    under_way = len(away) + (0 if known is None else known.under_way)
+    zones = tuple(entry.zone for entry in away) + (() if known is None else known.zones)
+    budgets[name] = BudgetRoom(room, under_way, zones)
+
+
+def _wave_pool(state: State, pool: Pool, down: frozenset[str]) -> WavePool:
+    fold = state.fold.pools
+    members = fold.members.get(pool.name, [])
+    instances = [
+        WaveInstance(name, fold.instances[name].zone, fold.instances[name].rack, due)
+        for name, due in _may_stop(state, members, down)
+    ]
+    size = len(members) + arriving(fold, pool.name) - departing(fold, pool.name)
+    return WavePool(
+        pool.name,
+        pool.role,
+        pool.service or pool.name,
+        pool.spare,
+        pool.min,
+        pool.target,
+        pool.max,
+        size,
+        tuple(instances),
+    )
+
+
+def _may_stop(state: State, members: list[str], down: frozenset[str]) -> Iterator[tuple[str, bool]]:
+    able = [
+        (-age_s(state, name, entry), name, entry)
+        for name, entry in ((name, state.fold.pools.instances[name]) for name in members)
+        if entry.step == IN_SERVICE
+        and not entry.wanted
+        and name not in down
+        and not is_paused(state, name)
+    ]
+    for _, name, entry in sorted(able, key=lambda item: item[:2]):
+        yield name, is_due(state, name, entry)
+
+
+HANDLERS: HandlerTable = {Ticked: on_tick}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_moves.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_moves.py
@@ -25,6 +25,7 @@
     MOVE_ABORTED,
     MOVE_JOINED,
     MOVE_LEFT,
+    PURPOSE_MAINTENANCE,
     REBOOT,
     DrainInstance,
     JoinPool,
@@ -33,8 +34,9 @@
     move_subject,
 )
 from ._fleet_state import Setback, StepProgress
-from ._fleet_view import down_instances, is_fresh
+from ._fleet_view import down_instances, is_fresh, platform_now_s
 from ._handlers import HandlerTable
+from ._maintenance_fold import is_called_back
 from ._pools import FleetInstance, pools_of, shard_of
 from ._pools_budget import budget_of
 from ._state import State
@@ -149,6 +151,8 @@
     if state.now_s - progress.since_s > drain_limit_s(state, entry):
         _note_setback(state, name)
         return True
+    if entry.purpose == PURPOSE_MAINTENANCE and is_called_back(state.fold, entry.pool, entry.epoch):
+        return True
     return _exceeds_budget(state, name, entry)
 
 
@@ -197,11 +201,10 @@
 
 
 def _ask_step(state: State, kind: str, name: str, entry: FleetInstance) -> Iterator[object]:
-    seen = state.fleet.observation.instances.get(name)
     body = {
         "instance": name,
         "claim": claim_of(state, shard_of(entry.pool)),
-        "booted_at_s": seen.booted_at_s if seen is not None and entry.step == LEFT else 0.0,
+        "booted_at_s": platform_now_s(state) if entry.step == LEFT else 0.0,
     }
     yield from ask_record(state, kind, move_subject(name), body)
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_moves_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_moves_fold.py
@@ -100,6 +100,7 @@
     if entry.step == LEFT:
         entry.wanted = "" if entry.wanted == entry.pool else entry.wanted
         entry.booted_at_s = max(entry.booted_at_s, body.booted_at_s)
+        entry.booted_offset = offset
     entry.target, entry.purpose = "", ""
     _advance(fold, body.instance, IN_SERVICE, offset)
     return ""
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools.py
@@ -24,6 +24,7 @@
     :param wanted: pool that an operator wants it in, or empty.
     :param purpose: ``move`` or ``maintenance`` while a move is under way.
     :param booted_at_s: platform's time of its last recorded boot.
+    :param booted_offset: record after which it was in service again, 0 before any reboot.
     """
 
     pool: str
@@ -35,6 +36,7 @@
     wanted: str = ""
     purpose: str = ""
     booted_at_s: float = 0.0
+    booted_offset: int = 0
 
 
 class Claim(NamedTuple):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_reduce.py
@@ -24,6 +24,7 @@
     _joins_votes,
     _lifecycle,
     _log_follower,
+    _maintenance,
     _membership_beats,
     _moves,
     _outbox,
@@ -65,6 +66,7 @@
     _controllers.HANDLERS,
     _moves.HANDLERS,
     _pools_control.HANDLERS,
+    _maintenance.HANDLERS,
 )
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -18,6 +18,7 @@
 from ._joins_state import JoinState
 from ._keys import KeyFold
 from ._log_state import LogState, LogTail, Outbox
+from ._maintenance_fold import MaintenanceFold
 from ._membership_state import MembershipState
 from ._overload_state import OverloadState
 from ._pools import PoolFold
@@ -68,6 +69,7 @@
     keys: KeyFold = msgspec.field(default_factory=KeyFold)
     allowances: AllowanceFold = msgspec.field(default_factory=AllowanceFold)
     pools: PoolFold = msgspec.field(default_factory=PoolFold)
+    maintenance: MaintenanceFold = msgspec.field(default_factory=MaintenanceFold)
     snapshots: SnapshotFold = msgspec.field(default_factory=SnapshotFold)
 
 
