--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_maintenance.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_maintenance.py
@@ -39,6 +39,8 @@
 # Time after a stop during which a failure of the instance is held against the round.
 WATCH_S = 300.0
 FAILED_TRIES = 2
+# Time after a reboot until the inventory shows it.
+SETTLE_S = 5.0
 # Failures from which a round is paused: of stopped instances, and of others in one rack or zone.
 RELATED_STOPS = 2
 RELATED_IN_RACK = 2
@@ -151,7 +153,7 @@
     :returns: what was found, or an empty text.
     """
     instances = state.fold.pools.instances
-    new = down - _known_failures(state, shard, down)
+    new = _settled(state, down) - _known_failures(state, shard, down)
     stopped = _failed_stops(state, shard, new)
     if len(stopped) >= RELATED_STOPS:
         return f"{len(stopped)} maintained instances failed: {', '.join(stopped)}"
@@ -170,6 +172,15 @@
     return ""
 
 
+def _settled(state: State, down: frozenset[str]) -> frozenset[str]:
+    """
+    Leave out instances that the inventory can't yet show as back from their reboot.
+    """
+    instances = state.fold.pools.instances
+    until_s = state.fleet.observation.at_s - SETTLE_S
+    return frozenset(name for name in down if instances[name].booted_at_s <= until_s)
+
+
 def _known_failures(state: State, shard: str, down: frozenset[str]) -> frozenset[str]:
     """
     Give the failures that were there at the last order, which its operator has accepted.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_moves.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_moves.py
@@ -172,8 +172,6 @@
     The newest drains of a service are called back first, as many as are missing.
     """
     down = down_instances(state)
-    if name in down:
-        return False
     pools = pools_of(state.fold, shard_of(entry.pool))
     pool = pools.get(entry.pool)
     if pool is None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools_budget.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools_budget.py
@@ -78,10 +78,8 @@
         return True
     if target != entry.pool and not _may_shrink(fold, pool):
         return False
-    if instance in down:
-        # It serves nothing, so that stopping it takes nothing away.
-        return True
-    return budget_of(fold, pool, down).room >= 1
+    # The instance itself is left out, so one that is thought to be down may be back by now.
+    return budget_of(fold, pool, {*down, instance}).room >= 0
 
 
 def _may_shrink(fold: FoldView, pool: Pool) -> bool:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_fleet_schedules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_fleet_schedules.py
@@ -15,6 +15,7 @@
     kill_entry,
     later,
     make_pool_fleet,
+    order_maintenance,
     pause_entry,
     reference_fold,
     request_move,
@@ -115,6 +116,15 @@
         request_move(world, name, pool, base)
 
 
+def order_something(world: World) -> None:
+    """
+    Give an order of maintenance, mostly to begin or to go on.
+
+    :param world: the world.
+    """
+    order_maintenance(world, world.rng.choice(("start", "resume", "resume", "pause", "abort")))
+
+
 def replace_controller(world: World) -> None:
     """
     Kill the controller; its replacement of the same id comes a second later.
@@ -145,6 +155,7 @@
     "reboots fail": fail_boots,
     "drains do not end": stick_drains,
     "operators race": race_operators,
+    "maintenance ordered": order_something,
     "controller replaced": replace_controller,
     "controller paused": pause_controller,
     **{name: FAULTS[name] for name in ENTRY_FAULTS},
@@ -172,8 +183,13 @@
         prepare(world)
     names = sorted(FLEET_FAULTS)
     violations: list[str] = []
+    order_maintenance(world, "start")
     for step in range(steps):
-        race_operators(world) if step % 2 else FLEET_FAULTS[world.rng.choice(names)](world)
+        FLEET_FAULTS[world.rng.choice(names)](world)
+        if step % 4 == 1:
+            race_operators(world)
+        if step % 4 == 3:
+            order_maintenance(world, "resume")
         advance(world, STEP_S * world.rng.random())
         violations += check_fleet(world)
     advance(world, REST_S)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
@@ -23,7 +23,13 @@
 from ._log import append, operator_append
 from ._machines import add_machines, fail_machine
 from ._platform import Machine, PlannedStop, Platform
-from ._pool_fleet import make_pool_fleet, pool_document, reference_fold, request_move
+from ._pool_fleet import (
+    make_pool_fleet,
+    order_maintenance,
+    pool_document,
+    reference_fold,
+    request_move,
+)
 from ._world import LOG, Entry, FakeEndpoint, Outcome, Run, World, advance, is_cut, later
 
 __all__ = [
@@ -60,6 +66,7 @@
     "make_fleet",
     "make_pool_fleet",
     "operator_append",
+    "order_maintenance",
     "pause_entry",
     "pool_document",
     "publish",
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_pool_fleet.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_pool_fleet.py
@@ -5,7 +5,12 @@
 import random
 
 from eelgrassdrum_core import DOCUMENT_PUBLISHED, StoredRecord, Tuning
-from eelgrassdrum_core._fleet_messages import MOVE_REQUESTED, move_subject
+from eelgrassdrum_core._fleet_messages import (
+    MAINTENANCE_ORDERED,
+    MOVE_REQUESTED,
+    maintenance_subject,
+    move_subject,
+)
 from eelgrassdrum_core._fold import fold_record
 from eelgrassdrum_core._log_follower import APPLIERS
 from eelgrassdrum_core._state import Fold
@@ -111,3 +116,17 @@
     """
     body = {"instance": machine, "pool": pool, "author": "op", "comment": ""}
     return operator_append(world, MOVE_REQUESTED, move_subject(machine), base, body)
+
+
+def order_maintenance(world: World, action: str) -> int:
+    """
+    Give an order of maintenance as an operator, on top of all that the log holds.
+
+    :param world: the world.
+    :param action: ``start``, ``pause``, ``resume`` or ``abort``.
+    :returns: the record's offset.
+    """
+    subject = maintenance_subject(SHARD)
+    base = reference_fold(world).position.revisions.get(subject, 0)
+    body = {"shard": SHARD, "action": action, "author": "op", "reason": "kernel"}
+    return operator_append(world, MAINTENANCE_ORDERED, subject, base, body)
