--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_app.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_app.py
@@ -7,7 +7,13 @@
 
 from cyclopts import App, ArgumentCollection, CycloptsError, Parameter, config
 
-from . import _commands_config, _commands_fleet, _commands_keys, _commands_moves
+from . import (
+    _commands_config,
+    _commands_fleet,
+    _commands_keys,
+    _commands_maintenance,
+    _commands_moves,
+)
 from ._errors import CommandError, ExitCode
 from ._output import print_error
 from ._settings import ENVIRONMENT_PREFIX, Settings
@@ -38,6 +44,7 @@
     app.command(_commands_fleet.outcome)
     app.command(_commands_fleet.drain)
     app.command(_commands_moves.move)
+    app.command(_make_maintenance_app())
     app.command(_commands_fleet.pools)
     app.command(_commands_fleet.teams)
     app.command(_commands_fleet.status)
@@ -63,6 +70,13 @@
     return keys
 
 
+def _make_maintenance_app() -> App:
+    maintenance = App(name="maintenance", help="Plan, begin, watch and stop maintenance rounds.")
+    for command in ("plan", "start", "pause", "resume", "abort", "status"):
+        maintenance.command(getattr(_commands_maintenance, command))
+    return maintenance
+
+
 def run(arguments: Sequence[str]) -> int:
     """
     Run one command.
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_api.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_api.py
@@ -11,6 +11,7 @@
 from . import _metrics
 from . import _operator_views as views
 from ._caller_api import BadHeaderError, read_credential
+from ._operator_fleet import view_maintenance
 from ._operator_scope import Scope, find_scope, sees_all, sees_name, sees_subject, sees_workspace
 from ._server_answers import JSON_HEADERS, encode_json
 from ._server_state import Exchange
@@ -198,6 +199,16 @@
     _answer_ok(call, shown)
 
 
+def _answer_maintenance(call: Call) -> None:
+    if len(call.parts) != 1:
+        _answer_not_found(call)
+    elif not sees_workspace(call.scope, call.parts[0]):
+        _answer_forbidden(call)
+    else:
+        found = view_maintenance(call.app.state, call.parts[0])
+        _answer_not_found(call) if found is None else _answer_ok(call, found)
+
+
 ROUTES: dict[str, Callable[[Call], None]] = {
     "status": _answer_status,
     "documents": _answer_documents,
@@ -206,4 +217,5 @@
     "outcomes": _answer_outcome,
     "explain": _answer_explain,
     "metrics": _answer_metrics,
+    "maintenance": _answer_maintenance,
 }
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_fleet.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_fleet.py
@@ -1,14 +1,20 @@
 """
-What operators are shown of pools.
+What operators are shown of pools and maintenance.
 """
 
 from collections import Counter
 from typing import Any
 
+import msgspec
+
 from eelgrassdrum_core import State
-from eelgrassdrum_core._fleet_messages import IN_SERVICE
+from eelgrassdrum_core._controllers import owned_shards
+from eelgrassdrum_core._fleet_messages import IN_SERVICE, PURPOSE_MAINTENANCE
+from eelgrassdrum_core._fleet_view import down_instances, is_fresh
+from eelgrassdrum_core._maintenance import PERIOD_S, age_s, is_due, round_of, view_of
 from eelgrassdrum_core._moves import stuck_instances
-from eelgrassdrum_core._pools import Pool, pools_of, shards
+from eelgrassdrum_core._pools import pools_of, shard_of, shards
+from eelgrassdrum_core._pools_config import Pool
 
 from ._operator_scope import Scope, sees_workspace
 
@@ -46,3 +52,33 @@
         "stuck": [name for name in stuck_instances(state) if name in members],
         "controller": "" if claim is None else claim.instance,
     }
+
+
+def view_maintenance(state: State, shard: str) -> dict[str, Any] | None:
+    """
+    Show a shard's round, and the plain data from which its waves are planned.
+
+    Only the controller reads the inventory; elsewhere every instance is taken to be up.
+
+    :param state: state of the instance.
+    :param shard: name of the document.
+    :returns: plain data, or ``None`` when the document has no pools.
+    """
+    if not pools_of(state.fold, shard):
+        return None
+    has_inventory = shard in owned_shards(state) and is_fresh(state)
+    down = down_instances(state) if has_inventory else frozenset()
+    instances = state.fold.pools.instances
+    members = [(name, entry) for name, entry in instances.items() if shard_of(entry.pool) == shard]
+    claim = state.fold.pools.claims.get(shard)
+    return {
+        "round": msgspec.structs.asdict(round_of(state, shard)),
+        "controller": "" if claim is None else claim.instance,
+        "has_inventory": has_inventory,
+        "instances": len(members),
+        "due": sum(is_due(state, name, entry) for name, entry in members),
+        "overdue": sum(age_s(state, name, entry) > PERIOD_S for name, entry in members),
+        "under_way": [name for name, entry in members if entry.purpose == PURPOSE_MAINTENANCE],
+        "stuck": [name for name in stuck_instances(state) if name in instances],
+        "view": view_of(state, shard, down),
+    }
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_scope.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_operator_scope.py
@@ -9,7 +9,7 @@
 
 ALL_WORKSPACES = "*"
 # Kinds of subjects whose second part names a workspace.
-WORKSPACE_SUBJECTS = ("document", "key")
+WORKSPACE_SUBJECTS = ("document", "key", "maintenance")
 
 
 class Scope(NamedTuple):
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_maintenance.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_maintenance.py
@@ -8,11 +8,13 @@
 from collections.abc import Callable, Iterable, Iterator
 
 from eelgrassdrum_core._fleet_view import down_instances
-from eelgrassdrum_core._maintenance import maintain_shard, view_of
+from eelgrassdrum_core._maintenance import PLAN_EVERY_S, maintain_shard, view_of
 from eelgrassdrum_core._maintenance_fold import Round
 from eelgrassdrum_core._waves_planner import BudgetRoom, WaveInstance, WavePool, WaveView
 from eelgrassdrum_core._waves_preview import preview
 
+from .._fleet_invariants import check_fleet
+from .._harness import advance, make_pool_fleet, order_maintenance
 from .._harness._pool_fleet import ROOM_ABOVE_TARGET, SPARE_INSTANCES
 from .._scenario import CONSORTIUM, GARTENSCHAU, Scenario
 from ._bench_pools import CORE_SHARE, PLAN_SIZES, make_state
@@ -22,7 +24,7 @@
 ROLL_OUT_RATIO = 1.15
 CASES = 60
 CASE_SEED = 11
-PLAN_EVERY_S = 5.0
+ROUND_LIMIT_S = 1000.0
 
 
 def make_view(case: Case, zones: int = 3, racks: int = 2) -> WaveView:
@@ -93,6 +95,28 @@
         yield from _firm(scenario)
 
 
+def bench_rounds() -> Iterator[Measure]:
+    """
+    Run a whole round of each firm through the reducers, in virtual time.
+
+    :returns: the measures.
+    """
+    for scenario in (GARTENSCHAU, CONSORTIUM):
+        world = make_pool_fleet(CASE_SEED, scenario)
+        order_maintenance(world, "start")
+        began_s = world.now_s
+        violations: list[str] = []
+        machines = world.platform.machines.values()
+        while not all(machine.boots for machine in machines) and world.now_s < ROUND_LIMIT_S:
+            advance(world, 1.0)
+            violations += check_fleet(world)
+        prefix = f"maintenance.{scenario.name}"
+        yield measure(f"{prefix}.round", world.now_s - began_s, "virtual seconds")
+        yield measure(f"{prefix}.round_violations", len(violations), "times", at_most=0)
+        missed = sum(not machine.boots for machine in machines)
+        yield measure(f"{prefix}.round_missed", missed, "instances", at_most=0)
+
+
 def bench_plan_cost() -> Iterator[Measure]:
     """
     Take the processor time of one plan of waves with everything due, over three sizes.
@@ -162,5 +186,6 @@
 
 BENCHES: dict[str, Callable[[], Iterable[Measure]]] = {
     "maintenance.roll_out": bench_roll_out,
+    "maintenance.rounds": bench_rounds,
     "maintenance.plan_cost": bench_plan_cost,
 }
