--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_admission.py
@@ -7,6 +7,7 @@
 from . import (
     _endpoints,
     _fair,
+    _fair_room,
     _freshness,
     _joins,
     _joins_claims,
@@ -58,6 +59,7 @@
     if known is not None:
         yield from _joins.join(state, known, event)
         return
+    yield from _make_room(state, queue, team, event)
     refusal = _refuse_load(state, queue, team, event)
     if refusal is not None:
         yield _refuse(state, event, refusal)
@@ -127,6 +129,17 @@
     return _freshness.keyed_work_allowed(state, state.fold.config.teams[team])
 
 
+def _make_room(state: State, queue: Queue, team: str, event: RequestReceived) -> Iterator[object]:
+    refusal = _refuse_load(state, queue, team, event)
+    if refusal is None or refusal.code != _refusals.QUEUE_FULL:
+        return
+    excess = _fair_room.take_excess(state.fair, queue.service, queue.name, team)
+    if excess is not None:
+        _overload.count_waiting(state, excess, -1)
+        _overload.count_held(state, -excess.size_bytes)
+        yield from _joins.refuse(state, excess, refusal)
+
+
 def _refuse_load(state: State, queue: Queue, team: str, event: RequestReceived) -> Refusal | None:
     if state.stopping:
         return Refusal(_refusals.STOPPING, STOPPING_RETRY_S)
