--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/standins.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/standins.py
@@ -17,6 +17,7 @@
 from ._instance_list import LAG_S, make_list_handler
 from ._log_http import make_log_handler
 from ._log_service import APPENDS_PER_S, RETENTION_AGE_S, RETENTION_RECORDS, LogConfig
+from ._machine_list import BOOT_S, make_machine_handler
 from ._worker import USAGE_LAG_S, WorkerState
 from ._worker_http import make_worker_handler
 
@@ -44,14 +45,18 @@
 
 
 @app.command(name="list")
-def run_list(*, port: int = 0, lag_s: float = LAG_S) -> None:
+def run_list(*, port: int = 0, lag_s: float = LAG_S, boot_s: float = BOOT_S) -> None:
     """
-    Run the list of instances.
+    Run the list of instances, with the instances of pools.
 
     :param port: TCP port on loopback, 0 for one that the system chooses.
-    :param lag_s: seconds by which answers are old.
+    :param lag_s: seconds by which answers of the list are old.
+    :param boot_s: seconds that a reboot of an instance of a pool takes.
     """
-    serve(port, partial(make_list_handler, lag_s))
+    serve(
+        port,
+        lambda call_later: make_machine_handler(make_list_handler(lag_s, call_later), boot_s),
+    )
 
 
 @app.command(name="endpoint")
