--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_fleet_schedules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_fleet_schedules.py
@@ -6,11 +6,15 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from eelgrassdrum_core import Sender, events
+from eelgrassdrum_core._fleet_messages import ServiceLoad, ServiceLoadReported
+
 from ._fleet_invariants import FINAL, check_fleet
 from ._harness import (
     FAULTS,
     World,
     advance,
+    deliver,
     fail_machine,
     kill_entry,
     later,
@@ -28,6 +32,9 @@
 # Long enough that another controller takes over meanwhile.
 LONG_PAUSE_S = 40.0
 REST_S = 150.0
+BUSY_UNITS = 60
+DEMAND_EVERY_S = 2.0
+DEMAND_TURNS = 30
 ENTRY_FAULTS = (
     "instance crashes, is replaced",
     "instance pauses past a lease",
@@ -149,6 +156,31 @@
         pause_entry(world, entry, LONG_PAUSE_S)
 
 
+def shift_demand(world: World) -> None:
+    """
+    Let one service have far more requests than its pool holds, and the others few, for a while.
+
+    :param world: the world.
+    """
+    services = sorted({machine.pool for machine in world.platform.machines.values()})
+    busy = world.rng.choice(services)
+    rows = tuple(ServiceLoad(name, BUSY_UNITS if name == busy else 1) for name in services)
+    for turn in range(DEMAND_TURNS):
+        later(world, turn * DEMAND_EVERY_S, lambda: report_load(world, rows))
+
+
+def report_load(world: World, rows: tuple[ServiceLoad, ...]) -> None:
+    """
+    Tell every entry instance the load of one that is not in the harness.
+
+    :param world: the world.
+    :param rows: requests by service.
+    """
+    event = events.PeerReceived(Sender("entry-x", 1, "a"), ServiceLoadReported(rows))
+    for entry in list(world.entries.values()):
+        deliver(world, entry, event)
+
+
 FLEET_FAULTS: dict[str, Callable[[World], None]] = {
     "rack fails": fail_rack,
     "instances fail": fail_some,
@@ -156,6 +188,7 @@
     "drains do not end": stick_drains,
     "operators race": race_operators,
     "maintenance ordered": order_something,
+    "demand shifts": shift_demand,
     "controller replaced": replace_controller,
     "controller paused": pause_controller,
     **{name: FAULTS[name] for name in ENTRY_FAULTS},
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_machines.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_machines.py
@@ -189,7 +189,9 @@
         for machine in world.platform.machines.values()
     )
     version = int(world.now_s / INVENTORY_EVERY_S) + 1
-    return messages.FleetObserved(0.0, world.now_s, 0, version, seen)
+    world.platform.known.update(machine.id for machine in seen)
+    removed = tuple(sorted(world.platform.known - set(world.platform.machines)))
+    return messages.FleetObserved(0.0, world.now_s, 0, version, seen, removed)
 
 
 def _changes(current: messages.FleetObserved, effect: messages.ReadFleet) -> messages.FleetObserved:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_platform.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_platform.py
@@ -65,6 +65,7 @@
     All instances of pools, with what happened to them.
 
     :param inventory: past states that reads with a lag may still show.
+    :param known: ids of all instances that there ever were.
     :param stops: drains that took effect.
     :param cut: requests that a planned stop cut, by instance.
     :param lag_s: seconds by which the inventory is late.
@@ -72,6 +73,7 @@
 
     machines: dict[str, Machine] = msgspec.field(default_factory=dict)
     inventory: list[messages.FleetObserved] = msgspec.field(default_factory=list)
+    known: set[str] = msgspec.field(default_factory=set)
     stops: list[PlannedStop] = msgspec.field(default_factory=list)
     cut: list[str] = msgspec.field(default_factory=list)
     lag_s: float = INVENTORY_LAG_S
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_pool_fleet.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_pool_fleet.py
@@ -16,6 +16,7 @@
 from eelgrassdrum_core._state import Fold
 
 from .._scenario import Scenario
+from ._endpoints import add_endpoint
 from ._entries import start_entry
 from ._log import operator_append
 from ._machines import add_machines, take_inventory
@@ -81,6 +82,9 @@
     operator_append(world, DOCUMENT_PUBLISHED, f"document/{SHARD}", 0, body)
     for name in scenario.services:
         add_machines(world, f"{SHARD}/{name}", scenario.executors, scenario.zones)
+        # One listed endpoint tells how many requests an instance of the service runs.
+        zone = scenario.zones[0]
+        add_endpoint(world, f"ep-{name}", f"{SHARD}/{name}", zone, slots=scenario.slots)
     add_machines(world, f"{SHARD}/spare", SPARE_INSTANCES, scenario.zones)
     take_inventory(world)
     tuning = Tuning(entry_instances=len(scenario.zones) * entries_per_zone)
--- a/packages/eelgrassdrum-testing/tests/test_fleet_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_fleet_schedules.py
@@ -7,6 +7,7 @@
 
 from eelgrassdrum_core import _fleet_messages as messages
 from eelgrassdrum_core import _moves, _moves_fold, _pools_control
+from eelgrassdrum_core._allowance_fold import rank
 from eelgrassdrum_testing import _fleet_schedules as schedules
 from eelgrassdrum_testing._fleet_invariants import FINAL, check_fleet
 from eelgrassdrum_testing._harness import (
@@ -103,6 +104,42 @@
     assert check_fleet(world) == []
 
 
+def test_the_spare_goes_where_the_demand_is(world: World) -> None:
+    """Load that entry instances report brings spare instances to the pool that lacks them."""
+    rows = (messages.ServiceLoad("fleet/judging", 60), messages.ServiceLoad("fleet/results", 8))
+    for _ in range(300):
+        schedules.report_load(world, rows)
+        advance(world, 2.0)
+    members = reference_fold(world).pools.members
+    assert len(members["fleet/judging"]) == 8
+    assert len(members["fleet/results"]) <= 6
+    assert check_fleet(world, FINAL) == []
+
+
+def test_an_instance_that_is_gone_is_forgotten(world: World) -> None:
+    """An instance that the platform no longer has leaves its pool after a while, not at once."""
+    del world.platform.machines[MOVED]
+    advance(world, 300.0)
+    assert MOVED in reference_fold(world).pools.instances
+    advance(world, 400.0)
+    fold = reference_fold(world)
+    assert MOVED not in fold.pools.instances
+    assert MOVED not in fold.pools.members["fleet/judging"]
+
+
+def test_an_idle_shard_returns_to_its_first_choice(world: World) -> None:
+    """When the first choice is back for long enough, it takes its shard over from a stopgap."""
+    first = reference_fold(world).pools.claims["fleet"].instance
+    choice = _first_choice(world)
+    stopgap = world.entries[choice]
+    pause_entry(world, stopgap, 60.0)
+    advance(world, 60.0)
+    assert reference_fold(world).pools.claims["fleet"].instance != choice
+    advance(world, 200.0)
+    assert reference_fold(world).pools.claims["fleet"].instance == choice
+    assert first in world.entries
+
+
 def test_a_drain_that_does_not_end_is_called_back(world: World) -> None:
     """An instance whose work doesn't end goes back into service, and nothing is cut."""
     world.platform.machines[MOVED].is_stuck = True
@@ -174,6 +211,10 @@
     assert any(text.startswith("nothing_is_forgotten") for text in check_fleet(world, FINAL))
 
 
+def _first_choice(world: World) -> str:
+    return rank("controller/fleet", sorted(world.entries))[0]
+
+
 def _add_only(pools: object, instance: str, pool: str) -> None:
     pools.members[pool].append(instance)
     pools.instances[instance].pool = pool
