--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_placement.py
@@ -0,0 +1,243 @@
+"""
+Places waiting jobs on workers: a pure function on plain data.
+
+The team with the least dominant share, by its weight, goes next (dominant-resource fairness); its
+job goes to the tightest worker that it fits into. Urgent jobs go first and may take the place of
+jobs of their own team, and of teams that keep nearly their share without them. A job that waits
+long gets a worker kept free for it.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Sequence
+from heapq import heapify, heappop, heappush
+from typing import NamedTuple
+
+import msgspec
+
+from ._jobs import NOTHING, RunningJob, Size, TeamUse, WaitingJob, Worker
+from ._placement_fit import FitIndex, exchange_room, find_worker, leave_out, make_index, take_room
+from ._placement_preempt import PreemptIndex, find_victims, make_preempt_index
+
+RESERVE_AFTER_S = 60.0
+MAX_RESERVED = 8
+# Jobs of one team that fit nowhere, after which its others are not tried in this plan.
+MISSES_PER_TEAM = 8
+# Part of its fair share that a team keeps when others' urgent work takes its place.
+KEPT_SHARE = 0.95
+
+PARKED_TOO_LARGE = "larger_than_any_worker"
+PARKED_NO_LIMIT = "team_may_run_nothing"
+PARKED_NO_TEAM = "unknown_team"
+
+
+class Start(NamedTuple):
+    """
+    A job is to start at a worker, once the named jobs have made place.
+
+    :param preempts: jobs that are checkpointed and stopped first.
+    """
+
+    job: str
+    worker: str
+    preempts: tuple[str, ...] = ()
+
+
+class Parked(NamedTuple):
+    """
+    A job can't ever run as things are.
+
+    :param reason: why, as told to its submitter.
+    """
+
+    job: str
+    reason: str
+
+
+class Placement(NamedTuple):
+    """
+    What a plan decides.
+
+    :param starts: jobs that start.
+    :param parked: jobs that can never run, with the reason.
+    """
+
+    starts: tuple[Start, ...]
+    parked: tuple[Parked, ...]
+
+
+class _Team(msgspec.Struct):
+    """
+    A team while jobs are placed.
+
+    :param misses: its jobs that fitted nowhere.
+    """
+
+    use: TeamUse
+    running: int
+    used: Size
+    urgent: deque[WaitingJob]
+    normal: deque[WaitingJob]
+    misses: int = 0
+
+
+def place_jobs(
+    waiting: Sequence[WaitingJob],
+    running: Sequence[RunningJob],
+    workers: Sequence[Worker],
+    teams: Iterable[TeamUse],
+) -> Placement:
+    """
+    Decide which jobs start where.
+
+    :param waiting: jobs, in the order in which each team wants them.
+    :param running: jobs that run.
+    :param workers: workers that may be used.
+    :param teams: all teams.
+    :returns: the starts in order, and the jobs that can never run.
+    """
+    total = _sum(worker.capacity for worker in workers)
+    parked, able = _park_impossible(waiting, workers, {team.name: team for team in teams})
+    index = make_index(workers)
+    queues = _make_teams(able, teams)
+    starts: list[Start] = []
+    _place_urgent(queues, index, running, total, starts)
+    _place_normal(queues, index, total, starts)
+    return Placement(tuple(starts), tuple(parked))
+
+
+def dominant_share(used: Size, total: Size, share: float) -> float:
+    """
+    Give a team's use by its weight.
+
+    :param used: what its jobs need.
+    :param total: the fleet.
+    :param share: the team's weight.
+    :returns: the dominant share divided by the weight.
+    """
+    return used.largest_part(total) / share
+
+
+def _park_impossible(
+    waiting: Sequence[WaitingJob], workers: Sequence[Worker], teams: dict[str, TeamUse]
+) -> tuple[list[Parked], list[WaitingJob]]:
+    shapes = {worker.capacity for worker in workers}
+    parked, able = [], []
+    for job in waiting:
+        if job.team not in teams:
+            parked.append(Parked(job.id, PARKED_NO_TEAM))
+        elif teams[job.team].limit <= 0:
+            parked.append(Parked(job.id, PARKED_NO_LIMIT))
+        elif not any(job.size.fits(shape) for shape in shapes):
+            parked.append(Parked(job.id, PARKED_TOO_LARGE))
+        else:
+            able.append(job)
+    return parked, able
+
+
+def _make_teams(waiting: Sequence[WaitingJob], teams: Iterable[TeamUse]) -> dict[str, _Team]:
+    queues = {team.name: _Team(team, team.running, team.used, deque(), deque()) for team in teams}
+    for job in waiting:
+        team = queues[job.team]
+        (team.urgent if job.urgent else team.normal).append(job)
+    return queues
+
+
+def _place_urgent(
+    queues: dict[str, _Team],
+    index: FitIndex,
+    running: Sequence[RunningJob],
+    total: Size,
+    starts: list[Start],
+) -> None:
+    victims: PreemptIndex | None = None
+    heap = [(_level(team, total), name) for name, team in queues.items() if team.urgent]
+    heapify(heap)
+    while heap:
+        _, name = heappop(heap)
+        team = queues[name]
+        if team.running >= team.use.limit:
+            continue
+        job = team.urgent.popleft()
+        worker = find_worker(index, job.size)
+        if worker is not None:
+            take_room(index, worker, job.size)
+            starts.append(Start(job.id, worker))
+            _count(team, job.size)
+        else:
+            victims = victims or make_preempt_index(running, index)
+            _preempt(queues, index, victims, total, job, starts)
+        if team.urgent:
+            heappush(heap, (_level(team, total), name))
+
+
+def _preempt(
+    queues: dict[str, _Team],
+    index: FitIndex,
+    victims: PreemptIndex,
+    total: Size,
+    job: WaitingJob,
+    starts: list[Start],
+) -> None:
+    weights = sum(team.use.share for team in queues.values())
+    in_use = _sum(team.used for team in queues.values()).largest_part(total)
+
+    def may_give(running: RunningJob) -> bool:
+        team = queues.get(running.team)
+        if team is None or running.team == job.team:
+            return True
+        least = KEPT_SHARE * in_use * team.use.share / weights
+        return team.used.minus(running.size).largest_part(total) >= least
+
+    found = find_victims(victims, index.free, job.size, may_give)
+    if found is None or len({victim.team for victim in found}) < len(found) > 1:
+        # Several jobs of one team could leave it less than its share.
+        return
+    for victim in found:
+        if victim.team in queues:
+            team = queues[victim.team]
+            team.running -= 1
+            team.used = team.used.minus(victim.size)
+    exchange_room(index, found[0].worker, _sum(victim.size for victim in found), job.size)
+    starts.append(Start(job.id, found[0].worker, tuple(victim.id for victim in found)))
+    _count(queues[job.team], job.size)
+
+
+def _place_normal(
+    queues: dict[str, _Team], index: FitIndex, total: Size, starts: list[Start]
+) -> None:
+    reserved = 0
+    heap = [(_level(team, total), name) for name, team in queues.items() if team.normal]
+    heapify(heap)
+    while heap and index.order:
+        _, name = heappop(heap)
+        team = queues[name]
+        if team.running >= team.use.limit:
+            continue
+        job = team.normal.popleft()
+        worker = find_worker(index, job.size)
+        if worker is not None:
+            take_room(index, worker, job.size)
+            starts.append(Start(job.id, worker))
+            _count(team, job.size)
+        elif job.waited_s >= RESERVE_AFTER_S and reserved < MAX_RESERVED:
+            reserved += 1
+            leave_out(index, index.order[-1])
+        team.misses += worker is None
+        if team.normal and team.misses < MISSES_PER_TEAM:
+            heappush(heap, (_level(team, total), name))
+
+
+def _level(team: _Team, total: Size) -> float:
+    return dominant_share(team.used, total, team.use.share)
+
+
+def _count(team: _Team, size: Size) -> None:
+    team.running += 1
+    team.used = team.used.plus(size)
+
+
+def _sum(sizes: Iterable[Size]) -> Size:
+    total = NOTHING
+    for size in sizes:
+        total = total.plus(size)
+    return total
--- /dev/null
+++ b/packages/eelgrassdrum-core/tests/test_placement.py
@@ -0,0 +1,213 @@
+"""
+Placement of jobs, sizes learned from usage, and workers that fail what they start.
+"""
+
+import random
+
+from eelgrassdrum_core._jobs import NOTHING, RunningJob, Size, TeamUse, WaitingJob, Worker
+from eelgrassdrum_core._jobs_usage import ENOUGH_SAMPLES, UsageHistory, estimate, note_usage
+from eelgrassdrum_core._placement import Placement, place_jobs
+from eelgrassdrum_core._workers_health import (
+    FIRST_PAUSE_S,
+    TRIAL_SUCCESSES,
+    Outcome,
+    TemplateRecord,
+    WorkerHealth,
+    judge,
+    note_outcome,
+    release,
+    starts_allowed,
+)
+
+SHAPE = Size(16.0, 64.0, 1.0)
+SMALL = Size(4.0, 8.0)
+
+FIXTURES: dict = {}
+
+
+def team(name: str, *, share: float = 1.0, limit: int = 100, used: Size = NOTHING) -> TeamUse:
+    """
+    Describe a team whose jobs are all small.
+    """
+    return TeamUse(name, share, limit, round(used.cores / SMALL.cores), used)
+
+
+def over_committed(
+    plan: Placement, waiting: list[WaitingJob], running: list[RunningJob], workers: list[Worker]
+) -> list[str]:
+    """
+    Name the workers on which a plan puts more than they hold.
+    """
+    sizes = {job.id: job.size for job in waiting}
+    places = {job.id: job for job in running}
+    used = {worker.id: worker.used for worker in workers}
+    for start in plan.starts:
+        used[start.worker] = used[start.worker].plus(sizes[start.job])
+        for name in start.preempts:
+            assert places[name].worker == start.worker
+            used[start.worker] = used[start.worker].minus(places[name].size)
+    return [worker.id for worker in workers if not used[worker.id].fits(worker.capacity)]
+
+
+def test_no_worker_gets_more_than_it_holds_and_no_team_more_than_its_limit() -> None:
+    """Whatever waits and runs, a plan fits the workers and the teams' limits."""
+    rng = random.Random(5)
+    for _ in range(60):
+        running = [
+            RunningJob(f"r{n}", f"t{rng.randrange(3)}", f"w{n % 6}", SMALL) for n in range(18)
+        ]
+        used = {f"t{n}": sum(job.team == f"t{n}" for job in running) for n in range(3)}
+        workers = [
+            Worker(f"w{n}", "r", SHAPE, Size(12.0, 24.0), rng.randrange(4)) for n in range(6)
+        ]
+        teams = [
+            TeamUse(name, 1.0, count + 2, count, Size(4.0 * count, 8.0 * count))
+            for name, count in used.items()
+        ]
+        waiting = [
+            WaitingJob(f"q{n}", f"t{rng.randrange(3)}", Size(rng.uniform(1, 9), 8.0), n % 4 == 0)
+            for n in range(20)
+        ]
+        plan = place_jobs(waiting, running, workers, teams)
+        assert over_committed(plan, waiting, running, workers) == []
+        owners = {job.id: job.team for job in waiting} | {job.id: job.team for job in running}
+        for item in teams:
+            started = sum(owners[start.job] == item.name for start in plan.starts)
+            stopped = sum(owners[name] == item.name for s in plan.starts for name in s.preempts)
+            assert item.running + started - stopped <= item.limit
+        victims = [name for start in plan.starts for name in start.preempts]
+        assert len(victims) == len(set(victims))
+
+
+def test_the_check_of_room_sees_a_worker_that_is_too_full() -> None:
+    """If a plan put two large jobs on one worker, the check would say so."""
+    waiting = [WaitingJob(f"q{n}", "a", Size(12.0, 8.0)) for n in range(2)]
+    workers = [Worker("w0", "r", SHAPE, NOTHING, 9)]
+    plan = place_jobs(waiting, [], workers, [team("a")])
+    assert len(plan.starts) == 1
+    doubled = plan._replace(starts=plan.starts * 2)
+    assert over_committed(doubled, waiting, [], workers) == ["w0"]
+
+
+def test_the_fleet_is_shared_by_weight() -> None:
+    """Of two teams that could each fill the fleet, the one of twice the weight gets twice."""
+    waiting = [WaitingJob(f"{name}{n}", name, SMALL) for n in range(60) for name in "ab"]
+    workers = [Worker(f"w{n}", "r", SHAPE, NOTHING, 9) for n in range(9)]
+    plan = place_jobs(waiting, [], workers, [team("a", share=2.0), team("b")])
+    assert len(plan.starts) == 36
+    assert sum(start.job.startswith("a") for start in plan.starts) == 24
+
+
+def test_jobs_that_can_never_run_are_told_why() -> None:
+    """Too large, no limit and no team are parked with their reasons; a full fleet parks nothing."""
+    waiting = [
+        WaitingJob("large", "a", Size(17.0, 1.0)),
+        WaitingJob("accelerated", "a", Size(1.0, 1.0, 2.0)),
+        WaitingJob("stopped", "b", SMALL),
+        WaitingJob("stranger", "c", SMALL),
+        WaitingJob("later", "a", SMALL),
+    ]
+    full = [Worker("w0", "r", SHAPE, SHAPE, 9)]
+    plan = place_jobs(waiting, [], full, [team("a"), team("b", limit=0)])
+    assert dict(plan.parked) == {
+        "large": "larger_than_any_worker",
+        "accelerated": "larger_than_any_worker",
+        "stopped": "team_may_run_nothing",
+        "stranger": "unknown_team",
+    }
+    assert plan.starts == ()
+
+
+def test_urgent_work_takes_the_place_of_what_can_go_on_later() -> None:
+    """An urgent job stops one that can go on later, and none that is urgent or can't."""
+    running = [
+        RunningJob("own", "a", "w0", SMALL, urgent=True),
+        RunningJob("fixed", "b", "w0", SMALL, can_checkpoint=False),
+        RunningJob("often", "b", "w0", SMALL, preemptions=3),
+        RunningJob("soft", "b", "w0", SMALL),
+    ]
+    workers = [Worker("w0", "r", SHAPE, Size(16.0, 32.0), 9)]
+    teams = [team("a", used=SMALL), team("b", used=Size(12.0, 24.0))]
+    waiting = [WaitingJob(f"u{n}", "a", SMALL, True) for n in range(2)]
+    plan = place_jobs(waiting, running, workers, teams)
+    assert plan.starts == (("u0", "w0", ("soft",)),)
+
+
+def test_urgent_work_leaves_other_teams_their_share() -> None:
+    """A team that has no more than its share keeps its jobs, and the urgent one's own give way."""
+    running = [
+        RunningJob(f"{name}{n}", name, f"w{n % 2}", SMALL) for n in range(4) for name in "ab"
+    ]
+    workers = [Worker(f"w{n}", "r", SHAPE, Size(16.0, 32.0), 9) for n in range(2)]
+    used = Size(16.0, 32.0)
+    waiting = [WaitingJob("u0", "a", SMALL, True)]
+    plan = place_jobs(waiting, running, workers, [team("a", used=used), team("b", used=used)])
+    [start] = plan.starts
+    assert [name[0] for name in start.preempts] == ["a"]
+
+
+def test_a_large_job_gets_a_worker_kept_free() -> None:
+    """Small jobs don't fill the last worker while a large one has waited long."""
+    workers = [Worker("w0", "r", SHAPE, SMALL, 9)]
+    waiting = [
+        WaitingJob("large", "a", SHAPE._replace(accelerators=0.0), waited_s=100.0),
+        WaitingJob("small", "b", SMALL),
+    ]
+    assert place_jobs(waiting, [], workers, [team("a"), team("b")]).starts == ()
+    fresh = [waiting[0]._replace(waited_s=0.0), waiting[1]]
+    assert len(place_jobs(fresh, [], workers, [team("a"), team("b")]).starts) == 1
+
+
+def test_sizes_are_learned_from_use() -> None:
+    """The declared size counts until enough jobs were seen, and then no more."""
+    history, declared = UsageHistory(), Size(30.0, 90.0, 2.0)
+    assert estimate(None, declared) == declared
+    for number in range(ENOUGH_SAMPLES):
+        assert estimate(history, declared) == declared
+        note_usage(history, Size(10.0, 20.0 + number))
+    assert estimate(history, declared) == Size(10.0, 24.0, 2.0)
+
+
+def fail(
+    health: WorkerHealth, templates: dict[str, TemplateRecord], names: list[str], now_s: float
+) -> int:
+    """
+    Fail jobs at a worker until it is taken out, and count them.
+    """
+    for number, name in enumerate(names, start=1):
+        note_outcome(health, templates, Outcome(name, True))
+        if judge(health, templates, 0, 40, now_s):
+            return number
+    return 0
+
+
+def test_a_worker_that_fails_everything_is_taken_out_and_tried_again() -> None:
+    """It fails few jobs, then gets none, then one at a time, and longer pauses when it fails."""
+    health, templates = WorkerHealth(), {}
+    assert starts_allowed(health, 2) == 0
+    assert 0 < fail(health, templates, ["t1", "t2", "t3", "t4", "t5"], 0.0) <= 5
+    assert starts_allowed(health, 0) == 0
+    assert not release(health, FIRST_PAUSE_S - 1.0)
+    assert release(health, FIRST_PAUSE_S)
+    assert (starts_allowed(health, 0), starts_allowed(health, 1)) == (1, 0)
+    assert fail(health, templates, ["t1"], FIRST_PAUSE_S) == 1
+    assert not release(health, FIRST_PAUSE_S * 2.9)
+    assert release(health, FIRST_PAUSE_S * 3.0)
+    for _ in range(TRIAL_SUCCESSES):
+        note_outcome(health, templates, Outcome("t1", False))
+    assert starts_allowed(health, 5) > 5
+
+
+def test_a_bad_template_takes_no_worker_out() -> None:
+    """A template that fails everywhere is no evidence, and many suspects at once are not either."""
+    templates: dict[str, TemplateRecord] = {}
+    workers = [WorkerHealth() for _ in range(40)]
+    for _ in range(6):
+        for health in workers:
+            note_outcome(health, templates, Outcome("bad", True))
+            assert not judge(health, templates, 0, 40, 0.0)
+    suspect = WorkerHealth()
+    for name in ("t1", "t2", "t3", "t4", "t5"):
+        note_outcome(suspect, templates, Outcome(name, True))
+    assert not judge(suspect, templates, 4, 40, 0.0)
+    assert judge(suspect, templates, 3, 40, 0.0)
