--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_settings.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_settings.py
@@ -42,7 +42,6 @@
     :param peer_advertise: ``IP:PORT`` that others are told, when it differs from what is bound.
     :param log_url: base of the platform's log service.
     :param list_url: base of the platform's list of instances.
-    :param seeds: ``INSTANCE@IP:PORT`` of peers to begin with.
     :param root_digest: SHA-256 of the first operator's secret, in hex.
     :param incarnation: number that grows with each start, or 0 for the time in milliseconds.
     :param max_body_bytes: largest body of a request.
@@ -60,7 +59,6 @@
     peer_listen: str
     log_url: str
     list_url: str
-    seeds: tuple[str, ...] = ()
     peer_advertise: str = ""
     root_digest: str = ""
     incarnation: int = 0
@@ -98,15 +96,6 @@
     return text.rstrip("/")
 
 
-def _seeds(text: str) -> tuple[str, ...]:
-    seeds = tuple(part for part in text.split(",") if part)
-    for seed in seeds:
-        name, _, address = seed.partition("@")
-        _name(name)
-        _address(address)
-    return seeds
-
-
 def _digest(text: str) -> str:
     if text and not DIGEST_PATTERN.fullmatch(text):
         raise ValueError("needs 64 hexadecimal digits")
@@ -133,7 +122,6 @@
     "peer_listen": _address,
     "log_url": _url,
     "list_url": _url,
-    "seeds": _seeds,
     "peer_advertise": _address,
     "root_digest": _digest,
     "incarnation": _number(int, 0, 2**53),
@@ -194,7 +182,6 @@
     peer_advertise: _option("IP:PORT that other instances are told, when not the bound one") = None,
     log_url: _option("http://IP:PORT of the platform's log") = None,
     list_url: _option("http://IP:PORT of the list of instances") = None,
-    seeds: _option("INSTANCE@IP:PORT of peers, separated by commas") = None,
     root_digest: _option("SHA-256 of the first operator's secret, in hex") = None,
     incarnation: _option("number that grows with each start; 0 takes the time") = None,
     max_body_bytes: _option("largest body of a request, in bytes") = None,
