--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_messages.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_messages.py
@@ -147,14 +147,14 @@
 
 class ServiceLoad(NamedTuple):
     """
-    Requests of one service at one entry instance.
+    Requests of one service at one entry instance, over the time since its last report.
 
     :param service: ``WORKSPACE/SERVICE``.
-    :param units: requests that run or wait.
+    :param levels: requests that ran or waited, as quantiles in rising order.
     """
 
     service: str
-    units: int
+    levels: tuple[int, ...]
 
 
 @register_message
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_state.py
@@ -136,6 +136,8 @@
     :param asked: records asked for, by subject.
     :param progress: steps under way by instance.
     :param setbacks: instances whose drains did not end.
+    :param load_samples: samples of the own load since the last report.
+    :param load_counts: requests of each service in those samples that found any.
     :param loads: load of each service by entry instance.
     :param demand: history of demand by service.
     :param planned_s: time of the last plan by shard.
@@ -156,6 +158,9 @@
     asked: dict[str, AskedRecord] = msgspec.field(default_factory=dict)
     progress: dict[str, StepProgress] = msgspec.field(default_factory=dict)
     setbacks: dict[str, Setback] = msgspec.field(default_factory=dict)
+    load_sampled_s: float = NEVER_S
+    load_samples: int = 0
+    load_counts: dict[str, list[int]] = msgspec.field(default_factory=dict)
     loads: dict[str, LoadReport] = msgspec.field(default_factory=dict)
     demand: dict[str, DemandHistory] = msgspec.field(default_factory=dict)
     planned_s: dict[str, float] = msgspec.field(default_factory=dict)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_view.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_view.py
@@ -12,6 +12,7 @@
 from ._fleet_state import NEVER_S, DownMemo, LoadReport
 from ._handlers import HandlerTable
 from ._pools import pools_of
+from ._pools_forecast import LEVELS, levels_of
 from ._state import State
 
 OBSERVE_EVERY_S = 1.0
@@ -19,8 +20,9 @@
 OBSERVATION_VALID_S = 5.0
 # An instance that the inventory leaves out this long counts as gone for good.
 GONE_AFTER_S = 600.0
-REPORT_EVERY_S = 2.0
-REPORT_VALID_S = 10.0
+LOAD_SAMPLE_EVERY_S = 1.0
+REPORT_EVERY_S = 20.0
+REPORT_VALID_S = 50.0
 
 
 def is_fresh(state: State) -> bool:
@@ -61,19 +63,24 @@
     return observation.at_s + state.now_s - observation.asked_s
 
 
-def service_units(state: State) -> Counter[str]:
+def service_levels(state: State) -> dict[str, list[int]]:
     """
     Add up what all entry instances reported lately.
 
+    Callers of a queue are spread over the entry instances, so their loads rise and fall together,
+    and equal quantiles may be added.
+
     :param state: the state.
-    :returns: requests that run or wait, by service.
+    :returns: requests that ran or waited, as quantiles, by service.
     """
-    units: Counter[str] = Counter()
+    levels: dict[str, list[int]] = {}
     for report in state.fleet.loads.values():
         if state.now_s - report.at_s <= REPORT_VALID_S:
             for row in report.rows:
-                units[row.service] += row.units
-    return units
+                sums = levels.setdefault(row.service, [0] * LEVELS)
+                for number, units in enumerate(row.levels[:LEVELS]):
+                    sums[number] += units
+    return levels
 
 
 def on_tick(state: State, event: Ticked) -> Iterator[object]:
@@ -84,6 +91,9 @@
     if state.now_s - fleet.observed_s >= OBSERVE_EVERY_S:
         fleet.observed_s = state.now_s
         yield from _read_fleet(state)
+    if state.now_s - fleet.load_sampled_s >= LOAD_SAMPLE_EVERY_S:
+        fleet.load_sampled_s = state.now_s
+        _sample_load(state)
     if state.now_s - fleet.reported_s >= REPORT_EVERY_S:
         fleet.reported_s = state.now_s
         yield from _report_load(state)
@@ -153,11 +163,25 @@
     return controllers
 
 
-def _own_rows(state: State) -> tuple[ServiceLoad, ...]:
+def _sample_load(state: State) -> None:
+    fleet = state.fleet
+    fleet.load_samples += 1
     units = Counter(attempt.request.service for attempt in state.requests.attempts.values())
     for name, service in state.fair.services.items():
         units[name] += sum(len(team.urgent) + len(team.normal) for team in service.teams.values())
-    return tuple(ServiceLoad(name, count) for name, count in sorted(units.items()))
+    for name, count in units.items():
+        if count > 0:
+            fleet.load_counts.setdefault(name, []).append(count)
+
+
+def _own_rows(state: State) -> tuple[ServiceLoad, ...]:
+    fleet = state.fleet
+    rows = tuple(
+        ServiceLoad(name, tuple(int(level) for level in levels_of(counts, fleet.load_samples)))
+        for name, counts in sorted(fleet.load_counts.items())
+    )
+    fleet.load_samples, fleet.load_counts = 0, {}
+    return rows
 
 
 HANDLERS: HandlerTable = {
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools_control.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools_control.py
@@ -16,16 +16,16 @@
     move_subject,
 )
 from ._fleet_state import NEVER_S, DemandHistory
-from ._fleet_view import GONE_AFTER_S, down_instances, is_fresh, service_units
+from ._fleet_view import GONE_AFTER_S, down_instances, is_fresh, service_levels
 from ._handlers import HandlerTable
 from ._pools import arriving, departing, find_pool, pools_of, shard_of
 from ._pools_budget import budget_members, budget_of, may_stop
 from ._pools_config import Pool
-from ._pools_forecast import add_sample, used_parts
+from ._pools_forecast import add_samples, used_parts
 from ._pools_planner import PoolNeed, Weights, plan_moves
 from ._state import State
 
-SAMPLE_EVERY_S = 2.0
+SAMPLE_EVERY_S = 20.0
 PLAN_EVERY_S = 5.0
 ADDED_PER_PLAN = 200
 
@@ -225,12 +225,13 @@
 
 def _sample_demand(state: State) -> None:
     slots = {e.service: e.slots for e in state.endpoints.endpoints.values()}
-    units = service_units(state)
+    levels = service_levels(state)
     for shard in owned_shards(state):
         for service in {pool.service for pool in pools_of(state.fold, shard).values()}:
             if service in slots:
                 history = state.fleet.demand.setdefault(service, DemandHistory())
-                add_sample(history, units[service] / slots[service], state.now_s)
+                units = levels.get(service, [0])
+                add_samples(history, [unit / slots[service] for unit in units], state.now_s)
 
 
 HANDLERS: HandlerTable = {Ticked: on_tick}
--- a/packages/eelgrassdrum-core/tests/test_pools.py
+++ b/packages/eelgrassdrum-core/tests/test_pools.py
@@ -9,7 +9,7 @@
 from eelgrassdrum_core._fleet_state import DemandHistory
 from eelgrassdrum_core._fold import fold_record
 from eelgrassdrum_core._log_follower import APPLIERS
-from eelgrassdrum_core._pools_forecast import add_sample, used_parts
+from eelgrassdrum_core._pools_forecast import LEVELS, add_samples, levels_of, used_parts
 from eelgrassdrum_core._pools_planner import PoolNeed, Weights, plan_moves
 from eelgrassdrum_core._state import Fold
 
@@ -186,8 +186,15 @@
     """Bursts that fill five instances for a fifth of the time make the fifth one used so often."""
     history = DemandHistory()
     for second in range(6000):
-        add_sample(history, 5.0 if second % 10 < 2 else 0.1, float(second))
+        add_samples(history, (5.0 if second % 10 < 2 else 0.1,), float(second))
     parts = used_parts(history, 1, 6)
     assert parts == sorted(parts, reverse=True)
     assert 0.12 < parts[4] < 0.21
     assert parts[5] < 0.01 < 0.9 < parts[0]
+
+
+def test_load_is_summed_up_as_quantiles() -> None:
+    """A burst of a fifth of the time is the highest level, and samples without load count too."""
+    assert levels_of([], 0) == (0.0,) * LEVELS
+    assert levels_of([50, 40, 45, 55], 20) == (0.0, 0.0, 0.0, 0.0, 50)
+    assert levels_of([3] * 20, 20) == (3,) * LEVELS
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_pools.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_pools.py
@@ -22,8 +22,8 @@
 from eelgrassdrum_core._fleet_state import DemandHistory
 from eelgrassdrum_core._ids import RecordId
 from eelgrassdrum_core._pools import Claim, FleetInstance, put_in_pool
-from eelgrassdrum_core._pools_control import PLAN_EVERY_S, plan_shard
-from eelgrassdrum_core._pools_forecast import add_sample, used_parts
+from eelgrassdrum_core._pools_control import PLAN_EVERY_S, SAMPLE_EVERY_S, plan_shard
+from eelgrassdrum_core._pools_forecast import add_samples, levels_of, used_parts
 from eelgrassdrum_core._pools_planner import PlannedMove, PoolNeed, Weights, plan_moves
 from eelgrassdrum_core._records import Record
 from eelgrassdrum_core._state import State
@@ -106,11 +106,16 @@
     :returns: the planner.
     """
     histories = {name: DemandHistory() for name in scenario.services}
+    samples: dict[str, list[float]] = {name: [] for name in scenario.services}
     weights = FIRM_WEIGHTS[scenario.name]
 
     def plan(sizes: Sizes, demand: dict[str, float], now_s: float) -> list[PlannedMove]:
-        for name, history in histories.items():
-            add_sample(history, demand[name], now_s)
+        for name, counts in samples.items():
+            counts.append(demand[name])
+        if now_s % SAMPLE_EVERY_S == 0:
+            for name, history in histories.items():
+                add_samples(history, levels_of(samples[name], len(samples[name])), now_s)
+                samples[name] = []
         if now_s % PLAN_EVERY_S:
             return []
         needs = [_need(scenario, name, sizes[name], histories.get(name)) for name in sizes]
@@ -242,7 +247,7 @@
     for number in range(pools):
         history = state.fleet.demand.setdefault(f"fleet/s{number}", DemandHistory())
         for second in range(40):
-            add_sample(history, rng.random() * 1.5 * per_pool, second * 30.0)
+            add_samples(history, (rng.random() * 1.5 * per_pool,), second * 30.0)
     reduce(state, 2000.0, FleetObserved(2000.0, 1.0, 0, 1, tuple(seen)))
     return state
 
--- a/packages/eelgrassdrum-testing/tests/test_fleet_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_fleet_schedules.py
@@ -106,7 +106,8 @@
 
 def test_the_spare_goes_where_the_demand_is(world: World) -> None:
     """Load that entry instances report brings spare instances to the pool that lacks them."""
-    rows = (messages.ServiceLoad("fleet/judging", 60), messages.ServiceLoad("fleet/results", 8))
+    loads = {"fleet/judging": (60,) * 5, "fleet/results": (8,) * 5}
+    rows = tuple(messages.ServiceLoad(name, levels) for name, levels in loads.items())
     for _ in range(300):
         schedules.report_load(world, rows)
         advance(world, 2.0)
