--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
@@ -134,7 +134,9 @@
     Use a slot that another instance left to this one, whatever waits elsewhere.
     """
     endpoint = state.endpoints.endpoints.get(event.endpoint)
-    if endpoint is None or endpoint.leaving or endpoint.in_flight >= endpoint.slots:
+    if endpoint is None or endpoint.in_flight >= endpoint.slots:
+        return
+    if not _endpoints.is_usable(endpoint, state.identity.sender.zone, state.now_s):
         return
     req = _fair.pop(
         state.fair, event.service, lambda req: _may_start(state, req), ignore_ceiling=True
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_messages.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_messages.py
@@ -94,9 +94,11 @@
     :param next_key: lowest key of the next part, or ``None`` when there is none.
     :param whole: whether the sender's own memory is whole.
     :param claims: the claims.
+    :param started_together: whether the receiver was starting too when the sender's memory began.
     """
 
     from_key: int
     next_key: int | None
     whole: bool
     claims: tuple[ClaimCopy, ...]
+    started_together: bool = False
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_state.py
@@ -140,7 +140,10 @@
     :param recovery_asked_s: time at which others were last asked for claims.
     :param next_keys: first key that each instance is to be asked for next.
     :param recovered: instances with whole memories that told all their claims.
-    :param starting: instances that were recovering themselves when they told theirs.
+    :param starting: instances that were recovering themselves when they told theirs, with their
+        incarnations.
+    :param companions: whole instances whose memory began when this one was starting too.
+    :param started_with: instances and incarnations that were starting when this memory began.
     :param whole: whether this instance knows each claim that it may have voted for.
     :param swept_s: time at which expired entries were last removed.
     """
@@ -163,6 +166,8 @@
     recovery_asked_s: float = 0.0
     next_keys: dict[str, int] = msgspec.field(default_factory=dict)
     recovered: set[str] = msgspec.field(default_factory=set)
-    starting: set[str] = msgspec.field(default_factory=set)
+    starting: dict[str, int] = msgspec.field(default_factory=dict)
+    companions: dict[str, int] = msgspec.field(default_factory=dict)
+    started_with: frozenset[tuple[str, int]] = frozenset()
     whole: bool = False
     swept_s: float = 0.0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_votes.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_votes.py
@@ -65,7 +65,7 @@
     elif isinstance(message, ClaimReleased):
         release(state.joins, event.sender, message)
     elif isinstance(message, ClaimsWanted) and address:
-        yield SendPeer(address, _tell_claims(state, message.from_key))
+        yield SendPeer(address, _tell_claims(state, event.sender, message.from_key))
     elif isinstance(message, ClaimsTold):
         yield from _take_claims(state, event.sender, message)
 
@@ -115,16 +115,24 @@
     if joins.whole or not joins.rosters:
         return
     others = _joins_voters.co_voters(joins, state.identity.sender.instance)
-    # When all others are starting too, there is no memory left that could be waited for.
-    if (
-        others <= joins.recovered
-        or (others <= joins.starting and not joins.recovered & others)
-        or joins.recovery_ends_s <= state.now_s
-    ):
+    together = _started_together(joins, others)
+    if together:
+        joins.started_with = frozenset({**joins.starting, **joins.companions}.items())
+    if together or others <= joins.recovered or joins.recovery_ends_s <= state.now_s:
         joins.whole = True
         yield WriteLog("claims.recovered", {"claims": len(joins.claims)})
 
 
+def _started_together(joins: JoinState, others: set[str]) -> bool:
+    """
+    Tell whether there is no older memory that could be waited for.
+
+    So it is when each of the others is starting too, or has a memory that began when this
+    instance was starting already, and has told it.
+    """
+    return others <= joins.starting.keys() | joins.companions.keys()
+
+
 def _ask_for_claims(state: State) -> Iterator[object]:
     joins = state.joins
     if state.now_s - joins.recovery_asked_s < RECOVERY_INTERVAL_S:
@@ -137,7 +145,7 @@
             yield SendPeer(joins.addresses[instance], ClaimsWanted(from_key))
 
 
-def _tell_claims(state: State, from_key: int) -> ClaimsTold:
+def _tell_claims(state: State, receiver: Sender, from_key: int) -> ClaimsTold:
     claims = state.joins.claims
     keys = sorted(claims)
     start = bisect_left(keys, from_key)
@@ -147,7 +155,8 @@
         for key, claim in ((key, claims[key]) for key in keys[start:end])
     )
     next_key = keys[end] if end < len(keys) else None
-    return ClaimsTold(from_key, next_key, state.joins.whole, copies)
+    together = (receiver.instance, receiver.incarnation) in state.joins.started_with
+    return ClaimsTold(from_key, next_key, state.joins.whole, copies, together)
 
 
 def _take_claims(state: State, sender: Sender, told: ClaimsTold) -> Iterator[object]:
@@ -164,7 +173,12 @@
         yield SendPeer(joins.addresses[sender.instance], ClaimsWanted(told.next_key))
         return
     joins.next_keys[sender.instance] = 0
-    (joins.recovered if told.whole else joins.starting).add(sender.instance)
+    if told.whole:
+        joins.recovered.add(sender.instance)
+    else:
+        joins.starting[sender.instance] = sender.incarnation
+    if told.whole and told.started_together:
+        joins.companions[sender.instance] = sender.incarnation
     yield from _check_whole(state)
 
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_null_endpoint.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_null_endpoint.py
@@ -3,13 +3,14 @@
 """
 
 import asyncio
+import sys
 
 import msgspec
 
 HEADER_END = b"\r\n\r\n"
 ATTEMPT_HEADER = b"x-attempt-id:"
 LENGTH_HEADER = b"content-length:"
-HEALTH_BODY = b'{"id":"null","incarnation":1,"state":"live","slots":64,"running":[]}'
+HEALTH_BODY = b'{"id":"%s","incarnation":1,"state":"live","slots":64,"running":[]}'
 
 
 class NullEndpoint(asyncio.Protocol):
@@ -17,8 +18,9 @@
     One connection: reads whole requests and echoes their bodies.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, instance: str) -> None:
         self._data = b""
+        self._health = HEALTH_BODY % instance.encode()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """
@@ -42,7 +44,7 @@
                 return
             body = self._data[end + len(HEADER_END) : size]
             self._data = self._data[size:]
-            self._answer(head, HEALTH_BODY if head.startswith(b"GET /health") else body)
+            self._answer(head, self._health if head.startswith(b"GET /health") else body)
 
     def _answer(self, head: bytes, body: bytes) -> None:
         attempt = find_header(head, ATTEMPT_HEADER)
@@ -66,16 +68,18 @@
     return b""
 
 
-async def serve() -> None:
+async def serve(instance: str) -> None:
     """
     Serve until stopped.
+
+    :param instance: id of the endpoint.
     """
     loop = asyncio.get_running_loop()
-    server = await loop.create_server(NullEndpoint, "127.0.0.1", 0)
+    server = await loop.create_server(lambda: NullEndpoint(instance), "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     print(msgspec.json.encode({"ready": True, "address": f"{host}:{port}"}).decode(), flush=True)
     await server.serve_forever()
 
 
 if __name__ == "__main__":
-    asyncio.run(serve())
+    asyncio.run(serve(sys.argv[1]))
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_daemon.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_daemon.py
@@ -92,7 +92,7 @@
     :returns: the process.
     """
     name = f"ep-{number}"
-    process = start(name, [sys.executable, "-m", "eelgrassdrum_testing._null_endpoint"])
+    process = start(name, [sys.executable, "-m", "eelgrassdrum_testing._null_endpoint", name])
     listed = fleet.Endpoint(name, "a", "show/judging", SLOTS)
     fleet.list_endpoint(platform, listed, process.address, "live")
     return process
--- a/packages/eelgrassdrum-testing/tests/test_repeats.py
+++ b/packages/eelgrassdrum-testing/tests/test_repeats.py
@@ -318,3 +318,12 @@
     joins_answer = joins.answer
     with patch.object(dispatch._joins, "answer", cross):
         assert broken_rules(MUTATION_SEEDS)["own_answer_only"] > 0
+
+
+def test_instances_that_start_together_vote_soon() -> None:
+    """
+    Of instances that start at about the same time, none waits for a memory that nobody has.
+    """
+    fleet = make_fleet(5, entries_per_zone=3, settle_s=0.5)
+    advance(fleet, 6.0)
+    assert [entry.id for entry in fleet.entries.values() if not entry.state.joins.whole] == []
