--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints.py
@@ -80,6 +80,18 @@
         for endpoint in usable
         if endpoint.in_flight < _room(state, endpoint, own.zone, oldest_s)
     ]
+    return pick(state, free)
+
+
+def pick(state: State, free: list[Endpoint]) -> Endpoint | None:
+    """
+    Pick the least loaded endpoint, those of the own zone first.
+
+    :param state: the state.
+    :param free: endpoints with a free slot.
+    :returns: one of them, or ``None`` when there is none.
+    """
+    own = state.identity.sender
 
     def load(endpoint: Endpoint) -> tuple[bool, float, int]:
         tie = xxhash.xxh32_intdigest(f"{own.instance} {endpoint.id}".encode())
@@ -144,7 +156,8 @@
     if endpoint.trial_left:
         return 1
     if endpoint.zone != own_zone:
-        return max(1, endpoint.slots // REMOTE_PART)
+        is_full = (endpoint.service, endpoint.zone) in state.endpoints.full
+        return 0 if is_full else max(1, endpoint.slots // REMOTE_PART)
     slots = state.endpoints.shares.get(endpoint.id, endpoint.slots)
     age_s = state.now_s - endpoint.since_s
     if age_s < SLOW_START_S and endpoint.since_s - oldest_s >= SLOW_START_S:
