Split slots only while the zone has enough of them

Change: while the zone wants more slots than it has, every instance may use any slot and the accounts decide; otherwise slots are split and no slot is held back.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_credits.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_credits.py
@@ -49,6 +49,7 @@
     """
     state.endpoints.shares = {}
     state.endpoints.full = set()
+    state.endpoints.contended = set()
     own = state.identity.sender
     groups: dict[tuple[str, str], list[Endpoint]] = {}
     for endpoint in state.endpoints.endpoints.values():
@@ -58,6 +59,12 @@
     for (service, zone), endpoints in groups.items():
         if zone == own.zone:
             wanted = _told_in_zone(state, service)
+            if sum(sum(told.values()) for told in wanted.values()) > sum(
+                endpoint.slots for endpoint in endpoints
+            ):
+                # Accounts of served time decide then; a fixed part would idle while they do.
+                state.endpoints.contended.add(service)
+                continue
             instances = sorted({name for told in wanted.values() for name in told})
             if len(instances) > 1 and own.instance in instances:
                 shares = {team: share_of(state, team) for team in wanted}
