--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_messages.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_messages.py
@@ -93,10 +93,13 @@
     :param from_key: lowest key that was wanted.
     :param next_key: lowest key of the next part, or ``None`` when there is none.
     :param whole: whether the sender's own memory is whole.
+    :param cold: whether it became whole because all voters, the receiver's incarnation among
+        them, were starting together.
     :param claims: the claims.
     """
 
     from_key: int
     next_key: int | None
     whole: bool
+    cold: bool
     claims: tuple[ClaimCopy, ...]
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_state.py
@@ -140,7 +140,8 @@
     :param recovery_asked_s: time at which others were last asked for claims.
     :param next_keys: first key that each instance is to be asked for next.
     :param recovered: instances with whole memories that told all their claims.
-    :param starting: instances that were recovering themselves when they told theirs.
+    :param starting: incarnations of instances that were recovering themselves, by id.
+    :param is_cold: whether this instance became whole because all others were starting too.
     :param whole: whether this instance knows each claim that it may have voted for.
     :param swept_s: time at which expired entries were last removed.
     """
@@ -163,6 +164,7 @@
     recovery_asked_s: float = 0.0
     next_keys: dict[str, int] = msgspec.field(default_factory=dict)
     recovered: set[str] = msgspec.field(default_factory=set)
-    starting: set[str] = msgspec.field(default_factory=set)
+    starting: dict[str, int] = msgspec.field(default_factory=dict)
+    is_cold: bool = False
     whole: bool = False
     swept_s: float = 0.0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_votes.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_votes.py
@@ -65,7 +65,7 @@
     elif isinstance(message, ClaimReleased):
         release(state.joins, event.sender, message)
     elif isinstance(message, ClaimsWanted) and address:
-        yield SendPeer(address, _tell_claims(state, message.from_key))
+        yield SendPeer(address, _tell_claims(state, event.sender, message.from_key))
     elif isinstance(message, ClaimsTold):
         yield from _take_claims(state, event.sender, message)
 
@@ -116,12 +116,10 @@
         return
     others = _joins_voters.co_voters(joins, state.identity.sender.instance)
     # When all others are starting too, there is no memory left that could be waited for.
-    if (
-        others <= joins.recovered
-        or (others <= joins.starting and not joins.recovered & others)
-        or joins.recovery_ends_s <= state.now_s
-    ):
+    is_cold = others <= joins.starting.keys() and not joins.recovered & others
+    if is_cold or others <= joins.recovered or joins.recovery_ends_s <= state.now_s:
         joins.whole = True
+        joins.is_cold = is_cold
         yield WriteLog("claims.recovered", {"claims": len(joins.claims)})
 
 
@@ -137,7 +135,7 @@
             yield SendPeer(joins.addresses[instance], ClaimsWanted(from_key))
 
 
-def _tell_claims(state: State, from_key: int) -> ClaimsTold:
+def _tell_claims(state: State, asker: Sender, from_key: int) -> ClaimsTold:
     claims = state.joins.claims
     keys = sorted(claims)
     start = bisect_left(keys, from_key)
@@ -147,7 +145,9 @@
         for key, claim in ((key, claims[key]) for key in keys[start:end])
     )
     next_key = keys[end] if end < len(keys) else None
-    return ClaimsTold(from_key, next_key, state.joins.whole, copies)
+    joins = state.joins
+    cold = joins.is_cold and joins.starting.get(asker.instance) == asker.incarnation
+    return ClaimsTold(from_key, next_key, joins.whole, cold, copies)
 
 
 def _take_claims(state: State, sender: Sender, told: ClaimsTold) -> Iterator[object]:
@@ -164,7 +164,10 @@
         yield SendPeer(joins.addresses[sender.instance], ClaimsWanted(told.next_key))
         return
     joins.next_keys[sender.instance] = 0
-    (joins.recovered if told.whole else joins.starting).add(sender.instance)
+    if told.whole and not told.cold:
+        joins.recovered.add(sender.instance)
+    else:
+        joins.starting[sender.instance] = sender.incarnation
     yield from _check_whole(state)
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -12,13 +12,16 @@
 from ._effects import Identity
 from ._endpoints_state import EndpointState
 from ._fair_state import FairState
+from ._fleet_state import FleetState
 from ._fold import LogPosition
 from ._freshness_state import FreshnessState
 from ._joins_state import JoinState
 from ._keys import KeyFold
 from ._log_state import LogState, LogTail, Outbox
+from ._maintenance_fold import MaintenanceFold
 from ._membership_state import MembershipState
 from ._overload_state import OverloadState
+from ._pools import PoolFold
 from ._relay_state import RelayState
 from ._requests import Attempt
 from ._snapshots_fold import SnapshotFold
@@ -65,6 +68,8 @@
     config: ConfigFold = msgspec.field(default_factory=ConfigFold)
     keys: KeyFold = msgspec.field(default_factory=KeyFold)
     allowances: AllowanceFold = msgspec.field(default_factory=AllowanceFold)
+    pools: PoolFold = msgspec.field(default_factory=PoolFold)
+    maintenance: MaintenanceFold = msgspec.field(default_factory=MaintenanceFold)
     snapshots: SnapshotFold = msgspec.field(default_factory=SnapshotFold)
 
 
@@ -103,6 +108,7 @@
     joins: JoinState = msgspec.field(default_factory=JoinState)
     overload: OverloadState = msgspec.field(default_factory=OverloadState)
     membership: MembershipState = msgspec.field(default_factory=MembershipState)
+    fleet: FleetState = msgspec.field(default_factory=FleetState)
     tail: LogTail = msgspec.field(default_factory=LogTail)
     relay: RelayState = msgspec.field(default_factory=RelayState)
     freshness: FreshnessState = msgspec.field(default_factory=FreshnessState)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
@@ -21,6 +21,15 @@
 )
 from ._load import send_again, send_one, start_load
 from ._log import append, operator_append
+from ._machines import add_machines, fail_machine
+from ._platform import Machine, PlannedStop, Platform
+from ._pool_fleet import (
+    make_pool_fleet,
+    order_maintenance,
+    pool_document,
+    reference_fold,
+    request_move,
+)
 from ._world import LOG, Entry, FakeEndpoint, Outcome, Run, World, advance, is_cut, later
 
 __all__ = [
@@ -34,15 +43,20 @@
     "WORKSPACE",
     "Entry",
     "FakeEndpoint",
+    "Machine",
     "Outcome",
+    "PlannedStop",
+    "Platform",
     "Run",
     "TeamPlan",
     "World",
     "add_endpoint",
+    "add_machines",
     "advance",
     "append",
     "crash_endpoint",
     "deliver",
+    "fail_machine",
     "fleet_document",
     "grant_key",
     "is_cut",
@@ -50,10 +64,15 @@
     "kill_entry",
     "later",
     "make_fleet",
+    "make_pool_fleet",
     "operator_append",
+    "order_maintenance",
     "pause_entry",
+    "pool_document",
     "publish",
     "publish_next",
+    "reference_fold",
+    "request_move",
     "send_again",
     "send_one",
     "start_entry",
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_fair.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_fair.py
@@ -1,7 +1,8 @@
 """
 Fair shares over the fleet: distance to the exact water-filling share.
 
-The exact share is worked out at every sample from all that runs and waits anywhere. The
+The exact share is worked out at every sample from all that runs and waits anywhere, and from what
+was refused a moment ago, so that refusing a team's requests does not make its share smaller. The
 baselines are serving in the order of arrival, and fair queueing without aggregates of others.
 """
 
@@ -29,10 +30,15 @@
 from ._measure import Bench, Measure, measure
 
 STEP_S = 0.05
+# Time between two samples, well below the shortest run time.
+SAMPLE_S = 0.01
+SAMPLES_PER_STEP = 5
 WINDOW_S = 10.0
 WARM_UP_S = 20.0
 RUN_S = 70.0
-SEEDS = (1, 2)
+SEEDS = (1, 2, 3)
+# Time for which a refused request counts as wanting a slot.
+REFUSED_WANT_S = 1.0
 SLOTS = 4
 ALL_SLOTS = 24
 NO_LIMIT = 999
@@ -146,20 +152,35 @@
         count = int(mean) + (rng.random() < mean % 1.0)
         for _ in range(count):
             entry = world.entries[rng.choice(names[HOMES[team.name]])]
-            request_id = f"r{world.next_token}"
+            request_id = f"{entry.zone}.{world.next_token}"
             key = key_text(team.name)
             submit(world, entry, QUEUE, request_id, key=key, team=f"show/{team.name}")
 
 
+def count_running(world: World) -> Counter[str]:
+    """
+    Count what runs anywhere.
+
+    :param world: the world.
+    :returns: units by team.
+    """
+    return Counter(run.team for e in world.endpoints.values() for run in e.running.values())
+
+
 def count_demand(world: World, running: Counter[str]) -> dict[str, float]:
     """
-    Count what runs and waits anywhere.
+    Count what runs and waits anywhere, and what was refused lately.
 
     :param world: the world.
     :param running: running units by team.
     :returns: units by team.
     """
     demand = {team: float(running[team]) for team in SHARES}
+    for outcome in reversed(world.outcomes):
+        if outcome.at_s < world.now_s - REFUSED_WANT_S:
+            break
+        if outcome.refusal is not None:
+            demand[world.submissions[outcome.token].team] += 1.0
     for entry in world.entries.values():
         service = entry.state.fair.services.get(SERVICE)
         for name, team in service.teams.items() if service else ():
@@ -184,12 +205,14 @@
     worst = all_used = all_exact = 0.0
     for step in range(1, round(RUN_S / STEP_S) + 1):
         arrive(world, rng, start_s, rates)
-        advance(world, STEP_S)
         if step * STEP_S <= WARM_UP_S:
+            advance(world, STEP_S)
             continue
-        running = Counter(run.team for e in world.endpoints.values() for run in e.running.values())
-        used.update(running)
-        exact.update(water_fill(count_demand(world, running), SHARES, ALL_SLOTS))
+        for _ in range(SAMPLES_PER_STEP):
+            advance(world, SAMPLE_S)
+            running = count_running(world)
+            used.update(running)
+            exact.update(water_fill(count_demand(world, running), SHARES, ALL_SLOTS))
         if step % round(WINDOW_S / STEP_S) == 0:
             worst = max(worst, _worst_distance(used, exact))
             all_used += sum(used.values())
@@ -204,7 +227,7 @@
     distances = [
         abs(used[team] - share) / share
         for team, share in exact.items()
-        if share * STEP_S >= SMALL_SLOT_S
+        if share * SAMPLE_S >= SMALL_SLOT_S
     ]
     return max(distances, default=0.0)
 
--- a/packages/eelgrassdrum-testing/tests/test_repeats.py
+++ b/packages/eelgrassdrum-testing/tests/test_repeats.py
@@ -212,6 +212,19 @@
     assert Counter(run.request_id for run in world.runs) == {"r1": 1, "r3": 1}
 
 
+def test_a_fleet_that_starts_together_is_soon_ready(world: World) -> None:
+    """
+    Instances that start within a second of each other all vote shortly afterwards.
+    """
+    for zone in "abc":
+        kill_entry(world, world.entries[f"entry-{zone}0"])
+    for zone in "abc":
+        replace(world, zone)
+        advance(world, 0.3)
+    advance(world, 5.0)
+    assert [entry.state.joins.whole for entry in world.entries.values()] == [True] * 3
+
+
 def test_late_votes_do_not_count(world: World) -> None:
     """
     An instance that is paused while its claim is decided gives up and runs nothing.
