--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_votes.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_votes.py
@@ -115,24 +115,14 @@
     if joins.whole or not joins.rosters:
         return
     others = _joins_voters.co_voters(joins, state.identity.sender.instance)
-    together = _started_together(joins, others)
-    if together:
-        joins.started_with = frozenset({**joins.starting, **joins.companions}.items())
-    if together or others <= joins.recovered or joins.recovery_ends_s <= state.now_s:
+    # When all others are starting too, there is no memory left that could be waited for.
+    is_cold = others <= joins.starting.keys() and not joins.recovered & others
+    if is_cold or others <= joins.recovered or joins.recovery_ends_s <= state.now_s:
         joins.whole = True
+        joins.is_cold = is_cold
         yield WriteLog("claims.recovered", {"claims": len(joins.claims)})
 
 
-def _started_together(joins: JoinState, others: set[str]) -> bool:
-    """
-    Tell whether there is no older memory that could be waited for.
-
-    So it is when each of the others is starting too, or has a memory that began when this
-    instance was starting already, and has told it.
-    """
-    return others <= joins.starting.keys() | joins.companions.keys()
-
-
 def _ask_for_claims(state: State) -> Iterator[object]:
     joins = state.joins
     if state.now_s - joins.recovery_asked_s < RECOVERY_INTERVAL_S:
@@ -145,7 +135,7 @@
             yield SendPeer(joins.addresses[instance], ClaimsWanted(from_key))
 
 
-def _tell_claims(state: State, receiver: Sender, from_key: int) -> ClaimsTold:
+def _tell_claims(state: State, asker: Sender, from_key: int) -> ClaimsTold:
     claims = state.joins.claims
     keys = sorted(claims)
     start = bisect_left(keys, from_key)
@@ -155,8 +145,9 @@
         for key, claim in ((key, claims[key]) for key in keys[start:end])
     )
     next_key = keys[end] if end < len(keys) else None
-    together = (receiver.instance, receiver.incarnation) in state.joins.started_with
-    return ClaimsTold(from_key, next_key, state.joins.whole, copies, together)
+    joins = state.joins
+    cold = joins.is_cold and joins.starting.get(asker.instance) == asker.incarnation
+    return ClaimsTold(from_key, next_key, joins.whole, cold, copies)
 
 
 def _take_claims(state: State, sender: Sender, told: ClaimsTold) -> Iterator[object]:
@@ -173,12 +164,10 @@
         yield SendPeer(joins.addresses[sender.instance], ClaimsWanted(told.next_key))
         return
     joins.next_keys[sender.instance] = 0
-    if told.whole:
+    if told.whole and not told.cold:
         joins.recovered.add(sender.instance)
     else:
         joins.starting[sender.instance] = sender.incarnation
-    if told.whole and told.started_together:
-        joins.companions[sender.instance] = sender.incarnation
     yield from _check_whole(state)
 
 
