--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair_exchange.py
@@ -7,19 +7,18 @@
 """
 
 from collections.abc import Iterator
-from typing import NamedTuple
 
 from ._allowance_messages import holder_key
 from ._effects import Emit, SendPeer
 from ._events import CapacityChanged, PeerReceived, Ticked
 from ._fair import count_waiting
 from ._fair_accounts import accrue, add_remote, advance_level, find_team, mark_active
+from ._fair_messages import ServedReported, ServiceRow, ZoneServedReported
 from ._fair_state import FairExchange, RemoteSource, ServiceQueue, TeamQueue
 from ._handlers import HandlerTable
 from ._membership import members, relayed_zones, zone_peers
 from ._membership_state import DEAD
 from ._state import State
-from ._wire import register_message
 
 SEND_EVERY_S = 0.1
 RELAY_EVERY_S = 0.1
@@ -40,52 +39,6 @@
 ZONE_SOURCE_PREFIX = "zone "
 
 
-class ServiceRow(NamedTuple):
-    """
-    One team's use of one service.
-
-    :param service: ``WORKSPACE/SERVICE``.
-    :param team: ``WORKSPACE/TEAM``.
-    :param served_s: resource-seconds served since the origin started.
-    :param waiting: requests that wait for slots.
-    """
-
-    service: str
-    team: str
-    served_s: float
-    waiting: int
-
-
-@register_message
-class ServedReported(NamedTuple):
-    """
-    What one instance served, for the peers of its zone.
-
-    :param sequence: number of the message.
-    :param rows: one per service and team.
-    """
-
-    sequence: int
-    rows: tuple[ServiceRow, ...]
-
-
-@register_message
-class ZoneServedReported(NamedTuple):
-    """
-    What a whole zone served, for other zones.
-
-    :param zone: the zone.
-    :param relay: key of the instance that counts.
-    :param sequence: number of the message.
-    :param rows: one per service and team.
-    """
-
-    zone: str
-    relay: str
-    sequence: int
-    rows: tuple[ServiceRow, ...]
-
-
 def on_tick(state: State, event: Ticked) -> Iterator[object]:
     """
     Bring accounts up to date, and tell the peers.
--- a/packages/eelgrassdrum-testing/tests/test_fair_fleet.py
+++ b/packages/eelgrassdrum-testing/tests/test_fair_fleet.py
@@ -6,7 +6,7 @@
 from unittest.mock import patch
 
 from eelgrassdrum_core import _fair_accounts, _fair_exchange, effects, events, reduce
-from eelgrassdrum_core._fair_exchange import ServedReported, ServiceRow
+from eelgrassdrum_core._fair_messages import ServedReported, ServiceRow
 from eelgrassdrum_core._ids import Sender
 from eelgrassdrum_testing._harness import (
     QUEUE,
