--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_votes.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_joins_votes.py
@@ -152,7 +152,9 @@
 
 def _take_claims(state: State, sender: Sender, told: ClaimsTold) -> Iterator[object]:
     joins = state.joins
-    if joins.whole or told.from_key != joins.next_keys.get(sender.instance, 0):
+    address = joins.addresses.get(sender.instance)
+    # Whoever is not listed yet is asked again once it is.
+    if joins.whole or address is None or told.from_key != joins.next_keys.get(sender.instance, 0):
         return
     for copy in told.claims:
         if copy.left_s > 0 and copy.key not in joins.claims:
@@ -161,7 +163,7 @@
             joins.claims[copy.key] = Claim(holder, copy.number, copy.body_hash, expires_s)
     if told.next_key is not None:
         joins.next_keys[sender.instance] = told.next_key
-        yield SendPeer(joins.addresses[sender.instance], ClaimsWanted(told.next_key))
+        yield SendPeer(address, ClaimsWanted(told.next_key))
         return
     joins.next_keys[sender.instance] = 0
     if told.whole and not told.cold:
--- a/packages/eelgrassdrum-testing/tests/test_repeats.py
+++ b/packages/eelgrassdrum-testing/tests/test_repeats.py
@@ -5,12 +5,13 @@
 from collections import Counter
 from unittest.mock import patch
 
+from eelgrassdrum_core import Sender, effects, events, refusals
 from eelgrassdrum_core import _dispatch as dispatch
 from eelgrassdrum_core import _joins as joins
 from eelgrassdrum_core import _joins_claims as joins_claims
+from eelgrassdrum_core import _joins_messages as joins_messages
 from eelgrassdrum_core import _joins_voters as joins_voters
 from eelgrassdrum_core import _refusals as core_refusals
-from eelgrassdrum_core import effects, events, refusals
 from eelgrassdrum_testing._harness import (
     QUEUE,
     Outcome,
@@ -340,3 +341,14 @@
     fleet = make_fleet(5, entries_per_zone=3, settle_s=0.5)
     advance(fleet, 6.0)
     assert [entry.id for entry in fleet.entries.values() if not entry.state.joins.whole] == []
+
+
+def test_claims_told_by_an_unlisted_instance_are_left(world: World) -> None:
+    """
+    A starting instance passes over claims told by one whose address it does not know.
+    """
+    replace(world, "a")
+    entry = world.entries["entry-a0"]
+    told_claims = joins_messages.ClaimsTold(0, 7, True, False, ())
+    deliver(world, entry, events.PeerReceived(Sender("entry-z9", 1, "z"), told_claims))
+    assert "entry-z9" not in entry.state.joins.next_keys
