Pause a full endpoint for 10 ms instead of 50 ms

The isolation test loads the fleet before the cut, since its cut also parts the two instances of zone a.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_state.py
@@ -48,7 +48,7 @@
 
     entry_instances: int = 9
     default_timeout_s: float = 30.0
-    refused_pause_s: float = 0.05
+    refused_pause_s: float = 0.01
     max_tries: int = 3
     list_interval_s: float = 1.0
     log_wait_s: float = 1.0
--- a/packages/eelgrassdrum-testing/tests/test_process_faults.py
+++ b/packages/eelgrassdrum-testing/tests/test_process_faults.py
@@ -206,6 +206,7 @@
     """
     links = [local.log_links["entry-b0"], *local.peer_links.values()]
     with calling(lambda: addresses(local), KEYED, local.key) as callers:
+        sleep(1.0)
         for link in links:
             cut(link)
         wait_until(lambda: keyed_error(local, "entry-b0") == "key_unverified")
@@ -214,7 +215,9 @@
         assert (told.status, told.answered_for) == (200, "open-1")
         for link in links:
             heal(link)
-        wait_serving(local, "entry-b0")
+        for name in ENTRIES:
+            wait_serving(local, name)
+        sleep(1.0)
     check_told(local, callers)
 
 
