--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
@@ -162,10 +162,6 @@
         endpoint = _endpoints.choose(state, service)
         if endpoint is None:
             return
-        is_own = endpoint.zone == state.identity.sender.zone
-        if is_own and service not in state.endpoints.contended:
-            # With slots for all, holding one back for a team of others would help nobody.
-            _fair.lift_ceiling(state.fair, service)
         req = _fair.pop(state.fair, service, lambda req: _may_start(state, req))
         if req is None:
             return
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints.py
@@ -156,10 +156,8 @@
     if endpoint.trial_left:
         return 1
     if endpoint.zone != own_zone:
-        is_full = (endpoint.service, endpoint.zone) in state.endpoints.full
-        return 0 if is_full else max(1, endpoint.slots // REMOTE_PART)
-    slots = state.endpoints.shares.get(endpoint.id, endpoint.slots)
+        return max(1, endpoint.slots // REMOTE_PART)
     age_s = state.now_s - endpoint.since_s
     if age_s < SLOW_START_S and endpoint.since_s - oldest_s >= SLOW_START_S:
-        return min(slots, max(1, int(endpoint.slots * age_s / SLOW_START_S)))
-    return slots
+        return max(1, int(endpoint.slots * age_s / SLOW_START_S))
+    return endpoint.slots
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_endpoints_state.py
@@ -52,14 +52,7 @@
 
 class EndpointState(msgspec.Struct):
     """
-    Endpoints by id, with sums by service that choices need.
-
-    :param shares: slots that this instance may use of each endpoint, worked out once in a tick.
-    :param contended: services of which the own zone wants more slots than it has.
-    :param full: service and zone pairs of other zones whose slots are wanted there.
+    Endpoints by id.
     """
 
     endpoints: dict[str, Endpoint] = msgspec.field(default_factory=dict)
-    shares: dict[str, int] = msgspec.field(default_factory=dict)
-    contended: set[str] = msgspec.field(default_factory=set)
-    full: set[tuple[str, str]] = msgspec.field(default_factory=set)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fair.py
@@ -61,18 +61,6 @@
     return None
 
 
-def lift_ceiling(fair: FairState, service_name: str) -> None:
-    """
-    Let teams start here until the next tick though others that wait elsewhere were served less.
-
-    :param fair: changed in place.
-    :param service_name: ``WORKSPACE/SERVICE``.
-    """
-    service = fair.services.get(service_name)
-    if service is not None:
-        service.ceiling_s = float("inf")
-
-
 def is_waiting(team: TeamQueue) -> bool:
     """
     Tell whether a team has requests waiting at this instance.
@@ -140,7 +128,6 @@
     "count_request",
     "count_waiting",
     "is_waiting",
-    "lift_ceiling",
     "pop",
     "push",
     "remove_where",
