Take keys after a cut only when nothing is left to fold

A zone was cut off right after a withdrawal, and the log was slow when the cut healed; the first heartbeat put every zone in touch and showed a peer ahead at the same moment, so the proof counted from now, and a key withdrawn 8.1 s before was taken once. Ruled out: a request that had waited; it came after the cut. Change: while a peer is ahead the proof is the last moment of touch at which nobody was. The test of that rule asked for the unsafe moment and asks for the earlier one now.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_freshness.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_freshness.py
@@ -145,8 +145,10 @@
     peers = state.membership.peers.values()
     if all(peer.next_offset <= own_next for peer in peers):
         freshness.behind_since_s = NEVER_S
+        freshness.touched_s = max(freshness.touched_s, _in_touch_s(state))
     elif freshness.behind_since_s == NEVER_S:
-        freshness.behind_since_s = state.now_s
+        # What others have folded meanwhile may be as old as the last moment of touch.
+        freshness.behind_since_s = max(freshness.touched_s, 0.0)
 
 
 def _note_claim(state: State, at_s: float, next_offset: int) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_freshness_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_freshness_state.py
@@ -14,7 +14,8 @@
     :param head_s: newest moment of which is known that all records then in the log are folded.
     :param claimed_s: such a moment told by a peer that has folded further, or -1.
     :param claimed_offset: offset that has to be folded for the claim to count.
-    :param behind_since_s: time since which a peer is known to have folded further, or -1.
+    :param touched_s: newest moment of touch with every zone at which nobody had folded further.
+    :param behind_since_s: time since which a peer may have folded further, or -1.
     :param withdrawn: withdrawals that are not known to be in the log, with the time of hearing.
     :param version: count of additions to them.
     """
@@ -22,6 +23,7 @@
     head_s: float = NEVER_S
     claimed_s: float = NEVER_S
     claimed_offset: int = 0
+    touched_s: float = NEVER_S
     behind_since_s: float = NEVER_S
     withdrawn: dict[str, float] = msgspec.field(default_factory=dict)
     version: int = 0
--- a/packages/eelgrassdrum-core/tests/test_freshness.py
+++ b/packages/eelgrassdrum-core/tests/test_freshness.py
@@ -109,13 +109,13 @@
 
 def test_touch_counts_only_while_no_peer_is_ahead(state: State) -> None:
     """
-    With all zones in touch the echo is the proof, but not past the moment at which one got ahead.
+    With all zones in touch the echo is the proof, but not past the last one before a peer got ahead.
     """
     hear(state, 30.0, echo_s=29.0)
     assert proof_age_s(state) == 1.0
     hear(state, 31.0, echo_s=30.9, next_offset=9)
     hear(state, 40.0, echo_s=39.0, next_offset=9)
-    assert proof_age_s(state) == 9.0
+    assert proof_age_s(state) == 11.0
 
 
 def test_touch_needs_the_list_of_instances(state: State) -> None:
--- a/packages/eelgrassdrum-testing/tests/test_isolation.py
+++ b/packages/eelgrassdrum-testing/tests/test_isolation.py
@@ -13,8 +13,11 @@
     pause_entry,
     submit,
 )
+from eelgrassdrum_testing._schedules import run_schedule
 
 LONG_S = 60.0
+# A key is withdrawn, a zone is cut off, and the log is slow when the cut heals.
+BEHIND_SEED = 100815
 
 
 def make_cut_world() -> World:
@@ -69,3 +72,10 @@
     refusal = refusal_of_keyed(lonely_world)
     assert refusal is not None
     assert refusal.code == refusals.KEY_UNVERIFIED
+
+
+def test_first_word_after_a_cut_is_no_proof() -> None:
+    """
+    A zone that was cut off takes no withdrawn key once it hears others again but lags behind them.
+    """
+    assert run_schedule(BEHIND_SEED).violations == ()
