--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
@@ -1,44 +1,40 @@
 """
 Decisions of eelgrassdrum: typed events, state, the reducer and typed effects.
+
+Names are imported when they are first asked for, so that a program that uses one part, such as
+`eelgrassdrum_core.jobs`, does not load all of them.
 """
 
-from . import _effects as effects
-from . import _events as events
-from . import _refusals as refusals
-from ._config import Queue, Service, Team
-from ._config_schema import FLEET
-from ._effects import Identity
-from ._fold import REASON_FENCED, Decision, Verdict, fold_record
-from ._freshness import keyed_work_allowed, proof_age_s
-from ._freshness_withdrawals import KeyWithdrawalAsked, told_instances
-from ._ids import KEY_PREFIX, Credential, RecordId, Sender, digest_secret, parse_credential
-from ._membership import is_relay, members, reachable_zones, zone_peers
-from ._membership_aggregates import fleet_number, register_aggregate, zone_number
-from ._membership_state import Member
-from ._records import (
-    CONTROL_STREAM,
-    DOCUMENT_PUBLISHED,
-    KEY_GRANTED,
-    KEY_WITHDRAWN,
-    SNAPSHOT_STREAM,
-    Record,
-    StoredRecord,
-    record_from_json,
-    record_to_json,
-)
-from ._reduce import reduce
-from ._snapshots_chunks import SnapshotChunk, StoredChunk, chunk_from_json, chunk_to_json
-from ._snapshots_messages import (
-    AppendSnapshotChunks,
-    ReadSnapshots,
-    SnapshotAppendFailed,
-    SnapshotChunksAppended,
-    SnapshotsRead,
-    SnapshotsTruncated,
-    SnapshotsUnavailable,
-)
-from ._state import State, Tuning, new_state
-from ._wire import decode_message, encode_message
+from importlib import import_module
+from typing import Any
+
+# The names that each private module gives, or none where the module itself is given.
+_MODULE_ALIASES = {
+    "effects": "_effects",
+    "events": "_events",
+    "refusals": "_refusals",
+}
+_NAMES_OF_MODULE: dict[str, tuple[str, ...]] = {
+    "_config": ("Queue", "Service", "Team"),
+    "_config_schema": ("FLEET",),
+    "_effects": ("Identity",),
+    "_fold": ("Decision", "REASON_FENCED", "Verdict", "fold_record"),
+    "_freshness": ("keyed_work_allowed", "proof_age_s"),
+    "_freshness_withdrawals": ("KeyWithdrawalAsked", "told_instances"),
+    "_ids": ("Credential", "KEY_PREFIX", "RecordId", "Sender", "digest_secret", "parse_credential"),
+    "_membership": ("is_relay", "members", "reachable_zones", "zone_peers"),
+    "_membership_aggregates": ("fleet_number", "register_aggregate", "zone_number"),
+    "_membership_state": ("Member",),
+    "_records": ("CONTROL_STREAM", "DOCUMENT_PUBLISHED", "KEY_GRANTED", "KEY_WITHDRAWN", "Record", "SNAPSHOT_STREAM", "StoredRecord", "record_from_json", "record_to_json"),
+    "_reduce": ("reduce",),
+    "_snapshots_chunks": ("SnapshotChunk", "StoredChunk", "chunk_from_json", "chunk_to_json"),
+    "_snapshots_messages": ("AppendSnapshotChunks", "ReadSnapshots", "SnapshotAppendFailed", "SnapshotChunksAppended", "SnapshotsRead", "SnapshotsTruncated", "SnapshotsUnavailable"),
+    "_state": ("State", "Tuning", "new_state"),
+    "_wire": ("decode_message", "encode_message"),
+}
+_MODULE_OF_NAME = {
+    name: module for module, names in _NAMES_OF_MODULE.items() for name in names
+}
 
 __all__ = [
     "CONTROL_STREAM",
@@ -98,3 +94,15 @@
     "zone_number",
     "zone_peers",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    if name in _MODULE_ALIASES:
+        return import_module(f".{_MODULE_ALIASES[name]}", __name__)
+    if name in _MODULE_OF_NAME:
+        return getattr(import_module(f".{_MODULE_OF_NAME[name]}", __name__), name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+
+
+def __dir__() -> list[str]:
+    return sorted(__all__)
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/__init__.py
@@ -0,0 +1,37 @@
+"""
+The scheduling of jobs: a pure reducer over the events of one instance.
+
+`new_node` makes the state, `reduce` takes an event and gives the effects to carry out.
+"""
+
+from . import effects
+from . import events
+from . import model
+from . import _records as records
+from ._book import Book
+from ._node import Identity, Moment, Node
+from ._reduce import reduce
+
+__all__ = [
+    "Book",
+    "Identity",
+    "Moment",
+    "Node",
+    "effects",
+    "events",
+    "model",
+    "new_node",
+    "records",
+    "reduce",
+]
+
+
+def new_node(identity: Identity, bounds: model.Bounds) -> Node:
+    """
+    Make the state of an instance that has just started.
+
+    :param identity: which instance it is.
+    :param bounds: times that the platform promises or asks for.
+    :returns: the state.
+    """
+    return Node(identity, bounds)
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -0,0 +1,352 @@
+"""
+Answers callers: takes jobs in, cancels them and says how they stand.
+
+A submission or a cancel is accepted once its record stands in the log. Every instance takes calls;
+none needs the owner for it.
+"""
+
+from collections.abc import Callable
+
+from . import _book, effects, events
+from .events import CallReceived
+from .model import Queue
+from ._node import IntakeCall, Moment, Node, emit, log_line
+from ._records import Cancelled, Record, Submitted, encode_records
+
+CHANNEL = "intake"
+# An append without an answer is sent again after this.
+RETRY_S = 0.1
+# A call whose append the store refuses is refused itself after this: two tries.
+GIVE_UP_S = 0.25
+# Left of a caller's deadline for its answer to travel back.
+ANSWER_MARGIN_S = 0.1
+# A caller that gives no deadline is taken to wait this long.
+DEFAULT_DEADLINE_S = 5.0
+# The store is away: callers come back after a typical short outage of it.
+STORE_RETRY_S = 1.0
+# No configuration yet: an instance that starts has one within this.
+START_RETRY_S = 0.5
+# An answer that a job does not exist rests on a read of the log no older than this.
+FRESH_LOG_S = 1.5
+# An accepted job that the log has not shown after this was never read back; it is forgotten here.
+ACCEPTED_KEEP_S = 30.0
+
+
+def on_call(node: Node, at: Moment, call: CallReceived) -> None:
+    """
+    Take a caller's request.
+
+    :param node: the instance.
+    :param at: the time.
+    :param call: the request.
+    """
+    if node.config is None:
+        _refuse(node, call, effects.UNAVAILABLE, "no_configuration", START_RETRY_S)
+        return
+    queue = find_queue(node, call.host, call.path)
+    if queue is None:
+        _refuse(node, call, effects.NO_SUCH_QUEUE, "no_queue_matches")
+        return
+    if at.now_s - node.operator.ok_s > node.bounds.config_stale_s:
+        _refuse(node, call, effects.UNAVAILABLE, "configuration_too_old", STORE_RETRY_S)
+        return
+    workspace = node.config.workspace_of_key.get(call.key)
+    if workspace is None and not queue.is_open:
+        _refuse(node, call, effects.UNKNOWN_KEY, "unknown_key")
+        return
+    job_id = call.path[len(queue.prefix) :]
+    _HANDLERS[call.kind](node, at, call, queue, workspace or "", job_id)
+
+
+def find_queue(node: Node, host: str, path: str) -> Queue | None:
+    """
+    Find the queue that a call is for: that of its host with the longest prefix of its path.
+
+    :param node: the instance.
+    :param host: value of the ``Host`` header.
+    :param path: path of the request.
+    :returns: the queue, or ``None``.
+    """
+    if node.config is None:
+        return None
+    best: Queue | None = None
+    for queue in node.config.queues.values():
+        if queue.host != host or not path.startswith(queue.prefix):
+            continue
+        if best is None or len(queue.prefix) > len(best.prefix):
+            best = queue
+    return best
+
+
+def _refuse(
+    node: Node, call: CallReceived, outcome: str, reason: str, retry_after_s: float | None = None
+) -> None:
+    emit(node, effects.Reply(call.token, outcome, reason, retry_after_s=retry_after_s))
+    log_line(
+        node,
+        "call.refused",
+        kind=call.kind,
+        host=call.host,
+        path=call.path,
+        reason=reason,
+        config=node.config.version if node.config else None,
+    )
+
+
+def _submit(
+    node: Node, at: Moment, call: CallReceived, queue: Queue, workspace: str, job_id: str
+) -> None:
+    if call.spec is None or not job_id:
+        _refuse(node, call, effects.MALFORMED, "malformed_job")
+        return
+    if job_id in node.book.jobs or job_id in node.intake.accepted:
+        emit(node, effects.Reply(call.token, effects.ACCEPTED))
+        return
+    record = Submitted(job_id, queue.name, queue.service, workspace, call.spec, at.wall_ms)
+    _enqueue(node, at, call, record)
+
+
+def _cancel(
+    node: Node, at: Moment, call: CallReceived, queue: Queue, workspace: str, job_id: str
+) -> None:
+    job = node.book.jobs.get(job_id)
+    if job is not None and (job.cancelled or job.shown in _book.FINAL_STATES):
+        emit(node, effects.Reply(call.token, effects.STATE, job.shown))
+        return
+    _enqueue(node, at, call, Cancelled(job_id, at.wall_ms))
+
+
+def _look_up(
+    node: Node, at: Moment, call: CallReceived, queue: Queue, workspace: str, job_id: str
+) -> None:
+    job = node.book.jobs.get(job_id)
+    if job is not None:
+        emit(node, effects.Reply(call.token, effects.STATE, shown_state(job)))
+    elif job_id in node.intake.accepted:
+        emit(node, effects.Reply(call.token, effects.STATE, _book.QUEUED))
+    elif is_log_fresh(node, at.now_s):
+        _refuse(node, call, effects.NO_SUCH_JOB, "no_such_job")
+    else:
+        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", STORE_RETRY_S)
+
+
+def _count(
+    node: Node, at: Moment, call: CallReceived, queue: Queue, workspace: str, job_id: str
+) -> None:
+    if not is_log_fresh(node, at.now_s):
+        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", STORE_RETRY_S)
+        return
+    number = node.book.pending.get(queue.name, 0)
+    emit(node, effects.Reply(call.token, effects.PENDING, number=number))
+
+
+_HANDLERS: dict[str, Callable[[Node, Moment, CallReceived, Queue, str, str], None]] = {
+    events.SUBMIT: _submit,
+    events.CANCEL: _cancel,
+    events.LOOK_UP: _look_up,
+    events.COUNT: _count,
+}
+
+
+def shown_state(job: _book.Job) -> str:
+    """
+    Give the state of a job as its caller is told.
+
+    :param job: the job.
+    :returns: its state; a cancelled job is shown as such at once.
+    """
+    if job.cancelled and job.shown not in _book.FINAL_STATES:
+        return _book.CANCELLED
+    return job.shown
+
+
+def is_log_fresh(node: Node, now_s: float) -> bool:
+    """
+    Tell whether this instance has read the log to its end lately.
+
+    :param node: the instance.
+    :param now_s: the clock.
+    :returns: whether what is not in the book does not exist.
+    """
+    return node.tail.is_caught_up and now_s - node.tail.ok_s <= FRESH_LOG_S
+
+
+def on_abandoned(node: Node, token: int) -> None:
+    """
+    Take note that a caller has gone. Its record is appended all the same.
+
+    :param node: the instance.
+    :param token: the call.
+    """
+    node.intake.gone.add(token)
+
+
+def _enqueue(node: Node, at: Moment, call: CallReceived, record: Record) -> None:
+    wait_s = call.deadline_s or DEFAULT_DEADLINE_S
+    due_s = at.now_s + max(0.0, wait_s - ANSWER_MARGIN_S)
+    node.intake.waiting.append(IntakeCall(call.token, record, due_s, at.now_s))
+
+
+def flush(node: Node, at: Moment) -> None:
+    """
+    Send what callers have sent, or the batch in flight again when its answer is overdue.
+
+    :param node: the instance.
+    :param at: the time.
+    """
+    intake = node.intake
+    if intake.is_waiting:
+        return
+    if not intake.batch:
+        if not intake.waiting:
+            return
+        intake.batch = tuple(intake.waiting)
+        intake.waiting.clear()
+        intake.data = tuple(encode_records(call.record for call in intake.batch))
+        intake.seq += 1
+        intake.is_uncertain = False
+    elif at.now_s - intake.tried_s < RETRY_S:
+        return
+    intake.tried_s = at.now_s
+    intake.is_waiting = True
+    # Callers' records may stand in the log twice, so the append needs no number at the store.
+    emit(node, effects.Append(CHANNEL, "", 0, intake.seq, intake.data))
+
+
+def on_appended(node: Node, at: Moment, event: events.Appended) -> None:
+    """
+    Take the outcome of an append.
+
+    :param node: the instance.
+    :param at: the time.
+    :param event: the outcome.
+    """
+    intake = node.intake
+    if event.seq != intake.seq or not intake.batch:
+        return
+    intake.is_waiting = False
+    if event.outcome == events.OK:
+        batch, intake.batch = intake.batch, ()
+        for call in batch:
+            _accept(node, at, call)
+        return
+    if event.outcome != events.REFUSED:
+        intake.is_uncertain = True
+    log_line(
+        node,
+        "intake.append_failed",
+        seq=event.seq,
+        outcome=event.outcome,
+        detail=event.detail,
+        calls=len(intake.batch),
+    )
+
+
+def _accept(node: Node, at: Moment, call: IntakeCall) -> None:
+    if isinstance(call.record, Submitted):
+        node.intake.accepted.setdefault(call.record.job, at.now_s)
+        _reply(node, call, effects.ACCEPTED, "")
+        log_line(
+            node,
+            "job.accepted",
+            job=call.record.job,
+            queue=call.record.queue,
+            workspace=call.record.workspace,
+            wait_s=round(at.now_s - call.since_s, 4),
+        )
+    elif isinstance(call.record, Cancelled):
+        waits = node.intake.cancels.setdefault(call.record.job, [])
+        waits.append((call.token, call.due_s))
+        answer_cancels(node, call.record.job, only_known=True)
+
+
+def answer_cancels(node: Node, job_id: str, only_known: bool = False) -> None:
+    """
+    Answer those who cancelled a job, once the log says whether there is one.
+
+    :param node: the instance.
+    :param job_id: the job.
+    :param only_known: leave those waiting whose job is not known yet.
+    """
+    is_known = job_id in node.book.jobs or job_id in node.intake.accepted
+    if only_known and not is_known:
+        return
+    for token, _due_s in node.intake.cancels.pop(job_id, ()):
+        if token in node.intake.gone:
+            node.intake.gone.discard(token)
+            continue
+        outcome = effects.STATE if is_known else effects.NO_SUCH_JOB
+        emit(node, effects.Reply(token, outcome, _book.CANCELLED))
+        log_line(node, "job.cancel_accepted", job=job_id, is_known=is_known)
+
+
+def _reply(
+    node: Node, call: IntakeCall, outcome: str, detail: str, retry_after_s: float | None = None
+) -> None:
+    if call.token in node.intake.gone:
+        node.intake.gone.discard(call.token)
+        return
+    reply = effects.Reply(call.token, outcome, detail, retry_after_s=retry_after_s)
+    emit(node, reply)
+
+
+def expire(node: Node, at: Moment) -> None:
+    """
+    Answer the calls that the store keeps waiting for too long.
+
+    A call whose record certainly is not in the log is refused; one whose record may be is told so.
+
+    :param node: the instance.
+    :param at: the time.
+    """
+    intake = node.intake
+    if intake.batch and not intake.is_waiting and not intake.is_uncertain:
+        _refuse_overdue(node, at)
+    for call in intake.batch:
+        if at.now_s >= call.due_s and call.token not in intake.gone:
+            _reply(node, call, effects.UNCERTAIN, "store_does_not_answer")
+            intake.gone.add(call.token)
+            log_line(node, "call.uncertain", record=repr(call.record)[:80])
+    while intake.waiting and at.now_s - intake.waiting[0].since_s >= GIVE_UP_S:
+        _refuse_waiting(node, intake.waiting.popleft())
+    _expire_cancels(node, at)
+    if intake.accepted:
+        old = [job for job, s in intake.accepted.items() if at.now_s - s > ACCEPTED_KEEP_S]
+        for job in old:
+            del intake.accepted[job]
+
+
+def _refuse_overdue(node: Node, at: Moment) -> None:
+    intake = node.intake
+    if at.now_s - intake.batch[0].since_s < GIVE_UP_S:
+        return
+    batch, intake.batch = intake.batch, ()
+    for call in batch:
+        _refuse_waiting(node, call)
+
+
+def _refuse_waiting(node: Node, call: IntakeCall) -> None:
+    _reply(node, call, effects.UNAVAILABLE, "store_unavailable", STORE_RETRY_S)
+    log_line(node, "call.refused", reason="store_unavailable", record=repr(call.record)[:80])
+
+
+def _expire_cancels(node: Node, at: Moment) -> None:
+    for job_id, waits in list(node.intake.cancels.items()):
+        if all(at.now_s < due_s for _token, due_s in waits):
+            continue
+        del node.intake.cancels[job_id]
+        for token, _due_s in waits:
+            if token not in node.intake.gone:
+                emit(node, effects.Reply(token, effects.UNCERTAIN, "log_not_read"))
+            node.intake.gone.discard(token)
+
+
+def is_idle(node: Node) -> bool:
+    """
+    Tell whether no caller waits for an append.
+
+    :param node: the instance.
+    :returns: whether nothing is left to answer.
+    """
+    intake = node.intake
+    return not intake.batch and not intake.waiting and not intake.cancels
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -0,0 +1,324 @@
+"""
+Everything that one instance knows and is doing.
+"""
+
+from collections import deque
+from typing import Any, NamedTuple
+
+import msgspec
+
+from . import effects
+from ._book import Book
+from .model import Bounds, Config, InstanceRow, Room, RunRow, TaskKey, Wave, WorkerEntry
+from ._records import Record
+
+
+class Moment(NamedTuple):
+    """
+    The time at which an event is reduced.
+
+    :param now_s: a clock that goes on while the instance is suspended.
+    :param wall_ms: Unix time.
+    """
+
+    now_s: float
+    wall_ms: int
+
+
+class Identity(NamedTuple):
+    """
+    Which instance this is.
+
+    :param incarnation: Unix milliseconds of the process's start.
+    """
+
+    instance: str
+    incarnation: int
+    zone: str
+
+    @property
+    def producer(self) -> str:
+        """
+        Name under which this process appends what its callers send.
+        """
+        return f"{self.instance}.{self.incarnation}"
+
+
+class Batch(msgspec.Struct, eq=False):
+    """
+    Records that are appended together, and what follows once they stand in the log.
+
+    :param acks: newest end of each worker that the records note.
+    """
+
+    records: list[Record] = []
+    effects: list[Any] = []
+    acks: dict[str, int] = {}
+
+
+class Journal(msgspec.Struct, eq=False):
+    """
+    The owner's appends.
+
+    :param seq: number of the append in flight, or of the last one.
+    :param sent_s: when the append in flight was first sent.
+    :param tried_s: when it was last sent.
+    :param is_waiting: whether an answer to it is outstanding.
+    """
+
+    next: Batch = msgspec.field(default_factory=Batch)
+    in_flight: Batch | None = None
+    data: tuple[bytes, ...] = ()
+    seq: int = 0
+    sent_s: float = 0.0
+    tried_s: float = 0.0
+    is_waiting: bool = False
+
+
+class IntakeCall(NamedTuple):
+    """
+    A call whose record is to be appended.
+
+    :param due_s: when its caller will have stopped waiting.
+    """
+
+    token: int
+    record: Record
+    due_s: float
+    since_s: float
+
+
+class Intake(msgspec.Struct, eq=False):
+    """
+    Appends of what callers send.
+
+    :param is_uncertain: whether the batch in flight may stand in the log already.
+    :param accepted: jobs that stand in the log but were not read from it yet, by time.
+    :param cancels: calls that wait until the log says whether their job exists.
+    """
+
+    waiting: deque[IntakeCall] = msgspec.field(default_factory=deque)
+    batch: tuple[IntakeCall, ...] = ()
+    data: tuple[bytes, ...] = ()
+    seq: int = 0
+    tried_s: float = 0.0
+    is_waiting: bool = False
+    is_uncertain: bool = False
+    gone: set[int] = set()
+    accepted: dict[str, float] = {}
+    cancels: dict[str, list[tuple[int, float]]] = {}
+
+
+class Order(msgspec.Struct, eq=False):
+    """
+    A start that the owner has ordered.
+
+    :param lease_ms: time on the worker's clock from which the order is void.
+    :param answered_s: when the worker confirmed it; 0 while it has not.
+    :param sent_s: when it was last sent; 0 before.
+    """
+
+    run: int
+    lease_ms: int = 0
+    answered_s: float = 0.0
+    sent_s: float = 0.0
+    tries: int = 0
+    ticket: str = ""
+
+
+class Worker(msgspec.Struct, eq=False):
+    """
+    What the owner knows of a worker.
+
+    :param is_listed: whether the registry has an entry of it.
+    :param is_held: whether it has accepted this owner's token.
+    :param clock_ms: its clock at `clock_at_s`.
+    :param granted_ms: latest end of a lease that it was given.
+    :param handled: newest end that was taken up.
+    :param acked: newest end that stands in the log.
+    :param orders: starts by task.
+    :param stops: when each stop was last sent.
+    :param rows: what it listed last.
+    :param rows_s: when the call that listed them was sent.
+    :param strays: room of runs that it lists and the book does not.
+    :param paces: percent that each paced task was last given.
+    :param closed_until_s: no starts before this time.
+    """
+
+    entry: WorkerEntry
+    is_listed: bool = True
+    is_held: bool = False
+    is_failing: bool = False
+    failing_since_s: float = 0.0
+    clock_ms: int = 0
+    clock_at_s: float = 0.0
+    granted_ms: int = 0
+    is_holding: bool = False
+    next_hold_s: float = 0.0
+    handled: int = 0
+    acked: int = 0
+    orders: dict[TaskKey, Order] = {}
+    stops: dict[TaskKey, tuple[int, float]] = {}
+    rows: dict[TaskKey, RunRow] = {}
+    rows_s: float = 0.0
+    strays: dict[TaskKey, Room] = {}
+    paces: dict[TaskKey, int] = {}
+    progress: dict[TaskKey, tuple[int, float]] = {}
+    closed_until_s: float = 0.0
+    failed_jobs: deque[str] = msgspec.field(default_factory=lambda: deque(maxlen=8))
+    started_s: dict[TaskKey, float] = {}
+
+    @property
+    def id(self) -> str:
+        """
+        Its id in the registry.
+        """
+        return self.entry.id
+
+
+class WaveState(msgspec.Struct, eq=False):
+    """
+    A maintenance wave.
+
+    :param seen_s: when this instance learnt of it.
+    :param published: state that was last published.
+    """
+
+    wave: Wave
+    seen_s: float
+    published: str = ""
+    asked_s: float = 0.0
+
+
+class Fleet(msgspec.Struct, eq=False):
+    """
+    What the owner knows of the instances of workers.
+
+    :param rows: newest row of each instance.
+    :param listed_s: when the newest list was asked for.
+    :param in_flight: orders without an answer, by instance.
+    :param retry_s: earliest time of another order, by instance.
+    :param emptying: instances that take no new work, with the reason.
+    """
+
+    rows: dict[str, InstanceRow] = {}
+    listed_s: float = -1e9
+    is_listing: bool = False
+    in_flight: dict[str, float] = {}
+    retry_s: dict[str, float] = {}
+    emptying: dict[str, str] = {}
+
+
+class StepAdvice(msgspec.Struct, eq=False):
+    """
+    What the advice service said about a step.
+
+    :param tickets: ticket and its time of expiry, by worker.
+    :param refused: workers that may not run it.
+    """
+
+    tickets: dict[str, tuple[str, float]] = {}
+    refused: set[str] = set()
+    is_asking: bool = False
+    retry_s: float = 0.0
+
+
+class Tail(msgspec.Struct, eq=False):
+    """
+    Reading of the log.
+
+    :param ok_s: when the newest answered read was sent.
+    :param steady_s: since when reads have not failed.
+    :param owner_s: when a record of the owner was last read.
+    """
+
+    is_reading: bool = False
+    next_read_s: float = 0.0
+    is_caught_up: bool = False
+    needs_snapshot: bool = True
+    ok_s: float = -1e9
+    answered_s: float = -1e9
+    steady_s: float = 1e18
+    owner_s: float = 0.0
+
+
+class Ownership(msgspec.Struct, eq=False):
+    """
+    Whether this instance owns the log.
+
+    :param epoch: epoch of this instance's claim, while it owns the log.
+    :param claimed_s: when it came to own the log.
+    :param confirmed_s: when the newest append that succeeded was sent.
+    :param floor: epoch that the store refused.
+    """
+
+    is_owner: bool = False
+    epoch: int = 0
+    claimed_s: float = 0.0
+    confirmed_s: float = -1e9
+    claim_sent_s: float = 0.0
+    is_claiming: bool = False
+    floor: int = 0
+    reload_wanted: bool = False
+
+
+class Follow(msgspec.Struct, eq=False):
+    """
+    Reading of records that others write.
+    """
+
+    cursor: int | None = None
+    is_reading: bool = False
+    next_read_s: float = 0.0
+    ok_s: float = -1e9
+
+
+class Node(msgspec.Struct, eq=False):
+    """
+    One instance.
+    """
+
+    identity: Identity
+    bounds: Bounds
+    book: Book = msgspec.field(default_factory=Book)
+    tail: Tail = msgspec.field(default_factory=Tail)
+    ownership: Ownership = msgspec.field(default_factory=Ownership)
+    journal: Journal = msgspec.field(default_factory=Journal)
+    intake: Intake = msgspec.field(default_factory=Intake)
+    config: Config | None = None
+    operator: Follow = msgspec.field(default_factory=Follow)
+    registry: Follow = msgspec.field(default_factory=Follow)
+    workers: dict[str, Worker] = {}
+    waves: dict[int, WaveState] = {}
+    fleet: Fleet = msgspec.field(default_factory=Fleet)
+    advice: dict[tuple[str, int, int], StepAdvice] = {}
+    avoid: dict[TaskKey, set[str]] = {}
+    is_stopping: bool = False
+    stop_asked_s: float = 0.0
+    plan_due: bool = False
+    forget_s: float = 0.0
+    snapshot_s: float = 0.0
+    snapshot_offset: int = 0
+    is_snapshotting: bool = False
+    out: list[Any] = []
+
+
+def emit(node: Node, effect: object) -> None:
+    """
+    Add an effect to those of the event that is being reduced.
+
+    :param node: the instance.
+    :param effect: the effect.
+    """
+    node.out.append(effect)
+
+
+def log_line(node: Node, action: str, **fields: Any) -> None:
+    """
+    Add a line of the structured log.
+
+    :param node: the instance.
+    :param action: what was decided or learnt.
+    :param fields: what decided it.
+    """
+    node.out.append(effects.WriteLine(action, fields))
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_operator.py
@@ -0,0 +1,87 @@
+"""
+Follows what the operator publishes: the configuration and the maintenance waves.
+"""
+
+from . import effects, events
+from ._node import Moment, Node, WaveState, emit, log_line
+
+# How long a read waits for news; bounds the age of what is known.
+WAIT_S = 1.0
+# A read that failed is tried again after this.
+RETRY_S = 0.15
+
+
+def read(node: Node, at: Moment) -> None:
+    """
+    Ask for news, unless that is under way.
+
+    :param node: the instance.
+    :param at: the time.
+    """
+    operator = node.operator
+    if operator.is_reading or at.now_s < operator.next_read_s:
+        return
+    operator.is_reading = True
+    emit(node, effects.ReadOperator(operator.cursor, WAIT_S))
+
+
+def on_read(node: Node, at: Moment, event: events.OperatorRead) -> None:
+    """
+    Take news. A configuration never gives way to an older one.
+
+    :param node: the instance.
+    :param at: the time.
+    :param event: the news.
+    """
+    operator = node.operator
+    operator.is_reading = False
+    operator.cursor = event.cursor
+    operator.ok_s = event.sent_s
+    known = node.config.version if node.config else -1
+    if event.config is not None and event.config.version > known:
+        node.config = event.config
+        node.plan_due = True
+        log_line(
+            node,
+            "config.in_force",
+            version=event.config.version,
+            former=known,
+            queues=len(event.config.queues),
+            workspaces=len(event.config.workspaces),
+            cursor=event.cursor,
+        )
+    for wave in event.waves:
+        if wave.number not in node.waves:
+            node.waves[wave.number] = WaveState(wave, at.now_s)
+            log_line(
+                node,
+                "wave.asked",
+                wave=wave.number,
+                instances=len(wave.instances),
+                max_down=wave.max_down,
+                duration_s=wave.duration_s,
+            )
+    read(node, at)
+
+
+def on_failed(node: Node, at: Moment, event: events.OperatorReadFailed) -> None:
+    """
+    Take note that the operator's records can't be read.
+
+    :param node: the instance.
+    :param at: the time.
+    :param event: why.
+    """
+    operator = node.operator
+    operator.is_reading = False
+    operator.next_read_s = at.now_s + RETRY_S
+    if event.restart:
+        operator.cursor = None
+        operator.next_read_s = at.now_s
+    log_line(
+        node,
+        "config.unreadable",
+        reason=event.reason,
+        version=node.config.version if node.config else None,
+        age_s=round(min(at.now_s - operator.ok_s, 1e6), 3),
+    )
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -0,0 +1,162 @@
+"""
+Orders to start tasks: sent once their record stands in the log, and followed until it is known
+what became of them.
+"""
+
+from . import _book, effects, events, _journal, _workers
+from ._book import Task
+from ._node import Moment, Node, Order, Worker, emit, log_line
+from ._records import Started
+from ._runs import end_run, runs_on
+
+# An order is void after this, so that one that is carried out late does no harm.
+ORDER_VALID_S = 2.5
+# An order without an answer is sent again this often before its lists have to tell.
+MAX_TRIES = 2
+# A worker that refused a start gets no other one for this long.
+REFUSED_PAUSE_S = 0.5
+UNSENT = "unsent"
+REFUSED = "refused"
+
+
+def start(node: Node, at: Moment, worker: Worker, task: Task, run: int, ticket: str) -> None:
+    """
+    Decide to start a task on a worker.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    :param worker: the worker.
+    :param task: the task.
+    :param run: number of the run.
+    :param ticket: ticket of the advice service, or empty.
+    """
+    key = task.key
+    record = Started(node.ownership.epoch, *key, run, worker.id, worker.entry.incarnation)
+    _journal.write(node, at, record)
+    worker.orders[key] = Order(run, ticket=ticket)
+    job = node.book.jobs[key.job]
+    order = effects.StartTask(
+        worker.id,
+        worker.entry.address,
+        key,
+        run,
+        job.spec.payload,
+        0,
+        node.ownership.epoch,
+        task.saved,
+        ticket,
+    )
+    _journal.follow_with(node, order)
+    log_line(
+        node,
+        "run.decided",
+        job=key.job,
+        task=".".join(map(str, key[1:])),
+        run=run,
+        worker=worker.id,
+        age_s=round(at.now_s - job.seen_s, 3),
+        free_millicores=_workers.free_room(node, worker).millicores,
+        config=node.config.version if node.config else None,
+    )
+
+
+def send(node: Node, at: Moment, effect: effects.StartTask) -> None:
+    """
+    Send an order whose record stands in the log, if it still holds.
+
+    :param node: the instance.
+    :param at: the time.
+    :param effect: the order as decided.
+    """
+    worker = node.workers.get(effect.worker)
+    task = runs_on(node, effect.worker).get(effect.key)
+    order = worker.orders.get(effect.key) if worker is not None else None
+    if worker is None or task is None or order is None or order.run != effect.run:
+        return
+    job = node.book.jobs[effect.key.job]
+    is_open = not job.cancelled and job.state not in _book.FINAL_STATES
+    if not is_open or not worker.is_held or worker.is_failing or worker.entry.is_draining:
+        end_run(node, at, worker, task, UNSENT)
+        return
+    order.sent_s = at.now_s
+    order.tries += 1
+    order.lease_ms = _workers.clock_ms(worker, at.now_s + ORDER_VALID_S)
+    worker.granted_ms = max(worker.granted_ms, order.lease_ms)
+    # The first hold after a start is what renews the lease and waits for the end.
+    worker.next_hold_s = min(worker.next_hold_s, at.now_s)
+    emit(node, effect._replace(lease_ms=order.lease_ms, address=worker.entry.address))
+
+
+def on_answered(node: Node, at: Moment, event: events.StartAnswered) -> None:
+    """
+    Take the outcome of an order.
+
+    :param node: the instance.
+    :param at: the time.
+    :param event: the outcome.
+    """
+    worker = node.workers.get(event.worker)
+    task = runs_on(node, event.worker).get(event.key)
+    if worker is None or task is None or task.run != event.run:
+        return
+    order = worker.orders.get(event.key)
+    if order is None or order.run != event.run or order.answered_s:
+        return
+    if event.outcome == events.OK:
+        order.answered_s = at.now_s
+        worker.clock_ms, worker.clock_at_s = event.clock_ms, at.now_s
+        worker.started_s.setdefault(event.key, at.now_s)
+        return
+    log_line(
+        node,
+        "run.not_started",
+        job=event.key.job,
+        task=".".join(map(str, event.key[1:])),
+        run=event.run,
+        worker=worker.id,
+        outcome=event.outcome,
+        reason=event.reason,
+        tries=order.tries,
+    )
+    if event.outcome == events.UNKNOWN:
+        _resend(node, at, worker, task, order)
+        return
+    if order.tries > 1:
+        # An earlier send of this order may have been carried out.
+        return
+    worker.closed_until_s = at.now_s + REFUSED_PAUSE_S
+    if event.outcome == events.UNSENT:
+        worker.next_hold_s = at.now_s
+    end_run(node, at, worker, task, UNSENT if event.outcome == events.UNSENT else REFUSED)
+
+
+def _resend(node: Node, at: Moment, worker: Worker, task: Task, order: Order) -> None:
+    is_void = _workers.clock_ms(worker, at.now_s) >= order.lease_ms
+    if order.tries >= MAX_TRIES or is_void:
+        return
+    order.tries += 1
+    job = node.book.jobs[task.key.job]
+    emit(
+        node,
+        effects.StartTask(
+            worker.id,
+            worker.entry.address,
+            task.key,
+            order.run,
+            job.spec.payload,
+            order.lease_ms,
+            node.ownership.epoch,
+            task.saved,
+            order.ticket,
+        ),
+    )
+
+
+def next_run(tasks: list[Task]) -> int:
+    """
+    Give the number of the next run of tasks that start together.
+
+    :param tasks: the tasks.
+    :returns: one more than any of them has had.
+    """
+    return 1 + max(task.run for task in tasks)
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -0,0 +1,205 @@
+"""
+Decides which instance owns the log, and with it all decisions about tasks and instances.
+
+An owner that is silent for a while loses the log to the first instance whose claim is appended. The
+claim is conditional on the end of the log, so the new owner has read all that came before it, and
+its epoch keeps the former owner from appending anything after it.
+"""
+
+import xxhash
+
+from . import effects, events, _journal
+from .model import Bounds
+from ._node import Fleet, Follow, Moment, Node, emit, log_line
+from ._records import Claimed, Released, encode_records
+
+CHANNEL = "claim"
+# Silence of the owner after which its log is claimed: five of its beats.
+SILENCE_S = 1.5
+# Spread of the claims of several instances, so that the first is seen by the others.
+SPREAD_S = 0.4
+SPREAD_STEPS = 16
+# A claim without an answer is given up after this; if it was done, the log shows it.
+CLAIM_TIMEOUT_S = 1.5
+# Clocks of workers may be this much slow; leases are waited out by it.
+CLOCK_DRIFT = 0.021
+# Added to a wait for a lease that was given by someone else.
+LEASE_MARGIN_S = 0.3
+
+
+def consider_claim(node: Node, at: Moment) -> None:
+    """
+    Claim the log if its owner seems gone.
+
+    :param node: the instance.
+    :param at: the time.
+    """
+    ownership = node.ownership
+    if ownership.is_owner or node.is_stopping or not node.tail.is_caught_up:
+        return
+    if ownership.is_claiming:
+        if at.now_s - ownership.claim_sent_s > CLAIM_TIMEOUT_S:
+            ownership.is_claiming = False
+        return
+    quiet_s = node.tail.answered_s - max(node.tail.owner_s, node.tail.steady_s)
+    wait_s = spread_s(node)
+    if node.book.owner is not None:
+        wait_s += SILENCE_S
+    if node.config is None or quiet_s < wait_s:
+        return
+    epoch = max(node.book.epoch, ownership.floor) + 1
+    ownership.is_claiming = True
+    ownership.claim_sent_s = at.now_s
+    record = Claimed(epoch, node.identity.instance, node.identity.incarnation)
+    log_line(
+        node,
+        "owner.claiming",
+        epoch=epoch,
+        former=node.book.owner,
+        quiet_s=round(quiet_s, 3),
+        offset=node.book.offset,
+    )
+    data = tuple(encode_records([record]))
+    emit(
+        node,
+        effects.Append(CHANNEL, _journal.PRODUCER, epoch, 1, data, at=node.book.offset),
+    )
+
+
+def spread_s(node: Node) -> float:
+    """
+    Give this instance's place among those that would claim the next epoch.
+
+    :param node: the instance.
+    :returns: seconds to wait.
+    """
+    seed = f"{node.identity.producer}/{node.book.epoch}"
+    place = xxhash.xxh64_intdigest(seed) % SPREAD_STEPS
+    return SPREAD_S * place / SPREAD_STEPS
+
+
+def on_claim_appended(node: Node, at: Moment, event: events.Appended) -> None:
+    """
+    Take the outcome of a claim. Whether it holds is read from the log.
+
+    :param node: the instance.
+    :param at: the time.
+    :param event: the outcome.
+    """
+    ownership = node.ownership
+    if event.outcome == events.OK:
+        return
+    ownership.is_claiming = False
+    if event.outcome == events.FENCED:
+        ownership.floor = max(ownership.floor, node.book.epoch) + 1
+    log_line(node, "owner.claim_failed", outcome=event.outcome, detail=event.detail)
+
+
+def on_claimed(node: Node, at: Moment, record: Claimed) -> None:
+    """
+    Take a claim that was read from the log.
+
+    :param node: the instance.
+    :param at: the time.
+    :param record: the claim.
+    """
+    if record.epoch != node.book.epoch:
+        return
+    ownership = node.ownership
+    is_own = (record.instance, record.incarnation) == node.identity[:2]
+    if is_own and ownership.is_owner and record.epoch == ownership.epoch:
+        return
+    if ownership.is_owner:
+        step_down(node, at, "claimed_by_another", by=record.instance, epoch=record.epoch)
+    # An own claim of a time before a reload is read again, but its epoch is not taken up again.
+    if is_own and ownership.is_claiming and record.epoch > ownership.epoch:
+        _take_over(node, at, record)
+
+
+def _take_over(node: Node, at: Moment, record: Claimed) -> None:
+    ownership = node.ownership
+    ownership.is_owner = True
+    ownership.is_claiming = False
+    ownership.epoch = record.epoch
+    ownership.claimed_s = at.now_s
+    ownership.confirmed_s = ownership.claim_sent_s
+    _journal.reset(node, 1)
+    node.journal.sent_s = at.now_s
+    node.workers = {}
+    node.registry = Follow()
+    node.fleet = Fleet()
+    node.advice = {}
+    node.tail.next_read_s = 0.0
+    node.plan_due = True
+    log_line(
+        node,
+        "owner.began",
+        epoch=record.epoch,
+        offset=node.book.offset,
+        jobs=len(node.book.open_jobs),
+        runs=sum(len(runs) for runs in node.book.running.values()),
+        claim_s=round(at.now_s - ownership.claim_sent_s, 3),
+    )
+
+
+def step_down(node: Node, at: Moment, reason: str, **fields) -> None:
+    """
+    Stop deciding; the book is read again, since it may hold decisions that were never appended.
+
+    :param node: the instance.
+    :param at: the time.
+    :param reason: why, for the log.
+    :param fields: more of what decided it.
+    """
+    ownership = node.ownership
+    if not ownership.is_owner:
+        return
+    ownership.is_owner = False
+    ownership.reload_wanted = True
+    _journal.reset(node, 0)
+    node.workers = {}
+    node.fleet = Fleet()
+    log_line(
+        node,
+        "owner.ended",
+        reason=reason,
+        own_epoch=ownership.epoch,
+        held_s=round(at.now_s - ownership.claimed_s, 3),
+        **fields,
+    )
+
+
+def release(node: Node, at: Moment) -> None:
+    """
+    Give the log up, so that another instance need not wait for silence.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    """
+    node.journal.next.records.append(Released(node.ownership.epoch))
+    log_line(node, "owner.releasing", epoch=node.ownership.epoch)
+
+
+def lease_end_s(node: Node, bounds: Bounds) -> float:
+    """
+    Give the latest time to which this owner may lease workers.
+
+    It depends on when the ownership was last confirmed, so that a new owner can tell when every
+    lease of a former one has run out.
+
+    :param node: the instance.
+    :param bounds: times of the platform.
+    :returns: time by this instance's clock.
+    """
+    return node.ownership.confirmed_s + bounds.max_lease_s
+
+
+def former_leases_end_s(node: Node) -> float:
+    """
+    Give the time at which all leases of former owners have run out, on the slowest clock.
+
+    :param node: the instance.
+    :returns: time by this instance's clock.
+    """
+    lease_s = node.bounds.max_lease_s * (1 + CLOCK_DRIFT)
+    return node.ownership.claimed_s + lease_s + LEASE_MARGIN_S
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
@@ -0,0 +1,179 @@
+"""
+Records of the job log, and their encoding.
+
+Records of callers (`Submitted`, `Cancelled`) are appended by any instance. All others are appended
+by the owner of the log and carry its epoch; the store refuses appends of an older epoch.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from .model import JobSpec
+
+
+class _Record(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    pass
+
+
+class Submitted(_Record, tag="s"):
+    """
+    A job was handed in.
+
+    :param service: service that the queue used at that time.
+    :param at_ms: Unix time at the instance that took it.
+    """
+
+    job: str
+    queue: str
+    service: str
+    workspace: str
+    spec: JobSpec
+    at_ms: int
+
+
+class Cancelled(_Record, tag="c"):
+    """
+    A caller cancelled a job.
+    """
+
+    job: str
+    at_ms: int
+
+
+class Claimed(_Record, tag="o"):
+    """
+    An instance owns the log from here on.
+
+    :param incarnation: Unix milliseconds of the instance's start.
+    """
+
+    epoch: int
+    instance: str
+    incarnation: int
+
+
+class Released(_Record, tag="l"):
+    """
+    The owner gives the log up.
+    """
+
+    epoch: int
+
+
+class Beat(_Record, tag="b"):
+    """
+    The owner is alive.
+    """
+
+    epoch: int
+
+
+class Started(_Record, tag="r"):
+    """
+    A task is about to be started on a worker.
+    """
+
+    epoch: int
+    job: str
+    occurrence: int
+    step: int
+    index: int
+    run: int
+    worker: str
+    worker_incarnation: int
+
+
+class Ended(_Record, tag="e"):
+    """
+    A run has ended.
+
+    :param how: ``done``, ``failed``, ``stopped`` and so on, or ``lost``.
+    """
+
+    epoch: int
+    job: str
+    occurrence: int
+    step: int
+    index: int
+    run: int
+    how: str
+    saved: str
+
+
+class Closed(_Record, tag="f"):
+    """
+    A job has ended.
+
+    :param state: ``completed``, ``failed`` or ``cancelled``.
+    """
+
+    epoch: int
+    job: str
+    state: str
+    at_ms: int
+
+
+class InstanceOrdered(_Record, tag="m"):
+    """
+    An order for an instance is about to be sent to the machine service.
+
+    :param wave: number of the maintenance wave, or -1 for a move.
+    :param pool: the new pool of a move, else empty.
+    """
+
+    epoch: int
+    instance: str
+    wave: int
+    pool: str
+    at_ms: int
+
+
+class WaveClosed(_Record, tag="w"):
+    """
+    Every instance of a maintenance wave has been maintained.
+    """
+
+    epoch: int
+    wave: int
+
+
+Record = (
+    Submitted
+    | Cancelled
+    | Claimed
+    | Released
+    | Beat
+    | Started
+    | Ended
+    | Closed
+    | InstanceOrdered
+    | WaveClosed
+)
+OWNER_RECORDS = (Released, Beat, Started, Ended, Closed, InstanceOrdered, WaveClosed)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Record)
+
+
+def encode_records(records: Iterable[Record]) -> list[bytes]:
+    """
+    Encode records for the log.
+
+    :param records: the records.
+    :returns: the bytes of each.
+    """
+    return [_encoder.encode(record) for record in records]
+
+
+def decode_record(data: bytes) -> Record | None:
+    """
+    Decode a record of the log.
+
+    :param data: its bytes.
+    :returns: the record, or ``None`` when it is unreadable.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -0,0 +1,122 @@
+"""
+One reducer over all events of jobs.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from . import (
+    _advice,
+    effects,
+    events,
+    _fold,
+    _intake,
+    _journal,
+    _operator,
+    _orders,
+    _ownership,
+    _planner,
+    _snapshot,
+    _stopping,
+    _tail,
+    _workers,
+)
+from ._node import Moment, Node
+
+# Jobs that ended long ago are dropped this often.
+FORGET_INTERVAL_S = 5.0
+
+
+def reduce(node: Node, at: Moment, event: object) -> list[Any]:
+    """
+    Take an event.
+
+    :param node: the instance, changed in place.
+    :param at: the time.
+    :param event: one of `events`.
+    :returns: the effects to carry out, in order.
+    """
+    node.out = []
+    _HANDLERS[type(event)](node, at, event)
+    _advance(node, at)
+    produced, node.out = node.out, []
+    return produced
+
+
+def _advance(node: Node, at: Moment) -> None:
+    if node.ownership.is_owner:
+        if not node.is_stopping:
+            if node.plan_due:
+                _planner.plan(node, at)
+            _workers.hold_due(node, at)
+        _journal.flush(node, at)
+    _intake.flush(node, at)
+    _tail.read(node, at)
+
+
+def _ticked(node: Node, at: Moment, _event: events.Ticked) -> None:
+    _operator.read(node, at)
+    _intake.expire(node, at)
+    if node.ownership.reload_wanted and not node.ownership.is_owner:
+        _tail.reload(node, at, "ownership_lost")
+    _ownership.consider_claim(node, at)
+    if node.ownership.is_owner:
+        _workers.read_registry(node, at)
+        _workers.expire_leases(node, at)
+        _snapshot.consider(node, at)
+        node.plan_due = True
+    if at.now_s - node.forget_s >= FORGET_INTERVAL_S:
+        node.forget_s = at.now_s
+        _fold.forget_closed(node.book, at.now_s, node.bounds.status_s)
+        _advice.forget(node)
+    _stopping.advance(node, at)
+
+
+def _appended(node: Node, at: Moment, event: events.Appended) -> None:
+    if event.channel == _intake.CHANNEL:
+        _intake.on_appended(node, at, event)
+    elif event.channel == _ownership.CHANNEL:
+        _ownership.on_claim_appended(node, at, event)
+    else:
+        _owner_appended(node, at, event)
+
+
+def _owner_appended(node: Node, at: Moment, event: events.Appended) -> None:
+    in_flight = node.journal.in_flight
+    if not _journal.on_appended(node, at, event):
+        _ownership.step_down(node, at, "append_refused", outcome=event.outcome)
+        return
+    if node.journal.in_flight is None and in_flight is not None:
+        _workers.wake_acknowledged(node, at, list(in_flight.acks))
+        # Orders whose records now stand in the log are checked once more before they go out.
+        orders = [item for item in node.out if isinstance(item, effects.StartTask)]
+        node.out = [item for item in node.out if not isinstance(item, effects.StartTask)]
+        for order in orders:
+            _orders.send(node, at, order)
+
+
+def _abandoned(node: Node, _at: Moment, event: events.CallAbandoned) -> None:
+    _intake.on_abandoned(node, event.token)
+
+
+_HANDLERS: dict[type, Callable[[Node, Moment, Any], None]] = {
+    events.Ticked: _ticked,
+    events.StopAsked: _stopping.on_asked,
+    events.CallReceived: _intake.on_call,
+    events.CallAbandoned: _abandoned,
+    events.LogRead: _tail.on_read,
+    events.LogGap: _tail.on_gap,
+    events.LogReadFailed: _tail.on_failed,
+    events.SnapshotRead: _tail.on_snapshot,
+    events.SnapshotWritten: _snapshot.on_written,
+    events.Appended: _appended,
+    events.OperatorRead: _operator.on_read,
+    events.OperatorReadFailed: _operator.on_failed,
+    events.WorkersRead: _workers.on_registry,
+    events.WorkersReadFailed: _workers.on_registry_failed,
+    events.HoldAnswered: _workers.on_hold,
+    events.HoldFailed: _workers.on_hold_failed,
+    events.StartAnswered: _orders.on_answered,
+    events.StopAnswered: _workers.on_stopped,
+    events.AdviceAnswered: _advice.on_answered,
+}
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -0,0 +1,228 @@
+"""
+Snapshots of the book, from which an instance starts in place of the whole log.
+
+The owner stores one from time to time and then trims the log before it. Only what stands in the
+log may go into a snapshot, so it is made while no record of the owner is on its way.
+"""
+
+import zlib
+
+import msgspec
+
+from . import _book, effects, events, _fold, _journal
+from ._book import Book, InstanceOrder, Job
+from .model import JobSpec
+from ._node import Moment, Node, emit, log_line
+
+# Records after which a snapshot is due; replaying them takes an instance well under a second.
+DUE_RECORDS = 4000
+# Records that stay in front of a snapshot, for instances that are reading them.
+KEPT_RECORDS = 2000
+# A snapshot that failed is tried again after this.
+RETRY_S = 5.0
+
+
+class _TaskRow(msgspec.Struct, array_like=True):
+    status: str
+    run: int
+    worker: str
+    worker_incarnation: int
+    failures: int
+    saved: str
+
+
+class _JobRow(msgspec.Struct, array_like=True):
+    id: str
+    queue: str
+    service: str
+    workspace: str
+    spec: JobSpec
+    at_ms: int
+    state: str
+    shown: str
+    cancelled: bool
+    closed_ms: int
+    occurrences: dict[int, list[list[_TaskRow]]]
+
+
+class _Snapshot(msgspec.Struct, array_like=True):
+    offset: int
+    epoch: int
+    owner: tuple[str, int] | None
+    jobs: list[_JobRow]
+    early_cancels: dict[str, int]
+    orders: dict[str, InstanceOrder]
+    maintained: dict[int, list[str]]
+    closed_waves: list[int]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_Snapshot)
+
+
+def encode(book: Book, now_s: float, wall_ms: int) -> bytes:
+    """
+    Encode a book.
+
+    :param book: the state.
+    :param now_s: this instance's clock.
+    :param wall_ms: Unix time.
+    :returns: the bytes.
+    """
+    snapshot = _Snapshot(
+        book.offset,
+        book.epoch,
+        book.owner,
+        [_job_row(job, now_s, wall_ms) for job in book.jobs.values()],
+        book.early_cancels,
+        book.orders,
+        {wave: sorted(names) for wave, names in book.maintained.items()},
+        sorted(book.closed_waves),
+    )
+    return zlib.compress(_encoder.encode(snapshot), 1)
+
+
+def decode(data: bytes, now_s: float, wall_ms: int) -> Book | None:
+    """
+    Decode a book.
+
+    :param data: the bytes.
+    :param now_s: this instance's clock.
+    :param wall_ms: Unix time.
+    :returns: the state, or ``None`` when the bytes are no snapshot.
+    """
+    try:
+        snapshot = _decoder.decode(zlib.decompress(data))
+    except (msgspec.MsgspecError, zlib.error):
+        return None
+    book = Book(
+        offset=snapshot.offset,
+        epoch=snapshot.epoch,
+        owner=snapshot.owner,
+        early_cancels=snapshot.early_cancels,
+        orders=snapshot.orders,
+        maintained={wave: set(names) for wave, names in snapshot.maintained.items()},
+        closed_waves=set(snapshot.closed_waves),
+    )
+    for row in snapshot.jobs:
+        _restore_job(book, row, now_s, wall_ms)
+    return book
+
+
+def _job_row(job: Job, now_s: float, wall_ms: int) -> _JobRow:
+    occurrences = {
+        number: [
+            [
+                _TaskRow(
+                    task.status,
+                    task.run,
+                    task.worker,
+                    task.worker_incarnation,
+                    task.failures,
+                    task.saved,
+                )
+                for task in state.tasks
+            ]
+            for state in steps
+        ]
+        for number, steps in job.occurrences.items()
+    }
+    closed_ms = wall_ms - round((now_s - job.closed_s) * 1000) if job.closed_s else 0
+    return _JobRow(
+        job.id,
+        job.queue,
+        job.service,
+        job.workspace,
+        job.spec,
+        job.at_ms,
+        job.state,
+        job.shown,
+        job.cancelled,
+        closed_ms,
+        occurrences,
+    )
+
+
+def _restore_job(book: Book, row: _JobRow, now_s: float, wall_ms: int) -> None:
+    job = Job(
+        row.id,
+        row.queue,
+        row.service,
+        row.workspace,
+        row.spec,
+        row.at_ms,
+        now_s - max(0.0, (wall_ms - row.at_ms) / 1000),
+        row.state,
+        row.shown,
+        row.cancelled,
+        now_s - max(0.0, (wall_ms - row.closed_ms) / 1000) if row.closed_ms else 0.0,
+        open_occurrences=max(1, row.spec.repeats),
+    )
+    book.jobs[job.id] = job
+    if job.state not in _book.FINAL_STATES:
+        book.open_jobs[job.id] = job
+    if job.state == _book.QUEUED and not job.spec.repeats:
+        book.pending[job.queue] = book.pending.get(job.queue, 0) + 1
+    for number, steps in row.occurrences.items():
+        states = _book.occurrence_of(job, number)
+        for state, rows in zip(states, steps, strict=True):
+            for task, saved in zip(state.tasks, rows, strict=True):
+                _restore_task(book, job, state, task, saved)
+        if all(state.left == 0 for state in states):
+            job.open_occurrences -= 1
+
+
+def _restore_task(
+    book: Book, job: Job, state: _book.StepState, task: _book.Task, row: _TaskRow
+) -> None:
+    task.status = row.status
+    task.run = row.run
+    task.worker = row.worker
+    task.worker_incarnation = row.worker_incarnation
+    task.failures = row.failures
+    task.saved = row.saved
+    if task.status != _book.WAITING:
+        state.waiting -= 1
+    if task.status == _book.DONE:
+        state.left -= 1
+    if task.status == _book.RUNNING:
+        book.running.setdefault(task.worker, {})[task.key] = task
+        _fold.add_run(book, job, task)
+
+
+def consider(node: Node, at: Moment) -> None:
+    """
+    Store a snapshot if one is due.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    """
+    is_due = node.book.offset - node.snapshot_offset >= DUE_RECORDS
+    if not is_due or node.is_snapshotting or at.now_s < node.snapshot_s:
+        return
+    # Records that are decided but not appended must not be in it.
+    if not _journal.is_idle(node) or not node.tail.is_caught_up:
+        return
+    node.is_snapshotting = True
+    data = encode(node.book, at.now_s, at.wall_ms)
+    emit(node, effects.WriteSnapshot(node.book.offset, data))
+
+
+def on_written(node: Node, at: Moment, event: events.SnapshotWritten) -> None:
+    """
+    Take the outcome of storing a snapshot, and trim the log before it.
+
+    :param node: the instance.
+    :param at: the time.
+    :param event: the outcome.
+    """
+    node.is_snapshotting = False
+    node.snapshot_s = at.now_s + RETRY_S
+    if event.outcome != events.OK:
+        log_line(node, "snapshot.not_stored", offset=event.offset, outcome=event.outcome)
+        return
+    node.snapshot_offset = event.offset
+    log_line(node, "snapshot.stored", offset=event.offset)
+    before = event.offset - KEPT_RECORDS
+    if node.ownership.is_owner and before > 0:
+        emit(node, effects.TrimLog(before))
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stopping.py
@@ -0,0 +1,47 @@
+"""
+Ends the process without cutting a call: gives the log up, answers what is open, then exits.
+"""
+
+from . import effects, events, _intake, _journal, _ownership
+from ._node import Moment, Node, emit, log_line
+
+# Callers that connect until the balancer has noticed are still answered.
+NOTICE_S = 2.3
+# Left of the time until the process is killed.
+KILL_MARGIN_S = 1.0
+
+
+def on_asked(node: Node, at: Moment, _event: events.StopAsked) -> None:
+    """
+    Begin to stop.
+
+    :param node: the instance.
+    :param at: the time.
+    """
+    if node.is_stopping:
+        return
+    node.is_stopping = True
+    node.stop_asked_s = at.now_s
+    log_line(node, "instance.stopping", is_owner=node.ownership.is_owner)
+    if node.ownership.is_owner:
+        _ownership.release(node, at)
+
+
+def advance(node: Node, at: Moment) -> None:
+    """
+    Exit once nothing is left to do, or just before the process would be killed.
+
+    :param node: the instance.
+    :param at: the time.
+    """
+    if not node.is_stopping:
+        return
+    if node.ownership.is_owner and _journal.is_idle(node):
+        _ownership.step_down(node, at, "released")
+        node.ownership.reload_wanted = False
+    since_s = at.now_s - node.stop_asked_s
+    is_done = _intake.is_idle(node) and (not node.ownership.is_owner or _journal.is_idle(node))
+    is_last_moment = since_s >= node.bounds.grace_s - KILL_MARGIN_S
+    if (is_done and since_s >= NOTICE_S) or is_last_moment:
+        log_line(node, "instance.stopped", since_s=round(since_s, 3), is_done=is_done)
+        emit(node, effects.Exit())
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_server.py
@@ -49,6 +49,7 @@
         limits: ServerLimits,
         on_request: Callable[[Exchange], None],
         on_abandoned: Callable[[int], None],
+        **_options: str,
     ) -> None:
         """
         Listen.
@@ -58,6 +59,7 @@
         :param limits: what a client may take up.
         :param on_request: called with each whole request.
         :param on_abandoned: called with the token of an exchange whose client is gone.
+        :param _options: the channel; servers of one process need different ones.
         """
         self.scheduler = scheduler
         self.limits = limits
@@ -70,7 +72,7 @@
         self._is_deaf = False
         self._conns: dict[socket.socket, ServerConn] = {}
         self._tokens = itertools.count(1)
-        self._tcp = TCPServer(bind, channel=CHANNEL, bufsize=READ_BYTES).register(self)
+        self._tcp = TCPServer(bind, channel=self.channel, bufsize=READ_BYTES).register(self)
 
     @property
     def address(self) -> str:
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/http.py
@@ -0,0 +1,22 @@
+"""
+HTTP on circuits: a pool of client connections with deadlines, and a server whose answers may be
+given later.
+"""
+
+from ._http_messages import ClientRequest, HttpAnswer, HttpFailure, HttpOutcome
+from ._http_pool import HttpPool
+from ._http_server import HttpServer
+from ._server_state import Exchange, ServerLimits
+from ._timers import Scheduler
+
+__all__ = [
+    "ClientRequest",
+    "Exchange",
+    "HttpAnswer",
+    "HttpFailure",
+    "HttpOutcome",
+    "HttpPool",
+    "HttpServer",
+    "Scheduler",
+    "ServerLimits",
+]
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/__init__.py
@@ -0,0 +1,9 @@
+"""
+The instance that schedules jobs: sockets, timers and effects around the reducer of jobs.
+"""
+
+from ._app import JobApp, run_app
+from ._logging import make_stdout_writer
+from ._ports import Ports
+
+__all__ = ["JobApp", "Ports", "make_stdout_writer", "run_app"]
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
@@ -0,0 +1,247 @@
+"""
+The instance: tells the reducer of jobs what happens and carries out its effects.
+"""
+
+import os
+import signal
+import time
+import traceback
+from collections import deque
+from functools import partial
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from eelgrassdrum_core.jobs import Identity, Moment, effects, events, model, new_node, reduce
+
+from .._http_pool import HttpPool
+from .._http_server import HttpServer
+from .._server_state import Exchange, ServerLimits
+from .._timers import Scheduler
+from . import _metrics
+from ._logging import Write
+from ._ports import Ports
+
+TICK_INTERVAL_S = 0.05
+# The balancer asks each second; an instance that does not read the store for this long, beyond
+# what a configuration may take, sends callers to the others.
+READY_STALE_S = 4.0
+# Open connections to the store: reads that wait, and appends.
+STORE_CONNS = 8
+# Connections to one worker: one that waits for ends, and the orders.
+WORKER_CONNS = 8
+CONTROL_CONNS = 4
+MAX_CALLER_BODY_BYTES = 256 * 1024
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+READ_TIMEOUT_S = 10.0
+MAX_CALLERS = 3_000
+TRACEBACK_LINES = 8
+
+
+def boot_clock() -> float:
+    """
+    Give a clock that also counts the time in which the instance was suspended.
+
+    :returns: seconds.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class JobApp(BaseComponent):
+    """
+    One instance that schedules jobs.
+    """
+
+    channel = "jobs"
+
+    def init(
+        self,
+        instance: str,
+        zone: str,
+        bounds: model.Bounds,
+        front: str,
+        ready: str,
+        metrics: str,
+        write: Write,
+    ) -> None:
+        """
+        Open the sockets; nothing is sent before the event loop runs.
+
+        :param instance: id of this instance.
+        :param zone: its availability zone.
+        :param bounds: times that the platform promises or asks for.
+        :param front: address for callers.
+        :param ready: address for the balancer.
+        :param metrics: address for scrapers.
+        :param write: writes a line of the structured log.
+        """
+        self.write = write
+        self.clock = boot_clock
+        self.metrics = _metrics.JobMetrics()
+        incarnation = time.time_ns() // 1_000_000
+        self.node = new_node(Identity(instance, incarnation, zone), bounds)
+        self._pending: deque[object] = deque()
+        self._reducing = False
+        self._ports: Ports | None = None
+        self._open_sockets(front, ready, metrics)
+
+    def _open_sockets(self, front: str, ready: str, metrics: str) -> None:
+        poller = EPoll().register(self)
+        scheduler = self.scheduler = Scheduler().register(self)
+        make_pool = partial(HttpPool, poller, scheduler)
+        self.store_pool = make_pool(STORE_CONNS, channel="store").register(self)
+        self.worker_pool = make_pool(WORKER_CONNS, channel="workers").register(self)
+        self.control_pool = make_pool(CONTROL_CONNS, channel="control").register(self)
+        limits = ServerLimits(
+            MAX_CALLER_BODY_BYTES, MAX_BUFFERED_BYTES, READ_TIMEOUT_S, MAX_CALLERS
+        )
+        serve = partial(self._serve, scheduler, limits)
+        self.front = serve(front, "front", self._on_call, self._on_abandoned)
+        self.ready = serve(ready, "ready", self._on_ready_asked, _ignore)
+        self.scrapes = serve(metrics, "metrics", self._on_scrape, _ignore)
+
+    def _serve(self, scheduler, limits, address, channel, on_request, on_abandoned) -> HttpServer:
+        host, _, port = address.rpartition(":")
+        server = HttpServer(
+            (host, int(port)), scheduler, limits, on_request, on_abandoned, channel=channel
+        )
+        return server.register(self)
+
+    def connect(self, ports: Ports) -> None:
+        """
+        Take the functions that reach the platform.
+
+        :param ports: the functions.
+        """
+        self._ports = ports
+        self._effects = {
+            **ports.effects,
+            effects.Reply: self._reply,
+            effects.WriteLine: self._write_line,
+            effects.Exit: self._exit,
+        }
+
+    def post(self, event: object) -> None:
+        """
+        Reduce an event and carry out its effects, after those that are being reduced already.
+
+        :param event: one of the core's events.
+        """
+        self._pending.append(event)
+        if self._reducing:
+            return
+        self._reducing = True
+        try:
+            while self._pending:
+                self._reduce(self._pending.popleft())
+        finally:
+            self._reducing = False
+
+    def _reduce(self, event: object) -> None:
+        at = Moment(self.clock(), time.time_ns() // 1_000_000)
+        try:
+            produced = reduce(self.node, at, event)
+        except Exception as exc:
+            # What was decided before the fault still has to be carried out.
+            self._write_exception(exc, type(event).__name__)
+            produced, self.node.out = self.node.out, []
+        for effect in produced:
+            try:
+                self._effects[type(effect)](effect)
+            except Exception as exc:
+                self._write_exception(exc, type(effect).__name__)
+
+    def _write_exception(self, exc: BaseException, what: str) -> None:
+        lines = traceback.format_exception(exc)
+        self.write(
+            "instance.exception",
+            what=what,
+            error=type(exc).__name__,
+            message=str(exc),
+            traceback="".join(lines[-TRACEBACK_LINES:]),
+        )
+
+    def _on_call(self, exchange: Exchange) -> None:
+        call = self._ports.to_call(exchange)
+        if call is None:
+            self.front.answer(exchange.token, 405, {}, b"")
+            return
+        self.post(call)
+
+    def _on_abandoned(self, token: int) -> None:
+        self.post(events.CallAbandoned(token))
+
+    def _reply(self, reply: effects.Reply) -> None:
+        status, headers, body = self._ports.encode_reply(reply)
+        _metrics.count(self.metrics, "calls", reply.outcome)
+        self.front.answer(reply.token, status, headers, body)
+
+    def _write_line(self, line: effects.WriteLine) -> None:
+        _metrics.take_line(self.metrics, line)
+        self.write(line.action, **line.fields)
+
+    def _exit(self, _effect: effects.Exit) -> None:
+        self.write("instance.stopped", open_calls=len(self.front.exchanges))
+        os._exit(0)
+
+    def is_ready(self) -> bool:
+        """
+        Tell whether callers should be forwarded here.
+
+        :returns: whether it can take calls.
+        """
+        node = self.node
+        age_s = self.clock() - max(node.operator.ok_s, node.tail.ok_s)
+        is_loaded = node.config is not None and not node.tail.needs_snapshot
+        return is_loaded and not node.is_stopping and age_s < READY_STALE_S
+
+    def _on_ready_asked(self, exchange: Exchange) -> None:
+        status = 200 if self.is_ready() else 503
+        self.ready.answer(exchange.token, status, {}, b"")
+
+    def _on_scrape(self, exchange: Exchange) -> None:
+        body = _metrics.render(self.metrics, self.node)
+        self.scrapes.answer(exchange.token, 200, {"Content-Type": "text/plain"}, body)
+
+    @handler("started", channel="*")
+    def _on_started(self, *_args):
+        signal.signal(signal.SIGHUP, lambda *_: self._reload())
+        identity = self.node.identity
+        self.write(
+            "instance.started",
+            incarnation=identity.incarnation,
+            front=self.front.address,
+            ready=self.ready.address,
+        )
+        self.post(events.Ticked())
+        self.scheduler.repeat(TICK_INTERVAL_S, partial(self.post, events.Ticked()))
+
+    def _reload(self) -> None:
+        self.write("instance.reloaded", **self._ports.reload())
+
+    @handler("signal", channel="*", priority=100)
+    def _on_signal(self, event, signo, _stack):
+        # The handlers of circuits would close the listening sockets and end the process.
+        event.stop()
+        if signo in (signal.SIGTERM, signal.SIGINT):
+            self.front.close_after_answers()
+            self.post(events.StopAsked())
+
+    @handler("exception", channel="*")
+    def _on_exception(self, _type, value, _traceback, handler=None, fevent=None):
+        self._write_exception(value, str(fevent))
+
+
+def _ignore(_token: int) -> None:
+    """
+    A scraper or balancer that has gone needs nothing.
+    """
+
+
+def run_app(app: JobApp) -> None:
+    """
+    Run an instance until it is asked to stop.
+
+    :param app: the instance.
+    """
+    app.run()
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_metrics.py
@@ -0,0 +1,129 @@
+"""
+Counters and latency histograms of an instance, as text that scrapers read.
+"""
+
+from collections import Counter
+from typing import Any
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from eelgrassdrum_core.jobs import Node, effects
+
+from .._metrics import PERCENTILES, UNIT_S, new_histogram
+
+# Names beyond this share one histogram, so that the memory for them is bounded.
+MAX_SERIES = 256
+OTHER = "other"
+PREFIX = "eelgrassdrum"
+
+
+class JobMetrics(msgspec.Struct, eq=False):
+    """
+    What an instance has counted since its start.
+
+    :param counts: by name and label.
+    :param times: histograms by name and label.
+    """
+
+    counts: Counter[tuple[str, str]] = msgspec.field(default_factory=Counter)
+    times: dict[tuple[str, str], HdrHistogram] = {}
+
+
+def observe(metrics: JobMetrics, name: str, label: str, seconds: float) -> None:
+    """
+    Count a time.
+
+    :param metrics: the metrics.
+    :param name: what was timed.
+    :param label: such as a queue.
+    :param seconds: the time.
+    """
+    key = (name, label)
+    if key not in metrics.times:
+        if len(metrics.times) >= MAX_SERIES:
+            key = (name, OTHER)
+        metrics.times.setdefault(key, new_histogram())
+    histogram = metrics.times[key]
+    units = max(1, min(round(seconds / UNIT_S), histogram.highest_trackable_value))
+    histogram.record_value(units)
+
+
+def count(metrics: JobMetrics, name: str, label: str) -> None:
+    """
+    Count an event.
+
+    :param metrics: the metrics.
+    :param name: what happened.
+    :param label: such as an outcome.
+    """
+    key = (name, label)
+    if key not in metrics.counts and len(metrics.counts) >= MAX_SERIES:
+        key = (name, OTHER)
+    metrics.counts[key] += 1
+
+
+def take_line(metrics: JobMetrics, line: effects.WriteLine) -> None:
+    """
+    Count a line of the structured log, with the times that it holds.
+
+    :param metrics: the metrics.
+    :param line: the line.
+    """
+    fields: dict[str, Any] = line.fields
+    label = fields.get("how") or fields.get("reason") or fields.get("state") or ""
+    count(metrics, line.action.replace(".", "_"), str(label))
+    queue = fields.get("queue")
+    if line.action == "job.closed":
+        observe(metrics, "job_age", str(queue), fields["age_s"])
+        observe(metrics, "workspace_job_age", str(fields["workspace"]), fields["age_s"])
+    elif line.action == "job.accepted":
+        observe(metrics, "accept", str(queue), fields["wait_s"])
+    elif line.action == "run.ended" and fields.get("ran_s") is not None:
+        observe(metrics, "run", str(fields.get("how")), fields["ran_s"])
+
+
+def render(metrics: JobMetrics, node: Node) -> bytes:
+    """
+    Give all metrics as text.
+
+    :param metrics: the metrics.
+    :param node: the instance's state, for the gauges.
+    :returns: a line for each value.
+    """
+    lines = [
+        f'{PREFIX}_{name}_total{{label="{_escape(label)}"}} {value}'
+        for (name, label), value in sorted(metrics.counts.items())
+    ]
+    for (name, label), histogram in sorted(metrics.times.items()):
+        text = _escape(label)
+        for percentile in PERCENTILES:
+            value_s = histogram.get_value_at_percentile(percentile) * UNIT_S
+            quantile = f'label="{text}",quantile="{percentile / 100:g}"'
+            lines.append(f"{PREFIX}_{name}_seconds{{{quantile}}} {value_s:.4f}")
+        total = histogram.get_total_count()
+        lines.append(f'{PREFIX}_{name}_seconds_count{{label="{text}"}} {total}')
+    lines += [f"{PREFIX}_{name} {value}" for name, value in _gauges(node).items()]
+    return "\n".join([*lines, ""]).encode()
+
+
+def _gauges(node: Node) -> dict[str, float]:
+    return {
+        "is_owner": int(node.ownership.is_owner),
+        "epoch": node.book.epoch,
+        "config_version": node.config.version if node.config else -1,
+        "log_offset": node.book.offset,
+        "log_caught_up": int(node.tail.is_caught_up),
+        "snapshot_offset": node.snapshot_offset,
+        "jobs": len(node.book.jobs),
+        "jobs_open": len(node.book.open_jobs),
+        "runs": sum(len(runs) for runs in node.book.running.values()),
+        "workers": len(node.workers),
+        "workers_failing": sum(worker.is_failing for worker in node.workers.values()),
+        "intake_waiting": len(node.intake.waiting) + len(node.intake.batch),
+        "journal_waiting": len(node.journal.next.records),
+    }
+
+
+def _escape(label: str) -> str:
+    return label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", " ")
