--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -74,7 +74,7 @@
     :returns: seconds to wait.
     """
     seed = f"{node.identity.producer}/{node.book.epoch}"
-    place = xxhash.xxh64_intdigest(seed) % SPREAD_STEPS
+    place = xxhash.xxh64_intdigest(seed.encode()) % SPREAD_STEPS
     return SPREAD_S * place / SPREAD_STEPS
 
 
