--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_book.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_book.py
@@ -90,6 +90,7 @@
     pool: str
     epoch: int
     at_ms: int
+    is_done: bool = False
 
 
 class Book(msgspec.Struct, eq=False):
@@ -104,7 +105,7 @@
     :param used: what each workspace has running.
     :param early_cancels: cancels that came before the submission of their job.
     :param orders: newest order for each instance.
-    :param maintained: instances ordered down, by wave.
+    :param maintained: instances whose maintenance has begun, by wave.
     """
 
     offset: int = 0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -187,6 +187,14 @@
     book.orders[record.instance] = InstanceOrder(
         record.wave, record.pool, record.epoch, record.at_ms
     )
+
+
+def _instance_done(
+    book: Book, record: _records.InstanceDone, _now_s: float, _wall_ms: int
+) -> None:
+    order = book.orders.get(record.instance)
+    if order is not None and order.wave == record.wave:
+        order.is_done = True
     if record.wave >= 0:
         book.maintained.setdefault(record.wave, set()).add(record.instance)
 
@@ -227,5 +235,6 @@
     _records.Ended: _ended,
     _records.Closed: _closed,
     _records.InstanceOrdered: _instance_ordered,
+    _records.InstanceDone: _instance_done,
     _records.WaveClosed: _wave_closed,
 }
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -199,6 +199,9 @@
     :param in_flight: orders without an answer, by instance.
     :param retry_s: earliest time of another order, by instance.
     :param emptying: instances that take no new work, with the reason.
+    :param wave_of: the wave for which each is emptied.
+    :param down: instances that were ordered down and are not known to be back, since when.
+    :param rows_s: when the list that the rows are from was asked for.
     """
 
     rows: dict[str, InstanceRow] = {}
@@ -207,6 +210,9 @@
     in_flight: dict[str, float] = {}
     retry_s: dict[str, float] = {}
     emptying: dict[str, str] = {}
+    wave_of: dict[str, int] = {}
+    down: dict[str, float] = {}
+    rows_s: float = -1e9
 
 
 class StepAdvice(msgspec.Struct, eq=False):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -95,25 +95,28 @@
     log_line(node, "owner.claim_failed", outcome=event.outcome, detail=event.detail)
 
 
-def on_claimed(node: Node, at: Moment, record: Claimed) -> None:
+def on_claimed(node: Node, at: Moment, record: Claimed) -> bool:
     """
     Take a claim that was read from the log.
 
     :param node: the instance.
     :param at: the time.
     :param record: the claim.
+    :returns: whether this instance has just come to own the log.
     """
     if record.epoch != node.book.epoch:
-        return
+        return False
     ownership = node.ownership
     is_own = (record.instance, record.incarnation) == node.identity[:2]
     if is_own and ownership.is_owner and record.epoch == ownership.epoch:
-        return
+        return False
     if ownership.is_owner:
         step_down(node, at, "claimed_by_another", by=record.instance, epoch=record.epoch)
     # An own claim of a time before a reload is read again, but its epoch is not taken up again.
     if is_own and ownership.is_claiming and record.epoch > ownership.epoch:
         _take_over(node, at, record)
+        return True
+    return False
 
 
 def _take_over(node: Node, at: Moment, record: Claimed) -> None:
@@ -131,6 +134,8 @@
     node.advice = {}
     node.tail.next_read_s = 0.0
     node.plan_due = True
+    for state in node.waves.values():
+        state.published = ""
     log_line(
         node,
         "owner.began",
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -286,7 +286,7 @@
 ) -> Site | None:
     step = item.state.step
     avoid = node.avoid.get(task.key, ())
-    counts = _seat_counts(item.state) if step.max_per_worker else None
+    counts = seat_counts(item.state) if step.max_per_worker else None
     best: Site | None = None
     best_score: tuple[float, ...] = ()
     for site in sites:
@@ -323,7 +323,13 @@
     return [site.worker.id for site in fitting]
 
 
-def _seat_counts(state: StepState) -> Counter[str]:
+def seat_counts(state: StepState) -> Counter[str]:
+    """
+    Count the running tasks of a step by worker.
+
+    :param state: the step.
+    :returns: the counts.
+    """
     return Counter(task.worker for task in state.tasks if task.status == _book.RUNNING)
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
@@ -129,6 +129,16 @@
     at_ms: int
 
 
+class InstanceDone(_Record, tag="d"):
+    """
+    The machine service has accepted an order for an instance.
+    """
+
+    epoch: int
+    instance: str
+    wave: int
+
+
 class WaveClosed(_Record, tag="w"):
     """
     Every instance of a maintenance wave has been maintained.
@@ -148,9 +158,10 @@
     | Ended
     | Closed
     | InstanceOrdered
+    | InstanceDone
     | WaveClosed
 )
-OWNER_RECORDS = (Released, Beat, Started, Ended, Closed, InstanceOrdered, WaveClosed)
+OWNER_RECORDS = (Released, Beat, Started, Ended, Closed, InstanceOrdered, InstanceDone, WaveClosed)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Record)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -19,6 +19,7 @@
     _snapshot,
     _stopping,
     _tail,
+    _waves,
     _workers,
 )
 from ._node import Moment, Node
@@ -63,6 +64,7 @@
     if node.ownership.is_owner:
         _workers.read_registry(node, at)
         _workers.expire_leases(node, at)
+        _waves.advance(node, at)
         _snapshot.consider(node, at)
         node.plan_due = True
     if at.now_s - node.forget_s >= FORGET_INTERVAL_S:
@@ -89,10 +91,14 @@
     if node.journal.in_flight is None and in_flight is not None:
         _workers.wake_acknowledged(node, at, list(in_flight.acks))
         # Orders whose records now stand in the log are checked once more before they go out.
-        orders = [item for item in node.out if isinstance(item, effects.StartTask)]
-        node.out = [item for item in node.out if not isinstance(item, effects.StartTask)]
-        for order in orders:
-            _orders.send(node, at, order)
+        produced, node.out = node.out, []
+        for effect in produced:
+            if isinstance(effect, effects.StartTask):
+                _orders.send(node, at, effect)
+            elif isinstance(effect, effects.OrderInstance):
+                _waves.send_order(node, at, effect)
+            else:
+                node.out.append(effect)
 
 
 def _abandoned(node: Node, _at: Moment, event: events.CallAbandoned) -> None:
@@ -119,4 +125,7 @@
     events.StartAnswered: _orders.on_answered,
     events.StopAnswered: _workers.on_stopped,
     events.AdviceAnswered: _advice.on_answered,
+    events.InstancesListed: _waves.on_listed,
+    events.InstanceOrderAnswered: _waves.on_ordered,
+    events.WaveStatusAnswered: _waves.on_published,
 }
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -2,7 +2,7 @@
 Reads the log and keeps the book.
 """
 
-from . import _book, effects, events, _fold, _intake, _ownership, _snapshot
+from . import _book, effects, events, _fold, _intake, _ownership, _snapshot, _waves
 from .model import NO_ROOM
 from ._node import Moment, Node, Tail, emit, log_line
 from ._records import OWNER_RECORDS, Cancelled, Claimed, Submitted, decode_record
@@ -145,7 +145,8 @@
     if isinstance(record, Claimed):
         _fold.apply(node.book, record, at.now_s, at.wall_ms)
         node.tail.owner_s = at.now_s
-        _ownership.on_claimed(node, at, record)
+        if _ownership.on_claimed(node, at, record):
+            _waves.take_over(node, at)
         return
     if isinstance(record, OWNER_RECORDS):
         _fold_owner_record(node, at, record)
