--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -131,6 +131,7 @@
     What the owner knows of a worker.
 
     :param is_listed: whether the registry has an entry of it.
+    :param is_over: whether its life is known to have ended, whatever its entry says.
     :param is_held: whether it has accepted this owner's token.
     :param clock_ms: its clock at `clock_at_s`.
     :param granted_ms: latest end of a lease that it was given.
@@ -147,6 +148,7 @@
 
     entry: WorkerEntry
     is_listed: bool = True
+    is_over: bool = False
     is_held: bool = False
     is_failing: bool = False
     failing_since_s: float = 0.0
@@ -200,6 +202,7 @@
     :param retry_s: earliest time of another order, by instance.
     :param emptying: instances that take no new work, with the reason.
     :param wave_of: the wave for which each is emptied.
+    :param pool_of: the pool to which each is moved.
     :param down: instances that were ordered down and are not known to be back, since when.
     :param rows_s: when the list that the rows are from was asked for.
     """
@@ -211,6 +214,7 @@
     retry_s: dict[str, float] = {}
     emptying: dict[str, str] = {}
     wave_of: dict[str, int] = {}
+    pool_of: dict[str, str] = {}
     down: dict[str, float] = {}
     rows_s: float = -1e9
 
@@ -298,6 +302,8 @@
     waves: dict[int, WaveState] = {}
     fleet: Fleet = msgspec.field(default_factory=Fleet)
     advice: dict[tuple[str, int, int], StepAdvice] = {}
+    pools: dict[str, Any] = {}
+    pools_s: float = 0.0
     avoid: dict[TaskKey, set[str]] = {}
     is_stopping: bool = False
     stop_asked_s: float = 0.0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -303,7 +303,8 @@
             float(worker.id not in avoid),
             float(not is_suspect(worker)),
             float(not step.data_rack or step.data_rack == worker.entry.rack),
-            float(site.free[0].millicores),
+            # Packed, so that instances become empty and can be maintained or moved.
+            -float(site.free[0].millicores),
         )
         if best is None or score > best_score:
             best, best_score = site, score
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -0,0 +1,284 @@
+"""
+Moves instances between pools, so that each pool has what its queues need and no more.
+
+The pattern that this answers is demand that turns: each queue is nearly idle for most of the time
+and then asks for several times its mean for some seconds. Instances that are not needed wait in the
+standby pool, where they cost nothing, and come to the pool whose turn it is.
+"""
+
+import math
+from collections import defaultdict
+from typing import NamedTuple
+
+import msgspec
+
+from . import _book, _planner
+from ._book import occurrence_of
+from ._node import Moment, Node, Worker, log_line
+from ._waves import MOVE, UP
+from .model import Room, Step
+
+# Arrivals are averaged over this long; a turn of demand rises within some seconds.
+RATE_WINDOW_S = 1.0
+# Work that arrives is met with this much more, since demand that rises goes on rising while an
+# instance moves.
+GROWTH = 1.3
+# Work that waits is met as if it were to be worked off at once; of later steps, this part.
+LATER_PART = 0.5
+# Empty instances that each pool keeps beyond its need, for the first work of a turn, which comes
+# before more instances can.
+RESERVE = 2
+# A pool has to be too large for this long before it gives an instance away: as long as an idle
+# instance costs as much as the two moves of its return.
+SURPLUS_S = 2.0
+# Pools are looked at this often.
+INTERVAL_S = 0.1
+
+
+class Demand(NamedTuple):
+    """
+    What the queues of a pool need.
+
+    :param lasting: instances that hold tasks that last.
+    :param millicores: for work that runs, waits or is about to come.
+    """
+
+    lasting: int
+    millicores: float
+
+
+class PoolState(msgspec.Struct, eq=False):
+    """
+    A pool over time.
+
+    :param rate: work that arrives, in millicores.
+    :param surplus_since_s: since when the pool has been too large, or ``None``.
+    :param wanted: instances that it should have.
+    """
+
+    rate: float = 0.0
+    rate_s: float = 0.0
+    surplus_since_s: float | None = None
+    wanted: int = 0
+
+
+def note_arrival(node: Node, at: Moment, service: str, core_ms: float) -> None:
+    """
+    Count work that was handed in.
+
+    :param node: the instance.
+    :param at: the time.
+    :param service: the pool that it is for.
+    :param core_ms: thousandths of cores times milliseconds, by the job's own estimate.
+    """
+    state = node.pools.setdefault(service, PoolState(rate_s=at.now_s))
+    _decay(state, at.now_s)
+    state.rate += core_ms / (RATE_WINDOW_S * 1000)
+
+
+def _decay(state: PoolState, now_s: float) -> None:
+    state.rate *= math.exp(-max(0.0, now_s - state.rate_s) / RATE_WINDOW_S)
+    state.rate_s = now_s
+
+
+def work_of(steps: tuple[Step, ...]) -> float:
+    """
+    Give the work of a job by its own estimate.
+
+    :param steps: its steps.
+    :returns: millicores times milliseconds.
+    """
+    return sum(
+        step.count * step.need[0] * step.estimate_ms for step in steps if not step.lasts
+    )
+
+
+def advance(node: Node, at: Moment) -> None:
+    """
+    Decide which instances move.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    """
+    if at.now_s < node.pools_s or node.config is None or not node.fleet.rows:
+        return
+    node.pools_s = at.now_s + INTERVAL_S
+    standby = next((s.name for s in node.config.services.values() if s.is_standby), None)
+    if standby is None or not _is_settled(node, at):
+        return
+    demands = _demands(node)
+    members = _members(node)
+    coming = _coming(node)
+    sizes: dict[str, int] = {}
+    for name, service in node.config.services.items():
+        if service.is_standby:
+            continue
+        state = node.pools.setdefault(name, PoolState(rate_s=at.now_s))
+        _decay(state, at.now_s)
+        state.wanted = _wanted(node, members[name], demands[name], state)
+        sizes[name] = len(members[name]) + coming[name]
+    for name in sorted(sizes, key=lambda pool: sizes[pool] - node.pools[pool].wanted):
+        short = node.pools[name].wanted - sizes[name]
+        for _ in range(max(0, short)):
+            if not _bring(node, at, name, standby, sizes):
+                break
+    _release(node, at, standby, sizes, members)
+
+
+def _is_settled(node: Node, at: Moment) -> bool:
+    is_held = all(worker.is_held for worker in node.workers.values() if worker.is_listed)
+    is_listed = node.fleet.rows_s > node.ownership.claimed_s
+    return is_held and is_listed and bool(node.workers)
+
+
+def _demands(node: Node) -> dict[str, Demand]:
+    lasting: dict[str, set[str]] = defaultdict(set)
+    millicores: dict[str, float] = defaultdict(float)
+    for worker_id, runs in node.book.running.items():
+        worker = node.workers.get(worker_id)
+        if worker is None:
+            continue
+        service = worker.entry.service
+        millicores[service] += node.book.load.get(worker_id, Room()).millicores
+        for key in runs:
+            if node.book.jobs[key.job].spec.steps[key.step].lasts:
+                lasting[service].add(worker_id)
+    for job in node.book.open_jobs.values():
+        queue = _planner.queue_of(node, job)
+        if queue is not None:
+            millicores[queue.service] += _waiting(job)
+    return defaultdict(
+        lambda: Demand(0, 0.0),
+        {
+            service: Demand(len(lasting[service]), millicores[service])
+            for service in {*lasting, *millicores}
+        },
+    )
+
+
+def _waiting(job: _book.Job) -> float:
+    millicores = 0.0
+    for number in job.occurrences or (0,):
+        for index, state in enumerate(occurrence_of(job, number)):
+            if not state.waiting:
+                continue
+            part = 1.0 if _book.is_released(job, number, index) else LATER_PART
+            millicores += part * state.waiting * state.step.room.millicores
+    return millicores
+
+
+def _members(node: Node) -> dict[str, list[Worker]]:
+    members: dict[str, list[Worker]] = defaultdict(list)
+    for worker in node.workers.values():
+        is_leaving = worker.entry.is_draining or not worker.is_listed
+        if not is_leaving and worker.entry.instance not in node.fleet.emptying:
+            members[worker.entry.service].append(worker)
+    return members
+
+
+def _coming(node: Node) -> dict[str, int]:
+    coming: dict[str, int] = defaultdict(int)
+    for instance, pool in node.fleet.pool_of.items():
+        if instance in node.fleet.emptying or instance in node.fleet.down:
+            coming[pool] += 1
+    return coming
+
+
+def _wanted(node: Node, members: list[Worker], demand: Demand, state: PoolState) -> int:
+    sizes = [worker.entry.capacity.millicores for worker in members]
+    if not sizes:
+        sizes = [row.capacity.millicores for row in node.fleet.rows.values()] or [1]
+    size = sum(sizes) / len(sizes)
+    need = max(demand.millicores, state.rate * GROWTH)
+    return math.ceil(need / size) + RESERVE
+
+
+def _bring(node: Node, at: Moment, pool: str, standby: str, sizes: dict[str, int]) -> bool:
+    instance = _standby_instance(node, standby) or _surplus_instance(node, pool, sizes)
+    if instance is None:
+        return False
+    _move(node, at, instance, pool)
+    sizes[pool] += 1
+    return True
+
+
+def _standby_instance(node: Node, standby: str) -> str | None:
+    for row in node.fleet.rows.values():
+        if row.pool == standby and row.state == UP and _is_free(node, row.instance):
+            return row.instance
+    return None
+
+
+def _is_free(node: Node, instance: str) -> bool:
+    fleet = node.fleet
+    is_taken = instance in fleet.emptying or instance in fleet.down
+    return not is_taken and instance not in fleet.in_flight
+
+
+def _surplus_instance(node: Node, pool: str, sizes: dict[str, int]) -> str | None:
+    """
+    Give an empty instance of the pool that can best do without it.
+    """
+    best = max(
+        (name for name in sizes if name != pool),
+        key=lambda name: sizes[name] - node.pools[name].wanted,
+        default=None,
+    )
+    if best is None or sizes[best] - node.pools[best].wanted < 1:
+        return None
+    instance = _empty_instance(node, best)
+    if instance is not None:
+        sizes[best] -= 1
+    return instance
+
+
+def _empty_instance(node: Node, pool: str) -> str | None:
+    for worker in node.workers.values():
+        if worker.entry.service != pool or not worker.is_listed or not worker.is_held:
+            continue
+        if worker.is_failing or worker.entry.is_draining or _planner.is_busy(node, worker):
+            continue
+        row = node.fleet.rows.get(worker.entry.instance)
+        is_up = row is not None and row.state == UP and row.pool == pool
+        if is_up and _is_free(node, worker.entry.instance):
+            return worker.entry.instance
+    return None
+
+
+def _release(
+    node: Node,
+    at: Moment,
+    standby: str,
+    sizes: dict[str, int],
+    members: dict[str, list[Worker]],
+) -> None:
+    for name in sizes:
+        state = node.pools[name]
+        if sizes[name] <= state.wanted:
+            state.surplus_since_s = None
+            continue
+        if state.surplus_since_s is None:
+            state.surplus_since_s = at.now_s
+        if at.now_s - state.surplus_since_s < SURPLUS_S:
+            continue
+        for _ in range(sizes[name] - state.wanted):
+            instance = _empty_instance(node, name)
+            if instance is None:
+                break
+            sizes[name] -= 1
+            _move(node, at, instance, standby)
+
+
+def _move(node: Node, at: Moment, instance: str, pool: str) -> None:
+    row = node.fleet.rows[instance]
+    node.fleet.emptying[instance] = MOVE
+    node.fleet.pool_of[instance] = pool
+    log_line(
+        node,
+        "pool.move",
+        instance=instance,
+        former=row.pool,
+        pool=pool,
+        wanted={name: state.wanted for name, state in node.pools.items()},
+        rate={name: round(state.rate) for name, state in node.pools.items()},
+    )
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -16,6 +16,7 @@
     _orders,
     _ownership,
     _planner,
+    _pools,
     _snapshot,
     _stopping,
     _tail,
@@ -65,6 +66,7 @@
         _workers.read_registry(node, at)
         _workers.expire_leases(node, at)
         _waves.advance(node, at)
+        _pools.advance(node, at)
         _snapshot.consider(node, at)
         node.plan_due = True
     if at.now_s - node.forget_s >= FORGET_INTERVAL_S:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waves.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waves.py
@@ -14,6 +14,7 @@
 from .model import InstanceRow, Room
 
 MAINTENANCE = "maintenance"
+MOVE = "move"
 # The list of instances is read this often while orders are out, and otherwise.
 BUSY_LIST_S = 0.5
 IDLE_LIST_S = 3.0
@@ -83,6 +84,7 @@
         if row is None or (row.state == UP and event.sent_s > since_s):
             del fleet.down[instance]
             fleet.emptying.pop(instance, None)
+            fleet.pool_of.pop(instance, None)
             log_line(node, "instance.back", instance=instance, is_listed=row is not None)
     _lose_runs_of_stopped(node, at)
     node.plan_due = True
@@ -221,17 +223,21 @@
             if _planner.is_busy(node, worker):
                 continue
         is_time = at.now_s >= node.fleet.retry_s.get(instance, 0.0)
-        if may_order and is_time and reason == MAINTENANCE:
-            _order_upkeep(node, at, instance)
+        if may_order and is_time:
+            _order(node, at, instance, reason)
 
 
-def _order_upkeep(node: Node, at: Moment, instance: str) -> None:
-    wave = node.fleet.wave_of[instance]
+def _order(node: Node, at: Moment, instance: str, reason: str) -> None:
+    wave, pool = -1, ""
+    if reason == MAINTENANCE:
+        wave = node.fleet.wave_of[instance]
+    else:
+        pool = node.fleet.pool_of[instance]
     node.fleet.in_flight[instance] = at.now_s
     epoch = node.ownership.epoch
-    write(node, at, InstanceOrdered(epoch, instance, wave, "", at.wall_ms))
-    follow_with(node, effects.OrderInstance(instance, wave, "", epoch))
-    log_line(node, "instance.order", instance=instance, wave=wave, epoch=epoch)
+    write(node, at, InstanceOrdered(epoch, instance, wave, pool, at.wall_ms))
+    follow_with(node, effects.OrderInstance(instance, wave, pool, epoch))
+    log_line(node, "instance.order", instance=instance, wave=wave, pool=pool, epoch=epoch)
 
 
 def is_order_allowed(node: Node, at: Moment) -> bool:
@@ -283,16 +289,19 @@
         return
     if event.outcome == events.OK:
         fleet.down[event.instance] = at.now_s
-        if event.wave >= 0:
-            write(node, at, InstanceDone(node.ownership.epoch, event.instance, event.wave))
+        for worker in node.workers.values():
+            if worker.entry.instance == event.instance:
+                _workers.end_life(node, at, worker, "instance_ordered_down")
+        write(node, at, InstanceDone(node.ownership.epoch, event.instance, event.wave))
         return
     if event.outcome == events.UNKNOWN:
         # It may be down already; the next try is answered as done if it was.
         fleet.retry_s[event.instance] = at.now_s + ORDER_RETRY_S
         return
     fleet.retry_s[event.instance] = at.now_s + ORDER_RETRY_S
-    if event.reason == "wave":
+    if event.reason == "wave" or event.wave < 0:
         fleet.emptying.pop(event.instance, None)
+        fleet.pool_of.pop(event.instance, None)
 
 
 def move_lasting(node: Node, at: Moment, worker: Worker) -> None:
@@ -382,10 +391,14 @@
     :param at: the time.
     """
     for instance, order in node.book.orders.items():
-        if order.is_done or order.wave < 0:
+        if order.is_done:
             continue
-        node.fleet.emptying[instance] = MAINTENANCE
-        node.fleet.wave_of[instance] = order.wave
+        if order.wave >= 0:
+            node.fleet.emptying[instance] = MAINTENANCE
+            node.fleet.wave_of[instance] = order.wave
+        else:
+            node.fleet.emptying[instance] = MOVE
+            node.fleet.pool_of[instance] = order.pool
     # Any instance that was ordered a moment ago may be down still.
     for instance, order in node.book.orders.items():
         recent_s = (at.wall_ms - order.at_ms) / 1000
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -96,6 +96,8 @@
         if entry.incarnation < worker.entry.incarnation:
             return
         _restarted(node, at, worker, entry.incarnation)
+    if worker.is_over:
+        return
     if entry.is_draining and not worker.entry.is_draining:
         log_line(node, "worker.draining", worker=entry.id, remaining_ms=entry.remaining_ms)
     if not worker.is_listed:
@@ -111,6 +113,20 @@
         log_line(node, "worker.unlisted", worker=worker_id, runs=len(runs_on(node, worker_id)))
 
 
+def end_life(node: Node, at: Moment, worker: Worker, reason: str) -> None:
+    """
+    Take note that a worker is gone, before its entry in the registry lapses.
+
+    :param node: the instance.
+    :param at: the time.
+    :param worker: the worker.
+    :param reason: why, for the log.
+    """
+    worker.is_over = True
+    worker.is_listed = False
+    lose_all(node, at, worker, reason)
+
+
 def _restarted(node: Node, at: Moment, worker: Worker, incarnation: int) -> None:
     log_line(
         node,
@@ -121,7 +137,7 @@
     )
     lose_all(node, at, worker, "worker_restarted")
     worker.entry = worker.entry._replace(incarnation=incarnation)
-    worker.is_held = False
+    worker.is_held = worker.is_over = False
     worker.clock_ms = worker.granted_ms = worker.handled = worker.acked = 0
     worker.next_hold_s = 0.0
     worker.strays.clear()
@@ -403,8 +419,7 @@
         )
     if event.reason == "other_worker":
         # Its address belongs to another worker now, so it is gone.
-        worker.is_listed = False
-        lose_all(node, at, worker, "address_reused")
+        end_life(node, at, worker, "address_reused")
 
 
 def expire_leases(node: Node, at: Moment) -> None:
