--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -132,6 +132,8 @@
 
     :param is_listed: whether the registry has an entry of it.
     :param is_over: whether its life is known to have ended, whatever its entry says.
+    :param outbox: orders to start tasks that wait for others to be answered.
+    :param outstanding: orders to start tasks without an answer.
     :param is_held: whether it has accepted this owner's token.
     :param clock_ms: its clock at `clock_at_s`.
     :param granted_ms: latest end of a lease that it was given.
@@ -149,6 +151,8 @@
     entry: WorkerEntry
     is_listed: bool = True
     is_over: bool = False
+    outbox: deque[Any] = msgspec.field(default_factory=deque)
+    outstanding: int = 0
     is_held: bool = False
     is_failing: bool = False
     failing_since_s: float = 0.0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -13,6 +13,8 @@
 ORDER_VALID_S = 2.5
 # An order without an answer is sent again this often before its lists have to tell.
 MAX_TRIES = 2
+# Orders to one worker that may be without an answer: each takes a connection.
+MAX_OUTSTANDING = 2
 # A worker that refused a start gets no other one for this long.
 REFUSED_PAUSE_S = 0.5
 UNSENT = "unsent"
@@ -78,6 +80,10 @@
     if not is_open or not worker.is_held or worker.is_failing or worker.entry.is_draining:
         end_run(node, at, worker, task, UNSENT)
         return
+    if worker.outstanding >= MAX_OUTSTANDING:
+        worker.outbox.append(effect)
+        return
+    worker.outstanding += 1
     order.sent_s = at.now_s
     order.tries += 1
     order.lease_ms = _workers.clock_ms(worker, at.now_s + ORDER_VALID_S)
@@ -96,8 +102,17 @@
     :param event: the outcome.
     """
     worker = node.workers.get(event.worker)
+    if worker is None:
+        return
+    worker.outstanding -= 1
+    _take_answer(node, at, worker, event)
+    while worker.outbox and worker.outstanding < MAX_OUTSTANDING:
+        send(node, at, worker.outbox.popleft())
+
+
+def _take_answer(node: Node, at: Moment, worker: Worker, event: events.StartAnswered) -> None:
     task = runs_on(node, event.worker).get(event.key)
-    if worker is None or task is None or task.run != event.run:
+    if task is None or task.run != event.run:
         return
     order = worker.orders.get(event.key)
     if order is None or order.run != event.run or order.answered_s:
@@ -135,6 +150,7 @@
     if order.tries >= MAX_TRIES or is_void:
         return
     order.tries += 1
+    worker.outstanding += 1
     job = node.book.jobs[task.key.job]
     emit(
         node,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -14,15 +14,10 @@
 
 from . import _book, _planner
 from ._book import occurrence_of
-from ._node import Moment, Node, Worker, log_line
+from ._node import Moment, Node, log_line
 from ._waves import MOVE, UP
-from .model import Room, Step
+from .model import Room
 
-# Arrivals are averaged over this long; a turn of demand rises within some seconds.
-RATE_WINDOW_S = 1.0
-# Work that arrives is met with this much more, since demand that rises goes on rising while an
-# instance moves.
-GROWTH = 1.3
 # Work that waits is met as if it were to be worked off at once; of later steps, this part.
 LATER_PART = 0.5
 # Empty instances that each pool keeps beyond its need, for the first work of a turn, which comes
@@ -31,6 +26,7 @@
 # A pool has to be too large for this long before it gives an instance away: as long as an idle
 # instance costs as much as the two moves of its return.
 SURPLUS_S = 2.0
+MOVING = "moving"
 # Pools are looked at this often.
 INTERVAL_S = 0.1
 
@@ -51,48 +47,14 @@
     """
     A pool over time.
 
-    :param rate: work that arrives, in millicores.
     :param surplus_since_s: since when the pool has been too large, or ``None``.
     :param wanted: instances that it should have.
     """
 
-    rate: float = 0.0
-    rate_s: float = 0.0
     surplus_since_s: float | None = None
     wanted: int = 0
 
 
-def note_arrival(node: Node, at: Moment, service: str, core_ms: float) -> None:
-    """
-    Count work that was handed in.
-
-    :param node: the instance.
-    :param at: the time.
-    :param service: the pool that it is for.
-    :param core_ms: thousandths of cores times milliseconds, by the job's own estimate.
-    """
-    state = node.pools.setdefault(service, PoolState(rate_s=at.now_s))
-    _decay(state, at.now_s)
-    state.rate += core_ms / (RATE_WINDOW_S * 1000)
-
-
-def _decay(state: PoolState, now_s: float) -> None:
-    state.rate *= math.exp(-max(0.0, now_s - state.rate_s) / RATE_WINDOW_S)
-    state.rate_s = now_s
-
-
-def work_of(steps: tuple[Step, ...]) -> float:
-    """
-    Give the work of a job by its own estimate.
-
-    :param steps: its steps.
-    :returns: millicores times milliseconds.
-    """
-    return sum(
-        step.count * step.need[0] * step.estimate_ms for step in steps if not step.lasts
-    )
-
-
 def advance(node: Node, at: Moment) -> None:
     """
     Decide which instances move.
@@ -108,21 +70,19 @@
         return
     demands = _demands(node)
     members = _members(node)
-    coming = _coming(node)
     sizes: dict[str, int] = {}
     for name, service in node.config.services.items():
         if service.is_standby:
             continue
-        state = node.pools.setdefault(name, PoolState(rate_s=at.now_s))
-        _decay(state, at.now_s)
-        state.wanted = _wanted(node, members[name], demands[name], state)
-        sizes[name] = len(members[name]) + coming[name]
+        state = node.pools.setdefault(name, PoolState())
+        state.wanted = _wanted(node, demands[name])
+        sizes[name] = members[name]
     for name in sorted(sizes, key=lambda pool: sizes[pool] - node.pools[pool].wanted):
         short = node.pools[name].wanted - sizes[name]
         for _ in range(max(0, short)):
             if not _bring(node, at, name, standby, sizes):
                 break
-    _release(node, at, standby, sizes, members)
+    _release(node, at, standby, sizes)
 
 
 def _is_settled(node: Node, at: Moment) -> bool:
@@ -167,30 +127,26 @@
     return millicores
 
 
-def _members(node: Node) -> dict[str, list[Worker]]:
-    members: dict[str, list[Worker]] = defaultdict(list)
-    for worker in node.workers.values():
-        is_leaving = worker.entry.is_draining or not worker.is_listed
-        if not is_leaving and worker.entry.instance not in node.fleet.emptying:
-            members[worker.entry.service].append(worker)
+def _members(node: Node) -> dict[str, int]:
+    """
+    Count the instances of each pool, with those that are on their way there.
+    """
+    fleet = node.fleet
+    members: dict[str, int] = defaultdict(int)
+    for row in fleet.rows.values():
+        if row.instance in fleet.pool_of:
+            members[fleet.pool_of[row.instance]] += 1
+        elif row.state in (UP, MOVING) and row.instance not in fleet.emptying:
+            worker = node.workers.get(row.worker)
+            if worker is None or not worker.entry.is_draining:
+                members[row.pool] += 1
     return members
 
 
-def _coming(node: Node) -> dict[str, int]:
-    coming: dict[str, int] = defaultdict(int)
-    for instance, pool in node.fleet.pool_of.items():
-        if instance in node.fleet.emptying or instance in node.fleet.down:
-            coming[pool] += 1
-    return coming
-
-
-def _wanted(node: Node, members: list[Worker], demand: Demand, state: PoolState) -> int:
-    sizes = [worker.entry.capacity.millicores for worker in members]
-    if not sizes:
-        sizes = [row.capacity.millicores for row in node.fleet.rows.values()] or [1]
+def _wanted(node: Node, demand: Demand) -> int:
+    sizes = [row.capacity.millicores for row in node.fleet.rows.values()]
     size = sum(sizes) / len(sizes)
-    need = max(demand.millicores, state.rate * GROWTH)
-    return math.ceil(need / size) + RESERVE
+    return math.ceil(demand.millicores / size) + RESERVE
 
 
 def _bring(node: Node, at: Moment, pool: str, standby: str, sizes: dict[str, int]) -> bool:
@@ -250,7 +206,6 @@
     at: Moment,
     standby: str,
     sizes: dict[str, int],
-    members: dict[str, list[Worker]],
 ) -> None:
     for name in sizes:
         state = node.pools[name]
@@ -280,5 +235,4 @@
         former=row.pool,
         pool=pool,
         wanted={name: state.wanted for name, state in node.pools.items()},
-        rate={name: round(state.rate) for name, state in node.pools.items()},
     )
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -2,7 +2,7 @@
 Reads the log and keeps the book.
 """
 
-from . import _book, effects, events, _fold, _intake, _ownership, _pools, _snapshot, _waves
+from . import _book, effects, events, _fold, _intake, _ownership, _snapshot, _waves
 from .model import NO_ROOM
 from ._node import Moment, Node, Tail, emit, log_line
 from ._records import OWNER_RECORDS, Cancelled, Claimed, Submitted, decode_record
@@ -153,7 +153,6 @@
         return
     _fold.apply(node.book, record, at.now_s, at.wall_ms)
     if isinstance(record, Submitted):
-        _pools.note_arrival(node, at, record.service, _pools.work_of(record.spec.steps))
         node.intake.accepted.pop(record.job, None)
     elif isinstance(record, Cancelled):
         _intake.answer_cancels(node, record.job)
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
@@ -30,7 +30,7 @@
 STORE_CONNS = 8
 # Connections to one worker: one that waits for ends, and the orders.
 WORKER_CONNS = 8
-CONTROL_CONNS = 4
+CONTROL_CONNS = 24
 MAX_CALLER_BODY_BYTES = 256 * 1024
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 READ_TIMEOUT_S = 10.0
