Let a new owner order instances that no former owner has touched lately

Cause: each change of owner stopped all moves for 3.5 s; the wait is owed only by instances with a recent order of a former owner.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_book.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_book.py
@@ -84,12 +84,15 @@
 class InstanceOrder(msgspec.Struct, eq=False):
     """
     The newest order for an instance.
+
+    :param seen_s: when this instance read the order, by its own clock.
     """
 
     wave: int
     pool: str
     epoch: int
     at_ms: int
+    seen_s: float = 0.0
     is_done: bool = False
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -182,10 +182,10 @@
 
 
 def _instance_ordered(
-    book: Book, record: _records.InstanceOrdered, _now_s: float, _wall_ms: int
+    book: Book, record: _records.InstanceOrdered, now_s: float, _wall_ms: int
 ) -> None:
     book.orders[record.instance] = InstanceOrder(
-        record.wave, record.pool, record.epoch, record.at_ms
+        record.wave, record.pool, record.epoch, record.at_ms, now_s
     )
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -14,8 +14,8 @@
 from ._records import Claimed, Released, encode_records
 
 CHANNEL = "claim"
-# Silence of the owner after which its log is claimed: five of its beats.
-SILENCE_S = 1.5
+# Silence of the owner after which its log is claimed: three of its beats and a slow answer.
+SILENCE_S = 1.0
 # Spread of the claims of several instances, so that the first is seen by the others.
 SPREAD_S = 0.4
 SPREAD_STEPS = 16
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -100,7 +100,10 @@
         epoch=snapshot.epoch,
         owner=snapshot.owner,
         early_cancels=snapshot.early_cancels,
-        orders=snapshot.orders,
+        orders={
+            name: msgspec.structs.replace(order, seen_s=now_s)
+            for name, order in snapshot.orders.items()
+        },
         maintained={wave: set(names) for wave, names in snapshot.maintained.items()},
         closed_waves=set(snapshot.closed_waves),
     )
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waves.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waves.py
@@ -210,9 +210,6 @@
 
 
 def _empty_instances(node: Node, at: Moment) -> None:
-    may_order = (
-        at.now_s - node.ownership.claimed_s > node.bounds.order_lease_s + ORDER_MARGIN_S
-    )
     workers = {worker.entry.instance: worker for worker in node.workers.values()}
     for instance, reason in list(node.fleet.emptying.items()):
         if instance in node.fleet.down or instance in node.fleet.in_flight:
@@ -223,10 +220,22 @@
             if _planner.is_busy(node, worker):
                 continue
         is_time = at.now_s >= node.fleet.retry_s.get(instance, 0.0)
-        if may_order and is_time:
+        if is_time and _is_free_of_former(node, at, instance):
             _order(node, at, instance, reason)
 
 
+def _is_free_of_former(node: Node, at: Moment, instance: str) -> bool:
+    """
+    Tell whether no former owner has given the instance an order lately, or still may.
+    """
+    order = node.book.orders.get(instance)
+    if order is None or order.epoch == node.ownership.epoch:
+        return True
+    # An order that is not known to be done may have been sent until this owner's claim.
+    since_s = order.seen_s if order.is_done else max(order.seen_s, node.ownership.claimed_s)
+    return at.now_s - since_s > node.bounds.order_lease_s + ORDER_MARGIN_S
+
+
 def _order(node: Node, at: Moment, instance: str, reason: str) -> None:
     wave, pool = -1, ""
     if reason == MAINTENANCE:
