Claim the log without a condition on its end

The epoch alone lets one claim in. A worker's newer token ends an ownership too: a fenced owner went on calling workers for 6 s.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
@@ -127,7 +127,7 @@
     if event.outcome == events.OK:
         _commit(node)
         return True
-    if event.outcome in (events.FENCED, events.MOVED):
+    if event.outcome == events.FENCED:
         return False
     log_line(
         node,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -2,8 +2,8 @@
 Decides which instance owns the log, and with it all decisions about tasks and instances.
 
 An owner that is silent for a while loses the log to the first instance whose claim is appended. The
-claim is conditional on the end of the log, so the new owner has read all that came before it, and
-its epoch keeps the former owner from appending anything after it.
+store lets only one claim of an epoch in, and refuses appends of an older epoch from then on. A
+claimant takes over when it reads its own claim, so it has read all that came before it.
 """
 
 import xxhash
@@ -60,10 +60,7 @@
         offset=node.book.offset,
     )
     data = tuple(encode_records([record]))
-    emit(
-        node,
-        effects.Append(CHANNEL, _journal.PRODUCER, epoch, 1, data, at=node.book.offset),
-    )
+    emit(node, effects.Append(CHANNEL, _journal.PRODUCER, epoch, 1, data))
 
 
 def spread_s(node: Node) -> float:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -19,6 +19,8 @@
 IDLE_HOLD_S = 20.0
 # While the log takes no ends, the lease is renewed this often.
 STALLED_HOLD_S = 0.8
+# A worker's reason for refusing an older token.
+FENCE = "fence"
 # A worker that did not answer is asked again after this.
 RETRY_S = 0.25
 # How often entries of workers are read; a draining worker gets no work well before it leaves.
@@ -293,6 +295,8 @@
         and task.worker == worker.id
     )
     if not is_current:
+        if task is not None and (task.status == _book.DONE or task.run > end.run):
+            return
         log_line(
             node,
             "run.late_end",
@@ -417,6 +421,10 @@
             reason=event.reason,
             runs=len(runs_on(node, worker.id)),
         )
+    if event.reason == FENCE:
+        # The worker has taken the token of a newer owner.
+        _ownership.step_down(node, at, "worker_has_newer_token", worker=worker.id)
+        return
     if event.reason == "other_worker":
         # Its address belongs to another worker now, so it is gone.
         end_life(node, at, worker, "address_reused")
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/effects.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/effects.py
@@ -76,7 +76,6 @@
 
     :param channel: whose append it is; named in the outcome.
     :param producer: together with epoch and number makes a repeat harmless.
-    :param at: offset at which the log must end, or ``None``.
     """
 
     channel: str
@@ -84,7 +83,6 @@
     epoch: int
     seq: int
     records: tuple[bytes, ...]
-    at: int | None = None
 
 
 class ReadOperator(NamedTuple):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
@@ -16,7 +16,6 @@
 REFUSED = "refused"
 UNKNOWN = "unknown"
 FENCED = "fenced"
-MOVED = "moved"
 UNSENT = "unsent"
 
 
@@ -110,7 +109,7 @@
 
     :param channel: whose append it was.
     :param seq: its number.
-    :param outcome: `OK`, `REFUSED` (not done), `UNKNOWN`, `FENCED` or `MOVED` (the log has grown).
+    :param outcome: `OK`, `REFUSED` (not done), `UNKNOWN` or `FENCED`.
     """
 
     channel: str
