--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -120,7 +120,10 @@
     node: Node, at: Moment, call: CallReceived, queue: Queue, workspace: str, job_id: str
 ) -> None:
     job = node.book.jobs.get(job_id)
-    if job is not None:
+    if not node.tail.is_read:
+        # The book is still that of an earlier time.
+        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", START_RETRY_S)
+    elif job is not None:
         emit(node, effects.Reply(call.token, effects.STATE, shown_state(job)))
     elif job_id in node.intake.accepted:
         emit(node, effects.Reply(call.token, effects.STATE, _book.QUEUED))
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
@@ -15,6 +15,8 @@
 BEAT_INTERVAL_S = 0.3
 # An append without an answer is sent again after this; a refused one as well.
 RETRY_S = 0.15
+# While the store is away, a line says so this often.
+LOG_INTERVAL_S = 1.0
 # The batch in flight is this old before decisions wait for it; several calm round trips.
 STALLED_S = 0.4
 
@@ -129,6 +131,9 @@
         return True
     if event.outcome == events.FENCED:
         return False
+    if at.now_s - journal.logged_s < LOG_INTERVAL_S:
+        return True
+    journal.logged_s = at.now_s
     log_line(
         node,
         "owner.append_retried",
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -63,6 +63,7 @@
     :param seq: number of the append in flight, or of the last one.
     :param sent_s: when the append in flight was first sent.
     :param tried_s: when it was last sent.
+    :param logged_s: when a line about a failed append was last written.
     :param is_waiting: whether an answer to it is outstanding.
     """
 
@@ -72,6 +73,7 @@
     seq: int = 0
     sent_s: float = 0.0
     tried_s: float = 0.0
+    logged_s: float = -1e9
     is_waiting: bool = False
 
 
@@ -116,6 +118,7 @@
     :param lease_ms: time on the worker's clock from which the order is void.
     :param answered_s: when the worker confirmed it; 0 while it has not.
     :param sent_s: when it was last sent; 0 before.
+    :param is_void: whether the worker listed no such run after the order's time.
     """
 
     run: int
@@ -123,6 +126,7 @@
     answered_s: float = 0.0
     sent_s: float = 0.0
     tries: int = 0
+    is_void: bool = False
     ticket: str = ""
 
 
@@ -132,6 +136,8 @@
 
     :param is_listed: whether the registry has an entry of it.
     :param is_over: whether its life is known to have ended, whatever its entry says.
+    :param restarts: restarts under the same id that this owner has seen.
+    :param doubt_until_s: until when a life that never answered may have runs.
     :param outbox: orders to start tasks that wait for others to be answered.
     :param outstanding: orders to start tasks without an answer.
     :param is_held: whether it has accepted this owner's token.
@@ -151,6 +157,8 @@
     entry: WorkerEntry
     is_listed: bool = True
     is_over: bool = False
+    restarts: int = 0
+    doubt_until_s: float = 0.0
     outbox: deque[Any] = msgspec.field(default_factory=deque)
     outstanding: int = 0
     is_held: bool = False
@@ -241,6 +249,7 @@
     """
     Reading of the log.
 
+    :param is_read: whether the log was read to its end since the book was begun.
     :param ok_s: when the newest answered read was sent.
     :param steady_s: since when reads have not failed.
     :param owner_s: when a record of the owner was last read.
@@ -249,6 +258,7 @@
     is_reading: bool = False
     next_read_s: float = 0.0
     is_caught_up: bool = False
+    is_read: bool = False
     needs_snapshot: bool = True
     ok_s: float = -1e9
     answered_s: float = -1e9
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -7,7 +7,7 @@
 from ._book import Task
 from ._node import Moment, Node, Order, Worker, emit, log_line
 from ._records import Started
-from ._runs import end_run, runs_on
+from ._runs import end_run, runs_on, token_of
 
 # An order is void after this, so that one that is carried out late does no harm.
 ORDER_VALID_S = 2.5
@@ -44,7 +44,7 @@
         run,
         job.spec.payload,
         0,
-        node.ownership.epoch,
+        token_of(node, worker),
         task.saved,
         ticket,
     )
@@ -90,7 +90,14 @@
     worker.granted_ms = max(worker.granted_ms, order.lease_ms)
     # The first hold after a start is what renews the lease and waits for the end.
     worker.next_hold_s = min(worker.next_hold_s, at.now_s)
-    emit(node, effect._replace(lease_ms=order.lease_ms, address=worker.entry.address))
+    emit(
+        node,
+        effect._replace(
+            lease_ms=order.lease_ms,
+            address=worker.entry.address,
+            token=token_of(node, worker),
+        ),
+    )
 
 
 def on_answered(node: Node, at: Moment, event: events.StartAnswered) -> None:
@@ -161,7 +168,7 @@
             order.run,
             job.spec.payload,
             order.lease_ms,
-            node.ownership.epoch,
+            token_of(node, worker),
             task.saved,
             order.ticket,
         ),
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -16,6 +16,9 @@
 STOP_RETRY_S = 0.8
 # Attempts of a task whose queue the configuration no longer names.
 DEFAULT_MAX_ATTEMPTS = 3
+# Tokens of one owner, for the restarts of a worker.
+TOKENS_PER_EPOCH = 1000
+MAX_RESTARTS = TOKENS_PER_EPOCH - 1
 # Most tasks that one line of the log names.
 MAX_LOGGED = 6
 
@@ -143,6 +146,21 @@
             yield from state.tasks
 
 
+def token_of(node: Node, worker: Worker) -> int:
+    """
+    Give the fencing token for a worker.
+
+    It rises with each owner, and with each restart of the worker under its id: the new life knows
+    no token, and would carry out orders that were held up on their way to the former one.
+
+    :param node: the instance, which owns the log.
+    :param worker: the worker.
+    :returns: the token.
+    """
+    restarts = min(worker.restarts, MAX_RESTARTS)
+    return node.ownership.epoch * TOKENS_PER_EPOCH + restarts
+
+
 def send_stop(node: Node, at: Moment, worker: Worker, key: TaskKey, run: int) -> None:
     """
     Order a stop, unless one was sent just now.
@@ -158,7 +176,7 @@
         return
     worker.stops[key] = (run, at.now_s)
     address = worker.entry.address
-    emit(node, effects.StopTask(worker.id, address, key, run, node.ownership.epoch))
+    emit(node, effects.StopTask(worker.id, address, key, run, token_of(node, worker)))
 
 
 def lose_all(node: Node, at: Moment, worker: Worker, reason: str) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -55,6 +55,7 @@
         node.book.offset += 1
     was_caught_up = tail.is_caught_up
     tail.is_caught_up = node.book.offset >= event.end
+    tail.is_read = tail.is_read or tail.is_caught_up
     if tail.is_caught_up and not was_caught_up:
         log_line(node, "log.caught_up", offset=node.book.offset, jobs=len(node.book.jobs))
         tail.owner_s = max(tail.owner_s, at.now_s)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -11,7 +11,7 @@
 from .model import NO_ROOM, EndRow, Room, RunRow, TaskKey, WorkerEntry
 from ._node import Moment, Node, Worker, emit, log_line
 from ._records import Ended
-from ._runs import LOST, end_run, lose_all, runs_on, send_stop
+from ._runs import LOST, end_run, lose_all, runs_on, send_stop, token_of
 
 # How long a worker waits for an end before it answers; a third of the shortest usual lease.
 HOLD_WAIT_S = 1.5
@@ -137,7 +137,12 @@
         former=worker.entry.incarnation,
         incarnation=incarnation,
     )
-    lose_all(node, at, worker, "worker_restarted")
+    # What the former life ran is given up when the new one has answered: an order that was held up
+    # may have reached it before its token rose.
+    worker.restarts += 1
+    worker.orders.clear()
+    worker.stops.clear()
+    worker.doubt_until_s = at.now_s + node.bounds.max_lease_s * (1 + _ownership.CLOCK_DRIFT)
     worker.entry = worker.entry._replace(incarnation=incarnation)
     worker.is_held = worker.is_over = False
     worker.clock_ms = worker.granted_ms = worker.handled = worker.acked = 0
@@ -202,7 +207,7 @@
         effects.Hold(
             worker.id,
             worker.entry.address,
-            node.ownership.epoch,
+            token_of(node, worker),
             worker.acked,
             lease_ms,
             wait_s,
@@ -226,6 +231,7 @@
         if event.incarnation < worker.entry.incarnation:
             return
         _restarted(node, at, worker, event.incarnation)
+        return
     if worker.is_failing:
         worker.is_failing = False
         log_line(
@@ -375,6 +381,7 @@
         return
     if order.sent_s and event.clock_ms > order.lease_ms and event.sent_s > order.sent_s:
         # Void by now. The stop makes sure of it before the task is started elsewhere.
+        order.is_void = True
         send_stop(node, at, worker, task.key, task.run)
 
 
@@ -393,8 +400,8 @@
     task = runs_on(node, worker.id).get(event.key)
     if task is None or order is None or task.run != event.run:
         return
-    if not order.answered_s and event.key not in worker.rows:
-        # The run was never seen there, and from now on it can't begin.
+    if order.is_void and not order.answered_s:
+        # The run was not there when its order became void, and from now on it can't begin.
         end_run(node, at, worker, task, LOST)
 
 
@@ -421,7 +428,7 @@
             reason=event.reason,
             runs=len(runs_on(node, worker.id)),
         )
-    if event.reason == FENCE:
+    if event.reason == FENCE and event.token == token_of(node, worker):
         # The worker has taken the token of a newer owner.
         _ownership.step_down(node, at, "worker_has_newer_token", worker=worker.id)
         return
@@ -460,7 +467,7 @@
     :returns: time by this instance's clock.
     """
     if not worker.is_held:
-        return _ownership.former_leases_end_s(node)
+        return max(worker.doubt_until_s, _ownership.former_leases_end_s(node))
     left_s = max(0, worker.granted_ms - worker.clock_ms) / 1000
     slowest_s = left_s * (1 + _ownership.CLOCK_DRIFT) + _ownership.LEASE_MARGIN_S
     return worker.clock_at_s + slowest_s
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
@@ -189,10 +189,12 @@
     A worker did not answer, or refused.
 
     :param reason: such as ``timeout``, ``fence`` or ``other_worker``.
+    :param token: token of the call.
     """
 
     worker: str
     reason: str
+    token: int
 
 
 class StartAnswered(NamedTuple):
--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
@@ -0,0 +1,180 @@
+"""
+Faults that a schedule brings about.
+"""
+
+from collections.abc import Callable
+
+from eelgrassdrum_core.jobs import events
+
+from ._store import REFUSING, SILENT, UP
+from ._world import World, cancel, kill, later, post, publish
+
+
+def _owner(world: World) -> str:
+    owners = [
+        name
+        for name, instance in world.instances.items()
+        if instance.is_up and instance.node.ownership.is_owner
+    ]
+    return owners[0] if owners else world.rng.choice(sorted(world.instances))
+
+
+def _kill_owner(world: World) -> None:
+    kill(world, _owner(world), world.rng.uniform(0.3, 4.0))
+
+
+def _kill_any(world: World) -> None:
+    kill(world, world.rng.choice(sorted(world.instances)), world.rng.uniform(0.3, 4.0))
+
+
+def _kill_all(world: World) -> None:
+    for name in world.instances:
+        kill(world, name, world.rng.uniform(0.5, 1.5))
+
+
+def _freeze_owner(world: World) -> None:
+    instance = world.instances[_owner(world)]
+    instance.frozen_until_s = world.now_s + world.rng.uniform(0.5, 5.0)
+
+
+def _stop_owner(world: World) -> None:
+    name = _owner(world)
+    post(world, name, world.instances[name].life, events.StopAsked())
+
+
+def _store_state(state: str) -> Callable[[World], None]:
+    def strike(world: World) -> None:
+        world.store.state = state
+
+        def restore() -> None:
+            world.store.state = UP
+
+        later(world, world.rng.uniform(0.5, 6.0), restore)
+
+    return strike
+
+
+def _store_refuses_owner(world: World) -> None:
+    name = _owner(world)
+    world.store.refused.add(name)
+    later(world, world.rng.uniform(2.0, 9.0), lambda: world.store.refused.discard(name))
+
+
+def _store_loses(world: World) -> None:
+    world.store.lost_part = 0.35
+
+    def restore() -> None:
+        world.store.lost_part = 0.0
+
+    later(world, 4.0, restore)
+
+
+def _store_slow(world: World) -> None:
+    world.store.delay_s = 0.24
+
+    def restore() -> None:
+        world.store.delay_s = 0.004
+
+    later(world, 4.0, restore)
+
+
+def _pick_workers(world: World, part: float) -> list[str]:
+    up = [worker.id for worker in world.workers.values() if worker.is_up]
+    return world.rng.sample(up, max(1, round(len(up) * part))) if up else []
+
+
+def _cut_workers(world: World) -> None:
+    names = _pick_workers(world, 0.4)
+    for name in names:
+        world.workers[name].is_cut = True
+
+    def heal() -> None:
+        for name in names:
+            world.workers[name].is_cut = False
+
+    later(world, world.rng.uniform(1.0, 14.0), heal)
+
+
+def _cut_owner_from_workers(world: World) -> None:
+    instance = world.instances[_owner(world)]
+    instance.is_cut_from_workers = True
+
+    def heal() -> None:
+        instance.is_cut_from_workers = False
+
+    later(world, world.rng.uniform(1.0, 12.0), heal)
+
+
+def _crash_workers(world: World) -> None:
+    names = _pick_workers(world, 0.25)
+    for name in names:
+        worker = world.workers[name]
+        worker.crash()
+        worker.is_up = False
+
+    def restart() -> None:
+        for name in names:
+            worker = world.workers[name]
+            if world.rows[worker.instance].worker != name:
+                continue
+            worker.is_up = True
+            worker.incarnation += round(world.now_s * 1000)
+            worker.born_s = world.now_s
+
+    later(world, world.rng.uniform(0.5, 8.0), restart)
+
+
+def _late_orders(world: World) -> None:
+    names = _pick_workers(world, 0.5)
+    for name in names:
+        world.workers[name].late_part = 0.3
+
+    def heal() -> None:
+        for name in names:
+            world.workers[name].late_part = 0.0
+
+    later(world, 5.0, heal)
+
+
+def _worker_fails_all(world: World) -> None:
+    names = _pick_workers(world, 0.1)
+    for name in names:
+        world.workers[name].fails_all = True
+
+    def heal() -> None:
+        for name in names:
+            world.workers[name].fails_all = False
+
+    later(world, 4.0, heal)
+
+
+def _lower_limits(world: World) -> None:
+    assert world.config is not None
+    # The rule counts the highest limit that may be in force, so only a raise is judged at once.
+    publish(world, world.config._replace(version=world.config.version + 3))
+
+
+def _cancel_some(world: World) -> None:
+    for job in world.rng.sample(sorted(world.judge.accepted), k=min(3, len(world.judge.accepted))):
+        cancel(world, world.rng.choice(sorted(world.instances)), job, "key-a")
+
+
+FAULTS: dict[str, Callable[[World], None]] = {
+    "kill_owner": _kill_owner,
+    "kill_any": _kill_any,
+    "kill_all": _kill_all,
+    "freeze_owner": _freeze_owner,
+    "stop_owner": _stop_owner,
+    "store_down": _store_state(REFUSING),
+    "store_silent": _store_state(SILENT),
+    "store_refuses_owner": _store_refuses_owner,
+    "store_loses_answers": _store_loses,
+    "store_slow": _store_slow,
+    "cut_workers": _cut_workers,
+    "cut_owner_from_workers": _cut_owner_from_workers,
+    "crash_workers": _crash_workers,
+    "late_orders": _late_orders,
+    "worker_fails_all": _worker_fails_all,
+    "config_change": _lower_limits,
+    "cancel_some": _cancel_some,
+}
--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
@@ -0,0 +1,200 @@
+"""
+What must hold at every step, judged from what workers and callers see.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+from eelgrassdrum_core.jobs import model
+from eelgrassdrum_core.jobs._book import Job
+
+from ._worker import JobWorker, Run
+
+
+class Violation(NamedTuple):
+    """
+    A rule that did not hold.
+    """
+
+    rule: str
+    at_s: float
+    text: str
+
+
+class Judge(msgspec.Struct, eq=False):
+    """
+    What was seen.
+
+    :param ended: tasks of which a run has ended as done.
+    :param done: tasks of which such an end was noted.
+    :param accepted: jobs whose submission was answered as accepted.
+    :param specs: every job that was handed in.
+    :param refused: jobs of which every submission was refused.
+    """
+
+    specs: dict[str, model.JobSpec] = {}
+    workspaces: dict[str, str] = {}
+    limits: dict[str, model.Room] = {}
+    ended: set[model.TaskKey] = set()
+    done: set[model.TaskKey] = set()
+    noted_failures: dict[model.TaskKey, int] = {}
+    accepted: set[str] = set()
+    refused: set[str] = set()
+    cancelled_s: dict[str, float] = {}
+    shown: dict[str, str] = {}
+    starts: int = 0
+    violations: list[Violation] = []
+
+
+def _broken(judge: Judge, rule: str, at_s: float, text: str) -> None:
+    judge.violations.append(Violation(rule, at_s, text))
+
+
+def on_start(
+    judge: Judge, at_s: float, workers: dict[str, JobWorker], worker: JobWorker, run: Run
+) -> None:
+    """
+    Judge a start, just after it.
+
+    :param judge: what was seen.
+    :param at_s: time of the world.
+    :param workers: all workers.
+    :param worker: where the task started.
+    :param run: the run.
+    """
+    judge.starts += 1
+    name = ".".join(map(str, run.key))
+    spec = judge.specs.get(run.key.job)
+    if spec is None:
+        _broken(judge, "only_what_was_sent", at_s, name)
+        return
+    if run.key.job in judge.refused and run.key.job not in judge.accepted:
+        _broken(judge, "refused_never_runs", at_s, name)
+    if run.key in judge.done:
+        _broken(judge, "done_never_starts_again", at_s, name)
+    _judge_twice(judge, at_s, workers, worker, run, name)
+    used = model.NO_ROOM
+    for other in worker.runs.values():
+        used = used.plus(other.room)
+    if not used.fits(worker.capacity):
+        _broken(judge, "room_holds", at_s, f"{worker.id} {used}")
+    step = spec.steps[run.key.step]
+    for earlier in step.after:
+        keys = [
+            run.key._replace(step=earlier, index=index)
+            for index in range(spec.steps[earlier].count)
+        ]
+        if not all(key in judge.ended for key in keys):
+            _broken(judge, "steps_in_order", at_s, name)
+    _judge_limit(judge, at_s, workers, run)
+
+
+def _judge_twice(
+    judge: Judge,
+    at_s: float,
+    workers: dict[str, JobWorker],
+    worker: JobWorker,
+    run: Run,
+    name: str,
+) -> None:
+    for other in workers.values():
+        if other is not worker and other.is_up and run.key in other.runs:
+            _broken(judge, "one_run_at_a_time", at_s, f"{name} {worker.id} {other.id}")
+
+
+def _judge_limit(judge: Judge, at_s: float, workers: dict[str, JobWorker], run: Run) -> None:
+    workspace = judge.workspaces.get(run.key.job, "")
+    limit = judge.limits.get(workspace)
+    if limit is None:
+        return
+    used = model.NO_ROOM
+    for worker in workers.values():
+        for other in worker.runs.values():
+            if worker.is_up and judge.workspaces.get(other.key.job) == workspace:
+                used = used.plus(other.room)
+    # A limit of 0 in a part is none.
+    if any(bound and have > bound for have, bound in zip(used, limit, strict=True)):
+        _broken(judge, "limit_holds", at_s, f"{workspace} {used} of {limit}")
+
+
+def on_noted(judge: Judge, at_s: float, end: model.EndRow) -> None:
+    """
+    Take an end that was acknowledged.
+
+    :param judge: what was seen.
+    :param at_s: time of the world.
+    :param end: the end.
+    """
+    spec = judge.specs.get(end.key.job)
+    if spec is None or spec.steps[end.key.step].lasts:
+        return
+    if end.how == "done":
+        judge.done.add(end.key)
+    elif end.how == "failed":
+        failures = judge.noted_failures
+        failures[end.key] = failures.get(end.key, 0) + 1
+
+
+def on_shown(judge: Judge, at_s: float, job: str, state: str, is_fresh: bool) -> None:
+    """
+    Judge a state that a caller was told.
+
+    :param judge: what was seen.
+    :param at_s: time of the world.
+    :param job: the job.
+    :param state: its state.
+    :param is_fresh: whether the instance has read the log to its end lately.
+    """
+    if job not in judge.specs:
+        _broken(judge, "only_what_was_sent", at_s, job)
+        return
+    former = judge.shown.get(job)
+    if not is_fresh and former is not None:
+        # An instance that is cut off from the store tells what it last knew.
+        return
+    if former in ("completed", "failed", "cancelled") and state != former:
+        _broken(judge, "final_states_stay", at_s, f"{job} {former} {state}")
+    judge.shown[job] = state
+    if state == "cancelled" and job not in judge.cancelled_s:
+        _broken(judge, "cancelled_with_cause", at_s, job)
+
+
+def on_end_of_world(judge: Judge, at_s: float, jobs: dict[str, Job]) -> None:
+    """
+    Judge what became of the jobs, once all has been calm for long enough.
+
+    :param judge: what was seen.
+    :param at_s: time of the world.
+    :param jobs: jobs as an instance knows them.
+    """
+    for job_id in judge.accepted:
+        job = jobs.get(job_id)
+        if job is None:
+            _broken(judge, "accepted_is_kept", at_s, job_id)
+            continue
+        is_over = job.shown in ("completed", "failed", "cancelled")
+        if not is_over and not job.lasts and not job.cancelled:
+            _broken(judge, "accepted_is_finished", at_s, f"{job_id} {job.shown}")
+        if job.shown == "completed":
+            _judge_completed(judge, at_s, job)
+        if job.shown == "failed":
+            _judge_failed(judge, at_s, job_id)
+
+
+def _judge_completed(judge: Judge, at_s: float, job: Job) -> None:
+    for index, step in enumerate(job.spec.steps):
+        for task in range(step.count):
+            key = model.TaskKey(job.id, 0, index, task)
+            if key not in judge.ended:
+                _broken(judge, "completed_is_done", at_s, ".".join(map(str, key)))
+
+
+def _judge_failed(judge: Judge, at_s: float, job_id: str) -> None:
+    failures = [count for key, count in judge.noted_failures.items() if key.job == job_id]
+    if not failures or max(failures) < MAX_ATTEMPTS:
+        _broken(judge, "failed_with_cause", at_s, f"{job_id} {failures}")
+
+
+# Attempts of every queue of this world.
+MAX_ATTEMPTS = 3
--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
@@ -0,0 +1,134 @@
+"""
+Seeded schedules of faults over a small fleet.
+"""
+
+from collections import Counter
+from typing import NamedTuple
+
+from eelgrassdrum_core.jobs import model
+
+from . import _rules
+from ._faults import FAULTS
+from ._rules import Violation
+from ._world import World, add_worker, look_up, make_world, run_until, submit
+
+LOAD_S = 12.0
+# Leases of former owners have to run out before the last work can start again.
+CALM_S = 45.0
+JOBS = 40
+INSTANCES = 5
+WORKERS = 6
+CAPACITY = model.Room(8_000, 64_000, 0)
+LIMIT = model.Room(26_000, 0, 0)
+
+
+class ScheduleResult(NamedTuple):
+    """
+    What a schedule showed.
+    """
+
+    seed: int
+    faults: tuple[str, ...]
+    starts: int
+    accepted: int
+    violations: tuple[Violation, ...]
+    answered: Counter[str]
+
+
+def make_config(is_limited: bool = True) -> model.Config:
+    """
+    Give the configuration of a small fleet.
+
+    :param is_limited: whether the workspace has a limit.
+    :returns: the configuration.
+    """
+    queue = model.Queue("q", "host", "/q/", "service", 0, _rules.MAX_ATTEMPTS, 1.6, 600, False)
+    limit = LIMIT if is_limited else model.NO_ROOM
+    workspace = model.Workspace("a", frozenset({"key-a"}), 1.0, limit)
+    return model.Config(
+        1,
+        {"q": queue},
+        {"service": model.Service("service", False, False)},
+        {"a": workspace},
+        {"key-a": "a"},
+        262_144,
+    )
+
+
+def random_spec(world: World) -> model.JobSpec:
+    """
+    Draw a job.
+
+    :param world: gives the random numbers.
+    :returns: the job.
+    """
+    rng = world.rng
+    steps = []
+    for index in range(rng.choice((1, 1, 2, 3))):
+        steps.append(
+            model.Step(
+                count=rng.randint(1, 5),
+                need=(rng.choice((500, 1000, 2000)), 1000, 0),
+                estimate_ms=rng.randint(100, 1500),
+                after=(index - 1,) if index else (),
+                max_per_worker=rng.choice((0, 0, 0, 2)),
+            )
+        )
+    if rng.random() < 0.08:
+        steps = [model.Step(count=2, need=(500, 1000, 0), lasts=True, max_unavailable=1)]
+    return model.JobSpec("payload", tuple(steps))
+
+
+def run_schedule(seed: int, faults: tuple[str, ...] | None = None) -> ScheduleResult:
+    """
+    Run one schedule.
+
+    :param seed: of all that is random.
+    :param faults: the faults, or ``None`` to draw some.
+    :returns: what it showed.
+    """
+    world = make_world(seed, INSTANCES, make_config())
+    rng = world.rng
+    world.judge.limits["a"] = LIMIT
+    world.durations = lambda _key: (
+        rng.uniform(0.05, 2.0),
+        "failed" if rng.random() < 0.03 else "done",
+    )
+    for number in range(WORKERS):
+        add_worker(world, number, "service", CAPACITY)
+    if faults is None:
+        faults = tuple(rng.sample(sorted(FAULTS), k=rng.randint(1, 4)))
+    moments = sorted(
+        [(rng.uniform(3.0, LOAD_S + 3.0), "fault", name) for name in faults]
+        + [(rng.uniform(2.0, LOAD_S + 2.0), "job", f"{n:016x}") for n in range(JOBS)]
+        + [(rng.uniform(2.0, LOAD_S + 20.0), "look", f"{rng.randrange(JOBS):016x}") for _ in range(60)]
+    )
+    for at_s, kind, name in moments:
+        run_until(world, at_s)
+        _act(world, kind, name)
+    run_until(world, LOAD_S + CALM_S)
+    _judge_end(world)
+    return ScheduleResult(
+        seed,
+        faults,
+        world.judge.starts,
+        len(world.judge.accepted),
+        tuple(world.judge.violations),
+        Counter(world.answered),
+    )
+
+
+def _act(world: World, kind: str, name: str) -> None:
+    up = [other for other, instance in sorted(world.instances.items()) if instance.is_up]
+    if kind == "fault":
+        FAULTS[name](world)
+    elif up and kind == "job":
+        submit(world, world.rng.choice(up), name, "key-a", random_spec(world))
+    elif up:
+        look_up(world, world.rng.choice(up), name, "key-a")
+
+
+def _judge_end(world: World) -> None:
+    up = [instance for instance in world.instances.values() if instance.is_up]
+    for instance in up:
+        _rules.on_end_of_world(world.judge, world.now_s, instance.node.book.jobs)
--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_worker.py
@@ -0,0 +1,132 @@
+"""
+A stand-in of a worker: runs tasks under a lease, and obeys the newest token.
+"""
+
+import msgspec
+
+from eelgrassdrum_core.jobs import model
+
+LEASE_OVER = "lapsed"
+
+
+class Run(msgspec.Struct, eq=False):
+    """
+    A task that runs.
+
+    :param ends_s: when it ends by itself; never for a task that lasts.
+    :param how: how it will end.
+    """
+
+    key: model.TaskKey
+    run: int
+    room: model.Room
+    started_s: float
+    ends_s: float
+    how: str
+    lasts: bool
+    stop_s: float | None = None
+
+
+class JobWorker(msgspec.Struct, eq=False):
+    """
+    One worker.
+
+    :param speed: how fast its clock goes.
+    :param late_part: part of the orders that are carried out seconds later, without an answer.
+    :param newest_run: newest run that was stopped or ended, by task.
+    """
+
+    id: str
+    service: str
+    zone: str
+    instance: str
+    address: str
+    capacity: model.Room
+    incarnation: int
+    born_s: float
+    rack: str = "r1"
+    speed: float = 1.0
+    token: int = 0
+    lease_ms: int = 0
+    is_up: bool = True
+    is_draining: bool = False
+    is_cut: bool = False
+    late_part: float = 0.0
+    fails_all: bool = False
+    runs: dict[model.TaskKey, Run] = {}
+    ends: list[model.EndRow] = []
+    end_number: int = 0
+    newest_run: dict[model.TaskKey, int] = {}
+
+    def clock_ms(self, now_s: float) -> int:
+        """
+        Give its steady clock.
+
+        :param now_s: time of the world.
+        :returns: milliseconds.
+        """
+        return round((now_s - self.born_s) * 1000 * self.speed)
+
+    def at_clock(self, clock_ms: int) -> float:
+        """
+        Give the world's time at which its clock shows a value.
+
+        :param clock_ms: the value.
+        :returns: seconds.
+        """
+        return self.born_s + clock_ms / 1000 / self.speed
+
+    def advance(self, now_s: float) -> list[Run]:
+        """
+        End the runs whose time has come.
+
+        :param now_s: time of the world.
+        :returns: the runs that have ended.
+        """
+        over_s = self.at_clock(self.lease_ms)
+        ended = []
+        for run in list(self.runs.values()):
+            stop_s = run.stop_s if run.stop_s is not None else float("inf")
+            at_s = min(run.ends_s, over_s, stop_s)
+            if at_s > now_s:
+                continue
+            how = run.how if at_s == run.ends_s else LEASE_OVER
+            if at_s == stop_s:
+                how = "stopped"
+            self._end(run, how)
+            ended.append(run)
+        return ended
+
+    def _end(self, run: Run, how: str) -> None:
+        del self.runs[run.key]
+        self.end_number += 1
+        self.ends.append(model.EndRow(self.end_number, run.key, run.run, how, ""))
+        self.newest_run[run.key] = max(self.newest_run.get(run.key, 0), run.run)
+        run.how = how
+
+    def crash(self) -> None:
+        """
+        Lose everything at once.
+        """
+        self.runs.clear()
+        self.ends.clear()
+        self.newest_run.clear()
+        self.end_number = self.token = self.lease_ms = 0
+
+    def rows(self, now_s: float) -> tuple[model.RunRow, ...]:
+        """
+        List what runs.
+
+        :param now_s: time of the world.
+        :returns: the rows.
+        """
+        return tuple(
+            model.RunRow(run.key, run.run, "", _percent(run, now_s), 0.0)
+            for run in self.runs.values()
+        )
+
+
+def _percent(run: Run, now_s: float) -> int:
+    if run.lasts:
+        return 100 if now_s - run.started_s > 0.5 else 50
+    return round(99 * (now_s - run.started_s) / max(0.001, run.ends_s - run.started_s))
