--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -22,8 +22,10 @@
 ANSWER_MARGIN_S = 0.1
 # A caller that gives no deadline is taken to wait this long.
 DEFAULT_DEADLINE_S = 5.0
-# The store is away: callers come back after a typical short outage of it.
-STORE_RETRY_S = 1.0
+# The store is away: callers come back after as long as it has been away already, within these
+# bounds, since most outages last some seconds.
+MIN_STORE_RETRY_S = 1.0
+MAX_STORE_RETRY_S = 4.0
 # No configuration yet: an instance that starts has one within this.
 START_RETRY_S = 0.5
 # An answer that a job does not exist rests on a read of the log no older than this.
@@ -48,7 +50,8 @@
         _refuse(node, call, effects.NO_SUCH_QUEUE, "no_queue_matches")
         return
     if at.now_s - node.operator.ok_s > node.bounds.config_stale_s:
-        _refuse(node, call, effects.UNAVAILABLE, "configuration_too_old", STORE_RETRY_S)
+        retry_s = store_retry_s(node, at)
+        _refuse(node, call, effects.UNAVAILABLE, "configuration_too_old", retry_s)
         return
     workspace = node.config.workspace_of_key.get(call.key)
     if workspace is None and not queue.is_open:
@@ -130,14 +133,14 @@
     elif is_log_fresh(node, at.now_s):
         _refuse(node, call, effects.NO_SUCH_JOB, "no_such_job")
     else:
-        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", STORE_RETRY_S)
+        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", store_retry_s(node, at))
 
 
 def _count(
     node: Node, at: Moment, call: CallReceived, queue: Queue, workspace: str, job_id: str
 ) -> None:
     if not is_log_fresh(node, at.now_s):
-        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", STORE_RETRY_S)
+        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", store_retry_s(node, at))
         return
     number = node.book.pending.get(queue.name, 0)
     emit(node, effects.Reply(call.token, effects.PENDING, number=number))
@@ -311,7 +314,7 @@
             intake.gone.add(call.token)
             log_line(node, "call.uncertain", record=repr(call.record)[:80])
     while intake.waiting and at.now_s - intake.waiting[0].since_s >= GIVE_UP_S:
-        _refuse_waiting(node, intake.waiting.popleft())
+        _refuse_waiting(node, at, intake.waiting.popleft())
     _expire_cancels(node, at)
     if intake.accepted:
         old = [job for job, s in intake.accepted.items() if at.now_s - s > ACCEPTED_KEEP_S]
@@ -325,12 +328,31 @@
         return
     batch, intake.batch = intake.batch, ()
     for call in batch:
-        _refuse_waiting(node, call)
+        _refuse_waiting(node, at, call)
 
 
-def _refuse_waiting(node: Node, call: IntakeCall) -> None:
-    _reply(node, call, effects.UNAVAILABLE, "store_unavailable", STORE_RETRY_S)
-    log_line(node, "call.refused", reason="store_unavailable", record=repr(call.record)[:80])
+def _refuse_waiting(node: Node, at: Moment, call: IntakeCall) -> None:
+    retry_s = store_retry_s(node, at)
+    _reply(node, call, effects.UNAVAILABLE, "store_unavailable", retry_s)
+    log_line(
+        node,
+        "call.refused",
+        reason="store_unavailable",
+        record=repr(call.record)[:80],
+        retry_after_s=retry_s,
+    )
+
+
+def store_retry_s(node: Node, at: Moment) -> float:
+    """
+    Give the time after which a caller should come back while the store is away.
+
+    :param node: the instance.
+    :param at: the time.
+    :returns: seconds.
+    """
+    away_s = at.now_s - node.tail.ok_s
+    return max(MIN_STORE_RETRY_S, min(MAX_STORE_RETRY_S, away_s))
 
 
 def _expire_cancels(node: Node, at: Moment) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -151,6 +151,7 @@
     :param rows_s: when the call that listed them was sent.
     :param strays: room of runs that it lists and the book does not.
     :param paces: percent that each paced task was last given.
+    :param pace: pace of its filling tasks, once there were any.
     :param closed_until_s: no starts before this time.
     """
 
@@ -177,7 +178,7 @@
     rows_s: float = 0.0
     strays: dict[TaskKey, Room] = {}
     paces: dict[TaskKey, int] = {}
-    progress: dict[TaskKey, tuple[int, float]] = {}
+    pace: Any = None
     closed_until_s: float = 0.0
     failed_jobs: deque[str] = msgspec.field(default_factory=lambda: deque(maxlen=8))
     started_s: dict[TaskKey, float] = {}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -51,7 +51,6 @@
     worker.orders.pop(key, None)
     worker.stops.pop(key, None)
     worker.paces.pop(key, None)
-    worker.progress.pop(key, None)
     started_s = worker.started_s.pop(key, None)
     node.plan_due = True
     record = Ended(node.ownership.epoch, *key, task.run, how, saved)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -6,7 +6,7 @@
 answer.
 """
 
-from . import _book, effects, events, _journal, _ownership
+from . import _book, _journal, _ownership, _pacing, effects, events
 from ._book import Task, find_task
 from .model import NO_ROOM, EndRow, Room, RunRow, TaskKey, WorkerEntry
 from ._node import Moment, Node, Worker, emit, log_line
@@ -15,6 +15,8 @@
 
 # How long a worker waits for an end before it answers; a third of the shortest usual lease.
 HOLD_WAIT_S = 1.5
+# The same where filling work is paced by the figures that the answers carry.
+PACED_HOLD_WAIT_S = 0.5
 # A worker that runs nothing is looked at this often while its lists are not needed.
 IDLE_HOLD_S = 20.0
 # While the log takes no ends, the lease is renewed this often.
@@ -200,7 +202,7 @@
         lease_ms = clock_ms(worker, min(end_s, at.now_s + node.bounds.max_lease_s))
         worker.granted_ms = max(worker.granted_ms, lease_ms)
         if worker.handled == worker.acked:
-            wait_s = HOLD_WAIT_S
+            wait_s = HOLD_WAIT_S if worker.pace is None else PACED_HOLD_WAIT_S
     worker.is_holding = True
     emit(
         node,
@@ -249,6 +251,7 @@
     worker.rows = {row.key: row for row in event.runs}
     worker.rows_s = event.sent_s
     _compare(node, at, worker, event)
+    _pacing.on_rows(node, at, worker)
     _schedule_hold(node, at, worker, event)
 
 
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
@@ -23,9 +23,9 @@
 from ._ports import Ports
 
 TICK_INTERVAL_S = 0.05
-# The balancer asks each second; an instance that does not read the store for this long, beyond
-# what a configuration may take, sends callers to the others.
-READY_STALE_S = 4.0
+# An instance that has not read the store for this long can take no jobs in and sends callers to the
+# others; a read waits half a second, and a slow store answers in a quarter of one.
+READY_STALE_S = 1.5
 # Open connections to the store: reads that wait, and appends.
 STORE_CONNS = 8
 # Connections to one worker: one that waits for ends, and the orders.
@@ -191,7 +191,7 @@
         :returns: whether it can take calls.
         """
         node = self.node
-        age_s = self.clock() - max(node.operator.ok_s, node.tail.ok_s)
+        age_s = self.clock() - node.tail.ok_s
         is_loaded = node.config is not None and not node.tail.needs_snapshot
         return is_loaded and not node.is_stopping and age_s < READY_STALE_S
 
