--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -301,6 +301,8 @@
 class Node(msgspec.Struct, eq=False):
     """
     One instance.
+
+    :param began_s: when the process began.
     """
 
     identity: Identity
@@ -320,6 +322,7 @@
     pools: dict[str, Any] = {}
     pools_s: float = 0.0
     avoid: dict[TaskKey, set[str]] = {}
+    began_s: float = -1.0
     is_stopping: bool = False
     stop_asked_s: float = 0.0
     plan_due: bool = False
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -15,10 +15,14 @@
 
 CHANNEL = "claim"
 # Silence of the owner after which its log is claimed: three of its beats and a slow answer.
-SILENCE_S = 1.0
+SILENCE_S = 0.9
 # Spread of the claims of several instances, so that the first is seen by the others.
-SPREAD_S = 0.4
+SPREAD_S = 0.1
 SPREAD_STEPS = 16
+# Instances that started lately claim first, by up to this much: a rolling restart comes to them
+# last. From this age on it makes no difference.
+AGE_SPREAD_S = 0.2
+OLD_S = 60.0
 # A claim without an answer is given up after this; if it was done, the log shows it.
 CLAIM_TIMEOUT_S = 1.5
 # Clocks of workers may be this much slow; leases are waited out by it.
@@ -42,7 +46,7 @@
             ownership.is_claiming = False
         return
     quiet_s = node.tail.answered_s - max(node.tail.owner_s, node.tail.steady_s)
-    wait_s = spread_s(node)
+    wait_s = spread_s(node, at)
     if node.book.owner is not None:
         wait_s += SILENCE_S
     if node.config is None or quiet_s < wait_s:
@@ -63,16 +67,18 @@
     emit(node, effects.Append(CHANNEL, _journal.PRODUCER, epoch, 1, data))
 
 
-def spread_s(node: Node) -> float:
+def spread_s(node: Node, at: Moment) -> float:
     """
     Give this instance's place among those that would claim the next epoch.
 
     :param node: the instance.
+    :param at: the time.
     :returns: seconds to wait.
     """
     seed = f"{node.identity.producer}/{node.book.epoch}"
     place = xxhash.xxh64_intdigest(seed.encode()) % SPREAD_STEPS
-    return SPREAD_S * place / SPREAD_STEPS
+    age_s = min(OLD_S, at.now_s - node.began_s)
+    return SPREAD_S * place / SPREAD_STEPS + AGE_SPREAD_S * age_s / OLD_S
 
 
 def on_claim_appended(node: Node, at: Moment, event: events.Appended) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -138,7 +138,7 @@
             members[fleet.pool_of[row.instance]] += 1
         elif row.state in (UP, MOVING) and row.instance not in fleet.emptying:
             worker = node.workers.get(row.worker)
-            if worker is None or not worker.entry.is_draining:
+            if worker is None or not (worker.entry.is_draining or worker.is_failing):
                 members[row.pool] += 1
     return members
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -40,6 +40,8 @@
     :returns: the effects to carry out, in order.
     """
     node.out = []
+    if node.began_s < 0:
+        node.began_s = at.now_s
     _HANDLERS[type(event)](node, at, event)
     _advance(node, at)
     produced, node.out = node.out, []
