--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -86,9 +86,16 @@
 
 
 def _is_settled(node: Node, at: Moment) -> bool:
-    is_held = all(worker.is_held for worker in node.workers.values() if worker.is_listed)
+    """
+    Tell whether every worker has answered this owner, or has failed to.
+    """
+    is_known = all(
+        worker.is_held or worker.is_failing
+        for worker in node.workers.values()
+        if worker.is_listed
+    )
     is_listed = node.fleet.rows_s > node.ownership.claimed_s
-    return is_held and is_listed and bool(node.workers)
+    return is_known and is_listed and bool(node.workers)
 
 
 def _demands(node: Node) -> dict[str, Demand]:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waves.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waves.py
@@ -86,19 +86,21 @@
             fleet.emptying.pop(instance, None)
             fleet.pool_of.pop(instance, None)
             log_line(node, "instance.back", instance=instance, is_listed=row is not None)
-    _lose_runs_of_stopped(node, at)
+    _end_stopped(node, at)
     node.plan_due = True
 
 
-def _lose_runs_of_stopped(node: Node, at: Moment) -> None:
+def _end_stopped(node: Node, at: Moment) -> None:
     for worker in node.workers.values():
-        if not worker.is_failing or not _runs.runs_on(node, worker.id):
+        if not worker.is_failing or worker.is_over:
             continue
         row = node.fleet.rows.get(worker.entry.instance)
         # Only what a list says that was asked for after the worker fell silent counts.
         if row is None or node.fleet.rows_s < worker.failing_since_s:
             continue
-        if row.state != UP or (row.worker and row.worker != worker.id):
+        if row.worker and row.worker != worker.id:
+            _workers.end_life(node, at, worker, "instance_has_another_worker")
+        elif row.state != UP:
             _runs.lose_all(node, at, worker, f"instance_{row.state}")
 
 
