Start jobs by the end of their objective, late ones included

Late jobs that are passed over end unserved. Kept: by the end of the objective; only jobs past three times their objective go last.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -1,9 +1,9 @@
 """
 Chooses which tasks start, and where.
 
-Tasks that last go first, since they must never wait while there is room. Then come jobs that can
-still meet their objective, by priority and by the time that is left to them, and last those that
-are late already.
+Tasks that last go first, since they must never wait while there is room. Then come jobs by priority
+and by the end of their objective, those that are late included: a job that is passed over again and
+again is not served at all. Last come jobs so late that their result is of no use any more.
 """
 
 from collections import Counter
@@ -22,8 +22,8 @@
 SUSPECT_PAUSE_S = 2.0
 # Occurrences are released this much before their time at most; the clock's error must fit in.
 EARLY_S = 0.0
-# A job counts as late once this part of its objective would be passed.
-LATE_PART = 1.0
+# A result is of no use once this many times the objective have passed.
+USELESS_FACTOR = 3.0
 
 
 class Ready(NamedTuple):
@@ -151,10 +151,10 @@
     if job.spec.repeats:
         start_ms = job.spec.start_at_ms + number * job.spec.interval_ms
         since_s = at.now_s - (at.wall_ms - start_ms) / 1000
-    due_s = since_s + queue.slack_factor * chain_s(job.spec.steps) + queue.target_ms / 1000
-    left_s = due_s - at.now_s - chain_s(job.spec.steps, index) * LATE_PART
-    is_late = left_s < 0
-    return (1.0 + is_late, float(queue.priority), left_s)
+    objective_s = queue.slack_factor * chain_s(job.spec.steps) + queue.target_ms / 1000
+    rest_s = chain_s(job.spec.steps, index)
+    is_useless = at.now_s + rest_s > since_s + USELESS_FACTOR * objective_s
+    return (1.0 + is_useless, float(queue.priority), since_s + objective_s - rest_s)
 
 
 def _sites(node: Node, at: Moment, service: str) -> list[Site]:
