--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -3,7 +3,7 @@
 
 Tasks that last go first, since they must never wait while there is room. Then come jobs by priority
 and by the end of their objective, those that are late included: a job that is passed over again and
-again is not served at all. Last come jobs so late that their result is of no use any more.
+again is not served at all, and estimates are too far off to tell which are past all use.
 """
 
 from collections import Counter
@@ -22,16 +22,13 @@
 SUSPECT_PAUSE_S = 2.0
 # Occurrences are released this much before their time at most; the clock's error must fit in.
 EARLY_S = 0.0
-# A result is of no use once this many times the objective have passed.
-USELESS_FACTOR = 3.0
 
 
 class Ready(NamedTuple):
     """
     A step that has tasks to start.
 
-    :param late: whether the job's objective can't be met any more.
-    :param due_s: end of the job's objective, by this instance's clock.
+    :param order: what goes first, the least before the others.
     """
 
     order: tuple[float, ...]
@@ -153,8 +150,7 @@
         since_s = at.now_s - (at.wall_ms - start_ms) / 1000
     objective_s = queue.slack_factor * chain_s(job.spec.steps) + queue.target_ms / 1000
     rest_s = chain_s(job.spec.steps, index)
-    is_useless = at.now_s + rest_s > since_s + USELESS_FACTOR * objective_s
-    return (1.0 + is_useless, float(queue.priority), since_s + objective_s - rest_s)
+    return (1.0, float(queue.priority), since_s + objective_s - rest_s)
 
 
 def _sites(node: Node, at: Moment, service: str) -> list[Site]:
