--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/__init__.py
@@ -25,16 +25,32 @@
     "_membership": ("is_relay", "members", "reachable_zones", "zone_peers"),
     "_membership_aggregates": ("fleet_number", "register_aggregate", "zone_number"),
     "_membership_state": ("Member",),
-    "_records": ("CONTROL_STREAM", "DOCUMENT_PUBLISHED", "KEY_GRANTED", "KEY_WITHDRAWN", "Record", "SNAPSHOT_STREAM", "StoredRecord", "record_from_json", "record_to_json"),
+    "_records": (
+        "CONTROL_STREAM",
+        "DOCUMENT_PUBLISHED",
+        "KEY_GRANTED",
+        "KEY_WITHDRAWN",
+        "Record",
+        "SNAPSHOT_STREAM",
+        "StoredRecord",
+        "record_from_json",
+        "record_to_json",
+    ),
     "_reduce": ("reduce",),
     "_snapshots_chunks": ("SnapshotChunk", "StoredChunk", "chunk_from_json", "chunk_to_json"),
-    "_snapshots_messages": ("AppendSnapshotChunks", "ReadSnapshots", "SnapshotAppendFailed", "SnapshotChunksAppended", "SnapshotsRead", "SnapshotsTruncated", "SnapshotsUnavailable"),
+    "_snapshots_messages": (
+        "AppendSnapshotChunks",
+        "ReadSnapshots",
+        "SnapshotAppendFailed",
+        "SnapshotChunksAppended",
+        "SnapshotsRead",
+        "SnapshotsTruncated",
+        "SnapshotsUnavailable",
+    ),
     "_state": ("State", "Tuning", "new_state"),
     "_wire": ("decode_message", "encode_message"),
 }
-_MODULE_OF_NAME = {
-    name: module for module, names in _NAMES_OF_MODULE.items() for name in names
-}
+_MODULE_OF_NAME = {name: module for module, names in _NAMES_OF_MODULE.items() for name in names}
 
 __all__ = [
     "CONTROL_STREAM",
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/__init__.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/__init__.py
@@ -4,10 +4,8 @@
 `new_node` makes the state, `reduce` takes an event and gives the effects to carry out.
 """
 
-from . import effects
-from . import events
-from . import model
 from . import _records as records
+from . import effects, events, model
 from ._book import Book
 from ._node import Identity, Moment, Node
 from ._reduce import reduce
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_advice.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_advice.py
@@ -51,9 +51,7 @@
     """
 
 
-def ask(
-    node: Node, at: Moment, job: Job, occurrence: int, step: int, workers: list[str]
-) -> None:
+def ask(node: Node, at: Moment, job: Job, occurrence: int, step: int, workers: list[str]) -> None:
     """
     Ask about workers on which a step would fit.
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_book.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_book.py
@@ -162,7 +162,7 @@
     if not 0 <= key.occurrence < max(1, job.spec.repeats):
         return None
     tasks = occurrence_of(job, key.occurrence)[key.step].tasks
-    return tasks[key.index] if 0 <= key.index < len(tasks) else None
+    return tasks[key.number] if 0 <= key.number < len(tasks) else None
 
 
 def is_released(job: Job, number: int, at: int) -> bool:
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_emptying.py
@@ -0,0 +1,83 @@
+"""
+Takes tasks that last away from a worker that is to be emptied, within the budgets of their steps.
+"""
+
+from . import _book, _planner, _runs, _workers
+from ._book import Job, StepState, Task, occurrence_of
+from ._node import Moment, Node, Worker, log_line
+
+
+def move_lasting(node: Node, at: Moment, worker: Worker) -> None:
+    """
+    Stop tasks that last on a worker, as far as their steps can do without them for a while and
+    there is room for them elsewhere.
+
+    :param node: the instance.
+    :param at: the time.
+    :param worker: the worker.
+    """
+    for task in list(_runs.runs_on(node, worker.id).values()):
+        job = node.book.jobs[task.key.job]
+        step = job.spec.steps[task.key.step]
+        if not step.lasts or task.key in worker.stops or job.state in _book.FINAL_STATES:
+            continue
+        state = occurrence_of(job, task.key.occurrence)[task.key.step]
+        if not may_take_away(node, state):
+            continue
+        if not _has_room_elsewhere(node, at, job, state, worker):
+            continue
+        log_line(
+            node,
+            "run.moved_away",
+            job=job.id,
+            task=".".join(map(str, task.key[1:])),
+            run=task.run,
+            worker=worker.id,
+        )
+        _runs.send_stop(node, at, worker, task.key, task.run)
+
+
+def may_take_away(node: Node, state: StepState) -> bool:
+    """
+    Tell whether planned work may take one more task of a step that lasts away.
+
+    :param node: the instance.
+    :param state: the step.
+    :returns: whether its budget allows it.
+    """
+    away = sum(not is_at_work(node, task) for task in state.tasks)
+    return away < state.step.max_unavailable
+
+
+def is_at_work(node: Node, task: Task) -> bool:
+    """
+    Tell whether a task that lasts was at work when its worker last answered, and is not being
+    stopped.
+
+    :param node: the instance.
+    :param task: the task.
+    :returns: whether it works.
+    """
+    worker = node.workers.get(task.worker)
+    if task.status != _book.RUNNING or worker is None or worker.is_failing:
+        return False
+    row = worker.rows.get(task.key)
+    is_up = row is not None and row.run == task.run and row.percent >= 100
+    return is_up and task.key not in worker.stops
+
+
+def _has_room_elsewhere(node: Node, at: Moment, job: Job, state: StepState, worker: Worker) -> bool:
+    step = state.step
+    seats = _planner.seat_counts(state)
+    for other in node.workers.values():
+        if other is worker or other.entry.service != worker.entry.service:
+            continue
+        if not _planner.takes_work(node, at, other):
+            continue
+        if step.label and step.label not in other.entry.labels:
+            continue
+        if step.max_per_worker and seats[other.id] >= step.max_per_worker:
+            continue
+        if step.room.fits(_workers.free_room(node, other)):
+            return True
+    return False
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -189,9 +189,7 @@
     )
 
 
-def _instance_done(
-    book: Book, record: _records.InstanceDone, _now_s: float, _wall_ms: int
-) -> None:
+def _instance_done(book: Book, record: _records.InstanceDone, _now_s: float, _wall_ms: int) -> None:
     order = book.orders.get(record.instance)
     if order is not None and order.wave == record.wave:
         order.is_done = True
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -0,0 +1,221 @@
+"""
+Lists the instances of workers, empties them and gives orders for them.
+
+An order stands in the log before it is sent, so a new owner knows which instances may be down. The
+machine service may not check tokens, so a new owner waits before it orders an instance that a
+former one has ordered lately, and an owner gives no order unless the store has just confirmed it.
+"""
+
+from . import _emptying, _planner, _registry, _runs, effects, events
+from ._journal import follow_with, write
+from ._node import Moment, Node, emit, log_line
+from ._records import InstanceDone, InstanceOrdered
+
+MAINTENANCE = "maintenance"
+MOVE = "move"
+# The list of instances is read this often while orders are out, and otherwise.
+BUSY_LIST_S = 0.5
+IDLE_LIST_S = 3.0
+# An order that was refused or not answered is tried again after this.
+ORDER_RETRY_S = 1.0
+# An order is sent only this long after the store last confirmed the owner.
+CONFIRMED_S = 0.8
+# Added to the time between orders of two owners, for clocks and queued packets.
+ORDER_MARGIN_S = 0.5
+# An order that a former owner recorded this long ago is over, even with a clock that jumped.
+RECENT_ORDER_S = 15.0
+UP = "up"
+
+
+def list_instances(node: Node, at: Moment) -> None:
+    """
+    Ask the machine service for its instances when a new list is due.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    """
+    fleet = node.fleet
+    is_busy = bool(fleet.emptying or fleet.down or _has_doubts(node))
+    interval_s = BUSY_LIST_S if is_busy else IDLE_LIST_S
+    if not fleet.is_listing and at.now_s - fleet.listed_s >= interval_s:
+        fleet.is_listing = True
+        fleet.listed_s = at.now_s
+        emit(node, effects.ListInstances())
+
+
+def _has_doubts(node: Node) -> bool:
+    return any(worker.is_failing for worker in node.workers.values())
+
+
+def on_listed(node: Node, at: Moment, event: events.InstancesListed) -> None:
+    """
+    Take the list of instances.
+
+    :param node: the instance.
+    :param at: the time.
+    :param event: the list.
+    """
+    fleet = node.fleet
+    fleet.is_listing = False
+    if event.rows is None or not node.ownership.is_owner:
+        return
+    fleet.rows = {row.instance: row for row in event.rows}
+    fleet.rows_s = event.sent_s
+    for instance, since_s in list(fleet.down.items()):
+        row = fleet.rows.get(instance)
+        if row is None or (row.state == UP and event.sent_s > since_s):
+            del fleet.down[instance]
+            fleet.emptying.pop(instance, None)
+            fleet.pool_of.pop(instance, None)
+            log_line(node, "instance.back", instance=instance, is_listed=row is not None)
+    _end_stopped(node, at)
+    node.plan_due = True
+
+
+def _end_stopped(node: Node, at: Moment) -> None:
+    for worker in node.workers.values():
+        if not worker.is_failing or worker.is_over:
+            continue
+        row = node.fleet.rows.get(worker.entry.instance)
+        # Only what a list says that was asked for after the worker fell silent counts.
+        if row is None or node.fleet.rows_s < worker.failing_since_s:
+            continue
+        if row.worker and row.worker != worker.id:
+            _registry.end_life(node, at, worker, "instance_has_another_worker")
+        elif row.state != UP:
+            _runs.lose_all(node, at, worker, f"instance_{row.state}")
+
+
+def empty_instances(node: Node, at: Moment) -> None:
+    """
+    Go on emptying instances, and order those that are empty.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    """
+    workers = {worker.entry.instance: worker for worker in node.workers.values()}
+    for instance, reason in list(node.fleet.emptying.items()):
+        if instance in node.fleet.down or instance in node.fleet.in_flight:
+            continue
+        worker = workers.get(instance)
+        if worker is not None and worker.is_listed:
+            _emptying.move_lasting(node, at, worker)
+            if _planner.is_busy(node, worker):
+                continue
+        is_time = at.now_s >= node.fleet.retry_s.get(instance, 0.0)
+        if is_time and _is_free_of_former(node, at, instance):
+            _order(node, at, instance, reason)
+
+
+def _is_free_of_former(node: Node, at: Moment, instance: str) -> bool:
+    """
+    Tell whether no former owner has given the instance an order lately, or still may.
+    """
+    order = node.book.orders.get(instance)
+    if order is None or order.epoch == node.ownership.epoch:
+        return True
+    # An order that is not known to be done may have been sent until this owner's claim.
+    since_s = order.seen_s if order.is_done else max(order.seen_s, node.ownership.claimed_s)
+    return at.now_s - since_s > node.bounds.order_lease_s + ORDER_MARGIN_S
+
+
+def _order(node: Node, at: Moment, instance: str, reason: str) -> None:
+    wave, pool = -1, ""
+    if reason == MAINTENANCE:
+        wave = node.fleet.wave_of[instance]
+    else:
+        pool = node.fleet.pool_of[instance]
+    node.fleet.in_flight[instance] = at.now_s
+    epoch = node.ownership.epoch
+    write(node, at, InstanceOrdered(epoch, instance, wave, pool, at.wall_ms))
+    follow_with(node, effects.OrderInstance(instance, wave, pool, epoch))
+    log_line(node, "instance.order", instance=instance, wave=wave, pool=pool, epoch=epoch)
+
+
+def is_order_allowed(node: Node, at: Moment) -> bool:
+    """
+    Tell whether the store has confirmed this owner recently enough for an order.
+
+    :param node: the instance.
+    :param at: the time.
+    :returns: whether an order may be sent now.
+    """
+    return node.ownership.is_owner and at.now_s - node.ownership.confirmed_s <= CONFIRMED_S
+
+
+def send_order(node: Node, at: Moment, effect: effects.OrderInstance) -> None:
+    """
+    Send an order whose record stands in the log, if it still may be sent.
+
+    :param node: the instance.
+    :param at: the time.
+    :param effect: the order.
+    """
+    if is_order_allowed(node, at):
+        emit(node, effect)
+        return
+    node.fleet.in_flight.pop(effect.instance, None)
+    log_line(node, "instance.order_too_late", instance=effect.instance)
+
+
+def on_ordered(node: Node, at: Moment, event: events.InstanceOrderAnswered) -> None:
+    """
+    Take the outcome of an order.
+
+    :param node: the instance.
+    :param at: the time.
+    :param event: the outcome.
+    """
+    fleet = node.fleet
+    fleet.in_flight.pop(event.instance, None)
+    log_line(
+        node,
+        "instance.ordered",
+        instance=event.instance,
+        wave=event.wave,
+        pool=event.pool,
+        outcome=event.outcome,
+        reason=event.reason,
+    )
+    if not node.ownership.is_owner:
+        return
+    if event.outcome == events.OK:
+        fleet.down[event.instance] = at.now_s
+        for worker in node.workers.values():
+            if worker.entry.instance == event.instance:
+                _registry.end_life(node, at, worker, "instance_ordered_down")
+        write(node, at, InstanceDone(node.ownership.epoch, event.instance, event.wave))
+        return
+    if event.outcome == events.UNKNOWN:
+        # It may be down already; the next try is answered as done if it was.
+        fleet.retry_s[event.instance] = at.now_s + ORDER_RETRY_S
+        return
+    fleet.retry_s[event.instance] = at.now_s + ORDER_RETRY_S
+    if event.reason == "wave" or event.wave < 0:
+        fleet.emptying.pop(event.instance, None)
+        fleet.pool_of.pop(event.instance, None)
+
+
+def take_over(node: Node, at: Moment) -> None:
+    """
+    Go on with the orders of a former owner: those that may not have been carried out are sent
+    again, and their instances stay empty until then.
+
+    :param node: the instance, which has just come to own the log.
+    :param at: the time.
+    """
+    for instance, order in node.book.orders.items():
+        if order.is_done:
+            continue
+        if order.wave >= 0:
+            node.fleet.emptying[instance] = MAINTENANCE
+            node.fleet.wave_of[instance] = order.wave
+        else:
+            node.fleet.emptying[instance] = MOVE
+            node.fleet.pool_of[instance] = order.pool
+    # Any instance that was ordered a moment ago may be down still.
+    for instance, order in node.book.orders.items():
+        recent_s = (at.wall_ms - order.at_ms) / 1000
+        if order.is_done and recent_s < RECENT_ORDER_S:
+            node.fleet.down[instance] = at.now_s
+            node.fleet.emptying[instance] = MAINTENANCE
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 
 from . import _book, effects, events
-from .events import CallReceived
-from .model import Queue
 from ._node import IntakeCall, Moment, Node, emit, log_line
 from ._records import Cancelled, Record, Submitted, encode_records
+from .events import CallReceived
+from .model import Queue
 
 CHANNEL = "intake"
 # An append without an answer is sent again after this.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
@@ -5,8 +5,8 @@
 which the store answers as it did the first time.
 """
 
-from . import effects, events, _fold
-from ._node import Batch, Journal, Moment, Node, emit, log_line
+from . import _fold, effects, events
+from ._node import Batch, Journal, Moment, Node, Worker, emit, log_line
 from ._records import Beat, Record, encode_records
 
 CHANNEL = "owner"
@@ -43,7 +43,7 @@
     node.journal.next.effects.append(effect)
 
 
-def acknowledge(node: Node, worker: str, number: int) -> None:
+def acknowledge(node: Node, worker: Worker, number: int) -> None:
     """
     Acknowledge a worker's end once everything written so far stands in the log.
 
@@ -51,7 +51,7 @@
     :param worker: the worker.
     :param number: the end.
     """
-    node.journal.next.acks[worker] = number
+    node.journal.next.acks[worker.id] = (worker.entry.incarnation, number)
 
 
 def is_stalled(node: Node, now_s: float) -> bool:
@@ -154,9 +154,10 @@
         return
     for record in batch.records:
         _fold.confirm(node.book, record)
-    for worker_id, number in batch.acks.items():
+    for worker_id, (incarnation, number) in batch.acks.items():
         worker = node.workers.get(worker_id)
-        if worker is not None:
+        # A worker that has restarted since numbers its ends anew.
+        if worker is not None and worker.entry.incarnation == incarnation:
             worker.acked = max(worker.acked, number)
     node.out.extend(batch.effects)
 
@@ -169,4 +170,3 @@
     :returns: whether nothing is left to append.
     """
     return node.journal.in_flight is None and not node.journal.next.records
-
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
@@ -0,0 +1,64 @@
+"""
+When the leases of workers have surely run out.
+"""
+
+from . import _journal, _ownership
+from ._node import Moment, Node, Worker, log_line
+from ._records import Ended
+from ._runs import LOST, lose_all, runs_on
+
+
+def clock_ms(worker: Worker, at_s: float) -> int:
+    """
+    Estimate a worker's clock.
+
+    :param worker: the worker.
+    :param at_s: time by this instance's clock.
+    :returns: its clock in milliseconds.
+    """
+    return worker.clock_ms + round((at_s - worker.clock_at_s) * 1000)
+
+
+def expire_leases(node: Node, at: Moment) -> None:
+    """
+    Give up the runs on workers that can't be reached, once their leases have surely run out.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    """
+    for worker_id in list(node.book.running):
+        worker = node.workers.get(worker_id)
+        if worker is None:
+            if node.registry.ok_s < node.ownership.claimed_s:
+                continue
+            if at.now_s > _ownership.former_leases_end_s(node):
+                _lose_unknown(node, at, worker_id)
+            continue
+        if worker.is_held and not worker.is_failing:
+            continue
+        if at.now_s > lease_over_s(node, worker):
+            lose_all(node, at, worker, "lease_expired")
+
+
+def lease_over_s(node: Node, worker: Worker) -> float:
+    """
+    Give the time at which a worker's lease has run out, even on the slowest clock.
+
+    :param node: the instance.
+    :param worker: the worker.
+    :returns: time by this instance's clock.
+    """
+    if not worker.is_held:
+        return max(worker.doubt_until_s, _ownership.former_leases_end_s(node))
+    left_s = max(0, worker.granted_ms - worker.clock_ms) / 1000
+    slowest_s = left_s * (1 + _ownership.CLOCK_DRIFT) + _ownership.LEASE_MARGIN_S
+    return worker.clock_at_s + slowest_s
+
+
+def _lose_unknown(node: Node, at: Moment, worker_id: str) -> None:
+    runs = list(runs_on(node, worker_id).values())
+    log_line(node, "worker.runs_lost", worker=worker_id, reason="not_listed", runs=len(runs))
+    for task in runs:
+        record = Ended(node.ownership.epoch, *task.key, task.run, LOST, "")
+        _journal.write(node, at, record)
+    node.plan_due = True
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -9,8 +9,8 @@
 
 from . import effects
 from ._book import Book
-from .model import Bounds, Config, InstanceRow, Room, RunRow, TaskKey, Wave, WorkerEntry
 from ._records import Record
+from .model import Bounds, Config, InstanceRow, Room, RunRow, TaskKey, Wave, WorkerEntry
 
 
 class Moment(NamedTuple):
@@ -48,12 +48,12 @@
     """
     Records that are appended together, and what follows once they stand in the log.
 
-    :param acks: newest end of each worker that the records note.
+    :param acks: incarnation of each worker, and its newest end that the records note.
     """
 
     records: list[Record] = []
     effects: list[Any] = []
-    acks: dict[str, int] = {}
+    acks: dict[str, tuple[int, int]] = {}
 
 
 class Journal(msgspec.Struct, eq=False):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -3,7 +3,7 @@
 what became of them.
 """
 
-from . import _book, effects, events, _journal, _workers
+from . import _book, _journal, _leases, _workers, effects, events
 from ._book import Task
 from ._node import Moment, Node, Order, Worker, emit, log_line
 from ._records import Started
@@ -86,7 +86,7 @@
     worker.outstanding += 1
     order.sent_s = at.now_s
     order.tries += 1
-    order.lease_ms = _workers.clock_ms(worker, at.now_s + ORDER_VALID_S)
+    order.lease_ms = _leases.clock_ms(worker, at.now_s + ORDER_VALID_S)
     worker.granted_ms = max(worker.granted_ms, order.lease_ms)
     # The first hold after a start is what renews the lease and waits for the end.
     worker.next_hold_s = min(worker.next_hold_s, at.now_s)
@@ -153,7 +153,7 @@
 
 
 def _resend(node: Node, at: Moment, worker: Worker, task: Task, order: Order) -> None:
-    is_void = _workers.clock_ms(worker, at.now_s) >= order.lease_ms
+    is_void = _leases.clock_ms(worker, at.now_s) >= order.lease_ms
     if order.tries >= MAX_TRIES or is_void:
         return
     order.tries += 1
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -6,12 +6,14 @@
 claimant takes over when it reads its own claim, so it has read all that came before it.
 """
 
+from typing import Any
+
 import xxhash
 
-from . import effects, events, _journal
-from .model import Bounds
+from . import _journal, effects, events
 from ._node import Fleet, Follow, Moment, Node, emit, log_line
 from ._records import Claimed, Released, encode_records
+from .model import Bounds
 
 CHANNEL = "claim"
 # Silence of the owner after which its log is claimed: three of its beats and a slow answer.
@@ -150,7 +152,7 @@
     )
 
 
-def step_down(node: Node, at: Moment, reason: str, **fields) -> None:
+def step_down(node: Node, at: Moment, reason: str, **fields: Any) -> None:
     """
     Stop deciding; the book is read again, since it may hold decisions that were never appended.
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pacing.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pacing.py
@@ -1,8 +1,8 @@
 """
 Paces work that fills, so that it does not harm the work that serves beside it.
 
-What disturbs whom differs by image and changes within seconds, and the figures of workers are rough.
-So each worker's filling tasks are slowed as soon as a serving task there comes near its target, and
+What disturbs whom differs by image and changes within seconds, and workers give rough figures. So
+each worker's filling tasks are slowed as soon as a serving task there comes near its target, and
 let go step by step once all of them have been well below theirs for a while.
 """
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -12,9 +12,9 @@
 
 from . import _advice, _book, _journal, _orders, _workers
 from ._book import Job, StepState, Task, is_released, occurrence_of
-from .model import NO_ROOM, Queue, Room, Step
 from ._node import Moment, Node, Worker, log_line
 from ._runs import close_job, runs_on
+from .model import NO_ROOM, Queue, Room, Step
 
 # Jobs in a row that failed on a worker, after which it is tried with one task at a time.
 SUSPECT_FAILURES = 2
@@ -138,9 +138,7 @@
     return max(longest, default=0.0)
 
 
-def _order(
-    job: Job, queue: Queue, number: int, index: int, at: Moment
-) -> tuple[float, ...]:
+def _order(job: Job, queue: Queue, number: int, index: int, at: Moment) -> tuple[float, ...]:
     step = job.spec.steps[index]
     if step.lasts:
         return (0.0, float(step.fills), job.seen_s)
@@ -216,7 +214,9 @@
     taken: list[Site] = []
     racks = _racks(item.state.step, sites)
     for rack in racks:
-        taken = _seats(node, at, item, waiting, [s for s in sites if rack in ("", s.worker.entry.rack)])
+        taken = _seats(
+            node, at, item, waiting, [s for s in sites if rack in ("", s.worker.entry.rack)]
+        )
         if len(taken) == len(waiting):
             break
         for site in sites:
@@ -277,9 +277,7 @@
     )
 
 
-def _choose(
-    node: Node, at: Moment, item: Ready, task: Task, sites: list[Site]
-) -> Site | None:
+def _choose(node: Node, at: Moment, item: Ready, task: Task, sites: list[Site]) -> Site | None:
     step = item.state.step
     avoid = node.avoid.get(task.key, ())
     counts = seat_counts(item.state) if step.max_per_worker else None
@@ -330,9 +328,7 @@
     return Counter(task.worker for task in state.tasks if task.status == _book.RUNNING)
 
 
-def _start(
-    node: Node, at: Moment, item: Ready, task: Task, site: Site, run: int
-) -> None:
+def _start(node: Node, at: Moment, item: Ready, task: Task, site: Site, run: int) -> None:
     worker = site.worker
     ticket = _advice.ticket(node, at, item, worker.id) if item.queue.has_advice else ""
     _orders.start(node, at, worker, task, run, ticket)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -14,8 +14,8 @@
 
 from . import _book, _planner
 from ._book import occurrence_of
+from ._instances import MOVE, UP
 from ._node import Moment, Node, log_line
-from ._waves import MOVE, UP
 from .model import Room
 
 # Work that waits is met as if it were to be worked off at once; of later steps, this part.
@@ -90,9 +90,7 @@
     Tell whether every worker has answered this owner, or has failed to.
     """
     is_known = all(
-        worker.is_held or worker.is_failing
-        for worker in node.workers.values()
-        if worker.is_listed
+        worker.is_held or worker.is_failing for worker in node.workers.values() if worker.is_listed
     )
     is_listed = node.fleet.rows_s > node.ownership.claimed_s
     return is_known and is_listed and bool(node.workers)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
@@ -16,7 +16,7 @@
     pass
 
 
-class Submitted(_Record, tag="s"):
+class Submitted(_Record, frozen=True, tag="s"):
     """
     A job was handed in.
 
@@ -32,7 +32,7 @@
     at_ms: int
 
 
-class Cancelled(_Record, tag="c"):
+class Cancelled(_Record, frozen=True, tag="c"):
     """
     A caller cancelled a job.
     """
@@ -41,7 +41,7 @@
     at_ms: int
 
 
-class Claimed(_Record, tag="o"):
+class Claimed(_Record, frozen=True, tag="o"):
     """
     An instance owns the log from here on.
 
@@ -53,7 +53,7 @@
     incarnation: int
 
 
-class Released(_Record, tag="l"):
+class Released(_Record, frozen=True, tag="l"):
     """
     The owner gives the log up.
     """
@@ -61,7 +61,7 @@
     epoch: int
 
 
-class Beat(_Record, tag="b"):
+class Beat(_Record, frozen=True, tag="b"):
     """
     The owner is alive.
     """
@@ -69,7 +69,7 @@
     epoch: int
 
 
-class Started(_Record, tag="r"):
+class Started(_Record, frozen=True, tag="r"):
     """
     A task is about to be started on a worker.
     """
@@ -84,7 +84,7 @@
     worker_incarnation: int
 
 
-class Ended(_Record, tag="e"):
+class Ended(_Record, frozen=True, tag="e"):
     """
     A run has ended.
 
@@ -101,7 +101,7 @@
     saved: str
 
 
-class Closed(_Record, tag="f"):
+class Closed(_Record, frozen=True, tag="f"):
     """
     A job has ended.
 
@@ -114,7 +114,7 @@
     at_ms: int
 
 
-class InstanceOrdered(_Record, tag="m"):
+class InstanceOrdered(_Record, frozen=True, tag="m"):
     """
     An order for an instance is about to be sent to the machine service.
 
@@ -129,7 +129,7 @@
     at_ms: int
 
 
-class InstanceDone(_Record, tag="d"):
+class InstanceDone(_Record, frozen=True, tag="d"):
     """
     The machine service has accepted an order for an instance.
     """
@@ -139,7 +139,7 @@
     wave: int
 
 
-class WaveClosed(_Record, tag="w"):
+class WaveClosed(_Record, frozen=True, tag="w"):
     """
     Every instance of a maintenance wave has been maintained.
     """
@@ -161,6 +161,9 @@
     | InstanceDone
     | WaveClosed
 )
+OwnerRecord = (
+    Released | Beat | Started | Ended | Closed | InstanceOrdered | InstanceDone | WaveClosed
+)
 OWNER_RECORDS = (Released, Beat, Started, Ended, Closed, InstanceOrdered, InstanceDone, WaveClosed)
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -7,22 +7,25 @@
 
 from . import (
     _advice,
-    effects,
-    events,
     _fold,
+    _instances,
     _intake,
     _journal,
+    _leases,
     _operator,
     _orders,
     _ownership,
     _pacing,
     _planner,
     _pools,
+    _registry,
     _snapshot,
     _stopping,
     _tail,
     _waves,
     _workers,
+    effects,
+    events,
 )
 from ._node import Moment, Node
 
@@ -66,10 +69,12 @@
         _tail.reload(node, at, "ownership_lost")
     _ownership.consider_claim(node, at)
     if node.ownership.is_owner:
-        _workers.read_registry(node, at)
-        _workers.expire_leases(node, at)
+        _registry.read_registry(node, at)
+        _leases.expire_leases(node, at)
+        _instances.list_instances(node, at)
         _waves.advance(node, at)
         _pools.advance(node, at)
+        _instances.empty_instances(node, at)
         _snapshot.consider(node, at)
         node.plan_due = True
     if at.now_s - node.forget_s >= FORGET_INTERVAL_S:
@@ -101,7 +106,7 @@
             if isinstance(effect, effects.StartTask):
                 _orders.send(node, at, effect)
             elif isinstance(effect, effects.OrderInstance):
-                _waves.send_order(node, at, effect)
+                _instances.send_order(node, at, effect)
             else:
                 node.out.append(effect)
 
@@ -123,15 +128,15 @@
     events.Appended: _appended,
     events.OperatorRead: _operator.on_read,
     events.OperatorReadFailed: _operator.on_failed,
-    events.WorkersRead: _workers.on_registry,
-    events.WorkersReadFailed: _workers.on_registry_failed,
+    events.WorkersRead: _registry.on_registry,
+    events.WorkersReadFailed: _registry.on_registry_failed,
     events.HoldAnswered: _workers.on_hold,
     events.HoldFailed: _workers.on_hold_failed,
     events.StartAnswered: _orders.on_answered,
     events.StopAnswered: _workers.on_stopped,
     events.PaceAnswered: _pacing.on_paced,
     events.AdviceAnswered: _advice.on_answered,
-    events.InstancesListed: _waves.on_listed,
-    events.InstanceOrderAnswered: _waves.on_ordered,
+    events.InstancesListed: _instances.on_listed,
+    events.InstanceOrderAnswered: _instances.on_ordered,
     events.WaveStatusAnswered: _waves.on_published,
 }
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Iterator
 
-from . import _book, effects, _journal
+from . import _book, _journal, effects
 from ._book import Job, Task
-from .model import TaskKey
 from ._node import Moment, Node, Worker, emit, log_line
 from ._records import Closed, Ended
+from .model import TaskKey
 
 # A run that is known to run no more, without an end that a worker listed.
 LOST = "lost"
@@ -34,9 +34,7 @@
     return node.book.running.get(worker_id, {})
 
 
-def end_run(
-    node: Node, at: Moment, worker: Worker, task: Task, how: str, saved: str = ""
-) -> None:
+def end_run(node: Node, at: Moment, worker: Worker, task: Task, how: str, saved: str = "") -> None:
     """
     Record that a run has ended.
 
@@ -111,9 +109,7 @@
     :param state: its final state.
     """
     _journal.write(node, at, Closed(node.ownership.epoch, job.id, state, at.wall_ms))
-    failures = [
-        [*task.key[1:], task.failures] for task in tasks_of(job) if task.failures
-    ]
+    failures = [[*task.key[1:], task.failures] for task in tasks_of(job) if task.failures]
     log_line(
         node,
         "job.closed",
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from . import _book, effects, events, _fold, _journal
+from . import _book, _fold, _journal, effects, events
 from ._book import Book, InstanceOrder, Job
-from .model import JobSpec
 from ._node import Moment, Node, emit, log_line
+from .model import JobSpec
 
 # Records after which a snapshot is due; replaying them takes an instance well under a second.
 DUE_RECORDS = 4000
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stopping.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stopping.py
@@ -2,7 +2,7 @@
 Ends the process without cutting a call: gives the log up, answers what is open, then exits.
 """
 
-from . import effects, events, _intake, _journal, _ownership
+from . import _intake, _journal, _ownership, effects, events
 from ._node import Moment, Node, emit, log_line
 
 # Callers that connect until the balancer has noticed are still answered.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -2,10 +2,9 @@
 Reads the log and keeps the book.
 """
 
-from . import _book, effects, events, _fold, _intake, _ownership, _snapshot, _waves
-from .model import NO_ROOM
+from . import _book, _fold, _instances, _intake, _ownership, _snapshot, effects, events
 from ._node import Moment, Node, Tail, emit, log_line
-from ._records import OWNER_RECORDS, Cancelled, Claimed, Submitted, decode_record
+from ._records import OWNER_RECORDS, Cancelled, Claimed, OwnerRecord, Submitted, decode_record
 
 # How long a read waits at the store for a record; bounds the age of what is known of the log.
 WAIT_S = 0.5
@@ -147,7 +146,7 @@
         _fold.apply(node.book, record, at.now_s, at.wall_ms)
         node.tail.owner_s = at.now_s
         if _ownership.on_claimed(node, at, record):
-            _waves.take_over(node, at)
+            _instances.take_over(node, at)
         return
     if isinstance(record, OWNER_RECORDS):
         _fold_owner_record(node, at, record)
@@ -159,7 +158,7 @@
         _intake.answer_cancels(node, record.job)
 
 
-def _fold_owner_record(node: Node, at: Moment, record) -> None:
+def _fold_owner_record(node: Node, at: Moment, record: OwnerRecord) -> None:
     if record.epoch != node.book.epoch:
         return
     node.tail.owner_s = at.now_s
@@ -168,14 +167,3 @@
         return
     _fold.apply(node.book, record, at.now_s, at.wall_ms)
     _fold.confirm(node.book, record)
-
-
-def workspace_use(node: Node, workspace: str):
-    """
-    Give what a workspace has running.
-
-    :param node: the instance.
-    :param workspace: the workspace.
-    :returns: the sum of what its runs need.
-    """
-    return node.book.used.get(workspace, NO_ROOM)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -1,17 +1,16 @@
 """
-Keeps the owner's view of the workers: leases, what runs, what has ended.
+Keeps the owner's view of what runs on workers and what has ended there.
 
 A worker takes part once it has accepted the owner's token, which shuts out every former owner and
 tells what runs there. From then on the owner's book and the worker's lists are compared at each
 answer.
 """
 
-from . import _book, _journal, _ownership, _pacing, effects, events
+from . import _book, _journal, _leases, _ownership, _pacing, _registry, effects, events
 from ._book import Task, find_task
-from .model import NO_ROOM, EndRow, Room, RunRow, TaskKey, WorkerEntry
 from ._node import Moment, Node, Worker, emit, log_line
-from ._records import Ended
-from ._runs import LOST, end_run, lose_all, runs_on, send_stop, token_of
+from ._runs import LOST, end_run, runs_on, send_stop, token_of
+from .model import NO_ROOM, EndRow, Room, RunRow, TaskKey
 
 # How long a worker waits for an end before it answers; a third of the shortest usual lease.
 HOLD_WAIT_S = 1.5
@@ -25,133 +24,6 @@
 FENCE = "fence"
 # A worker that did not answer is asked again after this.
 RETRY_S = 0.25
-# How often entries of workers are read; a draining worker gets no work well before it leaves.
-REGISTRY_INTERVAL_S = 0.25
-REGISTRY_WAIT_S = 0.5
-REGISTRY_RETRY_S = 0.2
-# Entries that lapsed while the store was away come back within two seconds of its return.
-REGISTRY_SETTLE_S = 2.5
-
-
-def read_registry(node: Node, at: Moment) -> None:
-    """
-    Ask for the entries of workers, unless that is under way.
-
-    :param node: the instance, which owns the log.
-    :param at: the time.
-    """
-    registry = node.registry
-    if registry.is_reading or at.now_s < registry.next_read_s:
-        return
-    registry.is_reading = True
-    emit(node, effects.ReadWorkers(registry.cursor, REGISTRY_WAIT_S))
-
-
-def on_registry(node: Node, at: Moment, event: events.WorkersRead) -> None:
-    """
-    Take entries of workers.
-
-    :param node: the instance.
-    :param at: the time.
-    :param event: the entries.
-    """
-    registry = node.registry
-    registry.is_reading = False
-    registry.cursor = event.cursor
-    registry.next_read_s = at.now_s + REGISTRY_INTERVAL_S
-    registry.ok_s = at.now_s
-    if not node.ownership.is_owner:
-        return
-    for worker_id, entry in event.entries.items():
-        if entry is None:
-            _unlist(node, worker_id)
-        else:
-            _list(node, at, entry)
-    if event.is_full:
-        for worker_id in node.workers.keys() - event.entries.keys():
-            _unlist(node, worker_id)
-    node.plan_due = True
-
-
-def on_registry_failed(node: Node, at: Moment, event: events.WorkersReadFailed) -> None:
-    """
-    Take note that the registry can't be read.
-
-    :param node: the instance.
-    :param at: the time.
-    :param event: why.
-    """
-    registry = node.registry
-    registry.is_reading = False
-    registry.next_read_s = at.now_s + REGISTRY_RETRY_S
-    if event.restart:
-        registry.cursor = None
-        registry.next_read_s = at.now_s
-    log_line(node, "registry.unreadable", reason=event.reason, restart=event.restart)
-
-
-def _list(node: Node, at: Moment, entry: WorkerEntry) -> None:
-    worker = node.workers.get(entry.id)
-    if worker is None:
-        worker = node.workers[entry.id] = Worker(entry, clock_at_s=at.now_s)
-        log_line(node, "worker.listed", worker=entry.id, service=entry.service, zone=entry.zone)
-        return
-    if entry.incarnation and worker.entry.incarnation not in (0, entry.incarnation):
-        if entry.incarnation < worker.entry.incarnation:
-            return
-        _restarted(node, at, worker, entry.incarnation)
-    if worker.is_over:
-        return
-    if entry.is_draining and not worker.entry.is_draining:
-        log_line(node, "worker.draining", worker=entry.id, remaining_ms=entry.remaining_ms)
-    if not worker.is_listed:
-        log_line(node, "worker.listed", worker=entry.id, service=entry.service, zone=entry.zone)
-    worker.is_listed = True
-    worker.entry = entry
-
-
-def _unlist(node: Node, worker_id: str) -> None:
-    worker = node.workers.get(worker_id)
-    if worker is not None and worker.is_listed:
-        worker.is_listed = False
-        log_line(node, "worker.unlisted", worker=worker_id, runs=len(runs_on(node, worker_id)))
-
-
-def end_life(node: Node, at: Moment, worker: Worker, reason: str) -> None:
-    """
-    Take note that a worker is gone, before its entry in the registry lapses.
-
-    :param node: the instance.
-    :param at: the time.
-    :param worker: the worker.
-    :param reason: why, for the log.
-    """
-    worker.is_over = True
-    worker.is_listed = False
-    lose_all(node, at, worker, reason)
-
-
-def _restarted(node: Node, at: Moment, worker: Worker, incarnation: int) -> None:
-    log_line(
-        node,
-        "worker.restarted",
-        worker=worker.id,
-        former=worker.entry.incarnation,
-        incarnation=incarnation,
-    )
-    # What the former life ran is given up when the new one has answered: an order that was held up
-    # may have reached it before its token rose.
-    worker.restarts += 1
-    worker.orders.clear()
-    worker.stops.clear()
-    worker.doubt_until_s = at.now_s + node.bounds.max_lease_s * (1 + _ownership.CLOCK_DRIFT)
-    worker.entry = worker.entry._replace(incarnation=incarnation)
-    worker.is_held = worker.is_over = False
-    worker.clock_ms = worker.granted_ms = worker.handled = worker.acked = 0
-    worker.next_hold_s = 0.0
-    worker.strays.clear()
-    worker.rows.clear()
-    worker.paces.clear()
 
 
 def free_room(node: Node, worker: Worker) -> Room:
@@ -168,17 +40,6 @@
     return free
 
 
-def clock_ms(worker: Worker, at_s: float) -> int:
-    """
-    Estimate a worker's clock.
-
-    :param worker: the worker.
-    :param at_s: time by this instance's clock.
-    :returns: its clock in milliseconds.
-    """
-    return worker.clock_ms + round((at_s - worker.clock_at_s) * 1000)
-
-
 def hold_due(node: Node, at: Moment) -> None:
     """
     Send the holds that are due.
@@ -199,7 +60,7 @@
     wait_s = 0.0
     if worker.is_held and has_runs:
         end_s = _ownership.lease_end_s(node, node.bounds)
-        lease_ms = clock_ms(worker, min(end_s, at.now_s + node.bounds.max_lease_s))
+        lease_ms = _leases.clock_ms(worker, min(end_s, at.now_s + node.bounds.max_lease_s))
         worker.granted_ms = max(worker.granted_ms, lease_ms)
         if worker.handled == worker.acked:
             wait_s = HOLD_WAIT_S if worker.pace is None else PACED_HOLD_WAIT_S
@@ -232,7 +93,7 @@
     if event.incarnation and event.incarnation != worker.entry.incarnation:
         if event.incarnation < worker.entry.incarnation:
             return
-        _restarted(node, at, worker, event.incarnation)
+        _registry.restarted(node, at, worker, event.incarnation)
         return
     if worker.is_failing:
         worker.is_failing = False
@@ -255,9 +116,7 @@
     _schedule_hold(node, at, worker, event)
 
 
-def _schedule_hold(
-    node: Node, at: Moment, worker: Worker, event: events.HoldAnswered
-) -> None:
+def _schedule_hold(node: Node, at: Moment, worker: Worker, event: events.HoldAnswered) -> None:
     if worker.handled != worker.acked:
         # The log has to note the ends first; the commit brings the next hold forward.
         worker.next_hold_s = at.now_s + STALLED_HOLD_S
@@ -290,38 +149,33 @@
         _take_end(node, at, worker, end)
     if newest > worker.handled:
         worker.handled = newest
-        _journal.acknowledge(node, worker.id, newest)
+        _journal.acknowledge(node, worker, newest)
         node.plan_due = True
 
 
 def _take_end(node: Node, at: Moment, worker: Worker, end: EndRow) -> None:
     worker.strays.pop(end.key, None)
     task = find_task(node.book, end.key)
-    is_current = (
-        task is not None
-        and task.status == _book.RUNNING
-        and task.run == end.run
-        and task.worker == worker.id
-    )
-    if not is_current:
-        if task is not None and (task.status == _book.DONE or task.run > end.run):
-            return
-        log_line(
-            node,
-            "run.late_end",
-            worker=worker.id,
-            task=".".join(map(str, end.key)),
-            run=end.run,
-            how=end.how,
-        )
-        is_given_up = (
-            task is not None and task.status == _book.WAITING and task.run == end.run
-        )
-        if is_given_up and end.how == _book.DONE:
-            # The run that was given up has ended well after all.
-            end_run(node, at, worker, task, end.how, end.saved)
+    if task is None:
+        log_line(node, "run.unknown_end", worker=worker.id, job=end.key.job, how=end.how)
+        return
+    if task.status == _book.RUNNING and task.run == end.run and task.worker == worker.id:
+        end_run(node, at, worker, task, end.how, end.saved)
+        return
+    if task.status == _book.DONE or task.run > end.run:
         return
-    end_run(node, at, worker, task, end.how, end.saved)
+    log_line(
+        node,
+        "run.late_end",
+        worker=worker.id,
+        job=end.key.job,
+        task=".".join(map(str, end.key[1:])),
+        run=end.run,
+        how=end.how,
+    )
+    if task.status == _book.WAITING and task.run == end.run and end.how == _book.DONE:
+        # The run that was given up has ended well after all.
+        end_run(node, at, worker, task, end.how, end.saved)
 
 
 def _compare(node: Node, at: Moment, worker: Worker, event: events.HoldAnswered) -> None:
@@ -437,49 +291,4 @@
         return
     if event.reason == "other_worker":
         # Its address belongs to another worker now, so it is gone.
-        end_life(node, at, worker, "address_reused")
-
-
-def expire_leases(node: Node, at: Moment) -> None:
-    """
-    Give up the runs on workers that can't be reached, once their leases have surely run out.
-
-    :param node: the instance, which owns the log.
-    :param at: the time.
-    """
-    for worker_id in list(node.book.running):
-        worker = node.workers.get(worker_id)
-        if worker is None:
-            if node.registry.ok_s < node.ownership.claimed_s:
-                continue
-            if at.now_s > _ownership.former_leases_end_s(node):
-                _lose_unknown(node, at, worker_id)
-            continue
-        if worker.is_held and not worker.is_failing:
-            continue
-        if at.now_s > lease_over_s(node, worker):
-            lose_all(node, at, worker, "lease_expired")
-
-
-def lease_over_s(node: Node, worker: Worker) -> float:
-    """
-    Give the time at which a worker's lease has run out, even on the slowest clock.
-
-    :param node: the instance.
-    :param worker: the worker.
-    :returns: time by this instance's clock.
-    """
-    if not worker.is_held:
-        return max(worker.doubt_until_s, _ownership.former_leases_end_s(node))
-    left_s = max(0, worker.granted_ms - worker.clock_ms) / 1000
-    slowest_s = left_s * (1 + _ownership.CLOCK_DRIFT) + _ownership.LEASE_MARGIN_S
-    return worker.clock_at_s + slowest_s
-
-
-def _lose_unknown(node: Node, at: Moment, worker_id: str) -> None:
-    runs = list(runs_on(node, worker_id).values())
-    log_line(node, "worker.runs_lost", worker=worker_id, reason="not_listed", runs=len(runs))
-    for task in runs:
-        record = Ended(node.ownership.epoch, *task.key, task.run, LOST, "")
-        _journal.write(node, at, record)
-    node.plan_due = True
+        _registry.end_life(node, at, worker, "address_reused")
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
@@ -113,12 +113,14 @@
 class TaskKey(NamedTuple):
     """
     Names one task of a job.
+
+    :param number: its number in the step, from 0.
     """
 
     job: str
     occurrence: int
     step: int
-    index: int
+    number: int
 
 
 class Queue(NamedTuple):
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
@@ -82,7 +82,7 @@
     step = spec.steps[run.key.step]
     for earlier in step.after:
         keys = [
-            run.key._replace(step=earlier, index=index)
+            run.key._replace(step=earlier, number=index)
             for index in range(spec.steps[earlier].count)
         ]
         if not all(key in judge.ended for key in keys):
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
@@ -101,7 +101,10 @@
     moments = sorted(
         [(rng.uniform(3.0, LOAD_S + 3.0), "fault", name) for name in faults]
         + [(rng.uniform(2.0, LOAD_S + 2.0), "job", f"{n:016x}") for n in range(JOBS)]
-        + [(rng.uniform(2.0, LOAD_S + 20.0), "look", f"{rng.randrange(JOBS):016x}") for _ in range(60)]
+        + [
+            (rng.uniform(2.0, LOAD_S + 20.0), "look", f"{rng.randrange(JOBS):016x}")
+            for _ in range(60)
+        ]
     )
     for at_s, kind, name in moments:
         run_until(world, at_s)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
@@ -486,9 +486,7 @@
 def _start_answer(
     effect: effects.StartTask, outcome: str, reason: str, clock_ms: int
 ) -> events.StartAnswered:
-    return events.StartAnswered(
-        effect.worker, effect.key, effect.run, outcome, reason, clock_ms
-    )
+    return events.StartAnswered(effect.worker, effect.key, effect.run, outcome, reason, clock_ms)
 
 
 def _do_start(world: World, effect: effects.StartTask) -> str:
