--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -246,6 +246,8 @@
         detail=event.detail,
         calls=len(intake.batch),
     )
+    if not intake.is_uncertain:
+        _refuse_overdue(node, at)
 
 
 def _accept(node: Node, at: Moment, call: IntakeCall) -> None:
@@ -306,8 +308,6 @@
     :param at: the time.
     """
     intake = node.intake
-    if intake.batch and not intake.is_waiting and not intake.is_uncertain:
-        _refuse_overdue(node, at)
     for call in intake.batch:
         if at.now_s >= call.due_s and call.token not in intake.gone:
             _reply(node, call, effects.UNCERTAIN, "store_does_not_answer")
@@ -323,6 +323,9 @@
 
 
 def _refuse_overdue(node: Node, at: Moment) -> None:
+    """
+    Refuse the calls of a batch that the store has certainly not taken, once two tries are over.
+    """
     intake = node.intake
     if at.now_s - intake.batch[0].since_s < GIVE_UP_S:
         return
--- /dev/null
+++ b/packages/eelgrassdrum-core/tests/test_jobs_intake.py
@@ -0,0 +1,207 @@
+"""
+What callers are answered, and when.
+"""
+
+from eelgrassdrum_core.jobs import Identity, Moment, effects, events, model, new_node, reduce
+from eelgrassdrum_core.jobs._records import Cancelled, Submitted, decode_record, encode_records
+
+BOUNDS = model.Bounds(10.0, 2.0, 5.0, 6.0, 0.4, 3.0, 0.25, 120.0, 1.5, 2.0)
+SPEC = model.JobSpec("payload", (model.Step(2, (500, 100, 0), 100),))
+WALL_MS = 1_700_000_000_000
+
+
+def make_config(version=1, keys=("key",)):
+    """
+    Give a configuration with a keyed queue, a nested one and an open one.
+    """
+
+    def queue(name, prefix, is_open=False):
+        return model.Queue(name, "host", prefix, "service", 0, 3, 1.6, 600, is_open)
+
+    queues = [queue("q", "/q/"), queue("deep", "/q/deep/"), queue("open", "/open/", True)]
+    return model.Config(
+        version,
+        {item.name: item for item in queues},
+        {},
+        {"a": model.Workspace("a", frozenset(keys), 1.0, model.NO_ROOM)},
+        dict.fromkeys(keys, "a"),
+        1000,
+    )
+
+
+def ready_node():
+    """
+    Give an instance that has a configuration and has read an empty log.
+    """
+    node = new_node(Identity("entry", WALL_MS, "zone"), BOUNDS)
+    feed(node, 0.0, events.OperatorRead(1, make_config(), (), 0.0))
+    feed(node, 0.0, events.SnapshotRead(None))
+    feed(node, 0.0, events.LogRead(0, (), 0, 0.0))
+    return node
+
+
+FIXTURES = {"node": ready_node}
+
+
+def feed(node, now_s, event):
+    """
+    Give an event to an instance.
+    """
+    return reduce(node, Moment(now_s, WALL_MS + round(now_s * 1000)), event)
+
+
+def call(kind, path="/q/job1", key="key", token=1, spec=SPEC, host="host"):
+    """
+    Give a caller's request.
+    """
+    return events.CallReceived(token, kind, host, path, key, 3.0, spec)
+
+
+def of_type(produced, kind):
+    """
+    Give the effects of a type.
+    """
+    return [effect for effect in produced if isinstance(effect, kind)]
+
+
+def replies(produced):
+    """
+    Give the outcomes of the answers among effects.
+    """
+    return [effect.outcome for effect in of_type(produced, effects.Reply)]
+
+
+def test_a_job_is_accepted_once_it_stands_in_the_log(node):
+    """
+    A submission is answered when its append has succeeded, and not before.
+    """
+    produced = feed(node, 0.1, call(events.SUBMIT))
+    (append,) = of_type(produced, effects.Append)
+    assert replies(produced) == []
+    assert isinstance(decode_record(append.records[0]), Submitted)
+    produced = feed(node, 0.2, events.Appended(append.channel, append.seq, events.OK))
+    assert replies(produced) == [effects.ACCEPTED]
+
+
+def test_a_repeat_of_a_known_job_is_accepted_without_a_record(node):
+    """
+    A repeat of an id that stands in the log is accepted at once.
+    """
+    record = Submitted("job1", "q", "service", "a", SPEC, WALL_MS)
+    feed(node, 0.1, events.LogRead(0, tuple(encode_records([record])), 1, 0.1))
+    produced = feed(node, 0.2, call(events.SUBMIT))
+    assert replies(produced) == [effects.ACCEPTED]
+    assert of_type(produced, effects.Append) == []
+
+
+def test_the_longest_prefix_of_the_host_selects_the_queue(node):
+    """
+    Of several prefixes that fit, the longest decides, and another host has no queue.
+    """
+    (append,) = of_type(feed(node, 0.1, call(events.SUBMIT, "/q/deep/j")), effects.Append)
+    assert decode_record(append.records[0]).queue == "deep"
+    produced = feed(node, 0.1, call(events.SUBMIT, host="elsewhere", token=2))
+    assert replies(produced) == [effects.NO_SUCH_QUEUE]
+
+
+def test_a_key_that_is_not_known_is_refused_but_on_open_queues(node):
+    """
+    A keyed queue takes only known keys; an open one takes any.
+    """
+    assert replies(feed(node, 0.1, call(events.SUBMIT, key="no"))) == [effects.UNKNOWN_KEY]
+    produced = feed(node, 0.1, call(events.SUBMIT, "/open/j", key="", token=2))
+    assert of_type(produced, effects.Append)
+
+
+def test_a_malformed_job_is_refused(node):
+    """
+    A submission without a readable job is refused as malformed.
+    """
+    assert replies(feed(node, 0.1, call(events.SUBMIT, spec=None))) == [effects.MALFORMED]
+
+
+def test_a_store_that_refuses_leads_to_a_refusal_with_a_time(node):
+    """
+    A job that was certainly not stored is refused at once, and the caller told when to come back.
+    """
+    (append,) = of_type(feed(node, 0.1, call(events.SUBMIT)), effects.Append)
+    produced = feed(node, 0.4, events.Appended(append.channel, append.seq, events.REFUSED))
+    (reply,) = of_type(produced, effects.Reply)
+    assert reply.outcome == effects.UNAVAILABLE
+    assert reply.retry_after_s >= 1.0
+
+
+def test_the_time_to_come_back_grows_with_the_outage(node):
+    """
+    The longer the store has been away, the later callers are told to come back, up to a bound.
+    """
+    times = []
+    for now_s in (1.0, 3.0, 20.0):
+        node.operator.ok_s = now_s
+        feed(node, now_s, call(events.SUBMIT, f"/q/j{now_s}", token=round(now_s)))
+        seq = node.intake.seq
+        event = events.Appended("intake", seq, events.REFUSED)
+        (reply,) = of_type(feed(node, now_s + 0.3, event), effects.Reply)
+        times.append(reply.retry_after_s)
+    assert times == sorted(times)
+    assert times[0] < times[1] < times[2] <= 4.0
+
+
+def test_a_job_that_may_be_stored_is_never_refused(node):
+    """
+    After an append without an answer the caller hears that the outcome is uncertain.
+    """
+    (append,) = of_type(feed(node, 0.1, call(events.SUBMIT)), effects.Append)
+    feed(node, 1.0, events.Appended(append.channel, append.seq, events.UNKNOWN))
+    feed(node, 1.2, events.Appended(append.channel, append.seq, events.REFUSED))
+    assert replies(feed(node, 3.2, events.Ticked())) == [effects.UNCERTAIN]
+
+
+def test_a_cancel_that_overtakes_its_submission_holds(node):
+    """
+    A job whose cancel stands in the log before it begins cancelled.
+    """
+    records = [
+        Cancelled("job1", WALL_MS),
+        Submitted("job1", "q", "service", "a", SPEC, WALL_MS),
+    ]
+    feed(node, 0.1, events.LogRead(0, tuple(encode_records(records)), 2, 0.1))
+    assert node.book.jobs["job1"].cancelled
+
+
+def test_a_cancel_of_no_job_is_answered_once_the_log_was_read(node):
+    """
+    Whether a job exists is decided by the log as of the cancel.
+    """
+    (append,) = of_type(feed(node, 0.1, call(events.CANCEL)), effects.Append)
+    produced = feed(node, 0.2, events.Appended(append.channel, append.seq, events.OK))
+    assert replies(produced) == []
+    produced = feed(node, 0.3, events.LogRead(0, append.records, 1, 0.2))
+    assert replies(produced) == [effects.NO_SUCH_JOB]
+
+
+def test_no_job_is_denied_on_old_knowledge(node):
+    """
+    An instance that has not read the log lately does not say that a job does not exist.
+    """
+    node.operator.ok_s = 4.0
+    assert replies(feed(node, 4.0, call(events.LOOK_UP))) == [effects.UNAVAILABLE]
+    feed(node, 4.0, events.LogRead(0, (), 0, 4.0))
+    assert replies(feed(node, 4.1, call(events.LOOK_UP))) == [effects.NO_SUCH_JOB]
+
+
+def test_keys_are_not_taken_on_an_old_configuration(node):
+    """
+    Without news of the operator for too long, keyed calls are refused.
+    """
+    assert replies(feed(node, 5.1, call(events.SUBMIT))) == [effects.UNAVAILABLE]
+
+
+def test_a_configuration_never_gives_way_to_an_older_one(node):
+    """
+    An older version that is read later changes nothing.
+    """
+    feed(node, 0.1, events.OperatorRead(2, make_config(7, ("new",)), (), 0.1))
+    feed(node, 0.2, events.OperatorRead(3, make_config(5, ("old",)), (), 0.2))
+    assert node.config.version == 7
+    assert "new" in node.config.workspace_of_key
--- /dev/null
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -0,0 +1,158 @@
+"""
+Which instance owns the log.
+"""
+
+from eelgrassdrum_core.jobs import Identity, Moment, effects, events, model, new_node, reduce
+from eelgrassdrum_core.jobs._ownership import SPREAD_S, spread_s
+from eelgrassdrum_core.jobs._records import Beat, Claimed, Released, encode_records
+
+BOUNDS = model.Bounds(10.0, 2.0, 5.0, 6.0, 0.4, 3.0, 0.25, 120.0, 1.5, 2.0)
+CONFIG = model.Config(1, {}, {}, {}, {}, 1000)
+WALL_MS = 1_700_000_000_000
+
+
+def feed(node, now_s, event):
+    """
+    Give an event to an instance.
+    """
+    return reduce(node, Moment(now_s, WALL_MS + round(now_s * 1000)), event)
+
+
+def make_node(name="entry"):
+    """
+    Give an instance that has read an empty log.
+    """
+    node = new_node(Identity(name, WALL_MS, "zone"), BOUNDS)
+    feed(node, 0.0, events.OperatorRead(1, CONFIG, (), 0.0))
+    feed(node, 0.0, events.SnapshotRead(None))
+    read(node, 0.0, [])
+    return node
+
+
+FIXTURES = {"node": make_node}
+
+
+def read(node, now_s, records):
+    """
+    Let an instance read records at the end of the log.
+    """
+    offset = node.book.offset
+    data = tuple(encode_records(records))
+    return feed(node, now_s, events.LogRead(offset, data, offset + len(data), now_s))
+
+
+def claims(produced):
+    """
+    Give the claims among effects.
+    """
+    return [item for item in produced if isinstance(item, effects.Append) and item.seq == 1]
+
+
+def own(node, now_s=1.0):
+    """
+    Let an instance come to own the log.
+    """
+    read(node, now_s, [])
+    (claim,) = claims(feed(node, now_s, events.Ticked()))
+    read(node, now_s + 0.01, [Claimed(claim.epoch, node.identity.instance, WALL_MS)])
+    assert node.ownership.is_owner
+
+
+def test_a_log_without_an_owner_is_claimed(node):
+    """
+    An instance claims a log that has no owner, and owns it once it reads its claim.
+    """
+    own(node)
+    assert node.ownership.epoch == 1
+
+
+def test_a_silent_owner_loses_the_log(node):
+    """
+    A log is claimed only after its owner was silent while the log could be read.
+    """
+    read(node, 0.1, [Claimed(1, "other", 5)])
+    read(node, 0.6, [])
+    assert claims(feed(node, 0.6, events.Ticked())) == []
+    read(node, 2.0, [])
+    assert [claim.epoch for claim in claims(feed(node, 2.0, events.Ticked()))] == [2]
+
+
+def test_an_outage_of_the_store_is_no_silence_of_the_owner(node):
+    """
+    After reads that failed, the silence is counted from the first that succeeds.
+    """
+    read(node, 0.1, [Claimed(1, "other", 5)])
+    feed(node, 0.3, events.LogReadFailed("timeout"))
+    read(node, 5.0, [])
+    assert claims(feed(node, 5.0, events.Ticked())) == []
+    read(node, 5.2, [Beat(1)])
+    read(node, 5.5, [])
+    assert claims(feed(node, 5.5, events.Ticked())) == []
+
+
+def test_a_released_log_is_claimed_at_once(node):
+    """
+    An owner that gives the log up need not be waited for.
+    """
+    read(node, 0.1, [Claimed(1, "other", 5)])
+    read(node, 0.5, [Released(1)])
+    read(node, 0.9, [])
+    assert claims(feed(node, 0.9, events.Ticked()))
+
+
+def test_a_fenced_owner_steps_down_and_reads_all_again(node):
+    """
+    An append that is refused for its epoch ends the ownership and drops what was decided.
+    """
+    own(node)
+    (append,) = [
+        item for item in feed(node, 1.5, events.Ticked()) if isinstance(item, effects.Append)
+    ]
+    feed(node, 1.6, events.Appended(append.channel, append.seq, events.FENCED))
+    assert not node.ownership.is_owner
+    feed(node, 1.7, events.Ticked())
+    assert node.book.offset == 0
+
+
+def test_a_claim_of_another_ends_an_ownership(node):
+    """
+    An owner that reads a newer claim of another instance decides nothing any more.
+    """
+    own(node)
+    read(node, 2.0, [Claimed(2, "other", 5)])
+    assert not node.ownership.is_owner
+
+
+def test_a_second_claim_of_an_epoch_changes_nothing(node):
+    """
+    The first claim of an epoch holds.
+    """
+    read(node, 0.1, [Claimed(1, "first", 5), Claimed(1, "second", 6)])
+    assert node.book.owner == ("first", 5)
+
+
+def test_an_append_without_an_answer_is_sent_again_under_its_number(node):
+    """
+    The owner repeats a lost append with the same number and the same records.
+    """
+    own(node)
+
+    def appends(now_s, event):
+        return [item for item in feed(node, now_s, event) if isinstance(item, effects.Append)]
+
+    (first,) = appends(1.5, events.Ticked())
+    lost = events.Appended(first.channel, first.seq, events.UNKNOWN)
+    (second,) = appends(2.4, lost)
+    assert (second.seq, second.records) == (first.seq, first.records)
+
+
+def test_a_young_instance_claims_before_an_old_one():
+    """
+    Rolling restart: the log goes to an instance that was restarted already.
+    """
+    from eelgrassdrum_core.jobs._ownership import SPREAD_S, spread_s
+
+    old, young = make_node("a"), make_node("b")
+    old.began_s, young.began_s = -1000.0, 0.0
+    at = Moment(0.5, WALL_MS)
+    assert spread_s(young, at) <= SPREAD_S + 0.01 < spread_s(old, at) + SPREAD_S
--- /dev/null
+++ b/packages/eelgrassdrum-core/tests/test_jobs_records.py
@@ -0,0 +1,179 @@
+"""
+Records of the job log, and snapshots of what they fold to.
+"""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eelgrassdrum_core.jobs import Book, model
+from eelgrassdrum_core.jobs import _fold as fold
+from eelgrassdrum_core.jobs import _records as records
+from eelgrassdrum_core.jobs import _snapshot as snapshot
+
+WALL_MS = 1_700_000_000_000
+SPEC = model.JobSpec(
+    "payload",
+    (
+        model.Step(2, (500, 100, 0), 100),
+        model.Step(1, (700, 100, 0), 100, after=(0,)),
+    ),
+)
+JOBS = st.sampled_from(["j1", "j2"])
+SPOT = {"step": st.sampled_from([0, 1, 5]), "index": st.sampled_from([0, 1, 7])}
+RECORDS = st.one_of(
+    st.builds(
+        records.Submitted,
+        JOBS,
+        st.just("q"),
+        st.just("s"),
+        st.sampled_from(["a", "b"]),
+        st.just(SPEC),
+        st.just(WALL_MS),
+    ),
+    st.builds(records.Cancelled, JOBS, st.just(WALL_MS)),
+    st.builds(records.Claimed, st.integers(1, 3), st.just("entry"), st.just(1)),
+    st.builds(
+        records.Started,
+        st.integers(1, 3),
+        JOBS,
+        st.just(0),
+        SPOT["step"],
+        SPOT["index"],
+        st.integers(1, 3),
+        st.sampled_from(["w1", "w2"]),
+        st.just(1),
+    ),
+    st.builds(
+        records.Ended,
+        st.integers(1, 3),
+        JOBS,
+        st.just(0),
+        SPOT["step"],
+        SPOT["index"],
+        st.integers(1, 3),
+        st.sampled_from(["done", "failed", "lost"]),
+        st.sampled_from(["", "saved"]),
+    ),
+    st.builds(
+        records.Closed,
+        st.integers(1, 3),
+        JOBS,
+        st.sampled_from(["completed", "failed", "cancelled"]),
+        st.just(WALL_MS),
+    ),
+    st.builds(
+        records.InstanceOrdered,
+        st.integers(1, 3),
+        st.just("m1"),
+        st.sampled_from([-1, 1]),
+        st.just("pool"),
+        st.just(WALL_MS),
+    ),
+)
+
+
+def folded(items):
+    """
+    Fold records into a book.
+    """
+    book = Book()
+    for item in items:
+        fold.apply(book, item, 10.0, WALL_MS)
+        fold.confirm(book, item)
+        book.offset += 1
+    return book
+
+
+def recount(book):
+    """
+    Count the use of workers and workspaces anew from the tasks.
+    """
+    load, used = {}, {}
+    for job in book.jobs.values():
+        for steps in job.occurrences.values():
+            for state in steps:
+                for task in state.tasks:
+                    if task.status == "running":
+                        need = model.Room(*state.step.need)
+                        room = load.get(task.worker, model.NO_ROOM)
+                        load[task.worker] = room.plus(state.step.room)
+                        used[job.workspace] = used.get(job.workspace, model.NO_ROOM).plus(need)
+    return load, used
+
+
+@given(st.lists(RECORDS, max_size=40))
+@settings(max_examples=150, deadline=None, derandomize=True)
+def test_use_is_counted_as_the_tasks_say(items):
+    """
+    However records follow each other, the use of workers and workspaces is that of running tasks.
+    """
+    book = folded(items)
+    load, used = recount(book)
+    assert {key: room for key, room in book.load.items() if any(room)} == load
+    assert {key: room for key, room in book.used.items() if any(room)} == used
+
+
+@given(st.lists(RECORDS, max_size=40))
+@settings(max_examples=150, deadline=None, derandomize=True)
+def test_a_snapshot_gives_the_same_book(items):
+    """
+    A book that was stored and read again says the same.
+    """
+    book = folded(items)
+    data = snapshot.encode(book, 10.0, WALL_MS)
+    again = snapshot.decode(data, 10.0, WALL_MS)
+    assert snapshot.encode(again, 10.0, WALL_MS) == data
+    assert again.load == {key: room for key, room in book.load.items() if any(room)}
+    assert set(again.open_jobs) == set(book.open_jobs)
+    assert {q: n for q, n in again.pending.items() if n} == {
+        q: n for q, n in book.pending.items() if n
+    }
+
+
+@given(st.lists(RECORDS, max_size=20))
+@settings(max_examples=50, deadline=None, derandomize=True)
+def test_records_survive_their_encoding(items):
+    """
+    A record that was encoded is decoded as it was.
+    """
+    assert [records.decode_record(data) for data in records.encode_records(items)] == items
+
+
+@given(st.binary(max_size=60))
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_rubbish_is_no_record_and_no_snapshot(data):
+    """
+    Bytes of another writer are told apart without an error.
+    """
+    records.decode_record(data)
+    assert snapshot.decode(data, 0.0, 0) is None
+
+
+def test_an_older_epoch_decides_nothing():
+    """
+    A record of a former owner that comes late is left out by everyone.
+    """
+    book = folded(
+        [
+            records.Submitted("j1", "q", "s", "a", SPEC, WALL_MS),
+            records.Claimed(2, "new", 1),
+            records.Started(1, "j1", 0, 0, 0, 1, "w1", 1),
+        ]
+    )
+    assert book.running == {}
+
+
+def test_a_run_that_was_given_up_may_have_ended_well():
+    """
+    An end as done of the newest run counts although the run was given up before.
+    """
+    book = folded(
+        [
+            records.Submitted("j1", "q", "s", "a", SPEC, WALL_MS),
+            records.Claimed(1, "entry", 1),
+            records.Started(1, "j1", 0, 0, 0, 1, "w1", 1),
+            records.Ended(1, "j1", 0, 0, 0, 1, "lost", ""),
+            records.Ended(1, "j1", 0, 0, 0, 1, "done", ""),
+        ]
+    )
+    assert book.jobs["j1"].occurrences[0][0].left == 1
