--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -150,7 +150,6 @@
     """
     Rolling restart: the log goes to an instance that was restarted already.
     """
-    from eelgrassdrum_core.jobs._ownership import SPREAD_S, spread_s
 
     old, young = make_node("a"), make_node("b")
     old.began_s, young.began_s = -1000.0, 0.0
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/__init__.py
@@ -4,8 +4,20 @@
 """
 
 from ._faults import FAULTS
+from ._patterns import Served, burst_beyond_room, owner_lost_in_a_burst, turning_demand
 from ._rules import Violation
 from ._schedule import ScheduleResult, run_schedule
 from ._world import World, make_world
 
-__all__ = ["FAULTS", "ScheduleResult", "Violation", "World", "make_world", "run_schedule"]
+__all__ = [
+    "FAULTS",
+    "ScheduleResult",
+    "Served",
+    "Violation",
+    "World",
+    "burst_beyond_room",
+    "make_world",
+    "owner_lost_in_a_burst",
+    "run_schedule",
+    "turning_demand",
+]
--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
@@ -0,0 +1,147 @@
+"""
+Load patterns of the heaviest days, and how well they are served, without a network.
+"""
+
+from typing import NamedTuple
+
+from eelgrassdrum_core.jobs import model
+
+from ._schedule import make_config
+from ._world import World, add_worker, make_world, run_until, submit
+
+SETTLE_S = 4.0
+CAPACITY = model.Room(8_000, 64_000, 0)
+SLACK_FACTOR = 1.6
+TARGET_S = 0.6
+CALM_S = 12.0
+
+
+class Served(NamedTuple):
+    """
+    How a pattern was served.
+
+    :param in_time: part of the jobs that met their objective.
+    :param at_all: part of the jobs that ended within three times their objective.
+    :param instance_s: seconds of instances in pools that were not the standby pool.
+    """
+
+    in_time: float
+    at_all: float
+    instance_s: float
+
+
+def turning_demand(is_moving: bool, seed: int = 1) -> Served:
+    """
+    Two queues that ask by turns for more than their pool holds, and for nothing in between.
+
+    :param is_moving: whether there is a standby pool, so that instances are moved.
+    :param seed: of all that is random.
+    :returns: how it was served.
+    """
+    config = _two_queues(is_moving)
+    world = make_world(seed, 3, config)
+    world.durations = lambda _key: (0.8, "done")
+    for number in range(8):
+        add_worker(world, number, ("left", "right")[number % 2], CAPACITY)
+    run_until(world, SETTLE_S)
+    submitted: dict[str, tuple[float, float]] = {}
+    instance_s = 0.0
+    for tenth in range(160):
+        at_s = SETTLE_S + tenth / 10
+        run_until(world, at_s)
+        queue = "left" if tenth < 80 else "right"
+        if tenth % 80 < 60:
+            _submit(world, submitted, queue, f"{tenth:016x}", 5, 0.8)
+        instance_s += sum(row.pool != "standby" for row in world.rows.values()) / 10
+    run_until(world, world.now_s + CALM_S)
+    return _served(world, submitted, instance_s)
+
+
+def burst_beyond_room(seed: int = 1) -> Served:
+    """
+    A burst of one queue that asks for half as much again as all workers hold, for four seconds.
+
+    :param seed: of all that is random.
+    :returns: how it was served.
+    """
+    world = make_world(seed, 3, make_config(is_limited=False))
+    world.durations = lambda _key: (0.8, "done")
+    for number in range(6):
+        add_worker(world, number, "service", CAPACITY)
+    run_until(world, SETTLE_S)
+    submitted: dict[str, tuple[float, float]] = {}
+    for tenth in range(40):
+        run_until(world, SETTLE_S + tenth / 10)
+        _submit(world, submitted, "q", f"{tenth:016x}", 9, 0.8)
+    run_until(world, world.now_s + CALM_S)
+    return _served(world, submitted, 0.0)
+
+
+def owner_lost_in_a_burst(seed: int = 1) -> float:
+    """
+    The owner is killed in the middle of a burst.
+
+    :param seed: of all that is random.
+    :returns: seconds in which no task starts.
+    """
+    from ._faults import FAULTS
+
+    world = make_world(seed, 3, make_config(is_limited=False))
+    world.durations = lambda _key: (0.5, "done")
+    for number in range(6):
+        add_worker(world, number, "service", CAPACITY)
+    run_until(world, SETTLE_S)
+    submitted: dict[str, tuple[float, float]] = {}
+    starts = 0
+    longest_s = quiet_s = 0.0
+    for step in range(400):
+        run_until(world, SETTLE_S + step / 50)
+        if step % 10 == 0:
+            _submit(world, submitted, "q", f"{step:016x}", 2, 0.5)
+        if step == 150:
+            FAULTS["kill_owner"](world)
+        quiet_s = 0.0 if world.judge.starts > starts else quiet_s + 0.02
+        starts = world.judge.starts
+        longest_s = max(longest_s, quiet_s)
+    return longest_s
+
+
+def _two_queues(is_moving: bool) -> model.Config:
+    base = make_config(is_limited=False)
+    queues = {
+        name: model.Queue(
+            name, "host", f"/{name}/", name, 0, 3, SLACK_FACTOR, round(TARGET_S * 1000), False
+        )
+        for name in ("left", "right")
+    }
+    services = {name: model.Service(name, False, False) for name in queues}
+    if is_moving:
+        services["standby"] = model.Service("standby", False, True)
+    return base._replace(queues=queues, services=services)
+
+
+def _submit(
+    world: World,
+    submitted: dict[str, tuple[float, float]],
+    queue: str,
+    job: str,
+    count: int,
+    work_s: float,
+) -> None:
+    step = model.Step(count=count, need=(1_000, 1_000, 0), estimate_ms=round(work_s * 1000))
+    submitted[job] = (world.now_s, SLACK_FACTOR * work_s + TARGET_S)
+    up = sorted(name for name, instance in world.instances.items() if instance.is_up)
+    name = world.rng.choice(up)
+    submit(world, name, job, "key-a", model.JobSpec("payload", (step,)), f"/{queue}/{job}")
+
+
+def _served(world: World, submitted: dict[str, tuple[float, float]], instance_s: float) -> Served:
+    book = next(iter(world.instances.values())).node.book
+    ages = [
+        (book.jobs[job].closed_s - at_s, objective_s)
+        for job, (at_s, objective_s) in submitted.items()
+        if job in book.jobs and book.jobs[job].shown == "completed"
+    ]
+    in_time = sum(age_s <= objective_s for age_s, objective_s in ages)
+    at_all = sum(age_s <= 3 * objective_s for age_s, objective_s in ages)
+    return Served(in_time / len(submitted), at_all / len(submitted), instance_s)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
@@ -26,6 +26,7 @@
 MOVE_S = 1.5
 HEARTBEAT_S = 1.5
 KEEP_LINES = 4000
+STANDBY = "standby"
 
 BOUNDS = model.Bounds(
     max_lease_s=10.0,
@@ -203,7 +204,9 @@
     world.config_log.append(config)
 
 
-def submit(world: World, name: str, job: str, key: str, spec: model.JobSpec) -> None:
+def submit(
+    world: World, name: str, job: str, key: str, spec: model.JobSpec, path: str = ""
+) -> None:
     """
     Hand a job in at an instance.
 
@@ -212,11 +215,12 @@
     :param job: id of the job.
     :param key: the caller's key.
     :param spec: the job.
+    :param path: path of the request, if it is not that of the usual queue.
     """
     world.judge.specs[job] = spec
     assert world.config is not None
     world.judge.workspaces[job] = world.config.workspace_of_key.get(key, "")
-    _call(world, name, events.SUBMIT, job, key, spec)
+    _call(world, name, events.SUBMIT, job, key, spec, path)
 
 
 def cancel(world: World, name: str, job: str, key: str) -> None:
@@ -245,11 +249,17 @@
 
 
 def _call(
-    world: World, name: str, kind: str, job: str, key: str, spec: model.JobSpec | None
+    world: World,
+    name: str,
+    kind: str,
+    job: str,
+    key: str,
+    spec: model.JobSpec | None,
+    path: str = "",
 ) -> None:
     token = next(world.numbers)
     world.calls[token] = (kind, job)
-    event = events.CallReceived(token, kind, "host", f"/q/{job}", key, 3.0, spec)
+    event = events.CallReceived(token, kind, "host", path or f"/q/{job}", key, 3.0, spec)
     post(world, name, world.instances[name].life, event)
 
 
@@ -554,7 +564,10 @@
             if worker.instance == effect.instance and worker.is_up:
                 worker.crash()
                 worker.is_up = False
-        world.rows[effect.instance] = row._replace(state="upkeep", worker="")
+        state = "upkeep" if effect.wave >= 0 else "moving"
+        world.rows[effect.instance] = row._replace(
+            state=state, worker="", pool=effect.pool or row.pool
+        )
         pool = effect.pool or row.pool
         later(world, MOVE_S, lambda: _bring_back(world, effect.instance, pool))
         event = events.InstanceOrderAnswered(
@@ -567,6 +580,9 @@
 
 def _bring_back(world: World, instance: str, pool: str) -> None:
     row = world.rows[instance]
+    if pool == STANDBY:
+        world.rows[instance] = row._replace(state="up", worker="", pool=pool)
+        return
     worker_id = f"{instance}-{next(world.numbers)}"
     world.rows[instance] = row._replace(state="up", worker=worker_id, pool=pool)
     world.workers[worker_id] = JobWorker(
