Show from the logs of several instances what became of a job

eelgrassdrum trace ID FILES joins the lines about a job, its workers and the owner of the log. Lines of refused and uncertain calls name their job and how long it waited.

--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_app.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_app.py
@@ -13,6 +13,7 @@
     _commands_keys,
     _commands_maintenance,
     _commands_moves,
+    _commands_trace,
 )
 from ._errors import CommandError, ExitCode
 from ._output import print_error
@@ -49,6 +50,7 @@
     app.command(_commands_fleet.teams)
     app.command(_commands_fleet.status)
     app.command(_commands_fleet.explain)
+    app.command(_commands_trace.trace)
     app.register_install_completion_command(name="--install-completion")
     return app
 
--- /dev/null
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_trace.py
@@ -0,0 +1,122 @@
+"""
+Shows from the logs of several instances what became of one job.
+"""
+
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+from ._errors import CommandError, ExitCode
+from ._output import print_rows
+from ._settings import NO_SETTINGS, Settings
+
+# Lines about a worker or an owner count for a job from this long before its first line.
+CONTEXT_S = 3.0
+COLUMNS = ("seconds", "instance", "action", "details")
+# Changes of what an instance believes that bear on every job of their time.
+CONTEXT_ACTIONS = ("owner.", "store.", "config.in_force", "instance.stopping")
+
+
+class Line(NamedTuple):
+    """
+    A line of the structured log.
+
+    :param at_s: Unix time.
+    """
+
+    at_s: float
+    instance: str
+    action: str
+    fields: dict[str, Any]
+
+
+def trace(job: str, /, *files: Path, settings: Settings = NO_SETTINGS) -> int:
+    """
+    Show every decision about a job, with what its workers and the owner of the log went through.
+
+    :param job: the job's id.
+    :param files: logs of instances, in any order; standard input if there are none.
+    """
+    lines = sorted(_read_all(files), key=lambda line: line.at_s)
+    about = [line for line in lines if concerns(line, job)]
+    if not about:
+        raise CommandError(ExitCode.NOT_FOUND, f"no line of these logs is about job {job}")
+    chosen = with_context(lines, about, job)
+    first_s = about[0].at_s
+    rows = [
+        (f"{line.at_s - first_s:+.3f}", line.instance, line.action, _details(line, job))
+        for line in chosen
+    ]
+    content = [dict(line._asdict()) for line in chosen]
+    print_rows(settings, content, COLUMNS, rows)
+    return 0
+
+
+def _read_all(files: Iterable[Path]) -> Iterator[Line]:
+    texts = [path.read_text(encoding="utf-8", errors="replace") for path in files]
+    for text in texts or [sys.stdin.read()]:
+        for row in text.splitlines():
+            line = parse_line(row)
+            if line is not None:
+                yield line
+
+
+def parse_line(row: str) -> Line | None:
+    """
+    Read a line of a log, whatever a collector has put before it.
+
+    :param row: the line.
+    :returns: the line, or ``None`` when it is none of the structured log.
+    """
+    start = row.find("{")
+    if start < 0:
+        return None
+    try:
+        data = msgspec.json.decode(row[start:])
+        return Line(
+            data["timestamp"], data["instance"], data["message_type"], data.get("fields", {})
+        )
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return None
+
+
+def concerns(line: Line, job: str) -> bool:
+    """
+    Tell whether a line is about a job.
+
+    :param line: the line.
+    :param job: the job's id.
+    :returns: whether it names it.
+    """
+    fields = line.fields
+    return fields.get("job") == job or str(fields.get("path", "")).endswith(job)
+
+
+def with_context(lines: list[Line], about: list[Line], job: str) -> list[Line]:
+    """
+    Add the lines about the job's workers, and about the owner, of its time.
+
+    :param lines: all lines, in order of time.
+    :param about: the lines about the job.
+    :param job: the job's id.
+    :returns: the lines to show, in order of time.
+    """
+    first_s, last_s = about[0].at_s - CONTEXT_S, about[-1].at_s
+    workers = {line.fields["worker"] for line in about if "worker" in line.fields}
+
+    def is_context(line: Line) -> bool:
+        if not first_s <= line.at_s <= last_s:
+            return False
+        if line.action.startswith(CONTEXT_ACTIONS):
+            return True
+        return line.action.startswith("worker.") and line.fields.get("worker") in workers
+
+    return [line for line in lines if concerns(line, job) or is_context(line)]
+
+
+def _details(line: Line, job: str) -> str:
+    fields = {name: value for name, value in line.fields.items() if value != job}
+    return " ".join(f"{name}={value}" for name, value in fields.items())
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -312,7 +312,7 @@
         if at.now_s >= call.due_s and call.token not in intake.gone:
             _reply(node, call, effects.UNCERTAIN, "store_does_not_answer")
             intake.gone.add(call.token)
-            log_line(node, "call.uncertain", record=repr(call.record)[:80])
+            log_line(node, "call.uncertain", **_named(call), waited_s=_waited_s(call, at))
     while intake.waiting and at.now_s - intake.waiting[0].since_s >= GIVE_UP_S:
         _refuse_waiting(node, at, intake.waiting.popleft())
     _expire_cancels(node, at)
@@ -341,11 +341,23 @@
         node,
         "call.refused",
         reason="store_unavailable",
-        record=repr(call.record)[:80],
+        **_named(call),
+        waited_s=_waited_s(call, at),
         retry_after_s=retry_s,
     )
 
 
+def _named(call: IntakeCall) -> dict[str, str]:
+    record = call.record
+    kind = events.SUBMIT if isinstance(record, Submitted) else events.CANCEL
+    job = record.job if isinstance(record, Submitted | Cancelled) else ""
+    return {"job": job, "kind": kind}
+
+
+def _waited_s(call: IntakeCall, at: Moment) -> float:
+    return round(at.now_s - call.since_s, 3)
+
+
 def store_retry_s(node: Node, at: Moment) -> float:
     """
     Give the time after which a caller should come back while the store is away.
