Run the real programs under faults

Instances as processes against a stand-in of the platform, with signals and loopback proxies; rules are those of the world of virtual time.

--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/soak/_http.py
@@ -0,0 +1,76 @@
+"""
+A small HTTP/1.1 server for stand-ins, which stand outside the product.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+from urllib.parse import parse_qsl, urlsplit
+
+
+class Request(NamedTuple):
+    """
+    A whole request.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+class Answer(NamedTuple):
+    """
+    A whole answer.
+    """
+
+    status: int
+    body: bytes = b"{}"
+
+
+Handle = Callable[[Request], Awaitable[Answer]]
+
+
+async def serve(handle: Handle, port: int = 0) -> tuple[asyncio.Server, int]:
+    """
+    Serve on loopback.
+
+    :param handle: answers a request.
+    :param port: the port, or 0 for any.
+    :returns: the server and its port.
+    """
+
+    async def on_connect(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while (req := await _read(reader)) is not None:
+                answer = await handle(req)
+                head = (
+                    f"HTTP/1.1 {answer.status} X\r\nContent-Type: application/json\r\n"
+                    f"Content-Length: {len(answer.body)}\r\n\r\n"
+                )
+                writer.write(head.encode() + answer.body)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # The other end is gone, which is part of what a soak does, or the soak is over.
+            return
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(on_connect, "127.0.0.1", port)
+    return server, server.sockets[0].getsockname()[1]
+
+
+async def _read(reader: asyncio.StreamReader) -> Request | None:
+    head = await reader.readuntil(b"\r\n\r\n")
+    if not head:
+        return None
+    first, *lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = first.split(" ", 2)
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    parts = urlsplit(target)
+    return Request(method, parts.path, dict(parse_qsl(parts.query)), headers, body)
--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/soak/_platform.py
@@ -0,0 +1,307 @@
+"""
+The platform's side of a soak: store, workers and machine service over HTTP.
+
+State and rules are those of the world of virtual time; here time is real.
+"""
+
+import asyncio
+import base64
+import itertools
+import json
+import struct
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from eelgrassdrum_core.jobs import events, model
+
+from ..jobs import _rules
+from ..jobs._store import JobStore
+from ..jobs._worker import JobWorker, Run
+from ._http import Answer, Request
+
+LENGTH = struct.Struct(">I")
+HEADER = struct.Struct(">QQ")
+POLL_S = 0.02
+TASK_S = (0.05, 0.6)
+ATTEMPTS = 3
+
+
+class Platform(msgspec.Struct, eq=False):
+    """
+    Everything of the platform.
+
+    :param topics: records of each keyed topic.
+    :param is_losing: whether appends are done and not answered.
+    """
+
+    rng: Any
+    jobs: JobStore = msgspec.field(default_factory=JobStore)
+    topics: dict[str, list[bytes]] = {}
+    workers: dict[str, JobWorker] = {}
+    judge: _rules.Judge = msgspec.field(default_factory=_rules.Judge)
+    state: str = "up"
+    is_losing: bool = False
+    numbers: Any = msgspec.field(default_factory=lambda: itertools.count(1))
+
+
+def _json(status: int, value: Any) -> Answer:
+    return Answer(status, json.dumps(value).encode())
+
+
+def put_keyed(platform: Platform, topic: str, key: str, value: Any) -> None:
+    """
+    Write a keyed record.
+
+    :param platform: the platform.
+    :param topic: the topic.
+    :param key: its key.
+    :param value: its value, or ``None`` to drop the key.
+    """
+    data = b"" if value is None else json.dumps(value).encode()
+    raw = key.encode()
+    platform.topics.setdefault(topic, []).append(bytes([len(raw)]) + raw + data)
+
+
+def store_handler(platform: Platform) -> Callable[[Request], Any]:
+    """
+    Give the function that answers calls of the store and of the machine service.
+
+    :param platform: the platform.
+    :returns: the function.
+    """
+
+    async def handle(req: Request) -> Answer:
+        while platform.state == "silent":
+            await asyncio.sleep(POLL_S)
+        if platform.state == "refusing":
+            return _json(503, {})
+        if req.path == "/api/log-append":
+            return await _append(platform, req)
+        if req.path == "/api/log-read":
+            return await _read(platform, req)
+        if req.path == "/api/log-newest":
+            return _newest(platform, req)
+        if req.path == "/api/machines":
+            return _json(200, {"machines": _machines(platform), "next_token": None})
+        return _json(200, {})
+
+    return handle
+
+
+def _machines(platform: Platform) -> list[dict[str, Any]]:
+    return [
+        {
+            "machine": worker.instance,
+            "pool": worker.service,
+            "state": "up" if worker.is_up else "down",
+            "zone": worker.zone,
+            "labels": ["a", "r1"],
+            "capacity": {"cpu": worker.capacity.millicores, "mem_mb": worker.capacity.memory_mb},
+            "id": worker.id if worker.is_up else "",
+        }
+        for worker in platform.workers.values()
+    ]
+
+
+def _split(body: bytes) -> tuple[bytes, ...]:
+    records = []
+    at = 0
+    while at < len(body):
+        (length,) = LENGTH.unpack_from(body, at)
+        records.append(body[at + 4 : at + 4 + length])
+        at += 4 + length
+    return tuple(records)
+
+
+async def _append(platform: Platform, req: Request) -> Answer:
+    await asyncio.sleep(0.003)
+    query = req.query
+    records = _split(req.body)
+    if query["topic"] != "jobs":
+        platform.topics.setdefault(query["topic"], []).extend(records)
+        return _json(200, {"offset": 0, "end": 0})
+    outcome = platform.jobs.append(
+        query.get("producer", ""),
+        int(query.get("epoch", "0")),
+        int(query.get("seq_no", "0")),
+        records,
+    )
+    if platform.is_losing and platform.rng.random() < 0.35:
+        raise ConnectionError
+    status = 200 if outcome == events.OK else 409
+    return _json(status, {"reason": "fenced", "offset": 0, "end": platform.jobs.end})
+
+
+async def _read(platform: Platform, req: Request) -> Answer:
+    topic, offset = req.query["topic"], int(req.query["from"])
+    due_s = time.monotonic() + int(req.query.get("wait_ms", "0")) / 1000
+    while True:
+        jobs = platform.jobs
+        records = jobs.records if topic == "jobs" else platform.topics.get(topic, [])
+        if len(records) > offset or time.monotonic() >= due_s:
+            body = b"".join(LENGTH.pack(len(data)) + data for data in records[offset:])
+            return Answer(200, HEADER.pack(len(records), 0) + body)
+        await asyncio.sleep(POLL_S)
+
+
+def _newest(platform: Platform, req: Request) -> Answer:
+    records = platform.topics.get(req.query["topic"], [])
+    newest: dict[str, bytes] = {}
+    for data in records:
+        newest[data[1 : 1 + data[0]].decode()] = data[1 + data[0] :]
+    items = [
+        {"key": key, "value": base64.b64encode(value).decode(), "offset": 0}
+        for key, value in newest.items()
+        if value
+    ]
+    return _json(200, {"items": items, "has_more": False, "end": len(records)})
+
+
+def register(platform: Platform, worker: JobWorker) -> None:
+    """
+    Write a worker's entry, or drop it when the worker is down.
+
+    :param platform: the platform.
+    :param worker: the worker.
+    """
+    entry = None
+    if worker.is_up:
+        entry = {
+            "service": worker.service,
+            "address": worker.address,
+            "zone": worker.zone,
+            "state": "ready",
+            "capacity": {"cpu": worker.capacity.millicores, "mem_mb": worker.capacity.memory_mb},
+            "labels": ["a", "r1"],
+            "clock_ms": worker.clock_ms(time.monotonic()),
+            "born": worker.incarnation,
+            "machine": worker.instance,
+        }
+    put_keyed(platform, "keyed.servers", worker.id, entry)
+
+
+def worker_handler(platform: Platform, worker: JobWorker) -> Callable[[Request], Any]:
+    """
+    Give the function that answers the calls of a worker.
+
+    :param platform: the platform.
+    :param worker: the worker.
+    :returns: the function.
+    """
+
+    async def handle(req: Request) -> Answer:
+        if not worker.is_up:
+            raise ConnectionError
+        body = json.loads(req.body)
+        _advance(platform, worker)
+        if body["fencing_token"] < worker.token:
+            return _json(409, {"clock_ms": _clock(worker), "reason": "fence"})
+        worker.token = body["fencing_token"]
+        if req.path == "/api/hold":
+            return await _hold(platform, worker, body)
+        reason = _START_STOP[req.path](platform, worker, body)
+        status = 409 if reason else 200
+        return _json(status, {"clock_ms": _clock(worker), "reason": reason})
+
+    return handle
+
+
+def _clock(worker: JobWorker) -> int:
+    return worker.clock_ms(time.monotonic())
+
+
+def _advance(platform: Platform, worker: JobWorker) -> None:
+    for run in worker.advance(time.monotonic()):
+        if run.how == "done":
+            platform.judge.ended.add(run.key)
+
+
+async def _hold(platform: Platform, worker: JobWorker, body: dict[str, Any]) -> Answer:
+    for end in worker.ends:
+        if end.number <= body["last_seen"]:
+            _rules.on_noted(platform.judge, time.monotonic(), end)
+    worker.ends = [end for end in worker.ends if end.number > body["last_seen"]]
+    worker.lease_ms = max(worker.lease_ms, body.get("deadline_ms", 0))
+    due_s = time.monotonic() + body.get("wait_ms", 0) / 1000
+    life = worker.incarnation
+    while not worker.ends and time.monotonic() < due_s:
+        await asyncio.sleep(POLL_S)
+        if not worker.is_up or worker.incarnation != life:
+            raise ConnectionError
+        _advance(platform, worker)
+    rows = [
+        [_name(row.key), row.run, row.saved, row.percent, 0]
+        for row in worker.rows(time.monotonic())
+    ]
+    ends = [[end.number, _name(end.key), end.run, end.how, end.saved] for end in worker.ends]
+    answer = {"clock_ms": _clock(worker), "born": life, "running": rows, "finished": ends}
+    return _json(200, answer)
+
+
+def _name(key: model.TaskKey) -> str:
+    return ".".join(map(str, key))
+
+
+def _key(name: str) -> model.TaskKey:
+    job, occurrence, step, number = name.split(".")
+    return model.TaskKey(job, int(occurrence), int(step), int(number))
+
+
+def _start(platform: Platform, worker: JobWorker, body: dict[str, Any]) -> str:
+    key, run = _key(body["task"]), body["run"]
+    if _clock(worker) > body["deadline_ms"]:
+        return "late"
+    worker.lease_ms = max(worker.lease_ms, body["deadline_ms"])
+    running = worker.runs.get(key)
+    if running is not None and running.run == run:
+        return ""
+    if running is not None or run <= worker.newest_run.get(key, 0):
+        return "old"
+    now_s = time.monotonic()
+    step = platform.judge.specs[key.job].steps[key.step]
+    how = "failed" if platform.rng.random() < 0.03 else "done"
+    ends_s = now_s + platform.rng.uniform(*TASK_S)
+    worker.runs[key] = Run(key, run, step.room, now_s, ends_s, how, step.lasts)
+    _rules.on_start(platform.judge, now_s, platform.workers, worker, worker.runs[key])
+    return ""
+
+
+def _stop(platform: Platform, worker: JobWorker, body: dict[str, Any]) -> str:
+    key, run = _key(body["task"]), body["run"]
+    running = worker.runs.get(key)
+    if running is not None and running.run <= run:
+        running.stop_s = running.stop_s or time.monotonic() + 0.1
+    worker.newest_run[key] = max(worker.newest_run.get(key, 0), run)
+    return ""
+
+
+_START_STOP = {"/api/run-start": _start, "/api/run-stop": _stop, "/api/pace": lambda *_: ""}
+
+
+def write_config(platform: Platform, version: int) -> None:
+    """
+    Publish a configuration with one queue.
+
+    :param platform: the platform.
+    :param version: its version.
+    """
+    config = {
+        "version": version,
+        "routes": [
+            {
+                "name": "q",
+                "host": "host",
+                "prefix": "/q/",
+                "service": "service",
+                "max_attempts": ATTEMPTS,
+                "slack_factor": 1.6,
+                "target_latency_ms": 600,
+            }
+        ],
+        "services": [{"name": "service"}],
+        "tenants": [{"name": "a", "api_keys": ["key-a"], "weight": 1}],
+    }
+    put_keyed(platform, "keyed.op", "config", config)
--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/soak/_proxy.py
@@ -0,0 +1,81 @@
+"""
+A loopback proxy between an instance and what it calls, which misbehaves on demand.
+"""
+
+import asyncio
+import contextlib
+
+import msgspec
+
+PASS = "pass"
+DELAY = "delay"
+SILENT = "silent"
+ONE_WAY = "one_way"
+DELAY_S = 0.25
+CHUNK_BYTES = 64 * 1024
+
+
+class Proxy(msgspec.Struct, eq=False):
+    """
+    One proxy.
+
+    :param mode: `PASS`, `DELAY`, `SILENT` (nothing passes) or `ONE_WAY` (no answer passes).
+    """
+
+    target_port: int
+    mode: str = PASS
+    port: int = 0
+    conns: set[asyncio.StreamWriter] = set()
+    server: asyncio.Server | None = None
+
+
+async def start_proxy(target_port: int) -> Proxy:
+    """
+    Start a proxy.
+
+    :param target_port: port on loopback that it passes connections on to.
+    :returns: the proxy.
+    """
+    proxy = Proxy(target_port)
+
+    async def on_connect(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            there, back = await asyncio.open_connection("127.0.0.1", proxy.target_port)
+        except OSError:
+            writer.close()
+            return
+        proxy.conns |= {writer, back}
+        await asyncio.gather(
+            _copy(proxy, reader, back, is_answer=False),
+            _copy(proxy, there, writer, is_answer=True),
+        )
+        proxy.conns -= {writer, back}
+
+    proxy.server = await asyncio.start_server(on_connect, "127.0.0.1", 0)
+    proxy.port = proxy.server.sockets[0].getsockname()[1]
+    return proxy
+
+
+async def _copy(
+    proxy: Proxy, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_answer: bool
+) -> None:
+    with contextlib.suppress(ConnectionError, RuntimeError):
+        while data := await reader.read(CHUNK_BYTES):
+            if proxy.mode == DELAY:
+                await asyncio.sleep(DELAY_S)
+            if proxy.mode == SILENT or (proxy.mode == ONE_WAY and is_answer):
+                # Lost for good on this connection, as when something between lost track of it.
+                continue
+            writer.write(data)
+            await writer.drain()
+    writer.close()
+
+
+def reset(proxy: Proxy) -> None:
+    """
+    Reset every connection.
+
+    :param proxy: the proxy.
+    """
+    for writer in list(proxy.conns):
+        writer.transport.abort()
--- /dev/null
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/soak/_soak.py
@@ -0,0 +1,359 @@
+"""
+Runs instances as processes against the platform's stand-in, with faults from a seed.
+"""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+from eelgrassdrum_core.jobs import model
+
+from ..jobs import _rules
+from ..jobs._worker import JobWorker
+from . import _platform, _proxy
+from ._http import serve
+
+REPOSITORY = Path(__file__).resolve().parents[5]
+LOAD_S = 10.0
+START_S = 4.0
+# Leases of former owners run out after ten seconds, on slow clocks a little later.
+CALM_S = 16.0
+CALL_TIMEOUT_S = 4.0
+JOBS = 40
+WORKERS = 5
+RESTART_S = 0.5
+CAPACITY = model.Room(4_000, 64_000, 0)
+FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
+
+
+class SoakResult(NamedTuple):
+    """
+    What a soak showed.
+
+    :param unfinished: accepted jobs that had not ended when all had been calm for long enough.
+    """
+
+    seed: int
+    faults: tuple[str, ...]
+    starts: int
+    accepted: int
+    unfinished: tuple[str, ...]
+    violations: tuple[_rules.Violation, ...]
+    statuses: dict[str, int]
+
+
+class Program(msgspec.Struct, eq=False):
+    """
+    One instance: its process, and the proxy between it and the store.
+    """
+
+    name: str
+    front: int
+    settings: Path
+    proxy: _proxy.Proxy
+    log: Path
+    process: Any = None
+    is_wanted: bool = True
+
+
+class Soak(msgspec.Struct, eq=False):
+    """
+    A soak under way.
+    """
+
+    rng: random.Random
+    platform: _platform.Platform
+    programs: list[Program] = []
+    shown: dict[str, str] = {}
+    statuses: Counter[str] = msgspec.field(default_factory=Counter)
+    tasks: list[Any] = []
+
+
+async def _free_port() -> int:
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    port: int = server.sockets[0].getsockname()[1]
+    server.close()
+    return port
+
+
+async def _make_program(folder: Path, number: int, store_port: int) -> Program:
+    proxy = await _proxy.start_proxy(store_port)
+    front, ready = await _free_port(), await _free_port()
+    settings = folder / f"{number}.toml"
+    # Each instance has an address of its own, so that all can use the same port for metrics.
+    settings.write_text(
+        f'node_name = "entry-{number}"\nip = "127.0.1.{number + 1}"\nzone = "zone-{number}"\n'
+        f'[listen]\nfront = "127.0.0.1:{front}"\nready = "127.0.0.1:{ready}"\n'
+        f'[platform]\naddress = "127.0.0.1:{proxy.port}"\n'
+        f'[cloud_api]\naddress = "127.0.0.1:{proxy.port}"\n'
+    )
+    return Program(f"entry-{number}", front, settings, proxy, folder / f"{number}.log")
+
+
+async def _keep_running(program: Program) -> None:
+    while program.is_wanted:
+        with program.log.open("ab") as log:
+            program.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(REPOSITORY / "platform" / "run.py"),
+                env={**os.environ, "EELGRASSDRUM_SETTINGS": str(program.settings)},
+                stdout=log,
+                stderr=log,
+            )
+            await program.process.wait()
+        await asyncio.sleep(RESTART_S)
+
+
+async def _call(soak: Soak, method: str, job: str, body: bytes = b"") -> tuple[int, bytes]:
+    program = soak.rng.choice(soak.programs)
+    head = (
+        f"{method} /q/{job} HTTP/1.1\r\nHost: host\r\nAuthorization: Token key-a\r\n"
+        f"X-Deadline-Ms: 3000\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    try:
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection("127.0.0.1", program.front)
+            writer.write(head.encode() + body)
+            answer = await reader.read()
+            writer.close()
+        first, _, rest = answer.partition(b"\r\n")
+        return int(first.split()[1]), rest.partition(b"\r\n\r\n")[2]
+    except (OSError, TimeoutError, IndexError, ValueError):
+        return 0, b""
+
+
+async def _submit(soak: Soak, job: str) -> None:
+    rng = soak.rng
+    counts = [rng.randint(1, 4) for _ in range(rng.choice((1, 1, 2)))]
+    steps = tuple(
+        model.Step(count, (500, 100, 0), 300, (at - 1,) if at else ())
+        for at, count in enumerate(counts)
+    )
+    judge = soak.platform.judge
+    judge.specs[job] = model.JobSpec("x", steps)
+    phases = [
+        {
+            "count": step.count,
+            "cpu": 500,
+            "mem_mb": 100,
+            "estimate_ms": 300,
+            "depends_on": list(step.after),
+        }
+        for step in steps
+    ]
+    body = json.dumps({"spec": "x", "phases": phases}).encode()
+    refused = True
+    for _ in range(5):
+        status, _body = await _call(soak, "POST", job, body)
+        soak.statuses[str(status)] += 1
+        refused = refused and status in (429, 503)
+        if status == 200:
+            judge.accepted.add(job)
+            return
+        await asyncio.sleep(1.0)
+    if refused:
+        judge.refused.add(job)
+
+
+async def _look(soak: Soak, job: str) -> str:
+    status, body = await _call(soak, "GET", job)
+    if status != 200:
+        return f"status {status}"
+    state: str = json.loads(body)["state"]
+    return state
+
+
+def _strike(soak: Soak, fault: str) -> tuple[Any, float]:
+    """
+    Bring a fault about, and give the function that ends it and its time.
+    """
+    rng, platform = soak.rng, soak.platform
+    program = rng.choice(soak.programs)
+    if fault in _SIGNALS:
+        _signal(program, _SIGNALS[fault])
+        return (lambda: _signal(program, signal.SIGCONT)), rng.uniform(0.5, 4.0)
+    if fault in ("silent", "refusing"):
+        platform.state = fault
+        return (lambda: setattr(platform, "state", "up")), rng.uniform(0.5, 4.0)
+    if fault == "losing":
+        platform.is_losing = True
+        return (lambda: setattr(platform, "is_losing", False)), 3.0
+    if fault == "reset":
+        _proxy.reset(program.proxy)
+        return (lambda: None), 0.0
+    if fault == "worker_crash":
+        return _crash_worker(soak), rng.uniform(0.5, 4.0)
+    program.proxy.mode = fault.removeprefix("link_")
+    return (lambda: setattr(program.proxy, "mode", _proxy.PASS)), rng.uniform(0.5, 5.0)
+
+
+def _crash_worker(soak: Soak) -> Any:
+    worker = soak.rng.choice(list(soak.platform.workers.values()))
+    worker.crash()
+    worker.is_up = False
+    _platform.register(soak.platform, worker)
+
+    def restart() -> None:
+        worker.is_up = True
+        worker.incarnation += 1
+        worker.born_s = time.monotonic()
+        _platform.register(soak.platform, worker)
+
+    return restart
+
+
+def _signal(program: Program, signo: signal.Signals) -> None:
+    if program.process is not None and program.process.returncode is None:
+        program.process.send_signal(signo)
+
+
+_SIGNALS = {
+    "kill": signal.SIGKILL,
+    "term": signal.SIGTERM,
+    "pause": signal.SIGSTOP,
+    "hup": signal.SIGHUP,
+}
+FAULTS = (
+    *_SIGNALS,
+    "silent",
+    "refusing",
+    "losing",
+    "reset",
+    "worker_crash",
+    "link_delay",
+    "link_silent",
+    "link_one_way",
+)
+
+
+async def _strike_all(soak: Soak, faults: tuple[str, ...]) -> None:
+    async def strike(delay_s: float, fault: str) -> None:
+        await asyncio.sleep(delay_s)
+        end, after_s = _strike(soak, fault)
+        await asyncio.sleep(after_s)
+        end()
+
+    moments = [(soak.rng.uniform(0.5, LOAD_S - 1.0), fault) for fault in faults]
+    await asyncio.gather(*(strike(delay_s, fault) for delay_s, fault in moments))
+
+
+async def _load(soak: Soak) -> None:
+    async def hand_in(number: int) -> None:
+        await asyncio.sleep(LOAD_S * number / JOBS)
+        await _submit(soak, f"{number:016x}")
+
+    await asyncio.gather(*(hand_in(number) for number in range(JOBS)))
+
+
+async def _finish(soak: Soak) -> tuple[str, ...]:
+    due_s = time.monotonic() + CALM_S
+    judge = soak.platform.judge
+    left = set(judge.accepted)
+    states: dict[str, str] = {}
+    while left and time.monotonic() < due_s:
+        for job in sorted(left):
+            states[job] = await _look(soak, job)
+            if states[job] in FINAL_STATES:
+                left.discard(job)
+                _judge_final(judge, job, states[job])
+        await asyncio.sleep(0.3)
+    return tuple(f"{job} {states.get(job)}" for job in sorted(left))
+
+
+def _judge_final(judge: _rules.Judge, job: str, state: str) -> None:
+    keys = [
+        model.TaskKey(job, 0, at, number)
+        for at, step in enumerate(judge.specs[job].steps)
+        for number in range(step.count)
+    ]
+    now_s = time.monotonic()
+    if state == "completed" and not all(key in judge.ended for key in keys):
+        judge.violations.append(_rules.Violation("completed_is_done", now_s, job))
+    failures = max((judge.noted_failures.get(key, 0) for key in keys), default=0)
+    if state == "failed" and failures < _platform.ATTEMPTS:
+        judge.violations.append(_rules.Violation("failed_with_cause", now_s, job))
+
+
+async def _run(
+    seed: int, faults: tuple[str, ...] | None, instances: int, folder: Path
+) -> SoakResult:
+    rng = random.Random(seed)
+    chosen = faults or tuple(rng.choices(FAULTS, k=rng.randint(1, 4)))
+    platform = _platform.Platform(rng)
+    soak = Soak(rng, platform)
+    _store, store_port = await serve(_platform.store_handler(platform))
+    for number in range(WORKERS):
+        await _add_worker(platform, number)
+    _platform.write_config(platform, 1)
+    soak.programs = [await _make_program(folder, n, store_port) for n in range(instances)]
+    soak.tasks = [asyncio.create_task(_keep_running(program)) for program in soak.programs]
+    try:
+        await asyncio.sleep(START_S)
+        await asyncio.gather(_load(soak), _strike_all(soak, chosen))
+        unfinished = await _finish(soak)
+    finally:
+        await _end(soak)
+    judge = platform.judge
+    return SoakResult(
+        seed,
+        chosen,
+        judge.starts,
+        len(judge.accepted),
+        unfinished,
+        tuple(judge.violations),
+        dict(soak.statuses),
+    )
+
+
+async def _add_worker(platform: _platform.Platform, number: int) -> None:
+    worker = JobWorker(
+        f"w-{number}",
+        "service",
+        "zone-0",
+        f"m-{number}",
+        "",
+        CAPACITY,
+        1_700_000_000_000,
+        time.monotonic() - 5.0,
+    )
+    platform.workers[worker.id] = worker
+    _server, port = await serve(_platform.worker_handler(platform, worker))
+    worker.address = f"127.0.0.1:{port}"
+    _platform.register(platform, worker)
+
+
+async def _end(soak: Soak) -> None:
+    for program in soak.programs:
+        program.is_wanted = False
+        _signal(program, signal.SIGCONT)
+        _signal(program, signal.SIGKILL)
+    await asyncio.gather(*soak.tasks)
+
+
+def run_soak(
+    seed: int, faults: tuple[str, ...] | None = None, instances: int = 3, keep: Path | None = None
+) -> SoakResult:
+    """
+    Run one soak.
+
+    :param seed: of all that is random on this side.
+    :param faults: the faults, or ``None`` to draw some.
+    :param instances: processes.
+    :param keep: folder for the logs of the instances, or ``None`` to drop them.
+    :returns: what it showed.
+    """
+    if keep is not None:
+        keep.mkdir(parents=True, exist_ok=True)
+        return asyncio.run(_run(seed, faults, instances, keep))
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(_run(seed, faults, instances, Path(folder)))
