--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -35,7 +35,7 @@
         ("wave", "entries_lapse"),
     ): "an instance whose worker's entry had lapsed counted as empty",
 }
-# Listed in KNOWN-RED.txt: a held-up order reaches the next life of its worker before the owner does.
+# Listed in KNOWN-RED.txt: a held-up order reaches a worker's next life before the owner does.
 KNOWN_RED_SEEDS = frozenset({1003})
 FRESH_SEEDS = range(1000, 1012)
 
