Let instances with a narrow link claim the log last

Cause: the grown sites have links of 5 to 100 Mbit/s, and 400 starts a second with their payloads take 4 Mbit/s of the owner's. Not measured yet.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -30,11 +30,13 @@
     Which instance this is.
 
     :param incarnation: Unix milliseconds of the process's start.
+    :param weakness: 0 for an instance that can carry the owner's load, up to 1 for one that can't.
     """
 
     instance: str
     incarnation: int
     zone: str
+    weakness: float = 0.0
 
     @property
     def producer(self) -> str:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -25,6 +25,9 @@
 # last. From this age on it makes no difference.
 AGE_SPREAD_S = 0.2
 OLD_S = 60.0
+# Instances with a narrow link or little processor time claim last, by up to this much: the owner
+# sends all orders.
+WEAK_SPREAD_S = 0.3
 # A claim without an answer is given up after this; if it was done, the log shows it.
 CLAIM_TIMEOUT_S = 1.5
 # Clocks of workers may be this much slow; leases are waited out by it.
@@ -80,7 +83,11 @@
     seed = f"{node.identity.producer}/{node.book.epoch}"
     place = xxhash.xxh64_intdigest(seed.encode()) % SPREAD_STEPS
     age_s = min(OLD_S, at.now_s - node.began_s)
-    return SPREAD_S * place / SPREAD_STEPS + AGE_SPREAD_S * age_s / OLD_S
+    return (
+        SPREAD_S * place / SPREAD_STEPS
+        + AGE_SPREAD_S * age_s / OLD_S
+        + WEAK_SPREAD_S * node.identity.weakness
+    )
 
 
 def on_claim_appended(node: Node, at: Moment, event: events.Appended) -> None:
--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -155,3 +155,13 @@
     old.began_s, young.began_s = -1000.0, 0.0
     at = Moment(0.5, WALL_MS)
     assert spread_s(young, at) <= SPREAD_S + 0.01 < spread_s(old, at) + SPREAD_S
+
+
+def test_an_instance_with_a_narrow_link_claims_last():
+    """
+    Unequal instances: the log goes to one that can carry the owner's load.
+    """
+    weak, strong = make_node("a"), make_node("b")
+    weak.identity = weak.identity._replace(weakness=0.75)
+    at = Moment(0.5, WALL_MS)
+    assert spread_s(strong, at) < spread_s(weak, at)
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/__init__.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/__init__.py
@@ -5,5 +5,6 @@
 from ._app import JobApp, run_app
 from ._logging import make_stdout_writer
 from ._ports import Ports
+from ._strength import weakness
 
-__all__ = ["JobApp", "Ports", "make_stdout_writer", "run_app"]
+__all__ = ["JobApp", "Ports", "make_stdout_writer", "run_app", "weakness"]
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
@@ -63,6 +63,7 @@
         ready: str,
         metrics: str,
         write: Write,
+        weakness: float = 0.0,
     ) -> None:
         """
         Open the sockets; nothing is sent before the event loop runs.
@@ -74,12 +75,13 @@
         :param ready: address for the balancer.
         :param metrics: address for scrapers.
         :param write: writes a line of the structured log.
+        :param weakness: how little this instance can carry the owner's load, 0 to 1.
         """
         self.write = write
         self.clock = boot_clock
         self.metrics = _metrics.JobMetrics()
         incarnation = time.time_ns() // 1_000_000
-        self.node = new_node(Identity(instance, incarnation, zone), bounds)
+        self.node = new_node(Identity(instance, incarnation, zone, weakness), bounds)
         self._pending: deque[object] = deque()
         self._reducing = False
         self._ports: Ports | None = None
