--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,9 @@
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/eelgrassdrum-$(p))
 DEMO_ARGS ?=
 BENCH_ARGS ?=
+SOAK_ARGS ?=
 
-.PHONY: demo test lint format bench capacity fault-matrix pins clean
+.PHONY: soak demo test lint format bench capacity fault-matrix pins clean
 
 $(VENV)/.ready: requirements/constraints.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -39,6 +40,10 @@
 capacity: $(VENV)/.ready
 	$(BIN)/python -m eelgrassdrum_testing.capacity
 
+# Runs the real programs under faults; SOAK_ARGS="--count 50 --seed 1" for more.
+soak: $(VENV)/.ready
+	PYTHONPATH=platform $(BIN)/python -m eelgrassdrum_soak $(SOAK_ARGS)
+
 fault-matrix: $(VENV)/.ready
 	$(BIN)/python -m eelgrassdrum_testing.fault_matrix --write docs/fault-matrix.md
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -153,7 +153,7 @@
     :param rows_s: when the call that listed them was sent.
     :param strays: room of runs that it lists and the book does not.
     :param paces: percent that each paced task was last given.
-    :param pace: pace of its filling tasks, once there were any.
+    :param pace: pace of its backfill, once there was any.
     :param closed_until_s: no starts before this time.
     """
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pacing.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pacing.py
@@ -1,8 +1,8 @@
 """
-Paces work that fills, so that it does not harm the work that serves beside it.
+Paces backfill, so that it does not harm the work that serves beside it.
 
 What disturbs whom differs by image and changes within seconds, and workers give rough figures. So
-each worker's filling tasks are slowed as soon as a serving task there comes near its target, and
+each worker's backfill is slowed as soon as a serving task there comes near its target, and
 let go step by step once all of them have been well below theirs for a while.
 """
 
@@ -20,10 +20,10 @@
 DANGER_PART = 0.8
 # Part of its target below which a serving task leaves room for more.
 CALM_PART = 0.6
-# Filling tasks are slowed to this part at a time, and stopped below the least percent.
+# Backfill is slowed to this part at a time, and stopped below the least percent.
 SLOW_PART = 0.5
 LEAST_PERCENT = 13
-# Filling tasks are let go in steps of this much, each after a calm time.
+# Backfill is let go in steps of this much, each after a calm time.
 STEP_PERCENT = 20
 CALM_S = 1.5
 # An order takes this long to show in the figures.
@@ -32,7 +32,7 @@
 
 class WorkerPace(msgspec.Struct, eq=False):
     """
-    The pace of the filling tasks of a worker.
+    The pace of the backfill of a worker.
 
     :param percent: share of their speed at which they work.
     :param changed_s: when it was last changed.
@@ -46,7 +46,7 @@
 
 def on_rows(node: Node, at: Moment, worker: Worker) -> None:
     """
-    Adjust the pace of a worker's filling tasks to what it has listed.
+    Adjust the pace of a worker's backfill to what it has listed.
 
     :param node: the instance, which owns the log.
     :param at: the time.
@@ -81,7 +81,7 @@
         step = _step_of(node, row.key)
         if step is None:
             continue
-        if step.fills:
+        if step.is_backfill:
             fillers.append(row)
         elif step.target_ms:
             worst = max(worst, row.usage / step.target_ms)
@@ -96,7 +96,7 @@
 
 def next_percent(pace: WorkerPace, worst: float, now_s: float) -> int:
     """
-    Decide the pace of filling tasks.
+    Decide the pace of backfill.
 
     :param pace: their pace so far; when calm began is noted in it.
     :param worst: the largest part of its target that a serving task beside them shows.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -141,7 +141,7 @@
 def _order(job: Job, queue: Queue, number: int, index: int, at: Moment) -> tuple[float, ...]:
     step = job.spec.steps[index]
     if step.lasts:
-        return (0.0, float(step.fills), job.seen_s)
+        return (0.0, float(step.is_backfill), job.seen_s)
     since_s = job.seen_s
     if job.spec.repeats:
         start_ms = job.spec.start_at_ms + number * job.spec.interval_ms
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -14,7 +14,7 @@
 
 # How long a worker waits for an end before it answers; a third of the shortest usual lease.
 HOLD_WAIT_S = 1.5
-# The same where filling work is paced by the figures that the answers carry.
+# The same where backfill is paced by the figures that the answers carry.
 PACED_HOLD_WAIT_S = 0.5
 # A worker that runs nothing is looked at this often while its lists are not needed.
 IDLE_HOLD_S = 20.0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
@@ -61,7 +61,7 @@
     :param data_rack: rack where the data lies, or empty.
     :param max_per_worker: most tasks of an occurrence on one worker; 0 for no bound.
     :param lasts: the tasks run until the job is cancelled.
-    :param fills: the tasks use processor time that others leave unused.
+    :param is_backfill: the tasks use processor time that others leave unused.
     :param target_ms: bound on the response time of tasks that serve; 0 for none.
     :param max_unavailable: tasks that planned work may take away at the same time.
     :param image: what the tasks run; empty when unknown.
@@ -79,7 +79,7 @@
     speculative: bool = False
     lasts: bool = False
     saves: bool = False
-    fills: bool = False
+    is_backfill: bool = False
     target_ms: int = 0
     max_unavailable: int = 0
     image: str = ""
@@ -87,10 +87,10 @@
     @property
     def room(self) -> Room:
         """
-        What a task takes up on a worker; filling work takes no processor room.
+        What a task takes up on a worker; backfill takes no processor room.
         """
         millicores, memory_mb, accelerators = self.need
-        return Room(0 if self.fills else millicores, memory_mb, accelerators)
+        return Room(0 if self.is_backfill else millicores, memory_mb, accelerators)
 
 
 class JobSpec(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/eelgrassdrum-core/tests/test_jobs_pacing.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_pacing.py
@@ -1,5 +1,5 @@
 """
-The pace of filling work beside work that serves.
+The pace of backfill beside work that serves.
 """
 
 from eelgrassdrum_core.jobs._pacing import FULL_PERCENT, WorkerPace, next_percent
@@ -17,7 +17,7 @@
     return from_s + seconds
 
 
-def test_filling_work_runs_at_full_speed_while_nothing_suffers():
+def test_backfill_runs_at_full_speed_while_nothing_suffers():
     """
     Without a serving task near its target, nothing is slowed.
     """
@@ -26,27 +26,27 @@
     assert pace.percent == FULL_PERCENT
 
 
-def test_filling_work_is_stopped_well_before_harm_lasts():
+def test_backfill_is_stopped_well_before_harm_lasts():
     """
-    Serving task over its target: filling work stands within two seconds.
+    Serving task over its target: backfill stands within two seconds.
     """
     pace = WorkerPace()
     run_for(pace, 1.3, 0.0, 2.0)
     assert pace.percent == 0
 
 
-def test_filling_work_is_slowed_as_a_task_comes_near_its_target():
+def test_backfill_is_slowed_as_a_task_comes_near_its_target():
     """
-    Serving task near its target: filling work is halved, not stopped at once.
+    Serving task near its target: backfill is halved, not stopped at once.
     """
     pace = WorkerPace()
     run_for(pace, 0.9, 0.0, 0.1)
     assert 0 < pace.percent < FULL_PERCENT
 
 
-def test_filling_work_comes_back_step_by_step():
+def test_backfill_comes_back_step_by_step():
     """
-    After harm has passed, filling work is let go again in steps.
+    After harm has passed, backfill is let go again in steps.
     """
     pace = WorkerPace()
     at_s = run_for(pace, 1.3, 0.0, 2.0)
