--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -26,8 +26,9 @@
 AGE_SPREAD_S = 0.2
 OLD_S = 60.0
 # Instances with a narrow link or little processor time claim last, by up to this much: the owner
-# sends all orders.
-WEAK_SPREAD_S = 0.3
+# sends all orders. It exceeds the time between two reads of the log, by which others learn of a
+# silence.
+WEAK_SPREAD_S = 0.6
 # A claim without an answer is given up after this; if it was done, the log shows it.
 CLAIM_TIMEOUT_S = 1.5
 # Clocks of workers may be this much slow; leases are waited out by it.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -14,12 +14,13 @@
 from ._node import Moment, Node, emit, log_line
 from .model import JobSpec
 
-# Records after which a snapshot is due; replaying them takes an instance well under a second.
-DUE_RECORDS = 4000
+# Records after which a snapshot is due. They are some 1.5 MB, which the narrowest links seen carry in
+# 2.5 s; folding them takes half a second.
+DUE_RECORDS = 20_000
 # Records that stay in front of a snapshot, for instances that are reading them.
-KEPT_RECORDS = 2000
-# A snapshot that failed is tried again after this.
-RETRY_S = 5.0
+KEPT_RECORDS = 10_000
+# Between two tries, since a snapshot takes up the link of a small instance for a second.
+RETRY_S = 10.0
 
 
 class _TaskRow(msgspec.Struct, array_like=True):
