--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -14,8 +14,8 @@
 from ._node import Moment, Node, emit, log_line
 from .model import JobSpec
 
-# Records after which a snapshot is due. They are some 1.5 MB, which the narrowest links seen carry in
-# 2.5 s; folding them takes half a second.
+# Records after which a snapshot is due. They are some 1.5 MB, which the narrowest links seen carry
+# in 2.5 s; folding them takes half a second.
 DUE_RECORDS = 20_000
 # Records that stay in front of a snapshot, for instances that are reading them.
 KEPT_RECORDS = 10_000
