--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_advice.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_advice.py
@@ -39,16 +39,22 @@
     return text if at.now_s < expires_s else ""
 
 
-def prefetch(node: Node, at: Moment, job: Job, occurrence: int, step: int) -> None:
+def prefetch(
+    node: Node, at: Moment, job: Job, occurrence: int, step: int, workers: list[str]
+) -> None:
     """
-    Ask about a step that can't start yet, if nothing is known of it.
+    Ask about a step that can't start yet, if nothing is known of it, so that its tickets are there
+    when it can.
 
     :param node: the instance.
     :param at: the time.
     :param job: the job.
     :param occurrence: the occurrence.
     :param step: the step.
+    :param workers: the workers, the best first.
     """
+    if (job.id, occurrence, step) not in node.advice:
+        ask(node, at, job, occurrence, step, workers)
 
 
 def ask(node: Node, at: Moment, job: Job, occurrence: int, step: int, workers: list[str]) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -89,7 +89,8 @@
             for index, state in enumerate(occurrence_of(job, number)):
                 if not state.waiting or not is_released(job, number, index):
                     if state.waiting and queue.has_advice:
-                        _advice.prefetch(node, at, job, number, index)
+                        workers = _room_for(state.step, _sites(node, at, queue.service))
+                        _advice.prefetch(node, at, job, number, index, workers)
                     continue
                 order = _order(job, queue, number, index, at)
                 yield Ready(order, job, queue, number, index, state)
