--- a/packages/eelgrassdrum-core/tests/test_jobs_planner.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_planner.py
@@ -65,7 +65,7 @@
 
 def hand_in(node, jobs, now_s=START_S + 3):
     """
-    Let an instance read submissions, and give the tasks that it decides to start, as job and worker.
+    Let an instance read submissions, and give the tasks that it starts, as job and worker.
     """
     records = [
         Submitted(
