--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -22,7 +22,10 @@
 LATER_PART = 0.5
 # Empty instances that each pool keeps beyond its need, for the first work of a turn, which comes
 # before more instances can.
-RESERVE = 2
+MIN_RESERVE = 2
+# The same as a part of an even share of all instances, since the turns of large pools rise by more
+# instances while the first ones move.
+RESERVE_PART = 1 / 4
 # A pool has to be too large for this long before it gives an instance away: as long as an idle
 # instance costs as much as the two moves of its return.
 SURPLUS_S = 2.0
@@ -151,7 +154,10 @@
 def _wanted(node: Node, demand: Demand) -> int:
     sizes = [row.capacity.millicores for row in node.fleet.rows.values()]
     size = sum(sizes) / len(sizes)
-    return math.ceil(demand.millicores / size) + RESERVE
+    services = node.config.services if node.config else {}
+    even_share = len(sizes) / max(1, len(services))
+    reserve = max(MIN_RESERVE, math.ceil(even_share * RESERVE_PART))
+    return math.ceil(demand.millicores / size) + reserve
 
 
 def _bring(node: Node, at: Moment, pool: str, standby: str, sizes: dict[str, int]) -> bool:
