--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_strength.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_strength.py
@@ -4,7 +4,7 @@
 
 # Four hundred starts a second with a payload of 1.2 kB take 4 Mbit/s; the rest is for bursts.
 OWNER_LINK_MBPS = 20.0
-# The owner used 0.09 core at a hundred starts a second; four hundred take 0.4, the rest is for bursts.
+# The owner used 0.09 core at a hundred starts a second; four hundred take 0.4.
 OWNER_CORES = 1.0
 
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/__init__.py
@@ -3,11 +3,12 @@
 faults, and the rules that are checked at each step.
 """
 
+from ._answers import make_world
 from ._faults import FAULTS
 from ._patterns import Served, burst_beyond_room, owner_lost_in_a_burst, turning_demand
 from ._rules import Violation
 from ._schedule import ScheduleResult, run_schedule
-from ._world import World, make_world
+from ._world import World
 
 __all__ = [
     "FAULTS",
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
@@ -6,8 +6,10 @@
 
 from eelgrassdrum_core.jobs import model
 
+from ._answers import make_world
+from ._faults import FAULTS
 from ._schedule import make_config
-from ._world import World, add_worker, make_world, run_until, submit
+from ._world import World, add_worker, run_until, submit
 
 SETTLE_S = 4.0
 CAPACITY = model.Room(8_000, 64_000, 0)
@@ -84,8 +86,6 @@
     :param seed: of all that is random.
     :returns: seconds in which no task starts.
     """
-    from ._faults import FAULTS
-
     world = make_world(seed, 3, make_config(is_limited=False))
     world.durations = lambda _key: (0.5, "done")
     for number in range(6):
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
@@ -8,9 +8,10 @@
 from eelgrassdrum_core.jobs import model
 
 from . import _rules
+from ._answers import make_world
 from ._faults import FAULTS
 from ._rules import Violation
-from ._world import World, add_worker, look_up, make_world, run_until, submit
+from ._world import World, add_worker, look_up, run_until, submit
 
 LOAD_S = 12.0
 # Leases of former owners have to run out before the last work can start again.
