--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_jobs.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/bench/_bench_jobs.py
@@ -69,7 +69,9 @@
     run_until(world, world.now_s + 2.0)
     for name, times in seen.items():
         delays = [1000 * (at_s - sent[job]) for job, at_s in times.items()]
-        yield measure(f"start_until_{name.replace('.', '_')}_p99", quantile(sorted(delays), 0.99), "ms")
+        yield measure(
+            f"start_until_{name.replace('.', '_')}_p99", quantile(sorted(delays), 0.99), "ms"
+        )
     total = [1000 * (at_s - sent[job]) for job, at_s in seen["ordered"].items()]
     yield measure("start_delay_p99", quantile(sorted(total), 0.99), "ms", at_most=MOST_DELAY_MS)
 
