Log which workers are taken for ended and whose entries are ignored

The log could not tell whether the owner had taken these workers for ended: only workers with runs left a line (worker.runs_lost), and entries of the registry that were dropped afterwards left none.

worker.ended is written once for each ended incarnation, also without runs, with the reason. worker.ignored is written when an entry of such a worker, or one of an older incarnation, is dropped: once for each worker, incarnation and reason.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -202,6 +202,9 @@
 
     :param is_listed: whether the registry has an entry of it.
     :param has_ended: whether its incarnation is known to have ended, whatever its entry says.
+    :param ended_s: when it was found to have ended.
+    :param ended_reason: reason for which it was taken for ended, or empty.
+    :param ignored_reason: reason for which its entry was last logged as ignored, or empty.
     :param token_raises: number of times this owner has raised its fencing token for the worker.
     :param possible_runs_until_s: time until which an incarnation that never responded may have
         runs.
@@ -232,6 +235,9 @@
     entry: WorkerEntry
     is_listed: bool = True
     has_ended: bool = False
+    ended_s: float = 0.0
+    ended_reason: str = ""
+    ignored_reason: str = ""
     token_raises: int = 0
     possible_runs_until_s: float = 0.0
     outbox: deque[Any] = msgspec.field(default_factory=deque)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -79,9 +79,11 @@
         return
     if entry.incarnation and worker.entry.incarnation not in (0, entry.incarnation):
         if entry.incarnation < worker.entry.incarnation:
+            _log_ignored(node, at, worker, entry, "older_incarnation")
             return
         reset_incarnation(node, at, worker, entry.incarnation)
     if worker.has_ended:
+        _log_ignored(node, at, worker, entry, worker.ended_reason)
         return
     if entry.is_draining and not worker.entry.is_draining:
         log_line(node, "worker.draining", worker=entry.id, remaining_ms=entry.remaining_ms)
@@ -91,6 +93,26 @@
     worker.entry = entry
 
 
+def _log_ignored(node: Node, at: Moment, worker: Worker, entry: WorkerEntry, reason: str) -> None:
+    """
+    Log that an entry of a worker is ignored, once for each reason.
+    """
+    if worker.ignored_reason == reason:
+        return
+    worker.ignored_reason = reason
+    log_line(
+        node,
+        "worker.ignored",
+        **_entry_fields(entry),
+        reason=reason,
+        incarnation=entry.incarnation,
+        known_incarnation=worker.entry.incarnation,
+        known_service=worker.entry.service,
+        is_draining=entry.is_draining,
+        ended_s_ago=round(at.now_s - worker.ended_s, 3) if worker.has_ended else None,
+    )
+
+
 def _entry_fields(entry: WorkerEntry) -> dict[str, str]:
     return {
         "worker": entry.id,
@@ -118,6 +140,19 @@
     :param worker: the worker.
     :param reason: reason for the structured log.
     """
+    runs = len(runs_on(node, worker.id))
+    if not worker.has_ended or runs:
+        log_line(
+            node,
+            "worker.ended",
+            worker=worker.id,
+            service=worker.entry.service,
+            instance=worker.entry.instance,
+            reason=reason,
+            runs=runs,
+        )
+    if not worker.has_ended:
+        worker.ended_s, worker.ended_reason = at.now_s, reason
     worker.has_ended = True
     worker.is_listed = False
     mark_all_lost(node, at, worker, reason)
@@ -147,6 +182,7 @@
     worker.possible_runs_until_s = at.now_s + node.bounds.max_lease_s * (1 + _ownership.CLOCK_DRIFT)
     worker.entry = worker.entry._replace(incarnation=incarnation)
     worker.is_held = worker.has_ended = False
+    worker.ended_reason = worker.ignored_reason = ""
     worker.clock_ms = worker.granted_ms = worker.handled = worker.acked = worker.ack_confirmed = 0
     worker.next_hold_s = 0.0
     worker.lists_due_s = worker.answer_due_s = NEVER_S
--- /dev/null
+++ b/packages/eelgrassdrum-core/tests/test_jobs_registry.py
@@ -0,0 +1,95 @@
+"""
+Log lines about workers that the owner takes for ended.
+"""
+
+from eelgrassdrum_core.jobs import events
+from eelgrassdrum_testing.jobs.owner import (
+    OWNER_TOKEN,
+    START_S,
+    feed,
+    hand_in,
+    logged,
+    one_step,
+    owner_of,
+    worker_entry,
+)
+
+ORDERED_S = START_S + 4
+MOVED = events.InstanceOrderAnswered("m-w", -1, "service", events.OK, "")
+
+
+def read_registry(node, at_s, entry):
+    """
+    Let the owner read one entry of the registry, and return the effects.
+    """
+    return feed(node, at_s, events.WorkersRead(2, False, {entry.id: entry}))
+
+
+def test_ended_worker_without_runs_is_logged():
+    """
+    A worker that is taken for ended is logged once with the reason, also if nothing runs on it.
+    """
+    node = owner_of([worker_entry("w")])
+    (line,) = logged(feed(node, ORDERED_S, MOVED), "worker.ended")
+    assert line == {
+        "worker": "w",
+        "service": "service",
+        "instance": "m-w",
+        "reason": "instance_ordered_down",
+        "runs": 0,
+    }
+    assert logged(feed(node, ORDERED_S + 1, MOVED), "worker.ended") == []
+
+
+def test_ended_worker_is_logged_with_its_runs():
+    """
+    The line of a worker that is taken for ended counts its runs.
+    """
+    node = owner_of([worker_entry("w")])
+    assert hand_in(node, [("job", "usual", (one_step(2),), 0.0)]) == [("job", "w")] * 2
+    (line,) = logged(feed(node, ORDERED_S, MOVED), "worker.ended")
+    assert line["runs"] == 2
+
+
+def test_ignored_entry_is_logged_once():
+    """
+    Entries of a worker that is taken for ended are logged once, with the reason and the time since.
+    """
+    node = owner_of([worker_entry("w")])
+    feed(node, ORDERED_S, MOVED)
+    entry = worker_entry("w")._replace(service="other")
+    (line,) = logged(read_registry(node, ORDERED_S + 2, entry), "worker.ignored")
+    assert (line["reason"], line["ended_s_ago"]) == ("instance_ordered_down", 2.0)
+    assert (line["service"], line["known_service"]) == ("other", "service")
+    assert logged(read_registry(node, ORDERED_S + 3, entry), "worker.ignored") == []
+
+
+def test_ignored_entry_is_logged_again_for_another_incarnation():
+    """
+    A worker that restarts and is taken for ended again gets another line.
+    """
+    node = owner_of([worker_entry("w")])
+    for incarnation in (7, 8):
+        at_s = ORDERED_S + incarnation
+        entry = worker_entry("w")._replace(incarnation=incarnation)
+        read_registry(node, at_s, entry)
+        answer = events.HoldAnswered("w", OWNER_TOKEN, at_s, 5000, incarnation, (), ())
+        feed(node, at_s, answer)
+        assert len(logged(feed(node, at_s, MOVED), "worker.ended")) == 1
+        assert len(logged(read_registry(node, at_s + 0.5, entry), "worker.ignored")) == 1
+
+
+def test_entry_of_an_older_incarnation_is_logged():
+    """
+    An entry that is older than the known incarnation is logged once as ignored.
+    """
+    node = owner_of([worker_entry("w")])
+    old = worker_entry("w")._replace(incarnation=6)
+    (line,) = logged(read_registry(node, ORDERED_S, old), "worker.ignored")
+    assert (line["reason"], line["incarnation"], line["known_incarnation"]) == (
+        "older_incarnation",
+        6,
+        7,
+    )
+    assert line["ended_s_ago"] is None
+    assert logged(read_registry(node, ORDERED_S + 1, old), "worker.ignored") == []
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_owner.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_owner.py
@@ -138,6 +138,21 @@
     ]
 
 
+def logged(produced: list[Any], action: str) -> list[dict[str, Any]]:
+    """
+    Give the fields of the log lines of an action.
+
+    :param produced: effects.
+    :param action: name of the event.
+    :returns: the fields of each line.
+    """
+    return [
+        item.fields
+        for item in produced
+        if isinstance(item, effects.WriteLine) and item.action == action
+    ]
+
+
 def commit(node: Node, now_s: float) -> list[effects.StartTask]:
     """
     Let the store take all appends.
