Log why accepted work does not start

The log said nothing between job.accepted and run.decided, so neither the pool's members nor the limit nor the store could be told apart as the cause.

work.waiting, at most one line a second and pool: a released step has waited 1 s without a start. It names the cause for the step that has waited longest, its job, needs and ages, the waiting steps and tasks of the pool, the pool's members by state, the size wanted and the instances moving in. A worker now also keeps whether the registry still has an entry of it, so that one that is taken for ended, but is still there, is counted as ended.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -200,7 +200,8 @@
     """
     The owner's view of a worker.
 
-    :param is_listed: whether the registry has an entry of it.
+    :param is_listed: whether the registry has an entry of its current incarnation.
+    :param has_entry: whether the registry has an entry of it, even if it is taken for ended.
     :param has_ended: whether its incarnation is known to have ended, whatever its entry says.
     :param ended_s: when it was found to have ended.
     :param ended_reason: reason for which it was taken for ended, or empty.
@@ -234,6 +235,7 @@
 
     entry: WorkerEntry
     is_listed: bool = True
+    has_entry: bool = True
     has_ended: bool = False
     ended_s: float = 0.0
     ended_reason: str = ""
@@ -402,6 +404,25 @@
     last_success_s: float = -1e9
 
 
+class WaitingWork(msgspec.Struct, eq=False):
+    """
+    Work that the owner sees waiting, for log lines.
+
+    :param epoch: ownership to which the rest applies.
+    :param next_check_s: when the waiting work is next determined.
+    :param steps: for each step with tasks that may start, by job, occurrence and step: since when
+        none of them has started, and how many there are.
+    :param unconfirmed: since when each worker that has runs by the log can't confirm them.
+    :param next_line_s: earliest time of the next line, by action and pool.
+    """
+
+    epoch: int = 0
+    next_check_s: float = 0.0
+    steps: dict[tuple[str, int, int], tuple[float, int]] = {}
+    unconfirmed: dict[str, float] = {}
+    next_line_s: dict[tuple[str, str], float] = {}
+
+
 class Node(msgspec.Struct, eq=False):
     """
     The state of an instance.
@@ -437,6 +458,7 @@
     pools: dict[str, Any] = {}
     next_pools_s: float = 0.0
     avoided_workers: dict[TaskKey, set[str]] = {}
+    waiting_work: WaitingWork = msgspec.field(default_factory=WaitingWork)
     process_start_s: float = -1.0
     is_stopping: bool = False
     stop_asked_s: float = 0.0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -24,6 +24,7 @@
     _shutdown,
     _snapshot,
     _tail,
+    _waiting,
     _waves,
     _workers,
     effects,
@@ -63,6 +64,7 @@
         if not node.is_stopping:
             if node.plan_due:
                 _planner.plan(node, at)
+                _waiting.log_if_due(node, at)
             _workers.send_due_holds(node, at)
         _journal.flush(node, at)
     _tail.read(node, at)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -77,6 +77,7 @@
         worker = node.workers[entry.id] = Worker(entry, clock_at_s=at.now_s)
         log_line(node, "worker.listed", **_entry_fields(entry))
         return
+    worker.has_entry = True
     if entry.incarnation and worker.entry.incarnation not in (0, entry.incarnation):
         if entry.incarnation < worker.entry.incarnation:
             _log_ignored(node, at, worker, entry, "older_incarnation")
@@ -124,6 +125,8 @@
 
 def _unlist_worker(node: Node, worker_id: str) -> None:
     worker = node.workers.get(worker_id)
+    if worker is not None:
+        worker.has_entry = False
     if worker is not None and worker.is_listed:
         worker.is_listed = False
         log_line(node, "worker.unlisted", worker=worker_id, runs=len(runs_on(node, worker_id)))
--- /dev/null
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
@@ -0,0 +1,190 @@
+"""
+Logs why work waits: tasks that may start and do not, and runs that their workers do not confirm.
+
+A new owner knows neither how long a step has waited nor since when a worker is away, so these times
+start with its ownership.
+"""
+
+from collections import Counter, defaultdict
+from typing import NamedTuple
+
+from . import _advice, _candidates, _journal, _members, _planner, _ready
+from ._candidates import Candidate
+from ._node import Moment, Node, WaitingWork, log_line
+from ._ready import ReadyStep
+
+# Work is logged once it has waited for this time; several times what a start usually takes.
+MIN_WAIT_S = 1.0
+# Interval at which waiting work is determined, and minimum interval between lines of an action and
+# pool.
+CHECK_INTERVAL_S = 0.25
+LINE_INTERVAL_S = 1.0
+
+STALLED = "append_stalled"
+LIMIT = "workspace_limit"
+FORMER_RUNS = "former_gang_runs"
+NO_MEMBERS = "no_members"
+NO_USABLE_WORKER = "no_usable_worker"
+NO_LABEL = "no_worker_with_label"
+NO_ROOM = "no_room"
+SPREAD = "max_per_worker"
+NO_TICKET = "no_ticket"
+GANG_ROOM = "no_room_for_whole_gang"
+# No cause was found, so the plan that was just made should have started the task.
+NOT_PLANNED = "not_planned"
+
+
+class WaitingStep(NamedTuple):
+    """
+    A step whose tasks may start and have not.
+
+    :param since_s: since when none of its tasks has started.
+    """
+
+    since_s: float
+    item: ReadyStep
+
+
+def log_if_due(node: Node, at: Moment) -> None:
+    """
+    Log the work that has waited too long, at most one line per interval, action and pool.
+
+    Nothing is logged before a plan that is due: what it starts doesn't wait.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    """
+    work = node.waiting_work
+    if work.epoch != node.ownership.epoch:
+        work = node.waiting_work = WaitingWork(node.ownership.epoch)
+    if node.config is None or at.now_s < work.next_check_s:
+        return
+    if node.plan_due and not _journal.is_stalled(node, at.now_s):
+        return
+    work.next_check_s = at.now_s + CHECK_INTERVAL_S
+    for service, steps in _long_waiting(node, at, work).items():
+        if _is_line_due(work, at, "work.waiting", service):
+            _log_waiting(node, at, service, steps)
+    _log_unconfirmed(node, at, work)
+
+
+def _long_waiting(node: Node, at: Moment, work: WaitingWork) -> dict[str, list[WaitingStep]]:
+    """
+    Update the waiting steps, and return by pool those that have waited long enough to be logged.
+    """
+    known, work.steps = work.steps, {}
+    waiting: dict[str, list[WaitingStep]] = defaultdict(list)
+    for item, may_start in _ready.waiting_steps(node, at):
+        if not may_start or item.job.cancelled:
+            continue
+        key = (item.job.id, item.occurrence, item.step_index)
+        since_s, count = known.get(key, (at.now_s, item.state.waiting))
+        if item.state.waiting < count:
+            since_s = at.now_s
+        work.steps[key] = (since_s, item.state.waiting)
+        if at.now_s - since_s >= MIN_WAIT_S:
+            waiting[item.queue.service].append(WaitingStep(since_s, item))
+    return waiting
+
+
+def _is_line_due(work: WaitingWork, at: Moment, action: str, service: str) -> bool:
+    if at.now_s < work.next_line_s.get((action, service), 0.0):
+        return False
+    work.next_line_s[action, service] = at.now_s + LINE_INTERVAL_S
+    return True
+
+
+def _log_waiting(node: Node, at: Moment, service: str, steps: list[WaitingStep]) -> None:
+    oldest = min(steps, key=lambda step: (step.since_s, step.item.job.seen_s))
+    item = oldest.item
+    candidates = _candidates.pool_candidates(node, at, service)
+    members = _members.count_states(node, at, service, candidates, item.state.resources)
+    pool = node.pools.get(service)
+    log_line(
+        node,
+        "work.waiting",
+        pool=service,
+        cause=_cause(node, at, item, candidates, bool(members)),
+        steps=len(steps),
+        tasks=sum(step.item.state.waiting for step in steps),
+        job=item.job.id,
+        step=f"{item.occurrence}.{item.step_index}",
+        waiting=item.state.waiting,
+        waited_s=round(at.now_s - oldest.since_s, 3),
+        age_s=round(at.now_s - item.job.seen_s, 3),
+        need=list(item.state.resources),
+        members=dict(members),
+        wanted=pool.wanted if pool is not None else None,
+        moving_in=_members.instances_moving_to(node)[service],
+    )
+
+
+def _cause(
+    node: Node, at: Moment, item: ReadyStep, candidates: list[Candidate], has_members: bool
+) -> str:
+    """
+    Return the first cause, in the order of the planner's decisions, for which a step does not
+    start.
+    """
+    step, waiting = item.state.step, item.state.waiting
+    if _journal.is_stalled(node, at.now_s):
+        return STALLED
+    if step.gang and waiting < step.count:
+        return FORMER_RUNS
+    needed = waiting if step.gang else 1
+    if _planner.within_limit(node, item.job, step, waiting) < needed:
+        return LIMIT
+    if not candidates:
+        return NO_USABLE_WORKER if has_members else NO_MEMBERS
+    return _cause_at_workers(node, at, item, candidates)
+
+
+def _cause_at_workers(node: Node, at: Moment, item: ReadyStep, candidates: list[Candidate]) -> str:
+    step, resources = item.state.step, item.state.resources
+    usable = [c for c in candidates if _candidates.has_label(step, c.worker)]
+    if not usable:
+        return NO_LABEL
+    usable = [c for c in usable if resources.fits(c.free[0])]
+    if not usable:
+        return NO_ROOM
+    if step.max_per_worker:
+        counts = _candidates.tasks_per_worker(item.state)
+        usable = [c for c in usable if counts[c.worker.id] < step.max_per_worker]
+    if not usable:
+        return SPREAD
+    if item.queue.has_advice:
+        usable = [c for c in usable if _advice.valid_ticket(node, at, item, c.worker.id)]
+    if not usable:
+        return NO_TICKET
+    return GANG_ROOM if step.gang else NOT_PLANNED
+
+
+def _log_unconfirmed(node: Node, at: Moment, work: WaitingWork) -> None:
+    """
+    Log the runs on workers that have not confirmed them for too long; their tasks can't start
+    again until the runs are known to have ended.
+    """
+    known, work.unconfirmed = work.unconfirmed, {}
+    by_pool: dict[str, list[tuple[float, str, str]]] = defaultdict(list)
+    for worker_id, runs in node.replicated.running.items():
+        worker = node.workers.get(worker_id)
+        state = _members.UNLISTED if worker is None else _members.unconfirmed_state(worker)
+        if not state or not runs:
+            continue
+        since_s = work.unconfirmed[worker_id] = known.get(worker_id, at.now_s)
+        if at.now_s - since_s < MIN_WAIT_S:
+            continue
+        for key in runs:
+            by_pool[node.replicated.jobs[key.job].service].append((since_s, key.job, state))
+    for service, rows in by_pool.items():
+        if not _is_line_due(work, at, "work.unconfirmed", service):
+            continue
+        since_s, job, _state = min(rows)
+        log_line(
+            node,
+            "work.unconfirmed",
+            pool=service,
+            job=job,
+            waited_s=round(at.now_s - since_s, 3),
+            runs=dict(Counter(state for _since_s, _job, state in rows)),
+        )
