Show that workers of repeated instance orders are never used again

Callers saw accepted jobs that never ran although most of the pool's room was free. An order for an instance that the machine service answers as already done ends every worker on the instance, also the one that the order led to, and nothing brings that worker back.

The stand-in of the machine service stopped an instance again when an order was repeated, so no schedule could show this. It now answers orders that are done or under way as the service does, and can lose answers or carry orders out late (faults instance_orders_lost and machines_cut). After the calm, each schedule submits a job with one task for each worker that is up, and the new check work_with_room_starts reports tasks that wait for 3 s with room for two of them.

--- a/packages/eelgrassdrum-core/tests/test_jobs_instances.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_instances.py
@@ -2,7 +2,7 @@
 Orders for instances: recent orders of a previous owner delay them, other orders do not.
 """
 
-from eelgrassdrum_core.jobs import Identity, events, model, new_node
+from eelgrassdrum_core.jobs import Identity, _candidates, effects, events, model, new_node
 from eelgrassdrum_core.jobs import _instances as instances
 from eelgrassdrum_core.jobs._records import (
     Claimed,
@@ -120,3 +120,191 @@
     assert set(node.fleet.draining) == {"m-a"}
     list_instances(LISTED_S + 1, ("b",))
     assert set(node.fleet.draining) == {"m-b"}
+
+
+def make_row(instance, worker, state="up", pool="service"):
+    """
+    Return the listing of an instance.
+    """
+    capacity = model.Resources(4000, 64_000, 0)
+    return model.InstanceRow(instance, pool, state, "z", "r1", capacity, worker)
+
+
+def list_rows(node, at_s, *rows):
+    """
+    Let the owner read a list of instances that was requested at that time.
+    """
+    feed(node, at_s, events.InstancesListed(rows, at_s))
+    feed(node, at_s, events.Ticked())
+
+
+def register(node, at_s, *entries):
+    """
+    Let the owner read the registry, and let the listed workers accept its token.
+    """
+    listed = {entry.id: entry for entry in entries}
+    feed(node, at_s, events.WorkersRead(2, True, listed))
+    answer_holds(node, at_s, *entries)
+
+
+def answer_holds(node, at_s, *entries):
+    """
+    Let workers that run nothing answer the owner.
+    """
+    for entry in entries:
+        worker = node.workers[entry.id]
+        token = instances._runs.fencing_token(node, worker)
+        feed(
+            node,
+            at_s,
+            events.HoldAnswered(entry.id, token, at_s, 9000, entry.incarnation, (), ()),
+        )
+
+
+def on_instance(name, instance):
+    """
+    Return the entry of a worker on an instance.
+    """
+    return worker_entry(name)._replace(instance=instance)
+
+
+def accepts_tasks(node, at_s, name):
+    """
+    Return whether tasks may be started on a worker.
+    """
+    at = instances.Moment(at_s, WALL_MS)
+    return _candidates.accepts_tasks(node, at, node.workers[name])
+
+
+def sent_orders(node, at_s):
+    """
+    Let time pass and the store commit the owner's records, and return the instances ordered.
+    """
+    feed(node, at_s, events.Ticked())
+    produced = []
+    while node.journal.in_flight is not None:
+        produced += feed(node, at_s, events.Appended("owner", node.journal.seq, events.OK))
+    return [item.instance for item in produced if isinstance(item, effects.OrderInstance)]
+
+
+def answer_order(node, at_s, instance, outcome, pool="service"):
+    """
+    Let the machine service answer a move.
+    """
+    feed(node, at_s, events.InstanceOrderAnswered(instance, -1, pool, outcome, ""))
+
+
+def make_owner_with_former_move():
+    """
+    Return a new owner that has to repeat the move of a previous one, which was carried out: the
+    instance already has its new worker.
+    """
+    records = [
+        Claimed(1, "former", 1),
+        OwnerHeartbeat(1, 50_000),
+        InstanceOrdered(1, "m-1", -1, "service", WALL_MS),
+    ]
+    node = make_restarted_owner(records)
+    register(node, START_S + 2.1, on_instance("new", "m-1"))
+    list_rows(node, START_S + 2.2, make_row("m-1", "new"))
+    return node
+
+
+# Guards against a repeated order, answered as already done, that ended the instance's new worker
+# for good.
+def test_worker_of_a_repeated_former_order_is_used():
+    """
+    A new owner repeats a move that was carried out, and then uses the worker that it led to.
+    """
+    node = make_owner_with_former_move()
+    repeat_s = START_S + 2 + BOUNDS.order_lease_s + instances.ORDER_MARGIN_S + 0.1
+    assert sent_orders(node, repeat_s) == ["m-1"]
+    answer_order(node, repeat_s + 0.1, "m-1", events.OK)
+    list_rows(node, repeat_s + 0.2, make_row("m-1", "new"))
+    register(node, repeat_s + 0.3, on_instance("new", "m-1"))
+    assert accepts_tasks(node, repeat_s + 0.4, "new")
+
+
+def make_owner_that_moves():
+    """
+    Return an owner that has sent the move of an instance with an empty worker.
+    """
+    old = on_instance("old", "m-1")
+    node = owner_of([old])
+    register(node, LISTED_S, old)
+    list_rows(node, LISTED_S, make_row("m-1", "old", pool="other"))
+    node.fleet.draining["m-1"] = instances.MOVE
+    node.fleet.pool_of["m-1"] = "service"
+    assert sent_orders(node, LISTED_S + 0.1) == ["m-1"]
+    return node
+
+
+def make_owner_with_unanswered_move():
+    """
+    Return an owner whose move of an instance was carried out without an answer, so that the
+    instance has its new worker before the move is sent again.
+    """
+    node = make_owner_that_moves()
+    answer_order(node, LISTED_S + 1, "m-1", events.UNKNOWN)
+    register(node, LISTED_S + 2, on_instance("new", "m-1"))
+    return node
+
+
+# Guards against the same loss after an order without an answer.
+def test_worker_of_a_repeated_own_order_is_used():
+    """
+    An owner repeats a move that was carried out but not answered, and then uses the new worker.
+    """
+    node = make_owner_with_unanswered_move()
+    assert sent_orders(node, LISTED_S + 2.1) == ["m-1"]
+    answer_order(node, LISTED_S + 2.2, "m-1", events.OK)
+    assert node.workers["old"].has_ended
+    list_rows(node, LISTED_S + 2.3, make_row("m-1", "new"))
+    register(node, LISTED_S + 2.4, on_instance("new", "m-1"))
+    assert accepts_tasks(node, LISTED_S + 2.5, "new")
+
+
+def test_worker_before_an_order_has_ended():
+    """
+    The worker that was on an instance before its order gets no work when the instance is back,
+    even while the registry still has its entry.
+    """
+    node = make_owner_that_moves()
+    answer_order(node, LISTED_S + 0.2, "m-1", events.OK)
+    register(node, LISTED_S + 0.3, on_instance("old", "m-1"))
+    list_rows(node, LISTED_S + 2, make_row("m-1", ""))
+    assert "m-1" not in node.fleet.draining
+    assert not accepts_tasks(node, LISTED_S + 2.1, "old")
+
+
+def test_worker_known_after_an_order_ends_when_another_follows():
+    """
+    A worker that a repeated order did stop gets no work once the list shows its successor.
+    """
+    node = make_owner_with_former_move()
+    repeat_s = START_S + 2 + BOUNDS.order_lease_s + instances.ORDER_MARGIN_S + 0.1
+    assert sent_orders(node, repeat_s) == ["m-1"]
+    answer_order(node, repeat_s + 0.1, "m-1", events.OK)
+    assert not accepts_tasks(node, repeat_s + 0.1, "new")
+    list_rows(node, repeat_s + 2, make_row("m-1", "newer"))
+    assert not accepts_tasks(node, repeat_s + 2.1, "new")
+
+
+# Guards against a worker that was wrongly considered ended and never used again.
+def test_ended_worker_is_used_again_if_a_later_list_has_it():
+    """
+    A worker that was considered ended is used again once a later list shows it up.
+    """
+    entry = on_instance("a", "m-1")
+    node = owner_of([entry])
+    worker = node.workers["a"]
+    feed(
+        node,
+        LISTED_S,
+        events.HoldFailed("a", "timeout", instances._runs.fencing_token(node, worker)),
+    )
+    list_rows(node, LISTED_S + 0.1, make_row("m-1", "b"))
+    assert worker.has_ended
+    list_rows(node, LISTED_S + 0.7, make_row("m-1", "a"))
+    register(node, LISTED_S + 0.8, entry)
+    assert accepts_tasks(node, LISTED_S + 0.9, "a")
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -31,6 +31,11 @@
     tick,
 )
 
+# Fraction of the orders without an answer that the machine service carries out, and the longest
+# time until it does; shorter than the time that a new owner waits.
+CARRIED_OUT_PART = 0.7
+LATE_ORDER_S = 2.0
+
 
 def _reply(world: World, instance: Instance, effect: effects.Reply) -> None:
     kind, job = world.calls.pop(effect.token)
@@ -337,37 +342,64 @@
 
 
 def _list_instances(world: World, instance: Instance, _effect: effects.ListInstances) -> None:
+    if world.are_machines_cut:
+        send_to(world, instance, TIMEOUT_S, events.InstancesListed(None, world.now_s))
+        return
     rows = tuple(world.rows.values())
     send_to(world, instance, 0.01, events.InstancesListed(rows, world.now_s))
 
 
 def _order_instance(world: World, instance: Instance, effect: effects.OrderInstance) -> None:
-    def do() -> None:
-        if effect.instance not in world.rows:
-            event = events.InstanceOrderAnswered(
-                effect.instance, effect.wave, effect.pool, events.REFUSED, "400"
-            )
-            send_to(world, instance, LINK_S, event)
-            return
-        world.upkeep.append((world.now_s, effect.instance, effect.token, effect.wave))
-        row = world.rows[effect.instance]
-        for worker in world.workers.values():
-            if worker.instance == effect.instance and worker.is_up:
-                _rules.on_instance_stopped(world.judge, world.now_s, worker)
-                worker.crash()
-                worker.is_up = False
-        state = "upkeep" if effect.wave >= 0 else "moving"
-        world.rows[effect.instance] = row._replace(
-            state=state, worker="", pool=effect.pool or row.pool
-        )
-        pool = effect.pool or row.pool
-        later(world, MOVE_S, lambda: _bring_back(world, effect.instance, pool))
+    def answer(outcome: str, reason: str, delay_s: float) -> None:
         event = events.InstanceOrderAnswered(
-            effect.instance, effect.wave, effect.pool, events.OK, ""
+            effect.instance, effect.wave, effect.pool, outcome, reason
         )
-        send_to(world, instance, LINK_S, event)
+        send_to(world, instance, delay_s, event)
 
-    later(world, 0.01, do)
+    if world.are_machines_cut:
+        answer(events.UNKNOWN, "timeout", TIMEOUT_S)
+        return
+    if world.lost_order_part and world.rng.random() < world.lost_order_part:
+        if world.rng.random() < CARRIED_OUT_PART:
+            delay_s = world.rng.uniform(0.01, LATE_ORDER_S)
+            later(world, delay_s, lambda: _carry_out_order(world, effect))
+        answer(events.UNKNOWN, "timeout", TIMEOUT_S)
+        return
+    later(world, 0.01, lambda: answer(*_carry_out_order(world, effect), LINK_S))
+
+
+def _carry_out_order(world: World, effect: effects.OrderInstance) -> tuple[str, str]:
+    """
+    Carry out an order for an instance, unless that is already done, and give the outcome and its
+    reason.
+    """
+    row = world.rows.get(effect.instance)
+    if row is None:
+        return events.REFUSED, "400"
+    if row.state != "up":
+        return events.REFUSED, "busy"
+    if _is_order_done(world, effect, row):
+        return events.OK, ""
+    world.upkeep.append((world.now_s, effect.instance, effect.token, effect.wave))
+    for worker in world.workers.values():
+        if worker.instance == effect.instance and worker.is_up:
+            _rules.on_instance_stopped(world.judge, world.now_s, worker)
+            worker.crash()
+            worker.is_up = False
+    state = "upkeep" if effect.wave >= 0 else "moving"
+    pool = effect.pool or row.pool
+    world.rows[effect.instance] = row._replace(state=state, worker="", pool=pool)
+    later(world, MOVE_S, lambda: _bring_back(world, effect.instance, pool))
+    return events.OK, ""
+
+
+def _is_order_done(world: World, effect: effects.OrderInstance, row: model.InstanceRow) -> bool:
+    if effect.wave < 0:
+        return row.pool == effect.pool
+    return any(
+        (instance, wave) == (effect.instance, effect.wave)
+        for _at_s, instance, _token, wave in world.upkeep
+    )
 
 
 def _bring_back(world: World, instance: str, pool: str) -> None:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
@@ -164,6 +164,24 @@
     world.waves.append(model.Wave(len(world.waves) + 1, names, 12.0, 1))
 
 
+def _instance_orders_lost(world: World) -> None:
+    world.lost_order_part = 0.5
+
+    def restore() -> None:
+        world.lost_order_part = 0.0
+
+    later(world, world.rng.uniform(3.0, 9.0), restore)
+
+
+def _machines_cut(world: World) -> None:
+    world.are_machines_cut = True
+
+    def restore() -> None:
+        world.are_machines_cut = False
+
+    later(world, world.rng.uniform(1.0, 6.0), restore)
+
+
 def _late_orders(world: World) -> None:
     names = _pick_workers(world, 0.5)
     for name in names:
@@ -232,6 +250,8 @@
     "worker_gone": _worker_gone,
     "entries_lapse": _entries_lapse,
     "wave": _wave,
+    "instance_orders_lost": _instance_orders_lost,
+    "machines_cut": _machines_cut,
     "late_orders": _late_orders,
     "worker_fails_all": _worker_fails_all,
     "workers_stall": _workers_at_speed(0.3, 0.0),
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
@@ -2,6 +2,8 @@
 What must hold at every step, judged from what workers and callers see.
 """
 
+from collections import Counter
+from collections.abc import Iterator
 from typing import NamedTuple
 
 import msgspec
@@ -11,6 +13,13 @@
 
 from ._worker import JobWorker, Run
 
+# Attempts of every queue of this world.
+MAX_ATTEMPTS = 3
+# Longest time that a task may wait while there is room for it and all is calm.
+MAX_WAIT_S = 3.0
+# Interval at which waiting tasks are judged.
+CALM_STEP_S = 0.1
+
 
 class Violation(NamedTuple):
     """
@@ -32,6 +41,8 @@
     :param accepted_s: when that was first answered.
     :param specs: every job that was handed in.
     :param refused: jobs of which every submission was refused.
+    :param waiting_since_s: since when a task could start but did not.
+    :param waited: tasks that waited too long.
     """
 
     specs: dict[str, model.JobSpec] = {}
@@ -45,6 +56,8 @@
     refused: set[str] = set()
     cancelled_s: dict[str, float] = {}
     shown: dict[str, str] = {}
+    waiting_since_s: dict[model.TaskKey, float] = {}
+    waited: set[model.TaskKey] = set()
     starts: int = 0
     violations: list[Violation] = []
 
@@ -175,6 +188,80 @@
         _broken(judge, "cancelled_with_cause", at_s, job)
 
 
+def on_calm(judge: Judge, at_s: float, workers: list[JobWorker], jobs: dict[str, Job]) -> None:
+    """
+    Judge the tasks that wait, while nothing has gone wrong for long enough.
+
+    :param judge: what was seen.
+    :param at_s: time of the world.
+    :param workers: all workers of the pool that are up, reachable and in the registry.
+    :param jobs: jobs as an instance knows them.
+    """
+    former = judge.waiting_since_s
+    judge.waiting_since_s = {}
+    capacity = sum(worker.capacity.millicores for worker in workers)
+    used = sum(run.resources.millicores for worker in workers for run in worker.runs.values())
+    if used * 2 >= capacity:
+        return
+    for job_id in sorted(judge.accepted - judge.cancelled_s.keys()):
+        job = jobs.get(job_id)
+        if job is None or job.committed_state in ("completed", "failed", "cancelled"):
+            continue
+        for key in _startable(judge, workers, job_id):
+            since_s = judge.waiting_since_s[key] = former.get(key, at_s)
+            if at_s - since_s >= MAX_WAIT_S and key not in judge.waited:
+                judge.waited.add(key)
+                _broken(judge, "work_with_room_starts", at_s, ".".join(map(str, key)))
+
+
+def _startable(judge: Judge, workers: list[JobWorker], job_id: str) -> Iterator[model.TaskKey]:
+    """
+    Give the tasks of a job that could start on a worker that has room for two of them.
+    """
+    running = Counter(key for worker in workers for key in worker.runs)
+    listed = {end.key for worker in workers for end in worker.ends}
+    steps = judge.specs[job_id].steps
+    for index, step in enumerate(steps):
+        keys = _keys_of(job_id, index, step)
+        if not all(
+            key in judge.done
+            for earlier in step.after
+            for key in _keys_of(job_id, earlier, steps[earlier])
+        ):
+            continue
+        if not any(_has_room(worker, job_id, index, step) for worker in workers):
+            continue
+        if not _is_admitted(judge, workers, job_id, step):
+            continue
+        for key in keys:
+            if not (key in judge.done or running[key] or key in listed):
+                yield key
+
+
+def _keys_of(job_id: str, index: int, step: model.Step) -> list[model.TaskKey]:
+    return [model.TaskKey(job_id, 0, index, number) for number in range(step.count)]
+
+
+def _has_room(worker: JobWorker, job_id: str, index: int, step: model.Step) -> bool:
+    free = worker.capacity
+    for run in worker.runs.values():
+        free = free.minus(run.resources)
+    here = sum((key.job, key.step) == (job_id, index) for key in worker.runs)
+    is_within_spread = not step.max_per_worker or here < step.max_per_worker
+    return is_within_spread and step.resources.plus(step.resources).fits(free)
+
+
+def _is_admitted(judge: Judge, workers: list[JobWorker], job_id: str, step: model.Step) -> bool:
+    workspace = judge.workspaces.get(job_id, "")
+    used = step.resources
+    for worker in workers:
+        for run in worker.runs.values():
+            if judge.workspaces.get(run.key.job) == workspace:
+                used = used.plus(run.resources)
+    limit = judge.limits.get(workspace, model.NO_RESOURCES)
+    return all(not bound or have <= bound for have, bound in zip(used, limit, strict=True))
+
+
 def on_end_of_world(judge: Judge, at_s: float, jobs: dict[str, Job]) -> None:
     """
     Judge what became of the jobs, once all has been calm for long enough.
@@ -209,7 +296,3 @@
     failures = [count for key, count in judge.noted_failures.items() if key.job == job_id]
     if not failures or max(failures) < MAX_ATTEMPTS:
         _broken(judge, "failed_with_cause", at_s, f"{job_id} {failures}")
-
-
-# Attempts of every queue of this world.
-MAX_ATTEMPTS = 3
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
@@ -11,11 +11,16 @@
 from ._answers import make_world
 from ._faults import FAULTS
 from ._rules import Violation
+from ._worker import JobWorker
 from ._world import World, add_worker, look_up, run_until, submit
 
 LOAD_S = 12.0
 # Leases of former owners have to run out before the last work can start again.
 CALM_S = 45.0
+# Time in which the job that is submitted after the calm has to be completed.
+PROBE_S = 12.0
+PROBE_TASK_S = 4.0
+PROBE_JOB = "f" * 16
 JOBS = 40
 INSTANCES = 5
 WORKERS = 6
@@ -91,10 +96,7 @@
     world = make_world(seed, INSTANCES, make_config())
     rng = world.rng
     world.judge.limits["a"] = LIMIT
-    world.durations = lambda _key: (
-        rng.uniform(0.05, 2.0),
-        "failed" if rng.random() < 0.03 else "done",
-    )
+    world.durations = lambda key: _draw_duration(world, key)
     for number in range(WORKERS):
         add_worker(world, number, "service", CAPACITY)
     if faults is None:
@@ -111,6 +113,7 @@
         run_until(world, at_s)
         _act(world, kind, name)
     run_until(world, LOAD_S + CALM_S)
+    _probe(world)
     _judge_end(world)
     return ScheduleResult(
         seed,
@@ -132,6 +135,50 @@
         look_up(world, world.rng.choice(up), name, "key-a")
 
 
+def _draw_duration(world: World, key: model.TaskKey) -> tuple[float, str]:
+    if key.job == PROBE_JOB:
+        return PROBE_TASK_S, "done"
+    duration_s = world.rng.uniform(0.05, 2.0)
+    return duration_s, "failed" if world.rng.random() < 0.03 else "done"
+
+
+def _probe(world: World) -> None:
+    """
+    Submit a job that has one task for each worker, and judge whether all tasks start.
+    """
+    count = len(_usable_workers(world))
+    up = [name for name, instance in sorted(world.instances.items()) if instance.is_up]
+    if not up or not count:
+        return
+    step = model.Step(count=count, need=(500, 1000, 0), estimate_ms=4000, max_per_worker=1)
+    submit(world, up[0], PROBE_JOB, "key-a", model.JobSpec("payload", (step,)))
+    until_s = world.now_s + PROBE_S
+    while world.now_s < until_s:
+        run_until(world, world.now_s + _rules.CALM_STEP_S)
+        owners = [
+            instance.node
+            for instance in world.instances.values()
+            if instance.is_up and instance.node.ownership.is_owner
+        ]
+        if owners:
+            jobs = owners[0].replicated.jobs
+            _rules.on_calm(world.judge, world.now_s, _usable_workers(world), jobs)
+
+
+def _usable_workers(world: World) -> list[JobWorker]:
+    """
+    Give the workers that are up on their instances and reachable.
+    """
+    return [
+        worker
+        for worker in world.workers.values()
+        if worker.is_up
+        and not (worker.is_cut or worker.is_draining)
+        and worker.instance in world.rows
+        and world.rows[worker.instance].worker == worker.id
+    ]
+
+
 def _judge_end(world: World) -> None:
     up = [instance for instance in world.instances.values() if instance.is_up]
     for instance in up:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
@@ -66,6 +66,8 @@
     :param waves: waves that the operator has asked for.
     :param upkeep: instances ordered down, with time, token and wave.
     :param is_registry_empty: whether the entries of workers have lapsed.
+    :param lost_order_part: part of the orders for instances that get no answer.
+    :param are_machines_cut: whether the machine service answers nobody.
     :param exchanges: takes the answer to records that an instance sent to another, by token.
     :param effects: carries out the effects of an instance, by type.
     """
@@ -89,6 +91,8 @@
     durations: Callable[[model.TaskKey], tuple[float, str]] = lambda _key: (1.0, "done")
     answered: dict[str, int] = {}
     is_registry_empty: bool = False
+    lost_order_part: float = 0.0
+    are_machines_cut: bool = False
     effects: dict[type, Callable[["World", Instance, Any], None]] = {}
 
 
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -37,6 +37,7 @@
         ("wave", "entries_lapse"),
     ): "an instance whose worker's entry had lapsed counted as empty",
 }
+LOST_ORDERS = ("wave", "instance_orders_lost", "wave")
 # Seed 1003 was red while orders without an answer were sent again.
 FRESH_SEEDS = range(1000, 1012)
 
@@ -80,6 +81,16 @@
         assert result.violations == (), (seed, cause, result.violations[:3])
 
 
+# Guards against workers that are up but never used, after orders for their instances were repeated.
+def test_workers_are_used_after_orders_without_answers():
+    """
+    Orders for instances that get no answer leave no worker without work while tasks wait.
+    """
+    for seed in (103, 105, 117):
+        result = run_schedule(seed, LOST_ORDERS)
+        assert result.violations == (), (seed, result.violations[:3])
+
+
 def test_mixed_faults_break_no_rule():
     """
     Several faults that overlap break no rule.
