--- a/packages/eelgrassdrum-core/tests/test_jobs_instances.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_instances.py
@@ -15,6 +15,7 @@
     BOUNDS,
     START_S,
     WALL_MS,
+    commit,
     feed,
     make_owner_config,
     owner_of,
@@ -103,20 +104,48 @@
     A draining instance that is no longer listed does not block other instances of its wave.
     """
     wave = model.Wave(1, ("m-a", "m-b"), 30.0, 1)
+    node = make_owner_with_wave(wave)
+    list_instances(node, LISTED_S, ("a", "b"))
+    assert set(node.fleet.draining) == {"m-a"}
+    list_instances(node, LISTED_S + 1, ("b",))
+    assert set(node.fleet.draining) == {"m-b"}
+
+
+# Issue 19: instances were taken out of use while no order could be recorded.
+def test_a_wave_drains_nothing_while_the_store_is_away():
+    """
+    A wave drains its instances only while the store answers.
+    """
+    node = make_owner_with_wave(model.Wave(1, ("m-a", "m-b"), 30.0, 1))
+    feed(node, LISTED_S, events.Ticked())
+    list_instances(node, LISTED_S + 1, ("a", "b"), answers=False)
+    assert not node.fleet.draining
+    list_instances(node, LISTED_S + 2, ("a", "b"))
+    assert set(node.fleet.draining) == {"m-a"}
+
+
+def make_owner_with_wave(wave):
+    """
+    Return the owner of two instances that are to be maintained.
+    """
     node = owner_of([worker_entry("a"), worker_entry("b")])
     feed(node, LISTED_S, events.OperatorRead(2, make_owner_config(), (wave,), LISTED_S))
+    return node
 
-    def list_instances(at_s, names):
-        rows = tuple(
-            model.InstanceRow(
-                f"m-{name}", "service", "up", "z", "r1", model.Resources(4000, 64_000, 0), name
-            )
-            for name in names
-        )
-        feed(node, at_s, events.InstancesListed(rows, at_s))
-        feed(node, at_s, events.Ticked())
 
-    list_instances(LISTED_S, ("a", "b"))
-    assert set(node.fleet.draining) == {"m-a"}
-    list_instances(LISTED_S + 1, ("b",))
-    assert set(node.fleet.draining) == {"m-b"}
+def list_instances(node, at_s, names, answers=True):
+    """
+    Let the store answer or not, list instances that are up, and let the owner act on it.
+    """
+    if answers:
+        commit(node, at_s)
+        feed(node, at_s, events.Ticked())
+        commit(node, at_s)
+    rows = tuple(
+        model.InstanceRow(
+            f"m-{name}", "service", "up", "z", "r1", model.Resources(4000, 64_000, 0), name
+        )
+        for name in names
+    )
+    feed(node, at_s, events.InstancesListed(rows, at_s))
+    feed(node, at_s, events.Ticked())
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/__init__.py
@@ -8,6 +8,7 @@
 from ._patterns import (
     Served,
     burst_beyond_room,
+    demand_turns_without_store,
     owner_lost_in_a_burst,
     slow_store_with_many_instances,
     turning_demand,
@@ -25,6 +26,7 @@
     "Violation",
     "World",
     "burst_beyond_room",
+    "demand_turns_without_store",
     "make_world",
     "owner_lost_in_a_burst",
     "run_schedule",
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
@@ -9,6 +9,7 @@
 from ._answers import make_world
 from ._faults import FAULTS
 from ._schedule import make_config
+from ._store import REFUSING, UP
 from ._world import World, add_worker, run_until, submit
 
 SETTLE_S = 4.0
@@ -130,6 +131,34 @@
     return _served(world, submitted, 0.0)
 
 
+def demand_turns_without_store(is_away: bool, seed: int = 1) -> Served:
+    """
+    The demand turns from one queue to another while the store turns everybody away for seven
+    seconds. Only the jobs submitted from then on are counted.
+
+    :param is_away: whether the store is away; otherwise the demand turns when it would be back.
+    :param seed: of all that is random.
+    :returns: how it was served.
+    """
+    world = make_world(seed, 3, _two_queues(True))
+    world.durations = lambda _key: (0.8, "done")
+    for number in range(12):
+        add_worker(world, number, ("left", "right")[number % 2], CAPACITY)
+    run_until(world, SETTLE_S)
+    submitted: dict[str, tuple[float, float]] = {}
+    for tenth in range(170):
+        run_until(world, SETTLE_S + tenth / 10)
+        if is_away and tenth in (40, 110):
+            world.store.state = REFUSING if tenth == 40 else UP
+        job = f"{tenth:016x}"
+        if tenth < 38:
+            _submit(world, {}, "left", job, 5, 0.8)
+        elif tenth >= (100 if is_away else 110):
+            _submit(world, submitted if tenth >= 110 else {}, "right", job, 6, 0.8)
+    run_until(world, world.now_s + CALM_S)
+    return _served(world, submitted, 0.0)
+
+
 def slow_store_with_many_instances(seed: int = 1) -> float:
     """
     Fifteen instances take jobs, while an append takes up the log for a tenth of a second.
--- a/packages/eelgrassdrum-testing/tests/test_jobs_patterns.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_patterns.py
@@ -7,6 +7,7 @@
 from eelgrassdrum_core.jobs import _candidates, _forwarding, _planner, _progress
 from eelgrassdrum_testing.jobs import (
     burst_beyond_room,
+    demand_turns_without_store,
     owner_lost_in_a_burst,
     slow_store_with_many_instances,
     turning_demand,
@@ -25,6 +26,8 @@
 # A job in one zone of three is lost with it in one case of three; one over two workers in five of
 # nine.
 ZONE_PART_LEFT = 3 / 5
+# Lateness after an outage of the store, relative to a burst that begins when the store is back.
+LATENESS_AFTER_STORE = 1.5
 
 
 @contextmanager
@@ -86,6 +89,16 @@
     assert missed(kept) < ZONE_PART_LEFT * missed(spread), (kept, spread)
 
 
+# Issue 19: the class whose burst began while the store was away earned a third of its floor.
+def test_demand_that_turns_without_the_store_is_served_when_it_is_back():
+    """
+    Demand turns while the store is away: what comes after it is served as if it turned just then.
+    """
+    away = [demand_turns_without_store(True, seed) for seed in SEEDS]
+    turned = [demand_turns_without_store(False, seed) for seed in SEEDS]
+    assert lateness(away) <= LATENESS_AFTER_STORE * lateness(turned), (away, turned)
+
+
 def test_a_slow_store_keeps_up_with_many_instances():
     """
     Slow store: callers are accepted in time, since one instance appends for all.
