Show that a backlog makes fresh jobs late

After an outage of the store callers came again at once, and the jobs that they had handed in until then were late already.

The pattern hands in three seconds of work for all room at once, and from then on work for half of the room. All of the later jobs could be in time, and all of the backlog could end within three times its objective.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/__init__.py
@@ -7,6 +7,7 @@
 from ._faults import FAULTS
 from ._patterns import (
     Served,
+    backlog_after_outage,
     burst_beyond_room,
     owner_lost_in_a_burst,
     slow_store_with_many_instances,
@@ -24,6 +25,7 @@
     "Served",
     "Violation",
     "World",
+    "backlog_after_outage",
     "burst_beyond_room",
     "make_world",
     "owner_lost_in_a_burst",
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
@@ -130,6 +130,30 @@
     return _served(world, submitted, 0.0)
 
 
+def backlog_after_outage(seed: int = 1) -> tuple[Served, Served]:
+    """
+    Callers come again at once after an outage, with jobs for three seconds of all room. From then
+    on jobs ask for half of the room.
+
+    :param seed: of all that is random.
+    :returns: how the jobs of the outage were served, and the later ones.
+    """
+    world = make_world(seed, 3, make_config(is_limited=False))
+    world.durations = lambda _key: (0.8, "done")
+    for number in range(3):
+        add_worker(world, number, "service", CAPACITY)
+    run_until(world, SETTLE_S)
+    backlog: dict[str, tuple[float, float]] = {}
+    fresh: dict[str, tuple[float, float]] = {}
+    for number in range(45):
+        _submit(world, backlog, "q", f"{number:016x}", 2, 0.8)
+    for tenth in range(60):
+        run_until(world, SETTLE_S + tenth / 10)
+        _submit(world, fresh, "q", f"{100 + tenth:016x}", 1 + tenth % 2, 0.8)
+    run_until(world, world.now_s + CALM_S)
+    return _served(world, backlog, 0.0), _served(world, fresh, 0.0)
+
+
 def slow_store_with_many_instances(seed: int = 1) -> float:
     """
     Fifteen instances take jobs, while an append takes up the log for a tenth of a second.
--- a/packages/eelgrassdrum-testing/tests/test_jobs_patterns.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_patterns.py
@@ -6,6 +6,7 @@
 
 from eelgrassdrum_core.jobs import _candidates, _forwarding, _planner, _progress
 from eelgrassdrum_testing.jobs import (
+    backlog_after_outage,
     burst_beyond_room,
     owner_lost_in_a_burst,
     slow_store_with_many_instances,
@@ -25,6 +26,11 @@
 # A job in one zone of three is lost with it in one case of three; one over two workers in five of
 # nine.
 ZONE_PART_LEFT = 3 / 5
+# Part of the jobs behind a backlog that meet their objective; all of them could, for half of the
+# room is theirs.
+FRESH_PART = 0.85
+# Part of the backlog that meets its objective; 24 of 45 jobs fit.
+BACKLOG_PART = 0.5
 
 
 @contextmanager
@@ -56,6 +62,18 @@
     assert burst_beyond_room().at_all == 1.0
 
 
+# Guards against fresh jobs that become late behind jobs that are late already (issue 19).
+def test_a_backlog_after_an_outage_does_not_make_fresh_jobs_late():
+    """
+    Backlog after an outage: fresh jobs are in time, and the backlog is served all the same.
+    """
+    for seed in SEEDS:
+        backlog, fresh = backlog_after_outage(seed)
+        assert fresh.in_time >= FRESH_PART, (seed, fresh)
+        assert backlog.in_time >= BACKLOG_PART, (seed, backlog)
+        assert backlog.at_all == fresh.at_all == 1.0, (seed, backlog, fresh)
+
+
 def test_a_burst_goes_on_after_its_owner_is_lost():
     """
     Owner lost in a burst: tasks start again within twice the slack of the shortest jobs.
