--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/__init__.py
@@ -7,6 +7,7 @@
 from ._faults import FAULTS
 from ._patterns import (
     Served,
+    backlog_after_outage,
     burst_beyond_room,
     demand_turns_without_store,
     owner_lost_in_a_burst,
@@ -25,6 +26,7 @@
     "Served",
     "Violation",
     "World",
+    "backlog_after_outage",
     "burst_beyond_room",
     "demand_turns_without_store",
     "make_world",
