--- a/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
@@ -175,3 +175,56 @@
         effects.AnswerPeer(5, events.UNKNOWN),
         effects.AnswerPeer(6, events.REFUSED),
     ]
+
+
+# Guards against an append that waits for its timeout although the store responds again.
+def test_the_first_read_after_an_outage_sends_the_pending_append_again(owner):
+    """
+    An append in flight when the store fell silent is sent again with the first successful read.
+    """
+    now_s = START_S + 2.5
+    commit(owner, now_s)
+    produced = feed(owner, now_s, events.PeerRecords(5, 1, encode_submission()))
+    (append,) = of_type(produced, effects.Append)
+    feed(owner, now_s + 0.3, events.LogReadFailed("timeout"))
+    back_s = now_s + 0.6
+    produced = feed(owner, back_s, events.OperatorRead(1, None, (), back_s - 0.01))
+    (again,) = of_type(produced, effects.Append)
+    assert (again.seq, again.records) == (append.seq, append.records)
+    # The first attempt may have been executed, so a refusal of the second proves nothing.
+    produced = feed(owner, back_s + 0.3, events.Appended("owner", append.seq, events.REFUSED))
+    assert of_type(produced, effects.AnswerPeer) == []
+
+
+# Guards against a slow store that gets more copies of an append with each read that it answers.
+def test_reads_without_a_failure_send_no_append_again(owner):
+    """
+    While no read fails, successful reads don't send a pending append again.
+    """
+    now_s = START_S + 2.5
+    commit(owner, now_s)
+    assert of_type(
+        feed(owner, now_s, events.PeerRecords(5, 1, encode_submission())), effects.Append
+    )
+    for step in range(1, 8):
+        at_s = now_s + step / 10
+        produced = feed(owner, at_s, events.OperatorRead(1, None, (), at_s - 0.01))
+        assert of_type(produced, effects.Append) == []
+
+
+# Guards against a configuration that is too old until a read of the outage times out.
+def test_reads_are_repeated_while_the_store_is_silent(reader):
+    """
+    After a failed read, the operator's records are read at short intervals, whatever is pending.
+    """
+    feed(reader, CALL_S, events.Ticked())
+    feed(reader, CALL_S, events.LogReadFailed("timeout"))
+    reads = [
+        effect
+        for step in range(1, 21)
+        for effect in of_type(
+            feed(reader, CALL_S + step * 0.05, events.Ticked()), effects.ReadOperator
+        )
+    ]
+    assert 4 <= len(reads) <= 8
+    assert all(read.wait_s == 0.0 for read in reads)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
@@ -9,6 +9,7 @@
 from ._answers import make_world
 from ._faults import FAULTS
 from ._schedule import make_config
+from ._store import SILENT, UP
 from ._world import World, add_worker, run_until, submit
 
 SETTLE_S = 4.0
@@ -18,6 +19,8 @@
 CALM_S = 12.0
 # A caller of the shortest jobs has this much to spare beyond their work.
 ACCEPTED_S = 1.1
+# Duration of an outage of the store; longer than the age up to which a configuration may be used.
+SILENCE_S = 6.7
 
 
 class Served(NamedTuple):
@@ -185,6 +188,39 @@
     return longest_s
 
 
+def silent_store_returns(seed: int = 1) -> float:
+    """
+    The store answers nobody for `SILENCE_S`, while callers keep coming to every instance.
+
+    :param seed: of all that is random.
+    :returns: seconds from the return of the store until every instance has accepted a job.
+    """
+    world = make_world(seed, 3, make_config(is_limited=False))
+    world.durations = lambda _key: (0.3, "done")
+    for number in range(6):
+        add_worker(world, number, "service", CAPACITY)
+    # The seed moves the outage against the ticks and reads of the instances.
+    begin_s = SETTLE_S + world.rng.random()
+    run_until(world, begin_s)
+    world.store.state = SILENT
+    return_s = begin_s + SILENCE_S
+    given: dict[str, str] = {}
+    for step in range(round((SILENCE_S + CALM_S / 4) * 50)):
+        run_until(world, begin_s + step / 50)
+        if world.now_s >= return_s:
+            world.store.state = UP
+        name = f"entry-{step % 3}"
+        given[f"{step:016x}"] = name
+        step_of_work = model.Step(count=1, need=(100, 100, 0), estimate_ms=300)
+        spec = model.JobSpec("payload", (step_of_work,))
+        submit(world, name, f"{step:016x}", "key-a", spec)
+    first_s: dict[str, float] = {}
+    for job, at_s in world.judge.accepted_s.items():
+        if at_s >= return_s and job in given:
+            first_s.setdefault(given[job], at_s)
+    return max(first_s.get(name, world.now_s) for name in world.instances) - return_s
+
+
 def _two_queues(is_moving: bool) -> model.Config:
     base = make_config(is_limited=False)
     queues = {
--- a/packages/eelgrassdrum-testing/tests/test_jobs_patterns.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_patterns.py
@@ -8,6 +8,7 @@
 from eelgrassdrum_testing.jobs import (
     burst_beyond_room,
     owner_lost_in_a_burst,
+    silent_store_returns,
     slow_store_with_many_instances,
     turning_demand,
     workers_stall_in_a_burst,
@@ -18,6 +19,8 @@
 # as much again for the log to be read and the workers to be asked.
 LONGEST_GAP_S = 2.2
 SEEDS = range(1, 5)
+# A tenth of the 3 s that callers wait in all. Those whose last retry falls into this time are lost.
+RETURN_S = 0.3
 # What a decision leaves of the loss that it is made against, at most.
 PART_LEFT = 0.5
 # Part of the callers of a slow store that are accepted in time.
@@ -95,6 +98,14 @@
         assert slow_store_with_many_instances() < ACCEPTED_PART
 
 
+# Guards against instances that accept nobody until reads and appends of the outage time out.
+def test_instances_accept_jobs_soon_after_a_silent_store_returns():
+    """
+    Return of a silent store: every instance accepts jobs within a tenth of its callers' deadline.
+    """
+    assert max(silent_store_returns(seed) for seed in SEEDS) <= RETURN_S
+
+
 def anyone(*_):
     """
     Take any worker.
