--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
@@ -9,8 +9,7 @@
 from ._answers import make_world
 from ._faults import FAULTS
 from ._schedule import make_config
-from ._store import REFUSING, UP
-from ._store import SILENT, UP
+from ._store import REFUSING, SILENT, UP
 from ._world import World, add_worker, run_until, submit
 
 SETTLE_S = 4.0
