--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -92,14 +92,26 @@
     log_line(
         node,
         "call.refused",
+        job=_named_job(node, call),
         kind=call.kind,
         host=call.host,
         path=call.path,
         reason=reason,
         config=node.config.version if node.config else None,
+        waited_s=0.0,
+        retry_after_s=_rounded(retry_after_s),
     )
 
 
+def _named_job(node: Node, call: CallReceived) -> str:
+    queue = find_queue(node, call.host, call.path)
+    return call.path[len(queue.prefix) :] if queue is not None else ""
+
+
+def _rounded(retry_after_s: float | None) -> float | None:
+    return None if retry_after_s is None else round(retry_after_s, 3)
+
+
 def _submit(
     node: Node, at: Moment, call: CallReceived, queue: Queue, workspace: str, job_id: str
 ) -> None:
@@ -299,6 +311,7 @@
             "job.accepted",
             job=call.record.job,
             queue=call.record.queue,
+            pool=call.record.service,
             workspace=call.record.workspace,
             wait_s=round(at.now_s - call.since_s, 4),
         )
@@ -351,9 +364,17 @@
     intake = node.intake
     for call in intake.batch:
         if at.now_s >= call.due_s and call.token not in intake.abandoned:
-            _reply(node, call, effects.UNCERTAIN, "store_does_not_answer")
+            reason = "store_does_not_answer"
+            _reply(node, call, effects.UNCERTAIN, reason)
             intake.abandoned.add(call.token)
-            log_line(node, "call.uncertain", **_call_fields(call), waited_s=_waited_s(call, at))
+            log_line(
+                node,
+                "call.uncertain",
+                reason=reason,
+                **_call_fields(call),
+                waited_s=_waited_s(call, at),
+                retry_after_s=None,
+            )
     max_queued_s = REFUSE_AFTER_S if intake.is_failing else MAX_QUEUED_S
     while intake.waiting and at.now_s - intake.waiting[0].since_s >= max_queued_s:
         _refuse_unavailable(node, at, intake.waiting.popleft())
@@ -384,8 +405,9 @@
         "call.refused",
         reason="store_unavailable",
         **_call_fields(call),
+        config=node.config.version if node.config else None,
         waited_s=_waited_s(call, at),
-        retry_after_s=retry_s,
+        retry_after_s=_rounded(retry_s),
     )
 
 
@@ -420,6 +442,14 @@
         for token, _due_s in waiters:
             if token not in node.intake.abandoned:
                 emit(node, effects.Reply(token, effects.UNCERTAIN, "log_not_read"))
+                log_line(
+                    node,
+                    "call.uncertain",
+                    reason="log_not_read",
+                    job=job_id,
+                    kind=events.CANCEL,
+                    retry_after_s=None,
+                )
             node.intake.abandoned.discard(token)
 
 
--- a/packages/eelgrassdrum-core/tests/test_jobs_intake.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_intake.py
@@ -131,6 +131,62 @@
     assert reply.retry_after_s >= 1.0
 
 
+def lines_of(produced, action):
+    """
+    Return the fields of the log lines of an action.
+    """
+    return [item.fields for item in of_type(produced, effects.WriteLine) if item.action == action]
+
+
+def test_refusals_have_the_same_fields(node):
+    """
+    Calls that are refused at once, that the store refuses or whose outcome is uncertain are logged
+    with job, kind, reason, wait and the delay that the caller was told.
+    """
+    fields = ("job", "kind", "reason", "waited_s", "retry_after_s")
+    (at_once,) = lines_of(feed(node, 0.1, call(events.SUBMIT, key="no")), "call.refused")
+    assert [at_once[name] for name in fields] == ["job1", events.SUBMIT, "unknown_key", 0.0, None]
+    (append,) = of_type(feed(node, 0.1, call(events.SUBMIT)), effects.Append)
+    produced = feed(node, 0.4, events.Appended(append.channel, append.seq, events.REFUSED))
+    (refused,) = lines_of(produced, "call.refused")
+    (reply,) = of_type(produced, effects.Reply)
+    assert [refused[name] for name in fields] == [
+        "job1",
+        events.SUBMIT,
+        "store_unavailable",
+        0.3,
+        reply.retry_after_s,
+    ]
+    feed(node, 0.5, call(events.SUBMIT, "/q/job2", token=2))
+    (uncertain,) = lines_of(feed(node, 5.0, events.Ticked()), "call.uncertain")
+    assert [uncertain[name] for name in fields] == [
+        "job2",
+        events.SUBMIT,
+        "store_does_not_answer",
+        4.5,
+        None,
+    ]
+
+
+def test_cancel_without_a_result_is_logged(node):
+    """
+    A cancellation whose job the log does not show in time is logged as uncertain.
+    """
+    (append,) = of_type(feed(node, 0.1, call(events.CANCEL)), effects.Append)
+    feed(node, 0.2, events.Appended(append.channel, append.seq, events.OK))
+    (line,) = lines_of(feed(node, 5.0, events.Ticked()), "call.uncertain")
+    assert (line["job"], line["kind"], line["reason"]) == ("job1", events.CANCEL, "log_not_read")
+
+
+def test_acceptance_names_the_pool(node):
+    """
+    The line of an accepted job names the pool that its tasks wait for.
+    """
+    (append,) = of_type(feed(node, 0.1, call(events.SUBMIT)), effects.Append)
+    produced = feed(node, 0.2, events.Appended(append.channel, append.seq, events.OK))
+    assert [line["pool"] for line in lines_of(produced, "job.accepted")] == ["service"]
+
+
 def test_the_retry_delay_grows_with_the_outage(node):
     """
     The retry delay grows with the duration of the store's outage, up to a limit.
