Show pools and the told Retry-After in the metrics

The owner shows for each pool the waiting tasks, the workers by state and the instances that move to it; the labels are the configured pools and fourteen fixed states. Full is judged by the step that is next to start. The Retry-After of refused calls is a histogram by reason, and work.waiting is counted by cause.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/__init__.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/__init__.py
@@ -2,25 +2,31 @@
 Job scheduling as a pure reducer over the events of one instance.
 
 `new_node` builds the state; `reduce` applies an event and returns the effects to carry out.
+`pool_views` gives the state of the pools for metrics.
 """
 
 from . import _records as records
 from . import effects, events, model
 from ._intake import CHANNEL as INTAKE_CHANNEL
+from ._members import STATES as MEMBER_STATES
 from ._node import Identity, Moment, Node
 from ._reduce import reduce
 from ._replicated_state import ReplicatedState
+from ._waiting import PoolView, pool_views
 
 __all__ = [
     "INTAKE_CHANNEL",
+    "MEMBER_STATES",
     "Identity",
     "Moment",
     "Node",
+    "PoolView",
     "ReplicatedState",
     "effects",
     "events",
     "model",
     "new_node",
+    "pool_views",
     "records",
     "reduce",
 ]
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_members.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_members.py
@@ -28,6 +28,22 @@
 SLOW = "slow"
 SILENT_ZONE = "silent_zone"
 OVERDUE = "overdue"
+STATES = (
+    USABLE,
+    FULL,
+    ENDED,
+    UNLISTED,
+    UNREACHABLE,
+    UNANSWERED,
+    DRAINING,
+    INSTANCE_DOWN,
+    INSTANCE_MOVING,
+    INSTANCE_MAINTAINED,
+    PAUSED,
+    SLOW,
+    SILENT_ZONE,
+    OVERDUE,
+)
 
 
 def members(node: Node, service: str) -> list[Worker]:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
@@ -45,6 +45,47 @@
     item: ReadyStep
 
 
+class PoolView(NamedTuple):
+    """
+    A pool as its owner sees it, for metrics.
+
+    :param waiting_tasks: number of tasks that may start and have no run.
+    :param members: number of workers by state.
+    :param moving_in: number of instances that move to it.
+    """
+
+    waiting_tasks: int
+    members: dict[str, int]
+    moving_in: int
+
+
+def pool_views(node: Node, at: Moment) -> dict[str, PoolView]:
+    """
+    Return the state of each configured pool.
+
+    :param node: the instance.
+    :param at: the time.
+    :returns: the state by name of the pool; empty if the instance doesn't own the log.
+    """
+    if node.config is None or not node.ownership.is_owner:
+        return {}
+    waiting: dict[str, list[ReadyStep]] = defaultdict(list)
+    for item, may_start in _ready.waiting_steps(node, at):
+        if may_start:
+            waiting[item.queue.service].append(item)
+    moving = _members.instances_moving_to(node)
+    views: dict[str, PoolView] = {}
+    for name in node.config.services:
+        items = waiting[name]
+        first = min(items, key=lambda item: item.sort_key, default=None)
+        need = first.state.resources if first is not None else None
+        candidates = _candidates.pool_candidates(node, at, name)
+        members = _members.count_states(node, at, name, candidates, need)
+        tasks = sum(item.state.waiting for item in items)
+        views[name] = PoolView(tasks, dict(members), moving[name])
+    return views
+
+
 def log_if_due(node: Node, at: Moment) -> None:
     """
     Log the work that has waited too long, at most one line per interval, action and pool.
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
@@ -168,8 +168,11 @@
         finally:
             self._is_reducing = False
 
+    def _now(self) -> Moment:
+        return Moment(self.clock(), time.time_ns() // 1_000_000)
+
     def _reduce(self, event: object) -> None:
-        now = Moment(self.clock(), time.time_ns() // 1_000_000)
+        now = self._now()
         try:
             produced = reduce(self.node, now, event)
         except Exception as exc:
@@ -241,7 +244,7 @@
         self.ready.answer(exchange.token, status, {}, b"")
 
     def _on_scrape(self, exchange: Exchange) -> None:
-        body = _metrics.render(self.metrics, self.node)
+        body = _metrics.render(self.metrics, self.node, self._now())
         self.scrapes.answer(exchange.token, 200, {"Content-Type": "text/plain"}, body)
 
     @handler("started", channel="*")
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_metrics.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_metrics.py
@@ -8,7 +8,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from eelgrassdrum_core.jobs import Node, effects
+from eelgrassdrum_core.jobs import MEMBER_STATES, Moment, Node, effects, pool_views
 
 from .._metrics import PERCENTILES, UNIT_S, new_histogram
 
@@ -16,6 +16,8 @@
 MAX_SERIES = 256
 OVERFLOW_LABEL = "other"
 PREFIX = "eelgrassdrum"
+# Fields of log lines that label their counter; the first one that a line has.
+LABEL_FIELDS = ("how", "reason", "state", "cause")
 
 
 class JobMetrics(msgspec.Struct, eq=False):
@@ -71,7 +73,7 @@
     :param line: the line.
     """
     fields: dict[str, Any] = line.fields
-    label = fields.get("how") or fields.get("reason") or fields.get("state") or ""
+    label = next((fields[name] for name in LABEL_FIELDS if fields.get(name)), "")
     count(metrics, line.action.replace(".", "_"), str(label))
     queue = fields.get("queue")
     if line.action == "job.closed":
@@ -79,16 +81,19 @@
         record_duration(metrics, "workspace_job_age", str(fields["workspace"]), fields["age_s"])
     elif line.action == "job.accepted":
         record_duration(metrics, "accept", str(queue), fields["wait_s"])
+    elif line.action == "call.refused" and fields.get("retry_after_s") is not None:
+        record_duration(metrics, "retry_after", str(label), fields["retry_after_s"])
     elif line.action == "run.ended" and fields.get("ran_s") is not None:
         record_duration(metrics, "run", str(fields.get("how")), fields["ran_s"])
 
 
-def render(metrics: JobMetrics, node: Node) -> bytes:
+def render(metrics: JobMetrics, node: Node, at: Moment) -> bytes:
     """
     Render all metrics as text.
 
     :param metrics: the metrics.
     :param node: the instance's state, for the gauges.
+    :param at: the time.
     :returns: one line per value, in UTF-8.
     """
     lines = [
@@ -104,6 +109,7 @@
         total = histogram.get_total_count()
         lines.append(f'{PREFIX}_{name}_seconds_count{{label="{text}"}} {total}')
     lines += [f"{PREFIX}_{name} {value}" for name, value in _gauges(node).items()]
+    lines += _pool_gauges(node, at)
     return "\n".join([*lines, ""]).encode()
 
 
@@ -125,5 +131,22 @@
     }
 
 
+def _pool_gauges(node: Node, at: Moment) -> list[str]:
+    """
+    Return the gauges by pool, which only the owner of the log has. Above the limit of series, pools
+    have none.
+    """
+    lines: list[str] = []
+    for name, view in list(pool_views(node, at).items())[:MAX_SERIES]:
+        pool = f'pool="{_escape(name)}"'
+        lines.append(f"{PREFIX}_pool_waiting_tasks{{{pool}}} {view.waiting_tasks}")
+        lines.append(f"{PREFIX}_pool_instances_moving_in{{{pool}}} {view.moving_in}")
+        lines += [
+            f'{PREFIX}_pool_workers{{{pool},state="{state}"}} {view.members.get(state, 0)}'
+            for state in MEMBER_STATES
+        ]
+    return lines
+
+
 def _escape(label: str) -> str:
     return label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", " ")
--- /dev/null
+++ b/packages/eelgrassdrum-daemon/tests/test_jobs_metrics.py
@@ -0,0 +1,68 @@
+"""
+Metrics of the job scheduler, rendered for scrapers.
+"""
+
+from eelgrassdrum_core.jobs import Identity, Moment, effects, new_node
+from eelgrassdrum_daemon.jobs import _metrics
+from eelgrassdrum_testing.jobs.owner import (
+    BOUNDS,
+    START_S,
+    WALL_MS,
+    hand_in,
+    one_step,
+    owner_of,
+    worker_entry,
+)
+
+AT = Moment(START_S + 3, WALL_MS)
+
+
+def lines_of(node, metrics=None):
+    """
+    Return the rendered lines.
+    """
+    text = _metrics.render(metrics or _metrics.JobMetrics(), node, AT).decode()
+    return set(text.splitlines())
+
+
+def test_pools_are_shown_by_their_owner():
+    """
+    The owner shows the waiting tasks, the workers by state and the moving instances of a pool.
+    """
+    node = owner_of([worker_entry("w", 2000), worker_entry("away")])
+    node.workers["away"].is_failing = True
+    hand_in(node, [("job", "usual", (one_step(5),), 0.0)])
+    node.fleet.pool_of = {"m-other": "service"}
+    assert {
+        'eelgrassdrum_pool_waiting_tasks{pool="service"} 3',
+        'eelgrassdrum_pool_instances_moving_in{pool="service"} 1',
+        'eelgrassdrum_pool_workers{pool="service",state="full"} 1',
+        'eelgrassdrum_pool_workers{pool="service",state="unreachable"} 1',
+        'eelgrassdrum_pool_workers{pool="service",state="usable"} 0',
+    } <= lines_of(node)
+
+
+def test_other_instances_show_no_pools():
+    """
+    An instance that doesn't own the log has no figures of pools.
+    """
+    lines = lines_of(new_node(Identity("entry", WALL_MS, "zone"), BOUNDS))
+    assert "eelgrassdrum_is_owner 0" in lines
+    assert not any(line.startswith("eelgrassdrum_pool_") for line in lines)
+
+
+def test_lines_are_counted_by_cause_and_delay():
+    """
+    Lines about waiting work are counted by cause, and the delay that refused callers are told is a
+    histogram.
+    """
+    metrics = _metrics.JobMetrics()
+    _metrics.count_log_line(metrics, effects.WriteLine("work.waiting", {"cause": "no_room"}))
+    for retry_after_s in (2.0, None):
+        fields = {"reason": "store_unavailable", "retry_after_s": retry_after_s}
+        _metrics.count_log_line(metrics, effects.WriteLine("call.refused", fields))
+    assert {
+        'eelgrassdrum_work_waiting_total{label="no_room"} 1',
+        'eelgrassdrum_call_refused_total{label="store_unavailable"} 2',
+        'eelgrassdrum_retry_after_seconds_count{label="store_unavailable"} 1',
+    } <= lines_of(owner_of([]), metrics)
