Name the member that was taken for ended longest ago

work.waiting counted members that are taken for ended although the registry has their entry. The line now names the one that ended longest ago, whose worker.ended has the reason, and the time since.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_members.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_members.py
@@ -63,6 +63,18 @@
     ]
 
 
+def ended_members(node: Node, service: str) -> list[Worker]:
+    """
+    Return the members of a pool that are taken for ended. The entry of a worker that has really
+    ended expires; one that is kept for longer than that may belong to a worker that is up.
+
+    :param node: the instance.
+    :param service: name of the pool.
+    :returns: the workers.
+    """
+    return [worker for worker in members(node, service) if worker.has_ended]
+
+
 def count_states(
     node: Node, at: Moment, service: str, candidates: list[Candidate], need: Resources | None
 ) -> Counter[str]:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
@@ -141,6 +141,7 @@
     candidates = _candidates.pool_candidates(node, at, service)
     members = _members.count_states(node, at, service, candidates, item.state.resources)
     pool = node.pools.get(service)
+    ended = min(_members.ended_members(node, service), key=lambda w: w.ended_s, default=None)
     log_line(
         node,
         "work.waiting",
@@ -155,6 +156,8 @@
         age_s=round(at.now_s - item.job.seen_s, 3),
         need=list(item.state.resources),
         members=dict(members),
+        ended_worker=ended.id if ended is not None else None,
+        ended_s_ago=round(at.now_s - ended.ended_s, 3) if ended is not None else None,
         wanted=pool.wanted if pool is not None else None,
         moving_in=_members.instances_moving_to(node)[service],
     )
--- a/packages/eelgrassdrum-core/tests/test_jobs_waiting.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_waiting.py
@@ -107,9 +107,11 @@
     hand_in(node, one_job(one_step()))
     line = waiting_line(node)
     assert (line["cause"], line["members"]) == (waiting.NO_USABLE_WORKER, {"ended": 1})
+    assert (line["ended_worker"], line["ended_s_ago"]) == ("w", line["waited_s"])
     feed(node, HANDED_IN_S + 2, events.WorkersRead(2, False, {"w": None}))
     line = waiting_line(node, HANDED_IN_S + 4, from_s=HANDED_IN_S + 2)
     assert (line["cause"], line["members"]) == (waiting.NO_MEMBERS, {})
+    assert line["ended_worker"] is None
 
 
 def test_members_are_counted_by_state():
