--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_members.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_members.py
@@ -28,6 +28,22 @@
 SLOW = "slow"
 SILENT_ZONE = "silent_zone"
 OVERDUE = "overdue"
+STATES = (
+    USABLE,
+    FULL,
+    ENDED,
+    UNLISTED,
+    UNREACHABLE,
+    UNANSWERED,
+    DRAINING,
+    INSTANCE_DOWN,
+    INSTANCE_MOVING,
+    INSTANCE_MAINTAINED,
+    PAUSED,
+    SLOW,
+    SILENT_ZONE,
+    OVERDUE,
+)
 
 
 def members(node: Node, service: str) -> list[Worker]:
@@ -47,6 +63,18 @@
     ]
 
 
+def ended_members(node: Node, service: str) -> list[Worker]:
+    """
+    Return the members of a pool that are taken for ended. The entry of a worker that has really
+    ended expires; one that is kept for longer than that may belong to a worker that is up.
+
+    :param node: the instance.
+    :param service: name of the pool.
+    :returns: the workers.
+    """
+    return [worker for worker in members(node, service) if worker.has_ended]
+
+
 def count_states(
     node: Node, at: Moment, service: str, candidates: list[Candidate], need: Resources | None
 ) -> Counter[str]:
