Keep the worker that a repeated instance order led to

What callers saw: accepted jobs did not run although most of the pool's room was free.

Cause: an order is sent again by a new owner that finds no record of its end, and by the same owner after a lost answer. The machine service answers 200 also if the order is already done. The owner took every 200 as the end of all workers on the instance, so the new worker of a move that had been carried out was considered ended. Such workers still counted as members of their pool.

Change: an owner keeps the incarnations of the workers that were on an instance before the order was first recorded, and ends only these on a 200. For the others it waits for a list that was requested after the answer: those that are not on the instance any more end then. An instance that is back without a known worker has its remaining ones called at once. No wall clocks are compared. The end of a worker is now logged, also if it has no runs.

A mutation test keeps the check sharp.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -12,6 +12,7 @@
 from ._node import Moment, Node, Worker, emit, log_line
 from ._records import InstanceDone, InstanceOrdered
 from ._replicated_state import InstanceOrder
+from .model import InstanceRow
 
 MAINTENANCE = "maintenance"
 MOVE = "move"
@@ -78,6 +79,8 @@
             fleet.draining.pop(instance, None)
             fleet.pool_of.pop(instance, None)
             log_line(node, "instance.back", instance=instance, is_listed=row is not None)
+            if row is not None:
+                _end_replaced_workers(node, at, row)
     _drop_unlisted(node)
     _end_stopped_workers(node, at)
     node.plan_due = True
@@ -95,6 +98,19 @@
         log_line(node, "instance.gone", instance=instance, emptied_for=reason)
 
 
+def _end_replaced_workers(node: Node, at: Moment, row: InstanceRow) -> None:
+    """
+    End the workers that an instance no longer has after an order, and call those that it may have.
+    """
+    for worker in _workers_on(node, row.instance):
+        if worker.id == row.worker:
+            continue
+        if row.worker or row.pool != worker.entry.service:
+            _registry.end_incarnation(node, at, worker, "instance_has_another_worker")
+        else:
+            worker.next_hold_s = min(worker.next_hold_s, at.now_s)
+
+
 def _end_stopped_workers(node: Node, at: Moment) -> None:
     """
     End unreachable workers, or record their runs as lost, if a list shows that their instances are
@@ -217,6 +233,11 @@
     else:
         pool = node.fleet.pool_of[instance]
     node.fleet.in_flight[instance] = at.now_s
+    former = node.replicated.orders.get(instance)
+    if former is None or former.is_done:
+        node.fleet.former_workers[instance] = {
+            worker.id: worker.entry.incarnation for worker in _workers_on(node, instance)
+        }
     earliest_s = max(node.fleet.next_order_s, at.now_s - ORDER_BURST_S)
     node.fleet.next_order_s = earliest_s + 1 / (ORDER_RATE_FRACTION * node.bounds.orders_per_s)
     epoch = node.ownership.epoch
@@ -276,9 +297,7 @@
         return
     if event.outcome == events.OK:
         fleet.down[event.instance] = at.now_s
-        for worker in node.workers.values():
-            if worker.entry.instance == event.instance:
-                _registry.end_incarnation(node, at, worker, "instance_ordered_down")
+        _end_former_workers(node, at, event.instance)
         write(node, at, InstanceDone(node.ownership.epoch, event.instance, event.wave))
         return
     if event.outcome == events.UNKNOWN:
@@ -292,6 +311,19 @@
         fleet.pool_of.pop(event.instance, None)
 
 
+def _end_former_workers(node: Node, at: Moment, instance: str) -> None:
+    """
+    End the workers that were on an instance before its order was first recorded.
+
+    The service also answers OK if the order was carried out earlier. The instance may then have its
+    new worker already; only a list of the instances shows which of the others has ended.
+    """
+    for worker_id, incarnation in node.fleet.former_workers.pop(instance, {}).items():
+        worker = node.workers.get(worker_id)
+        if worker is not None and worker.entry.incarnation == incarnation:
+            _registry.end_incarnation(node, at, worker, "instance_ordered_down")
+
+
 def resume_orders(node: Node, at: Moment) -> None:
     """
     Resume the orders of a previous owner.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -300,6 +300,8 @@
         since which this owner considers them down.
     :param rows_s: when the list that `rows` comes from was requested.
     :param next_order_s: earliest time of the next order, limited by the service's rate.
+    :param former_workers: for each ordered instance, the workers that it had before the order was
+        first recorded, and their incarnations; empty if a previous owner recorded it.
     """
 
     rows: dict[str, InstanceRow] = {}
@@ -313,6 +315,7 @@
     down: dict[str, float] = {}
     rows_s: float = -1e9
     next_order_s: float = 0.0
+    former_workers: dict[str, dict[str, int]] = {}
 
 
 class StepAdvice(msgspec.Struct, eq=False):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -118,6 +118,7 @@
     :param worker: the worker.
     :param reason: reason for the structured log.
     """
+    log_line(node, "worker.ended", worker=worker.id, reason=reason)
     worker.has_ended = True
     worker.is_listed = False
     mark_all_lost(node, at, worker, reason)
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -14,6 +14,7 @@
     _orders,
     _planner,
     _ready,
+    _registry,
     _replicated_state,
     _runs,
     _workers,
@@ -191,6 +192,23 @@
         assert "done_never_starts_again" in broken_rules([14, 42], CRASHES_AND_OUTAGES)
 
 
+def end_all_workers(node, at, instance):
+    """
+    End all workers of an instance whose order was answered as done.
+    """
+    for worker in node.workers.values():
+        if worker.entry.instance == instance:
+            _registry.end_incarnation(node, at, worker, "instance_ordered_down")
+
+
+def test_unused_workers_are_checked():
+    """
+    Mutation: repeated orders end the workers that they led to, and the check shows it.
+    """
+    with replaced(_instances, "_end_former_workers", end_all_workers):
+        assert "work_with_room_starts" in broken_rules((103, 105), LOST_ORDERS)
+
+
 def test_attempts_are_checked():
     """
     Mutation: jobs that fail at the first failed run fail without cause, and the check shows it.
