Use a worker again if a later list shows that it has not ended

What callers saw: jobs that did not run although workers were up and empty.

Cause: has_ended was final. Whatever ended a worker by mistake (an order, a list in which another worker had its instance for a moment, an address that another worker answered at), entries of the registry were ignored from then on, and the worker still counted as a member of its pool, so that no other instance was moved there.

Change: a list that was requested after the end and shows this worker on an instance that is up sets it right. The worker is called with a higher fencing token, so that orders from before have no effect, and is used once it has listed its runs. Its entry in the registry is kept apart from the belief about its incarnation, since entries that don't change are read only once. Ended workers no longer count as members of a pool.

Evidence: test_ended_worker_is_used_again_if_a_later_list_has_it failed before and passes.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -82,6 +82,7 @@
             if row is not None:
                 _end_replaced_workers(node, at, row)
     _drop_unlisted(node)
+    _resume_workers(node)
     _end_stopped_workers(node, at)
     node.plan_due = True
 
@@ -98,6 +99,18 @@
         log_line(node, "instance.gone", instance=instance, emptied_for=reason)
 
 
+def _resume_workers(node: Node) -> None:
+    """
+    Use ended workers again that a list, requested after their end, shows on an instance that is up.
+    """
+    for row in node.fleet.rows.values():
+        worker = node.workers.get(row.worker)
+        if worker is None or not worker.has_ended or row.state != UP:
+            continue
+        if node.fleet.rows_s > worker.ended_s:
+            _registry.resume_incarnation(node, worker)
+
+
 def _end_replaced_workers(node: Node, at: Moment, row: InstanceRow) -> None:
     """
     End the workers that an instance no longer has after an order, and call those that it may have.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -200,8 +200,9 @@
     """
     The owner's view of a worker.
 
-    :param is_listed: whether the registry has an entry of it.
-    :param has_ended: whether its incarnation is known to have ended, whatever its entry says.
+    :param has_entry: whether the registry has an entry of it.
+    :param has_ended: whether its incarnation is considered ended, whatever its entry says.
+    :param ended_s: when it was last considered ended.
     :param token_raises: number of times this owner has raised its fencing token for the worker.
     :param possible_runs_until_s: time until which an incarnation that never responded may have
         runs.
@@ -230,8 +231,9 @@
     """
 
     entry: WorkerEntry
-    is_listed: bool = True
+    has_entry: bool = True
     has_ended: bool = False
+    ended_s: float = 0.0
     token_raises: int = 0
     possible_runs_until_s: float = 0.0
     outbox: deque[Any] = msgspec.field(default_factory=deque)
@@ -269,6 +271,13 @@
         """
         return self.entry.id
 
+    @property
+    def is_listed(self) -> bool:
+        """
+        Whether the registry has an entry of its incarnation and this has not ended.
+        """
+        return self.has_entry and not self.has_ended
+
 
 class WaveState(msgspec.Struct, eq=False):
     """
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -166,7 +166,8 @@
     Return whether a worker counts towards the size of its pool.
     """
     is_slow = at.now_s < worker.slow_until_s
-    return not (worker.entry.is_draining or worker.is_failing or is_slow)
+    is_down = worker.has_ended or worker.is_failing
+    return not (worker.entry.is_draining or is_down or is_slow)
 
 
 def _wanted_size(node: Node, demand: PoolDemand) -> int:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -81,13 +81,11 @@
         if entry.incarnation < worker.entry.incarnation:
             return
         reset_incarnation(node, at, worker, entry.incarnation)
-    if worker.has_ended:
-        return
     if entry.is_draining and not worker.entry.is_draining:
         log_line(node, "worker.draining", worker=entry.id, remaining_ms=entry.remaining_ms)
-    if not worker.is_listed:
+    if not worker.has_entry:
         log_line(node, "worker.listed", **_entry_fields(entry))
-    worker.is_listed = True
+    worker.has_entry = True
     worker.entry = entry
 
 
@@ -102,8 +100,8 @@
 
 def _unlist_worker(node: Node, worker_id: str) -> None:
     worker = node.workers.get(worker_id)
-    if worker is not None and worker.is_listed:
-        worker.is_listed = False
+    if worker is not None and worker.has_entry:
+        worker.has_entry = False
         log_line(node, "worker.unlisted", worker=worker_id, runs=len(runs_on(node, worker_id)))
 
 
@@ -120,10 +118,24 @@
     """
     log_line(node, "worker.ended", worker=worker.id, reason=reason)
     worker.has_ended = True
-    worker.is_listed = False
+    worker.ended_s = at.now_s
     mark_all_lost(node, at, worker, reason)
 
 
+def resume_incarnation(node: Node, worker: Worker) -> None:
+    """
+    Use a worker again whose incarnation was considered ended, once it has accepted a higher fencing
+    token and listed its runs.
+
+    :param node: the instance.
+    :param worker: the worker.
+    """
+    log_line(node, "worker.resumed", worker=worker.id)
+    raise_token(worker)
+    worker.has_ended = worker.is_held = False
+    worker.next_hold_s = 0.0
+
+
 def reset_incarnation(node: Node, at: Moment, worker: Worker, incarnation: int) -> None:
     """
     Reset what is known of a worker that has restarted, and raise its fencing token.
