Show that a former read of the registry can replace the full one

An instance that owns the log again requests all workers, but takes the answer to a read from its former ownership as its own. If the full read then fails, the next one continues after the former one, and workers whose entries don't change are never known.

--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -167,3 +167,32 @@
     weak.identity = weak.identity._replace(weakness=0.75)
     at = Moment(0.5, WALL_MS)
     assert claim_delay_s(strong, at) < claim_delay_s(weak, at)
+
+
+def worker_reads(produced):
+    """
+    Return the cursors of the reads of the registry among effects.
+    """
+    return [item.cursor for item in produced if isinstance(item, effects.ReadWorkers)]
+
+
+# Guards against workers that a new owner never knows of, since it continued a former read.
+def test_a_read_of_a_former_ownership_does_not_replace_the_full_one(node):
+    """
+    An instance that owns the log again reads all workers, also if a read from its former ownership
+    is answered in between and the full read fails.
+    """
+    become_owner(node)
+    assert worker_reads(feed(node, 1.1, events.Ticked())) == [None]
+    feed(node, 1.2, events.WorkersRead(7, True, {}))
+    assert worker_reads(feed(node, 1.5, events.Ticked())) == [7]
+    read(node, 1.6, [Claimed(2, "other", 5), Released(2)])
+    feed(node, 1.6, events.Ticked())
+    feed(node, 1.6, events.SnapshotRead(None))
+    records = encode_records([Claimed(2, "other", 5), Released(2)])
+    feed(node, 1.6, events.LogRead(0, tuple(records), 2, 1.6))
+    become_owner(node, 3.0)
+    assert worker_reads(feed(node, 3.1, events.Ticked())) == [None]
+    feed(node, 3.2, events.WorkersRead(8, False, {}))
+    feed(node, 3.3, events.WorkersReadFailed("timeout"))
+    assert worker_reads(feed(node, 3.9, events.Ticked())) == [None]
