Read all workers before the registry is read from a cursor

What callers would see: accepted jobs that never run after an instance lost the ownership of the log and got it back.

Cause: the answer to an incremental read from the former ownership set the cursor of the new one. If the full read of the new ownership then failed, the next read continued from that cursor, and workers whose entries don't change were never known.

Change: an incremental answer is ignored as long as the registry has no cursor; the full read, or its retry, sets it.

Evidence: test_a_read_of_a_former_ownership_does_not_replace_the_full_one failed before and passes.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -37,6 +37,10 @@
     :param event: the entries.
     """
     registry = node.registry
+    if registry.cursor is None and not event.is_full:
+        # Requested during a former ownership; the entries before it have not been read since.
+        log_line(node, "registry.outdated_read", cursor=event.cursor)
+        return
     registry.is_reading = False
     registry.cursor = event.cursor
     registry.next_read_s = at.now_s + REGISTRY_INTERVAL_S
