Show that workers of finished orders get no work

A new owner drains the worker of a move that has been carried out, also when a list shows the move done, until it has sent the order again. A worker of an instance whose recent order is known to be done gets no work until the machine service lists the instance, also while the worker answers the owner.

The setup of the tests of repeated orders now lists the instance before its new worker is up, so that they stay about the answer to the order.

--- a/packages/eelgrassdrum-core/tests/test_jobs_instances.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_instances.py
@@ -197,7 +197,7 @@
 def make_owner_with_former_move():
     """
     Return a new owner that has to repeat the move of a previous one, which was carried out: the
-    instance already has its new worker.
+    instance already has its new worker, but was listed before it was up.
     """
     records = [
         Claimed(1, "former", 1),
@@ -206,7 +206,7 @@
     ]
     node = make_restarted_owner(records)
     register(node, START_S + 2.1, on_instance("new", "m-1"))
-    list_rows(node, START_S + 2.2, make_row("m-1", "new"))
+    list_rows(node, START_S + 2.2, make_row("m-1", "", "moving"))
     return node
 
 
@@ -308,3 +308,57 @@
     list_rows(node, LISTED_S + 0.7, make_row("m-1", "a"))
     register(node, LISTED_S + 0.8, entry)
     assert accepts_tasks(node, LISTED_S + 0.9, "a")
+
+
+# Guards against workers that are drained for a move that was carried out long before.
+def test_a_former_move_that_a_list_shows_done_is_not_repeated():
+    """
+    A new owner uses the worker of a previous owner's move once a list shows the move done.
+    """
+    node = make_owner_with_former_move()
+    assert not accepts_tasks(node, START_S + 2.3, "new")
+    list_rows(node, START_S + 2.7, make_row("m-1", "new"))
+    assert accepts_tasks(node, START_S + 2.8, "new")
+    repeat_s = START_S + 2 + BOUNDS.order_lease_s + instances.ORDER_MARGIN_S + 0.1
+    assert sent_orders(node, repeat_s) == []
+    assert node.replicated.orders["m-1"].is_done
+
+
+def test_an_unanswered_move_that_a_list_shows_done_is_not_repeated():
+    """
+    An owner takes a move without an answer as done if a later list shows it, not an earlier one.
+    """
+    node = make_owner_that_moves()
+    list_rows(node, LISTED_S + 0.05, make_row("m-1", "old"))
+    assert "m-1" in node.fleet.draining
+    answer_order(node, LISTED_S + 1, "m-1", events.UNKNOWN)
+    list_rows(node, LISTED_S + 1.5, make_row("m-1", "old", pool="other"))
+    assert "m-1" in node.fleet.draining
+    register(node, LISTED_S + 1.6, on_instance("new", "m-1"))
+    list_rows(node, LISTED_S + 1.7, make_row("m-1", "new"))
+    assert accepts_tasks(node, LISTED_S + 1.8, "new")
+    assert node.workers["old"].has_ended
+    assert sent_orders(node, LISTED_S + 2.1) == []
+
+
+# Guards against workers that get no work while the machine service lists nothing.
+def test_worker_of_a_recent_former_order_is_used_without_a_list():
+    """
+    A new owner uses the worker of a recently ordered instance once it answers, also if the machine
+    service lists nothing.
+    """
+    records = [
+        Claimed(1, "former", 1),
+        OwnerHeartbeat(1, 50_000),
+        InstanceOrdered(1, "m-1", -1, "service", WALL_MS),
+        InstanceDone(1, "m-1", -1),
+    ]
+    node = make_restarted_owner(records)
+    entry = on_instance("new", "m-1")
+    feed(node, START_S + 2.1, events.WorkersRead(2, True, {"new": entry}))
+    feed(node, START_S + 2.1, events.InstancesListed(None, START_S + 2.1))
+    assert not accepts_tasks(node, START_S + 2.1, "new")
+    answer_holds(node, START_S + 2.2, entry)
+    feed(node, START_S + 2.3, events.Ticked())
+    assert accepts_tasks(node, START_S + 2.4, "new")
+    assert "m-1" not in node.fleet.down
