Use the workers of moves that a list shows done

What callers saw: a pool was short of workers after a change of owner or after lost answers of the machine service, and tasks that last were stopped for moves that had been carried out long before.

Cause: the owner knew of a move's end only by the answer to its order. Until the order was sent again, after 3.5 s or more, the instance was drained.

Change: a list that was requested after the order was recorded and that shows the instance up in its target pool ends the drain. While a previous owner may still send its order, the order stays open in the log, so that no other order for the instance is sent before.

Schedules can now move instances between a pool and standby (is_moving), with a test of mixed faults and one of moves without answers.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -82,6 +82,7 @@
             if row is not None:
                 _end_replaced_workers(node, at, row)
     _drop_unlisted(node)
+    _settle_moves(node, at)
     _resume_workers(node)
     _end_stopped_workers(node, at)
     node.plan_due = True
@@ -99,6 +100,42 @@
         log_line(node, "instance.gone", instance=instance, emptied_for=reason)
 
 
+def _settle_moves(node: Node, at: Moment) -> None:
+    """
+    Use instances again whose moves were not answered but which the list shows done, so that their
+    orders need not be sent again.
+    """
+    fleet = node.fleet
+    for instance, pool in list(fleet.pool_of.items()):
+        row, order = fleet.rows.get(instance), node.replicated.orders.get(instance)
+        is_open = instance not in fleet.in_flight and instance not in fleet.down
+        if row is None or order is None or not is_open or instance in fleet.moved:
+            continue
+        is_this_move = not order.is_done and order.wave < 0 and order.pool == pool
+        is_done = row.state == UP and row.pool == pool
+        # Only a list that was requested after the order was recorded is evidence.
+        if not (is_this_move and is_done and fleet.rows_s > order.seen_s):
+            continue
+        log_line(node, "instance.moved", instance=instance, pool=pool)
+        _end_former_workers(node, at, instance)
+        _end_replaced_workers(node, at, row)
+        fleet.draining.pop(instance, None)
+        del fleet.pool_of[instance]
+        fleet.moved.add(instance)
+    _record_moved(node, at)
+
+
+def _record_moved(node: Node, at: Moment) -> None:
+    """
+    Record moves as done that a list showed done. While a previous owner may still send the order,
+    it stays open, so that no other order for the instance is sent.
+    """
+    for instance in list(node.fleet.moved):
+        if _former_order_expired(node, at, instance):
+            node.fleet.moved.discard(instance)
+            write(node, at, InstanceDone(node.ownership.epoch, instance, -1))
+
+
 def _resume_workers(node: Node) -> None:
     """
     Use ended workers again that a list, requested after their end, shows on an instance that is up.
@@ -159,6 +196,7 @@
         # The registry has not been read since the claim, so the workers on the instances are
         # unknown.
         return
+    _record_moved(node, at)
     for instance, reason in list(node.fleet.draining.items()):
         if instance in node.fleet.down or instance in node.fleet.in_flight:
             continue
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -311,6 +311,7 @@
     :param next_order_s: earliest time of the next order, limited by the service's rate.
     :param former_workers: for each ordered instance, the workers that it had before the order was
         first recorded, and their incarnations; empty if a previous owner recorded it.
+    :param moved: instances whose move a list showed done, until that is recorded.
     """
 
     rows: dict[str, InstanceRow] = {}
@@ -325,6 +326,7 @@
     rows_s: float = -1e9
     next_order_s: float = 0.0
     former_workers: dict[str, dict[str, int]] = {}
+    moved: set[str] = set()
 
 
 class StepAdvice(msgspec.Struct, eq=False):
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
@@ -12,7 +12,7 @@
 from ._faults import FAULTS
 from ._rules import Violation
 from ._worker import JobWorker
-from ._world import World, add_worker, look_up, run_until, submit
+from ._world import STANDBY, World, add_worker, look_up, run_until, submit
 
 LOAD_S = 12.0
 # Leases of former owners have to run out before the last work can start again.
@@ -85,15 +85,22 @@
     return model.JobSpec("payload", tuple(steps))
 
 
-def run_schedule(seed: int, faults: tuple[str, ...] | None = None) -> ScheduleResult:
+def run_schedule(
+    seed: int, faults: tuple[str, ...] | None = None, is_moving: bool = False
+) -> ScheduleResult:
     """
     Run one schedule.
 
     :param seed: of all that is random.
     :param faults: the faults, or ``None`` to draw some.
+    :param is_moving: whether there is a standby pool, so that instances are moved.
     :returns: what it showed.
     """
-    world = make_world(seed, INSTANCES, make_config())
+    config = make_config()
+    if is_moving:
+        standby = model.Service(STANDBY, False, True)
+        config = config._replace(services={**config.services, STANDBY: standby})
+    world = make_world(seed, INSTANCES, config)
     rng = world.rng
     world.judge.limits["a"] = LIMIT
     world.durations = lambda key: _draw_duration(world, key)
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -39,6 +39,7 @@
     ): "an instance whose worker's entry had lapsed counted as empty",
 }
 LOST_ORDERS = ("wave", "instance_orders_lost", "wave")
+LOST_MOVES = ("instance_orders_lost", "kill_owner", "instance_orders_lost", "kill_owner")
 # Seed 1003 was red while orders without an answer were sent again.
 FRESH_SEEDS = range(1000, 1012)
 
@@ -92,6 +93,16 @@
         assert result.violations == (), (seed, result.violations[:3])
 
 
+# Guards against accepted jobs that never run, since repeated moves have ended the pool's workers.
+def test_pools_keep_their_workers_after_moves_without_answers():
+    """
+    Moves that get no answer, repeated by new owners, leave no worker of the pool without work.
+    """
+    for seed in (105, 138):
+        result = run_schedule(seed, LOST_MOVES, is_moving=True)
+        assert result.violations == (), (seed, result.violations[:3])
+
+
 def test_mixed_faults_break_no_rule():
     """
     Several faults that overlap break no rule.
@@ -101,6 +112,15 @@
         assert result.violations == (), (seed, result.faults, result.violations[:3])
 
 
+def test_mixed_faults_break_no_rule_while_instances_move():
+    """
+    Several faults that overlap break no rule while instances move to standby and back.
+    """
+    for seed in FRESH_SEEDS[:6]:
+        result = run_schedule(seed, is_moving=True)
+        assert result.violations == (), (seed, result.faults, result.violations[:3])
+
+
 def test_room_is_checked():
     """
     Mutation: workers that seem empty are overfilled, and the check shows it.
