Use recently ordered instances once their workers answer

What callers saw: after a change of owner, a pool to which instances had just moved was without them while the machine service could not be reached.

Cause: a new owner takes each instance that was ordered in the last 15 s for down, until a list of the instances shows it up. Without lists that belief stood.

Change: an order that was recorded as done has stopped its instance before the new owner's claim, so a worker there that answers the new owner came after it. Its instance is used again at once.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -197,6 +197,7 @@
         # unknown.
         return
     _record_moved(node, at)
+    _use_answering_instances(node)
     for instance, reason in list(node.fleet.draining.items()):
         if instance in node.fleet.down or instance in node.fleet.in_flight:
             continue
@@ -214,6 +215,23 @@
             _order_instance(node, at, instance, reason)
 
 
+def _use_answering_instances(node: Node) -> None:
+    """
+    Use instances again that a previous owner ordered, once a worker there answers. The order was
+    recorded as done before this owner's claim, so a worker that answers this owner came after it.
+    """
+    fleet = node.fleet
+    for instance in list(fleet.down):
+        order = node.replicated.orders.get(instance)
+        if order is None or not order.is_done or order.epoch == node.ownership.epoch:
+            continue
+        workers = _workers_on(node, instance)
+        if any(worker.is_held and not worker.is_failing for worker in workers):
+            del fleet.down[instance]
+            fleet.draining.pop(instance, None)
+            log_line(node, "instance.answers", instance=instance)
+
+
 def _within_order_limits(node: Node, at: Moment) -> bool:
     """
     Return whether the limits of outstanding orders and of the order rate allow one more order.
