--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -12,6 +12,7 @@
 from ._node import Moment, Node, Worker, emit, log_line
 from ._records import InstanceDone, InstanceOrdered
 from ._replicated_state import InstanceOrder
+from .model import InstanceRow
 
 MAINTENANCE = "maintenance"
 MOVE = "move"
@@ -78,7 +79,11 @@
             fleet.draining.pop(instance, None)
             fleet.pool_of.pop(instance, None)
             log_line(node, "instance.back", instance=instance, is_listed=row is not None)
+            if row is not None:
+                _end_replaced_workers(node, at, row)
     _drop_unlisted(node)
+    _settle_moves(node, at)
+    _resume_workers(node)
     _end_stopped_workers(node, at)
     node.plan_due = True
 
@@ -95,6 +100,67 @@
         log_line(node, "instance.gone", instance=instance, emptied_for=reason)
 
 
+def _settle_moves(node: Node, at: Moment) -> None:
+    """
+    Use instances again whose moves were not answered but which the list shows done, so that their
+    orders need not be sent again.
+    """
+    fleet = node.fleet
+    for instance, pool in list(fleet.pool_of.items()):
+        row, order = fleet.rows.get(instance), node.replicated.orders.get(instance)
+        is_open = instance not in fleet.in_flight and instance not in fleet.down
+        if row is None or order is None or not is_open or instance in fleet.moved:
+            continue
+        is_this_move = not order.is_done and order.wave < 0 and order.pool == pool
+        is_done = row.state == UP and row.pool == pool
+        # Only a list that was requested after the order was recorded is evidence.
+        if not (is_this_move and is_done and fleet.rows_s > order.seen_s):
+            continue
+        log_line(node, "instance.moved", instance=instance, pool=pool)
+        _end_former_workers(node, at, instance)
+        _end_replaced_workers(node, at, row)
+        fleet.draining.pop(instance, None)
+        del fleet.pool_of[instance]
+        fleet.moved.add(instance)
+    _record_moved(node, at)
+
+
+def _record_moved(node: Node, at: Moment) -> None:
+    """
+    Record moves as done that a list showed done. While a previous owner may still send the order,
+    it stays open, so that no other order for the instance is sent.
+    """
+    for instance in list(node.fleet.moved):
+        if _former_order_expired(node, at, instance):
+            node.fleet.moved.discard(instance)
+            write(node, at, InstanceDone(node.ownership.epoch, instance, -1))
+
+
+def _resume_workers(node: Node) -> None:
+    """
+    Use ended workers again that a list, requested after their end, shows on an instance that is up.
+    """
+    for row in node.fleet.rows.values():
+        worker = node.workers.get(row.worker)
+        if worker is None or not worker.has_ended or row.state != UP:
+            continue
+        if node.fleet.rows_s > worker.ended_s:
+            _registry.resume_incarnation(node, worker)
+
+
+def _end_replaced_workers(node: Node, at: Moment, row: InstanceRow) -> None:
+    """
+    End the workers that an instance no longer has after an order, and call those that it may have.
+    """
+    for worker in _workers_on(node, row.instance):
+        if worker.id == row.worker:
+            continue
+        if row.worker or row.pool != worker.entry.service:
+            _registry.end_incarnation(node, at, worker, "instance_has_another_worker")
+        else:
+            worker.next_hold_s = min(worker.next_hold_s, at.now_s)
+
+
 def _end_stopped_workers(node: Node, at: Moment) -> None:
     """
     End unreachable workers, or record their runs as lost, if a list shows that their instances are
@@ -130,6 +196,8 @@
         # The registry has not been read since the claim, so the workers on the instances are
         # unknown.
         return
+    _record_moved(node, at)
+    _use_answering_instances(node)
     for instance, reason in list(node.fleet.draining.items()):
         if instance in node.fleet.down or instance in node.fleet.in_flight:
             continue
@@ -147,6 +215,23 @@
             _order_instance(node, at, instance, reason)
 
 
+def _use_answering_instances(node: Node) -> None:
+    """
+    Use instances again that a previous owner ordered, once a worker there answers. The order was
+    recorded as done before this owner's claim, so a worker that answers this owner came after it.
+    """
+    fleet = node.fleet
+    for instance in list(fleet.down):
+        order = node.replicated.orders.get(instance)
+        if order is None or not order.is_done or order.epoch == node.ownership.epoch:
+            continue
+        workers = _workers_on(node, instance)
+        if any(worker.is_held and not worker.is_failing for worker in workers):
+            del fleet.down[instance]
+            fleet.draining.pop(instance, None)
+            log_line(node, "instance.answers", instance=instance)
+
+
 def _within_order_limits(node: Node, at: Moment) -> bool:
     """
     Return whether the limits of outstanding orders and of the order rate allow one more order.
@@ -217,6 +302,11 @@
     else:
         pool = node.fleet.pool_of[instance]
     node.fleet.in_flight[instance] = at.now_s
+    former = node.replicated.orders.get(instance)
+    if former is None or former.is_done:
+        node.fleet.former_workers[instance] = {
+            worker.id: worker.entry.incarnation for worker in _workers_on(node, instance)
+        }
     earliest_s = max(node.fleet.next_order_s, at.now_s - ORDER_BURST_S)
     node.fleet.next_order_s = earliest_s + 1 / (ORDER_RATE_FRACTION * node.bounds.orders_per_s)
     epoch = node.ownership.epoch
@@ -276,9 +366,7 @@
         return
     if event.outcome == events.OK:
         fleet.down[event.instance] = at.now_s
-        for worker in node.workers.values():
-            if worker.entry.instance == event.instance:
-                _registry.end_incarnation(node, at, worker, "instance_ordered_down")
+        _end_former_workers(node, at, event.instance)
         write(node, at, InstanceDone(node.ownership.epoch, event.instance, event.wave))
         return
     if event.outcome == events.UNKNOWN:
@@ -292,6 +380,19 @@
         fleet.pool_of.pop(event.instance, None)
 
 
+def _end_former_workers(node: Node, at: Moment, instance: str) -> None:
+    """
+    End the workers that were on an instance before its order was first recorded.
+
+    The service also answers OK if the order was carried out earlier. The instance may then have its
+    new worker already; only a list of the instances shows which of the others has ended.
+    """
+    for worker_id, incarnation in node.fleet.former_workers.pop(instance, {}).items():
+        worker = node.workers.get(worker_id)
+        if worker is not None and worker.entry.incarnation == incarnation:
+            _registry.end_incarnation(node, at, worker, "instance_ordered_down")
+
+
 def resume_orders(node: Node, at: Moment) -> None:
     """
     Resume the orders of a previous owner.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -200,11 +200,10 @@
     """
     The owner's view of a worker.
 
-    :param is_listed: whether the registry has an entry of its current incarnation.
-    :param has_entry: whether the registry has an entry of it, even if it is taken for ended.
-    :param has_ended: whether its incarnation is known to have ended, whatever its entry says.
-    :param ended_s: when it was found to have ended.
-    :param ended_reason: reason for which it was taken for ended, or empty.
+    :param has_entry: whether the registry has an entry of it.
+    :param has_ended: whether its incarnation is considered ended, whatever its entry says.
+    :param ended_s: when it was last considered ended.
+    :param ended_reason: reason for which it was last considered ended, or empty.
     :param ignored_reason: reason for which its entry was last logged as ignored, or empty.
     :param token_raises: number of times this owner has raised its fencing token for the worker.
     :param possible_runs_until_s: time until which an incarnation that never responded may have
@@ -234,7 +233,6 @@
     """
 
     entry: WorkerEntry
-    is_listed: bool = True
     has_entry: bool = True
     has_ended: bool = False
     ended_s: float = 0.0
@@ -277,6 +275,13 @@
         """
         return self.entry.id
 
+    @property
+    def is_listed(self) -> bool:
+        """
+        Whether the registry has an entry of its incarnation and this has not ended.
+        """
+        return self.has_entry and not self.has_ended
+
 
 class WaveState(msgspec.Struct, eq=False):
     """
@@ -308,6 +313,9 @@
         since which this owner considers them down.
     :param rows_s: when the list that `rows` comes from was requested.
     :param next_order_s: earliest time of the next order, limited by the service's rate.
+    :param former_workers: for each ordered instance, the workers that it had before the order was
+        first recorded, and their incarnations; empty if a previous owner recorded it.
+    :param moved: instances whose move a list showed done, until that is recorded.
     """
 
     rows: dict[str, InstanceRow] = {}
@@ -321,6 +329,8 @@
     down: dict[str, float] = {}
     rows_s: float = -1e9
     next_order_s: float = 0.0
+    former_workers: dict[str, dict[str, int]] = {}
+    moved: set[str] = set()
 
 
 class StepAdvice(msgspec.Struct, eq=False):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -37,6 +37,10 @@
     :param event: the entries.
     """
     registry = node.registry
+    if registry.cursor is None and not event.is_full:
+        # Requested during a former ownership; the entries before it have not been read since.
+        log_line(node, "registry.outdated_read", cursor=event.cursor)
+        return
     registry.is_reading = False
     registry.cursor = event.cursor
     registry.next_read_s = at.now_s + REGISTRY_INTERVAL_S
@@ -77,7 +81,6 @@
         worker = node.workers[entry.id] = Worker(entry, clock_at_s=at.now_s)
         log_line(node, "worker.listed", **_entry_fields(entry))
         return
-    worker.has_entry = True
     if entry.incarnation and worker.entry.incarnation not in (0, entry.incarnation):
         if entry.incarnation < worker.entry.incarnation:
             _log_ignored(node, at, worker, entry, "older_incarnation")
@@ -85,12 +88,11 @@
         reset_incarnation(node, at, worker, entry.incarnation)
     if worker.has_ended:
         _log_ignored(node, at, worker, entry, worker.ended_reason)
-        return
     if entry.is_draining and not worker.entry.is_draining:
         log_line(node, "worker.draining", worker=entry.id, remaining_ms=entry.remaining_ms)
-    if not worker.is_listed:
+    if not worker.has_entry:
         log_line(node, "worker.listed", **_entry_fields(entry))
-    worker.is_listed = True
+    worker.has_entry = True
     worker.entry = entry
 
 
@@ -125,10 +127,8 @@
 
 def _unlist_worker(node: Node, worker_id: str) -> None:
     worker = node.workers.get(worker_id)
-    if worker is not None:
+    if worker is not None and worker.has_entry:
         worker.has_entry = False
-    if worker is not None and worker.is_listed:
-        worker.is_listed = False
         log_line(node, "worker.unlisted", worker=worker_id, runs=len(runs_on(node, worker_id)))
 
 
@@ -154,13 +154,26 @@
             reason=reason,
             runs=runs,
         )
-    if not worker.has_ended:
-        worker.ended_s, worker.ended_reason = at.now_s, reason
     worker.has_ended = True
-    worker.is_listed = False
+    worker.ended_s, worker.ended_reason = at.now_s, reason
     mark_all_lost(node, at, worker, reason)
 
 
+def resume_incarnation(node: Node, worker: Worker) -> None:
+    """
+    Use a worker again whose incarnation was considered ended, once it has accepted a higher fencing
+    token and listed its runs.
+
+    :param node: the instance.
+    :param worker: the worker.
+    """
+    log_line(node, "worker.resumed", worker=worker.id)
+    raise_token(worker)
+    worker.has_ended = worker.is_held = False
+    worker.ended_reason = worker.ignored_reason = ""
+    worker.next_hold_s = 0.0
+
+
 def reset_incarnation(node: Node, at: Moment, worker: Worker, incarnation: int) -> None:
     """
     Reset what is known of a worker that has restarted, and raise its fencing token.
--- a/packages/eelgrassdrum-core/tests/test_jobs_waiting.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_waiting.py
@@ -103,6 +103,7 @@
     """
     node = owner_of([worker_entry("w")])
     ordered = events.InstanceOrderAnswered("m-w", -1, "service", events.OK, "")
+    node.fleet.former_workers["m-w"] = {"w": worker_entry("w").incarnation}
     feed(node, HANDED_IN_S, ordered)
     hand_in(node, one_job(one_step()))
     line = waiting_line(node)
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -14,6 +14,7 @@
     _orders,
     _planner,
     _ready,
+    _registry,
     _replicated_state,
     _runs,
     _workers,
@@ -38,6 +39,7 @@
     ): "an instance whose worker's entry had lapsed counted as empty",
 }
 LOST_ORDERS = ("wave", "instance_orders_lost", "wave")
+LOST_MOVES = ("instance_orders_lost", "kill_owner", "instance_orders_lost", "kill_owner")
 # Seed 1003 was red while orders without an answer were sent again.
 FRESH_SEEDS = range(1000, 1012)
 
@@ -91,6 +93,16 @@
         assert result.violations == (), (seed, result.violations[:3])
 
 
+# Guards against accepted jobs that never run, since repeated moves have ended the pool's workers.
+def test_pools_keep_their_workers_after_moves_without_answers():
+    """
+    Moves that get no answer, repeated by new owners, leave no worker of the pool without work.
+    """
+    for seed in (105, 138):
+        result = run_schedule(seed, LOST_MOVES, is_moving=True)
+        assert result.violations == (), (seed, result.violations[:3])
+
+
 def test_mixed_faults_break_no_rule():
     """
     Several faults that overlap break no rule.
@@ -100,6 +112,15 @@
         assert result.violations == (), (seed, result.faults, result.violations[:3])
 
 
+def test_mixed_faults_break_no_rule_while_instances_move():
+    """
+    Several faults that overlap break no rule while instances move to standby and back.
+    """
+    for seed in FRESH_SEEDS[:6]:
+        result = run_schedule(seed, is_moving=True)
+        assert result.violations == (), (seed, result.faults, result.violations[:3])
+
+
 def test_room_is_checked():
     """
     Mutation: workers that seem empty are overfilled, and the check shows it.
@@ -191,6 +212,26 @@
         assert "done_never_starts_again" in broken_rules([14, 42], CRASHES_AND_OUTAGES)
 
 
+def end_all_workers(node, at, instance):
+    """
+    End all workers of an instance whose order was answered as done.
+    """
+    for worker in node.workers.values():
+        if worker.entry.instance == instance:
+            _registry.end_incarnation(node, at, worker, "instance_ordered_down")
+
+
+def test_unused_workers_are_checked():
+    """
+    Mutation: repeated orders end the workers that they led to, for good, and the check shows it.
+    """
+    with (
+        replaced(_instances, "_end_former_workers", end_all_workers),
+        replaced(_instances, "_resume_workers", lambda _node: None),
+    ):
+        assert "work_with_room_starts" in broken_rules((103, 105), LOST_ORDERS)
+
+
 def test_attempts_are_checked():
     """
     Mutation: jobs that fail at the first failed run fail without cause, and the check shows it.
