Decide about pools and waves only while the store confirms the owner

What callers saw: in an outage of the store, instances left pools and no order for them could be sent; when the store came back they all moved at once, to pools and to standby, just before the demand of that moment was known. Cause: the sizes of pools, waves and drains were decided on every tick, whatever had become of the owner's append. The planner has waited for a store that is stalled since it was written; these did not. The age of the append in flight alone is not enough, since a batch of callers' records only is given up and begun anew; so the age of the last confirmation counts as well, with the bound that orders already have. Change: one condition for all three. The time for which a pool has been too large starts anew after it, since what was seen without the store is no evidence of a surplus.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -8,7 +8,7 @@
 """
 
 from . import _candidates, _draining, _registry, _runs, effects, events
-from ._journal import emit_after_commit, write
+from ._journal import emit_after_commit, is_stalled, write
 from ._node import Moment, Node, Worker, emit, log_line
 from ._records import InstanceDone, InstanceOrdered
 from ._replicated_state import InstanceOrder
@@ -130,6 +130,8 @@
         # The registry has not been read since the claim, so the workers on the instances are
         # unknown.
         return
+    if not may_decide(node, at):
+        return
     for instance, reason in list(node.fleet.draining.items()):
         if instance in node.fleet.down or instance in node.fleet.in_flight:
             continue
@@ -225,6 +227,20 @@
     log_line(node, "instance.order", instance=instance, wave=wave, pool=pool, epoch=epoch)
 
 
+def may_decide(node: Node, at: Moment) -> bool:
+    """
+    Return whether the store responds well enough to decide about instances.
+
+    An order can only be sent once its record is committed. While that takes too long, the demand
+    is not known either, and what is decided then would be carried out much later.
+
+    :param node: the instance.
+    :param at: the time.
+    :returns: whether drains and orders may be decided now.
+    """
+    return is_order_allowed(node, at) and not is_stalled(node, at.now_s)
+
+
 def is_order_allowed(node: Node, at: Moment) -> bool:
     """
     Return whether the store has confirmed this owner recently enough to send an order.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from . import _candidates, _ready, _replicated_state
-from ._instances import MOVE, UP
+from ._instances import MOVE, UP, may_decide
 from ._node import Moment, Node, Worker, log_line
 from ._replicated_state import occurrence_of
 from .model import Resources
@@ -69,6 +69,11 @@
     if at.now_s < node.next_pools_s or node.config is None or not node.fleet.rows:
         return
     node.next_pools_s = at.now_s + RESIZE_INTERVAL_S
+    if not may_decide(node, at):
+        # What was seen until now is no evidence of a surplus once the store responds again.
+        for state in node.pools.values():
+            state.surplus_since_s = None
+        return
     standby = next((s.name for s in node.config.services.values() if s.is_standby), None)
     if standby is None or not _is_state_known(node, at):
         return
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waves.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waves.py
@@ -4,7 +4,7 @@
 """
 
 from . import _runs, effects, events
-from ._instances import MAINTENANCE, ORDER_RETRY_S, UP
+from ._instances import MAINTENANCE, ORDER_RETRY_S, UP, may_decide
 from ._journal import write
 from ._node import Moment, Node, WaveState, emit, log_line
 from ._records import WaveClosed
@@ -30,7 +30,7 @@
     for number in sorted(node.waves):
         state = node.waves[number]
         _publish(node, at, state)
-        if number not in node.replicated.closed_waves:
+        if number not in node.replicated.closed_waves and may_decide(node, at):
             _advance_wave(node, at, state)
 
 
