Withdraw a move whose record is committed long after the decision

What callers saw: instances left for standby, or for pools that had been short seven seconds earlier, in the moment in which the store came back and a burst had to be served. Cause: an order is sent when its record is committed, however old it is: each commit renews the confirmation that is checked. With no decisions during a stall these are the orders of the last 0.4 s before it. Change: a move older than 1.5 s at that point is withdrawn: its instance stays in use, and the pools decide anew with what is known now. The log gets the record that ends the order, so that a new owner does not send it; a new owner that takes over before that sends it, as it does with any order that it can't know about. A move that may have been sent before (no answer, or recorded by a former owner) is not withdrawn but repeated, as until now, since the instance may be on its way. Maintenance is still wanted after an outage and goes out late as before.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -30,6 +30,9 @@
 ORDER_BURST_S = 0.2
 # Age of the store's last confirmation of this owner up to which an order may be sent.
 MAX_CONFIRMATION_AGE_S = 0.8
+# Age of a decision from which a move is decided anew instead of being ordered; several times the
+# time that a commit takes at a store that does not count as stalled.
+MAX_DECISION_AGE_S = 1.5
 # Added to the time between orders of two owners, for clock differences and queued packets.
 ORDER_MARGIN_S = 0.5
 # After this time an instance that was ordered down is up again or listed with its actual state.
@@ -219,6 +222,11 @@
     else:
         pool = node.fleet.pool_of[instance]
     node.fleet.in_flight[instance] = at.now_s
+    former = node.replicated.orders.get(instance)
+    if former is not None and not former.is_done:
+        node.fleet.repeated.add(instance)
+    else:
+        node.fleet.repeated.discard(instance)
     earliest_s = max(node.fleet.next_order_s, at.now_s - ORDER_BURST_S)
     node.fleet.next_order_s = earliest_s + 1 / (ORDER_RATE_FRACTION * node.bounds.orders_per_s)
     epoch = node.ownership.epoch
@@ -258,17 +266,44 @@
     """
     Send an order whose record is committed, unless the confirmation of this owner is too old.
 
+    A move that was decided too long ago is withdrawn. The demand may have changed, and the sizes of
+    the pools are decided anew.
+
     :param node: the instance.
     :param at: the time.
     :param effect: the order.
     """
+    fleet = node.fleet
+    age_s = at.now_s - fleet.in_flight.get(effect.instance, at.now_s)
+    is_move = effect.wave < 0
+    if is_move and age_s > MAX_DECISION_AGE_S and effect.instance not in fleet.repeated:
+        _withdraw(node, at, effect, age_s)
+        return
     if is_order_allowed(node, at):
         emit(node, effect)
         return
-    node.fleet.in_flight.pop(effect.instance, None)
+    fleet.in_flight.pop(effect.instance, None)
     log_line(node, "instance.order_too_late", instance=effect.instance)
 
 
+def _withdraw(node: Node, at: Moment, effect: effects.OrderInstance, age_s: float) -> None:
+    """
+    Withdraw the order of a move, which was recorded but never sent.
+    """
+    fleet = node.fleet
+    for pending in (fleet.in_flight, fleet.draining, fleet.pool_of):
+        pending.pop(effect.instance, None)
+    # Until this record is committed, a new owner would send the order, which does no harm.
+    write(node, at, InstanceDone(node.ownership.epoch, effect.instance, effect.wave))
+    log_line(
+        node,
+        "instance.order_withdrawn",
+        instance=effect.instance,
+        pool=effect.pool,
+        age_s=round(age_s, 3),
+    )
+
+
 def on_ordered(node: Node, at: Moment, event: events.InstanceOrderAnswered) -> None:
     """
     Process the outcome of an order.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -291,7 +291,8 @@
 
     :param rows: latest listing of each instance.
     :param listed_s: when the latest list was requested.
-    :param in_flight: orders without a response, by instance.
+    :param in_flight: when each order without a response was decided, by instance.
+    :param repeated: instances whose order may have been sent before.
     :param retry_s: earliest time of another order, by instance.
     :param draining: instances that get no new work, with the reason.
     :param wave_of: wave for which each instance is drained.
@@ -306,6 +307,7 @@
     listed_s: float = -1e9
     is_listing: bool = False
     in_flight: dict[str, float] = {}
+    repeated: set[str] = set()
     retry_s: dict[str, float] = {}
     draining: dict[str, str] = {}
     wave_of: dict[str, int] = {}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
@@ -139,7 +139,7 @@
 
 class InstanceDone(_Record, frozen=True, tag="d"):
     """
-    The machine service has accepted an order for an instance.
+    The machine service has accepted an order for an instance, or the owner has withdrawn it.
     """
 
     epoch: int
