Choose only instances for moves that may be ordered at once

Cause: an instance that a former owner has ordered recently must not be ordered for some seconds, which was only checked once it was drained. Change: the choice leaves such instances out until they may be ordered. They stay in use until then.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -147,7 +147,7 @@
         if (
             is_retry_due
             and _within_order_limits(node, at)
-            and _former_order_expired(node, at, instance)
+            and former_order_expired(node, at, instance)
         ):
             _order_instance(node, at, instance, reason)
 
@@ -182,9 +182,14 @@
     )
 
 
-def _former_order_expired(node: Node, at: Moment, instance: str) -> bool:
+def former_order_expired(node: Node, at: Moment, instance: str) -> bool:
     """
     Return whether no order of a previous owner for the instance is recent or may still be sent.
+
+    :param node: the instance.
+    :param at: the time.
+    :param instance: the instance to order.
+    :returns: whether this owner may order it.
     """
     order = node.replicated.orders.get(instance)
     if order is None or order.epoch == node.ownership.epoch:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from . import _candidates, _ready, _replicated_state
-from ._instances import MOVE, UP, may_decide
+from ._instances import MOVE, UP, former_order_expired, may_decide
 from ._node import Moment, Node, Worker, log_line
 from ._replicated_state import occurrence_of
 from .model import Resources
@@ -191,7 +191,7 @@
     Move one instance to a pool, from standby or from another pool, and return whether one was
     found.
     """
-    instance = _standby_instance(node, standby) or _surplus_instance(node, pool, sizes)
+    instance = _standby_instance(node, at, standby) or _surplus_instance(node, at, pool, sizes)
     if instance is None:
         return False
     _start_move(node, at, instance, pool)
@@ -199,23 +199,25 @@
     return True
 
 
-def _standby_instance(node: Node, standby: str) -> str | None:
+def _standby_instance(node: Node, at: Moment, standby: str) -> str | None:
     for row in node.fleet.rows.values():
-        if row.pool == standby and row.state == UP and _is_unassigned(node, row.instance):
+        if row.pool == standby and row.state == UP and _is_available(node, at, row.instance):
             return row.instance
     return None
 
 
-def _is_unassigned(node: Node, instance: str) -> bool:
+def _is_available(node: Node, at: Moment, instance: str) -> bool:
     """
-    Return whether an instance is neither draining, down nor ordered.
+    Return whether an instance can be ordered now: it is neither draining, down nor ordered, and no
+    former owner has ordered it recently.
     """
     fleet = node.fleet
     is_assigned = instance in fleet.draining or instance in fleet.down
-    return not is_assigned and instance not in fleet.in_flight
+    is_free = not is_assigned and instance not in fleet.in_flight
+    return is_free and former_order_expired(node, at, instance)
 
 
-def _surplus_instance(node: Node, pool: str, sizes: dict[str, int]) -> str | None:
+def _surplus_instance(node: Node, at: Moment, pool: str, sizes: dict[str, int]) -> str | None:
     """
     Return an empty instance of the other pool with the largest surplus, or ``None``.
     """
@@ -226,13 +228,13 @@
     )
     if donor is None or sizes[donor] - node.pools[donor].wanted < 1:
         return None
-    instance = _empty_instance(node, donor)
+    instance = _empty_instance(node, at, donor)
     if instance is not None:
         sizes[donor] -= 1
     return instance
 
 
-def _empty_instance(node: Node, pool: str) -> str | None:
+def _empty_instance(node: Node, at: Moment, pool: str) -> str | None:
     for worker in node.workers.values():
         if worker.entry.service != pool or not worker.is_listed or not worker.is_held:
             continue
@@ -240,7 +242,7 @@
             continue
         row = node.fleet.rows.get(worker.entry.instance)
         is_up = row is not None and row.state == UP and row.pool == pool
-        if is_up and _is_unassigned(node, worker.entry.instance):
+        if is_up and _is_available(node, at, worker.entry.instance):
             return worker.entry.instance
     return None
 
@@ -264,7 +266,7 @@
         if at.now_s - state.surplus_since_s < SURPLUS_DELAY_S:
             continue
         for _ in range(sizes[name] - state.wanted):
-            instance = _empty_instance(node, name)
+            instance = _empty_instance(node, at, name)
             if instance is None:
                 break
             sizes[name] -= 1
--- a/packages/eelgrassdrum-core/tests/test_jobs_instances.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_instances.py
@@ -65,7 +65,7 @@
     Return whether the new owner may order an instance, some time after its claim.
     """
     at = instances.Moment(START_S + 2 + after_s, WALL_MS)
-    return instances._former_order_expired(node, at, instance)
+    return instances.former_order_expired(node, at, instance)
 
 
 def test_restarted_owner_waits_only_for_recent_orders():
