Let instances that leave for standby go where they are needed instead

What callers saw: a pool that became short got no instance that was on its way to standby, and took it only after a move there and another one back. Cause: an instance that drains for a move counts as the target's, and was no candidate until the move was over. Change: before the order is recorded, a move to standby can be redirected to a pool that is short, or cancelled if it is its own. An instance with an order that may have been sent is left out.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -191,14 +191,58 @@
     Move one instance to a pool, from standby or from another pool, and return whether one was
     found.
     """
+    leaving = _instance_leaving_for(node, standby, pool)
+    if leaving is not None:
+        _redirect(node, leaving, pool)
+        sizes[pool] += 1
+        return True
     instance = _standby_instance(node, at, standby) or _surplus_instance(node, at, pool, sizes)
     if instance is None:
         return False
-    _start_move(node, at, instance, pool)
+    _start_move(node, instance, pool)
     sizes[pool] += 1
     return True
 
 
+def _instance_leaving_for(node: Node, standby: str, pool: str) -> str | None:
+    """
+    Return an instance whose move to standby is not recorded yet, preferably one of a given pool.
+    """
+    fleet = node.fleet
+    leaving = [
+        instance
+        for instance, target in fleet.pool_of.items()
+        if target == standby
+        and fleet.draining.get(instance) == MOVE
+        and instance not in fleet.down
+        and instance not in fleet.in_flight
+        and instance in fleet.rows
+        and not _has_open_order(node, instance)
+    ]
+    return min(leaving, key=lambda name: fleet.rows[name].pool != pool, default=None)
+
+
+def _has_open_order(node: Node, instance: str) -> bool:
+    """
+    Return whether an order for an instance is recorded and may have been sent without an answer.
+    """
+    order = node.replicated.orders.get(instance)
+    return order is not None and not order.is_done
+
+
+def _redirect(node: Node, instance: str, pool: str) -> None:
+    """
+    Let an instance that leaves for standby go to a pool instead, or stay if it is its own.
+    """
+    if node.fleet.rows[instance].pool != pool:
+        node.fleet.pool_of[instance] = pool
+        _log_move(node, instance, pool)
+        return
+    del node.fleet.draining[instance]
+    del node.fleet.pool_of[instance]
+    log_line(node, "pool.move_cancelled", instance=instance, pool=pool)
+
+
 def _standby_instance(node: Node, at: Moment, standby: str) -> str | None:
     for row in node.fleet.rows.values():
         if row.pool == standby and row.state == UP and _is_available(node, at, row.instance):
@@ -270,18 +314,21 @@
             if instance is None:
                 break
             sizes[name] -= 1
-            _start_move(node, at, instance, standby)
+            _start_move(node, instance, standby)
 
 
-def _start_move(node: Node, at: Moment, instance: str, pool: str) -> None:
-    row = node.fleet.rows[instance]
+def _start_move(node: Node, instance: str, pool: str) -> None:
     node.fleet.draining[instance] = MOVE
     node.fleet.pool_of[instance] = pool
+    _log_move(node, instance, pool)
+
+
+def _log_move(node: Node, instance: str, pool: str) -> None:
     log_line(
         node,
         "pool.move",
         instance=instance,
-        former=row.pool,
+        former=node.fleet.rows[instance].pool,
         pool=pool,
         wanted={name: state.wanted for name, state in node.pools.items()},
     )
