List instances and workers when a move should be over

What callers saw: tasks started up to 0.5 s after the instances for them were up; an objective of the shortest jobs leaves 1.1 s beyond their work. Cause: an instance takes work when a list shows it as up, and lists come every 0.5 s, whenever moves end; its worker shows in a read of the registry, every 0.25 s. Change: from the time at which an instance should be back, both are read every 0.1 s, for 0.6 s at most.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -18,6 +18,10 @@
 # Interval between lists of instances while drains or orders are in progress, and otherwise.
 BUSY_LIST_INTERVAL_S = 0.5
 IDLE_LIST_INTERVAL_S = 3.0
+# Interval between lists of instances and of workers from the time at which an instance should be
+# back, and for how long; afterwards `BUSY_LIST_INTERVAL_S` applies again.
+RETURN_LIST_INTERVAL_S = 0.1
+RETURN_WINDOW_S = 0.6
 # Retry delay of an order that was refused or not answered, and of one that was not sent.
 ORDER_RETRY_S = 1.0
 UNSENT_RETRY_S = 0.2
@@ -48,14 +52,41 @@
     :param at: the time.
     """
     fleet = node.fleet
-    is_busy = bool(fleet.draining or fleet.down or _has_unreachable_workers(node))
-    interval_s = BUSY_LIST_INTERVAL_S if is_busy else IDLE_LIST_INTERVAL_S
+    interval_s = IDLE_LIST_INTERVAL_S
+    if _is_return_due(node, at):
+        interval_s = RETURN_LIST_INTERVAL_S
+        _read_registry_soon(node)
+    elif fleet.draining or fleet.down or _has_unreachable_workers(node):
+        interval_s = BUSY_LIST_INTERVAL_S
     if not fleet.is_listing and at.now_s - fleet.listed_s >= interval_s:
         fleet.is_listing = True
         fleet.listed_s = at.now_s
         emit(node, effects.ListInstances())
 
 
+def _read_registry_soon(node: Node) -> None:
+    """
+    Bring the next read of the registry forward, unless the latest one failed.
+    """
+    registry = node.registry
+    if registry.next_read_s <= registry.last_success_s + _registry.REGISTRY_INTERVAL_S:
+        soon_s = registry.last_success_s + RETURN_LIST_INTERVAL_S
+        registry.next_read_s = min(registry.next_read_s, soon_s)
+
+
+def _is_return_due(node: Node, at: Moment) -> bool:
+    """
+    Return whether an instance should be back from its move or maintenance about now.
+    """
+    fleet = node.fleet
+    for instance, since_s in fleet.down.items():
+        is_move = instance in fleet.pool_of
+        due_s = since_s + (node.bounds.move_s if is_move else node.bounds.upkeep_s)
+        if due_s <= at.now_s < due_s + RETURN_WINDOW_S:
+            return True
+    return False
+
+
 def _has_unreachable_workers(node: Node) -> bool:
     return any(worker.is_failing for worker in node.workers.values())
 
