Move instances between pools in random schedules of faults

Cause: the schedules had one pool and no standby pool, so no order of a move was ever given beside a fault, and the rule that planned work cuts off no run was only checked for maintenance. Change: a schedule may have a standby pool; 24 seeds of random faults with it run in the tests.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
@@ -11,7 +11,7 @@
 from ._answers import make_world
 from ._faults import FAULTS
 from ._rules import Violation
-from ._world import World, add_worker, look_up, run_until, submit
+from ._world import STANDBY, World, add_worker, look_up, run_until, submit
 
 LOAD_S = 12.0
 # Leases of former owners have to run out before the last work can start again.
@@ -26,6 +26,8 @@
 class ScheduleResult(NamedTuple):
     """
     What a schedule showed.
+
+    :param moves: number of orders that moved an instance to another pool.
     """
 
     seed: int
@@ -34,6 +36,7 @@
     accepted: int
     violations: tuple[Violation, ...]
     answered: Counter[str]
+    moves: int
 
 
 def make_config(is_limited: bool = True) -> model.Config:
@@ -80,15 +83,22 @@
     return model.JobSpec("payload", tuple(steps))
 
 
-def run_schedule(seed: int, faults: tuple[str, ...] | None = None) -> ScheduleResult:
+def run_schedule(
+    seed: int, faults: tuple[str, ...] | None = None, is_moving: bool = False
+) -> ScheduleResult:
     """
     Run one schedule.
 
     :param seed: of all that is random.
     :param faults: the faults, or ``None`` to draw some.
+    :param is_moving: whether there is a standby pool, so that instances are moved.
     :returns: what it showed.
     """
-    world = make_world(seed, INSTANCES, make_config())
+    config = make_config()
+    if is_moving:
+        standby = model.Service(STANDBY, False, True)
+        config = config._replace(services={**config.services, STANDBY: standby})
+    world = make_world(seed, INSTANCES, config)
     rng = world.rng
     world.judge.limits["a"] = LIMIT
     world.durations = lambda _key: (
@@ -119,6 +129,7 @@
         len(world.judge.accepted),
         tuple(world.judge.violations),
         Counter(world.answered),
+        sum(wave < 0 for _at_s, _instance, _token, wave in world.upkeep),
     )
 
 
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -39,6 +39,7 @@
 }
 # Seed 1003 was red while orders without an answer were sent again.
 FRESH_SEEDS = range(1000, 1012)
+MOVING_SEEDS = range(1100, 1124)
 
 
 def broken_rules(seeds, faults=None) -> set[str]:
@@ -71,6 +72,17 @@
         assert result.starts > 50, fault
 
 
+# Issue 19: no schedule of faults moved instances, so what moves do to runs was not checked.
+def test_moves_between_pools_break_no_rule():
+    """
+    Random faults break no rule while instances move between a pool and standby.
+    """
+    results = [run_schedule(seed, is_moving=True) for seed in MOVING_SEEDS]
+    assert all(result.moves for result in results), results
+    broken = [(result.seed, result.violations[:3]) for result in results if result.violations]
+    assert not broken, broken
+
+
 def test_seeds_that_broke_a_rule_hold():
     """
     The schedules that once showed a fault show none.
