--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -146,6 +146,26 @@
     assert (second.seq, second.records) == (first.seq, first.records)
 
 
+# Issue 19: jobs that others had appended after an outage were read 0.35 s after the first commit.
+def test_an_owner_reads_the_log_once_the_store_takes_its_appends_again(node):
+    """
+    After failed reads, a read that hangs is replaced when an append of the owner succeeds.
+    """
+    become_owner(node)
+
+    def reads(now_s, event):
+        return [item for item in feed(node, now_s, event) if isinstance(item, effects.ReadLog)]
+
+    feed(node, 2.0, events.LogReadFailed("timeout"))
+    assert len(reads(2.2, events.Ticked())) == 1
+    committed = events.Appended("owner", node.journal.seq, events.OK)
+    (again,) = reads(3.0, committed)
+    assert again.offset == node.replicated.offset
+    # Not with each append, while reads still hang.
+    assert node.journal.in_flight is not None
+    assert reads(3.02, events.Appended("owner", node.journal.seq, events.OK)) == []
+
+
 def test_a_young_instance_claims_before_an_old_one():
     """
     During a rolling restart, an instance that has already restarted claims the log first.
