Read the log anew when the store takes the owner's appends again

Cause: one read of the log is in progress at a time, and one that was sent while the store was silent is only given up when it times out, after 1.4 s. Change: when an append of the owner succeeds while reads fail, a read that is older than 0.1 s is replaced. Records that the former one may still return have an offset that was passed and are ignored, as they were.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -335,6 +335,7 @@
     """
     State of reading the log.
 
+    :param sent_s: when the latest read was sent.
     :param is_caught_up: whether the latest read reached the end of the log.
     :param has_caught_up: whether the end of the log was reached since the replicated state was
         created.
@@ -348,6 +349,7 @@
     """
 
     is_reading: bool = False
+    sent_s: float = -1e9
     next_read_s: float = 0.0
     is_caught_up: bool = False
     has_caught_up: bool = False
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -114,6 +114,7 @@
         _workers.hold_acknowledged(node, at, list(in_flight.acks))
         if event.outcome == events.OK:
             _tail.fold_callers_records(node, at, callers)
+            _tail.read_after_outage(node, at)
         # Orders whose records are now committed are checked once more before they are sent.
         produced, node.out = node.out, []
         for effect in produced:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -28,6 +28,7 @@
     if tail.is_reading or at.now_s < tail.next_read_s:
         return
     tail.is_reading = True
+    tail.sent_s = at.now_s
     if tail.needs_snapshot:
         emit(node, effects.ReadSnapshot())
     else:
@@ -35,6 +36,23 @@
         emit(node, effects.ReadLog(node.replicated.offset, tail.wait_s))
 
 
+def read_after_outage(node: Node, at: Moment) -> None:
+    """
+    Let the log be read at once if reads have failed so far: the store has just taken an append.
+
+    A read that was sent while the store was away may hang until it times out. It is replaced; if it
+    is answered after all, its records have another offset than the next ones and are ignored.
+
+    :param node: the instance, which owns the log.
+    :param at: the current time.
+    """
+    tail = node.tail
+    are_reads_failing = tail.readable_since_s > at.now_s
+    if are_reads_failing and at.now_s - tail.sent_s >= RETRY_S:
+        tail.is_reading = False
+        tail.next_read_s = at.now_s
+
+
 def on_read(node: Node, at: Moment, event: events.LogRead) -> None:
     """
     Apply a part of the log to the replicated state.
