--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -8,7 +8,7 @@
 """
 
 from . import _candidates, _draining, _registry, _runs, effects, events
-from ._journal import emit_after_commit, write
+from ._journal import emit_after_commit, is_stalled, write
 from ._node import Moment, Node, Worker, emit, log_line
 from ._records import InstanceDone, InstanceOrdered
 from ._replicated_state import InstanceOrder
@@ -19,6 +19,10 @@
 # Interval between lists of instances while drains or orders are in progress, and otherwise.
 BUSY_LIST_INTERVAL_S = 0.5
 IDLE_LIST_INTERVAL_S = 3.0
+# Interval between lists of instances and of workers from the time at which an instance should be
+# back, and for how long; afterwards `BUSY_LIST_INTERVAL_S` applies again.
+RETURN_LIST_INTERVAL_S = 0.1
+RETURN_WINDOW_S = 0.6
 # Retry delay of an order that was refused or not answered, and of one that was not sent.
 ORDER_RETRY_S = 1.0
 UNSENT_RETRY_S = 0.2
@@ -31,6 +35,9 @@
 ORDER_BURST_S = 0.2
 # Age of the store's last confirmation of this owner up to which an order may be sent.
 MAX_CONFIRMATION_AGE_S = 0.8
+# Age of a decision from which a move is decided anew instead of being ordered; several times the
+# time that a commit takes at a store that does not count as stalled.
+MAX_DECISION_AGE_S = 1.5
 # Added to the time between orders of two owners, for clock differences and queued packets.
 ORDER_MARGIN_S = 0.5
 # After this time an instance that was ordered down is up again or listed with its actual state.
@@ -46,14 +53,41 @@
     :param at: the time.
     """
     fleet = node.fleet
-    is_busy = bool(fleet.draining or fleet.down or _has_unreachable_workers(node))
-    interval_s = BUSY_LIST_INTERVAL_S if is_busy else IDLE_LIST_INTERVAL_S
+    interval_s = IDLE_LIST_INTERVAL_S
+    if _is_return_due(node, at):
+        interval_s = RETURN_LIST_INTERVAL_S
+        _read_registry_soon(node)
+    elif fleet.draining or fleet.down or _has_unreachable_workers(node):
+        interval_s = BUSY_LIST_INTERVAL_S
     if not fleet.is_listing and at.now_s - fleet.listed_s >= interval_s:
         fleet.is_listing = True
         fleet.listed_s = at.now_s
         emit(node, effects.ListInstances())
 
 
+def _read_registry_soon(node: Node) -> None:
+    """
+    Bring the next read of the registry forward, unless the latest one failed.
+    """
+    registry = node.registry
+    if registry.next_read_s <= registry.last_success_s + _registry.REGISTRY_INTERVAL_S:
+        soon_s = registry.last_success_s + RETURN_LIST_INTERVAL_S
+        registry.next_read_s = min(registry.next_read_s, soon_s)
+
+
+def _is_return_due(node: Node, at: Moment) -> bool:
+    """
+    Return whether an instance should be back from its move or maintenance about now.
+    """
+    fleet = node.fleet
+    for instance, since_s in fleet.down.items():
+        is_move = instance in fleet.pool_of
+        due_s = since_s + (node.bounds.move_s if is_move else node.bounds.upkeep_s)
+        if due_s <= at.now_s < due_s + RETURN_WINDOW_S:
+            return True
+    return False
+
+
 def _has_unreachable_workers(node: Node) -> bool:
     return any(worker.is_failing for worker in node.workers.values())
 
@@ -131,7 +165,7 @@
     it stays open, so that no other order for the instance is sent.
     """
     for instance in list(node.fleet.moved):
-        if _former_order_expired(node, at, instance):
+        if former_order_expired(node, at, instance):
             node.fleet.moved.discard(instance)
             write(node, at, InstanceDone(node.ownership.epoch, instance, -1))
 
@@ -198,6 +232,8 @@
         return
     _record_moved(node, at)
     _use_answering_instances(node)
+    if not may_decide(node, at):
+        return
     for instance, reason in list(node.fleet.draining.items()):
         if instance in node.fleet.down or instance in node.fleet.in_flight:
             continue
@@ -210,7 +246,7 @@
         if (
             is_retry_due
             and _within_order_limits(node, at)
-            and _former_order_expired(node, at, instance)
+            and former_order_expired(node, at, instance)
         ):
             _order_instance(node, at, instance, reason)
 
@@ -262,9 +298,14 @@
     )
 
 
-def _former_order_expired(node: Node, at: Moment, instance: str) -> bool:
+def former_order_expired(node: Node, at: Moment, instance: str) -> bool:
     """
     Return whether no order of a previous owner for the instance is recent or may still be sent.
+
+    :param node: the instance.
+    :param at: the time.
+    :param instance: the instance to order.
+    :returns: whether this owner may order it.
     """
     order = node.replicated.orders.get(instance)
     if order is None or order.epoch == node.ownership.epoch:
@@ -304,9 +345,12 @@
     node.fleet.in_flight[instance] = at.now_s
     former = node.replicated.orders.get(instance)
     if former is None or former.is_done:
+        node.fleet.repeated.discard(instance)
         node.fleet.former_workers[instance] = {
             worker.id: worker.entry.incarnation for worker in _workers_on(node, instance)
         }
+    else:
+        node.fleet.repeated.add(instance)
     earliest_s = max(node.fleet.next_order_s, at.now_s - ORDER_BURST_S)
     node.fleet.next_order_s = earliest_s + 1 / (ORDER_RATE_FRACTION * node.bounds.orders_per_s)
     epoch = node.ownership.epoch
@@ -315,6 +359,20 @@
     log_line(node, "instance.order", instance=instance, wave=wave, pool=pool, epoch=epoch)
 
 
+def may_decide(node: Node, at: Moment) -> bool:
+    """
+    Return whether the store responds well enough to decide about instances.
+
+    An order can only be sent once its record is committed. While that takes too long, the demand
+    is not known either, and what is decided then would be carried out much later.
+
+    :param node: the instance.
+    :param at: the time.
+    :returns: whether drains and orders may be decided now.
+    """
+    return is_order_allowed(node, at) and not is_stalled(node, at.now_s)
+
+
 def is_order_allowed(node: Node, at: Moment) -> bool:
     """
     Return whether the store has confirmed this owner recently enough to send an order.
@@ -332,17 +390,44 @@
     """
     Send an order whose record is committed, unless the confirmation of this owner is too old.
 
+    A move that was decided too long ago is withdrawn. The demand may have changed, and the sizes of
+    the pools are decided anew.
+
     :param node: the instance.
     :param at: the time.
     :param effect: the order.
     """
+    fleet = node.fleet
+    age_s = at.now_s - fleet.in_flight.get(effect.instance, at.now_s)
+    is_move = effect.wave < 0
+    if is_move and age_s > MAX_DECISION_AGE_S and effect.instance not in fleet.repeated:
+        _withdraw(node, at, effect, age_s)
+        return
     if is_order_allowed(node, at):
         emit(node, effect)
         return
-    node.fleet.in_flight.pop(effect.instance, None)
+    fleet.in_flight.pop(effect.instance, None)
     log_line(node, "instance.order_too_late", instance=effect.instance)
 
 
+def _withdraw(node: Node, at: Moment, effect: effects.OrderInstance, age_s: float) -> None:
+    """
+    Withdraw the order of a move, which was recorded but never sent.
+    """
+    fleet = node.fleet
+    for pending in (fleet.in_flight, fleet.draining, fleet.pool_of):
+        pending.pop(effect.instance, None)
+    # Until this record is committed, a new owner would send the order, which does no harm.
+    write(node, at, InstanceDone(node.ownership.epoch, effect.instance, effect.wave))
+    log_line(
+        node,
+        "instance.order_withdrawn",
+        instance=effect.instance,
+        pool=effect.pool,
+        age_s=round(age_s, 3),
+    )
+
+
 def on_ordered(node: Node, at: Moment, event: events.InstanceOrderAnswered) -> None:
     """
     Process the outcome of an order.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -304,7 +304,8 @@
 
     :param rows: latest listing of each instance.
     :param listed_s: when the latest list was requested.
-    :param in_flight: orders without a response, by instance.
+    :param in_flight: when each order without a response was decided, by instance.
+    :param repeated: instances whose order may have been sent before.
     :param retry_s: earliest time of another order, by instance.
     :param draining: instances that get no new work, with the reason.
     :param wave_of: wave for which each instance is drained.
@@ -322,6 +323,7 @@
     listed_s: float = -1e9
     is_listing: bool = False
     in_flight: dict[str, float] = {}
+    repeated: set[str] = set()
     retry_s: dict[str, float] = {}
     draining: dict[str, str] = {}
     wave_of: dict[str, int] = {}
@@ -351,6 +353,7 @@
     """
     State of reading the log.
 
+    :param sent_s: when the latest read was sent.
     :param is_caught_up: whether the latest read reached the end of the log.
     :param has_caught_up: whether the end of the log was reached since the replicated state was
         created.
@@ -364,6 +367,7 @@
     """
 
     is_reading: bool = False
+    sent_s: float = -1e9
     next_read_s: float = 0.0
     is_caught_up: bool = False
     has_caught_up: bool = False
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from . import _candidates, _ready, _replicated_state
-from ._instances import MOVE, UP
+from ._instances import MOVE, UP, former_order_expired, may_decide
 from ._node import Moment, Node, Worker, log_line
 from ._replicated_state import occurrence_of
 from .model import Resources
@@ -69,6 +69,11 @@
     if at.now_s < node.next_pools_s or node.config is None or not node.fleet.rows:
         return
     node.next_pools_s = at.now_s + RESIZE_INTERVAL_S
+    if not may_decide(node, at):
+        # What was seen until now is no evidence of a surplus once the store responds again.
+        for state in node.pools.values():
+            state.surplus_since_s = None
+        return
     standby = next((s.name for s in node.config.services.values() if s.is_standby), None)
     if standby is None or not _is_state_known(node, at):
         return
@@ -187,31 +192,77 @@
     Move one instance to a pool, from standby or from another pool, and return whether one was
     found.
     """
-    instance = _standby_instance(node, standby) or _surplus_instance(node, pool, sizes)
+    leaving = _instance_leaving_for(node, standby, pool)
+    if leaving is not None:
+        _redirect(node, leaving, pool)
+        sizes[pool] += 1
+        return True
+    instance = _standby_instance(node, at, standby) or _surplus_instance(node, at, pool, sizes)
     if instance is None:
         return False
-    _start_move(node, at, instance, pool)
+    _start_move(node, instance, pool)
     sizes[pool] += 1
     return True
 
 
-def _standby_instance(node: Node, standby: str) -> str | None:
+def _instance_leaving_for(node: Node, standby: str, pool: str) -> str | None:
+    """
+    Return an instance whose move to standby is not recorded yet, preferably one of a given pool.
+    """
+    fleet = node.fleet
+    leaving = [
+        instance
+        for instance, target in fleet.pool_of.items()
+        if target == standby
+        and fleet.draining.get(instance) == MOVE
+        and instance not in fleet.down
+        and instance not in fleet.in_flight
+        and instance in fleet.rows
+        and not _has_open_order(node, instance)
+    ]
+    return min(leaving, key=lambda name: fleet.rows[name].pool != pool, default=None)
+
+
+def _has_open_order(node: Node, instance: str) -> bool:
+    """
+    Return whether an order for an instance is recorded and may have been sent without an answer.
+    """
+    order = node.replicated.orders.get(instance)
+    return order is not None and not order.is_done
+
+
+def _redirect(node: Node, instance: str, pool: str) -> None:
+    """
+    Let an instance that leaves for standby go to a pool instead, or stay if it is its own.
+    """
+    if node.fleet.rows[instance].pool != pool:
+        node.fleet.pool_of[instance] = pool
+        _log_move(node, instance, pool)
+        return
+    del node.fleet.draining[instance]
+    del node.fleet.pool_of[instance]
+    log_line(node, "pool.move_cancelled", instance=instance, pool=pool)
+
+
+def _standby_instance(node: Node, at: Moment, standby: str) -> str | None:
     for row in node.fleet.rows.values():
-        if row.pool == standby and row.state == UP and _is_unassigned(node, row.instance):
+        if row.pool == standby and row.state == UP and _is_available(node, at, row.instance):
             return row.instance
     return None
 
 
-def _is_unassigned(node: Node, instance: str) -> bool:
+def _is_available(node: Node, at: Moment, instance: str) -> bool:
     """
-    Return whether an instance is neither draining, down nor ordered.
+    Return whether an instance can be ordered now: it is neither draining, down nor ordered, and no
+    former owner has ordered it recently.
     """
     fleet = node.fleet
     is_assigned = instance in fleet.draining or instance in fleet.down
-    return not is_assigned and instance not in fleet.in_flight
+    is_free = not is_assigned and instance not in fleet.in_flight
+    return is_free and former_order_expired(node, at, instance)
 
 
-def _surplus_instance(node: Node, pool: str, sizes: dict[str, int]) -> str | None:
+def _surplus_instance(node: Node, at: Moment, pool: str, sizes: dict[str, int]) -> str | None:
     """
     Return an empty instance of the other pool with the largest surplus, or ``None``.
     """
@@ -222,13 +273,13 @@
     )
     if donor is None or sizes[donor] - node.pools[donor].wanted < 1:
         return None
-    instance = _empty_instance(node, donor)
+    instance = _empty_instance(node, at, donor)
     if instance is not None:
         sizes[donor] -= 1
     return instance
 
 
-def _empty_instance(node: Node, pool: str) -> str | None:
+def _empty_instance(node: Node, at: Moment, pool: str) -> str | None:
     for worker in node.workers.values():
         if worker.entry.service != pool or not worker.is_listed or not worker.is_held:
             continue
@@ -236,7 +287,7 @@
             continue
         row = node.fleet.rows.get(worker.entry.instance)
         is_up = row is not None and row.state == UP and row.pool == pool
-        if is_up and _is_unassigned(node, worker.entry.instance):
+        if is_up and _is_available(node, at, worker.entry.instance):
             return worker.entry.instance
     return None
 
@@ -260,22 +311,25 @@
         if at.now_s - state.surplus_since_s < SURPLUS_DELAY_S:
             continue
         for _ in range(sizes[name] - state.wanted):
-            instance = _empty_instance(node, name)
+            instance = _empty_instance(node, at, name)
             if instance is None:
                 break
             sizes[name] -= 1
-            _start_move(node, at, instance, standby)
+            _start_move(node, instance, standby)
 
 
-def _start_move(node: Node, at: Moment, instance: str, pool: str) -> None:
-    row = node.fleet.rows[instance]
+def _start_move(node: Node, instance: str, pool: str) -> None:
     node.fleet.draining[instance] = MOVE
     node.fleet.pool_of[instance] = pool
+    _log_move(node, instance, pool)
+
+
+def _log_move(node: Node, instance: str, pool: str) -> None:
     log_line(
         node,
         "pool.move",
         instance=instance,
-        former=row.pool,
+        former=node.fleet.rows[instance].pool,
         pool=pool,
         wanted={name: state.wanted for name, state in node.pools.items()},
     )
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
@@ -31,6 +31,8 @@
 class ScheduleResult(NamedTuple):
     """
     What a schedule showed.
+
+    :param moves: number of orders that moved an instance to another pool.
     """
 
     seed: int
@@ -39,6 +41,7 @@
     accepted: int
     violations: tuple[Violation, ...]
     answered: Counter[str]
+    moves: int
 
 
 def make_config(is_limited: bool = True) -> model.Config:
@@ -129,6 +132,7 @@
         len(world.judge.accepted),
         tuple(world.judge.violations),
         Counter(world.answered),
+        sum(wave < 0 for _at_s, _instance, _token, wave in world.upkeep),
     )
 
 
