--- a/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
@@ -188,7 +188,8 @@
     (append,) = of_type(produced, effects.Append)
     feed(owner, now_s + 0.3, events.LogReadFailed("timeout"))
     back_s = now_s + 0.6
-    produced = feed(owner, back_s, events.OperatorRead(1, None, (), back_s - 0.01))
+    offset = owner.replicated.offset
+    produced = feed(owner, back_s, events.LogRead(offset, (), offset, back_s - 0.01))
     (again,) = of_type(produced, effects.Append)
     assert (again.seq, again.records) == (append.seq, append.records)
     # The first attempt may have been executed, so a refusal of the second proves nothing.
@@ -208,23 +209,22 @@
     )
     for step in range(1, 8):
         at_s = now_s + step / 10
-        produced = feed(owner, at_s, events.OperatorRead(1, None, (), at_s - 0.01))
+        offset = owner.replicated.offset
+        produced = feed(owner, at_s, events.LogRead(offset, (), offset, at_s - 0.01))
         assert of_type(produced, effects.Append) == []
 
 
-# Guards against a configuration that is too old until a read of the outage times out.
+# Guards against a return of the store that shows only when a read of the outage has timed out.
 def test_reads_are_repeated_while_the_store_is_silent(reader):
     """
-    After a failed read, the operator's records are read at short intervals, whatever is pending.
+    After a failed read, the log is read at short intervals, whatever is pending.
     """
     feed(reader, CALL_S, events.Ticked())
     feed(reader, CALL_S, events.LogReadFailed("timeout"))
     reads = [
         effect
         for step in range(1, 21)
-        for effect in of_type(
-            feed(reader, CALL_S + step * 0.05, events.Ticked()), effects.ReadOperator
-        )
+        for effect in of_type(feed(reader, CALL_S + step * 0.05, events.Ticked()), effects.ReadLog)
     ]
     assert 4 <= len(reads) <= 8
     assert all(read.wait_s == 0.0 for read in reads)
