Resume reads and appends at once when a silent store returns

Calls that a silent store drops only fail after their timeouts: the owner's append sent at 37.30 s held up the next attempt until 38.2 s, and a long poll takes 1.4 s.

After a failed read of the log, an instance now reads it every 0.2 s, whatever is pending. The first answer replaces the pending reads, the owner's append and a direct append of callers' records. A slow store whose reads succeed gets no further copy of an append, and a store that returns gets one. The former attempt may still be executed, so a repeated append counts as uncertain, and its response confirms the ownership only from the first attempt. Failures of replaced reads are told apart by the time at which they were sent. Up to five reads wait at a time, so an instance may have 16 connections to the store.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -16,6 +16,8 @@
 CHANNEL = "intake"
 # Retry interval of an append without a response.
 RETRY_S = 0.1
+# Time of the last attempt of an append that is to be sent at once.
+NEVER_SENT_S = -1e9
 # Age at which a call is refused if the store refuses its append; allows for two attempts.
 REFUSE_AFTER_S = 0.25
 # Age at which a call that waits for a batch with a pending outcome is refused; twice the append
@@ -254,6 +256,24 @@
         intake.is_uncertain = True
 
 
+def replace_pending(node: Node, sent_s: float) -> None:
+    """
+    Send a direct append of callers' records again without waiting for its timeout.
+
+    :param node: the instance.
+    :param sent_s: appends that were sent later are not replaced, by this instance's clock.
+    """
+    intake = node.intake
+    intake.is_failing = False
+    is_direct = intake.is_waiting and intake.route == _forwarding.TO_STORE
+    if not is_direct or intake.last_sent_s >= sent_s:
+        return
+    intake.seq += 1
+    intake.is_waiting = False
+    intake.is_uncertain = True
+    intake.last_sent_s = NEVER_SENT_S
+
+
 def on_appended(node: Node, at: Moment, event: events.Appended) -> None:
     """
     Handle the outcome of an append.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
@@ -27,6 +27,8 @@
 # Age of the batch in flight from which no new decisions are made; several round trips to a store
 # without load.
 STALL_TIMEOUT_S = 0.4
+# Time of the last attempt of an append that is to be sent at once.
+NEVER_SENT_S = -1e9
 
 
 def write(node: Node, at: Moment, record: Record) -> None:
@@ -144,6 +146,7 @@
     journal.seq += 1
     journal.sent_s = at.now_s
     journal.is_uncertain = False
+    journal.is_repeated = False
     _encode(journal, batch)
     _send(node, at)
 
@@ -184,9 +187,29 @@
         journal.seq -= 1
 
 
+def replace_pending(node: Node, sent_s: float) -> None:
+    """
+    Send the append in flight again without waiting for its timeout.
+
+    The former attempt may have been executed, or may still be: the store then responds to both.
+
+    :param node: the instance.
+    :param sent_s: attempts that were sent later are not replaced, by this instance's clock.
+    """
+    journal = node.journal
+    if journal.in_flight is None or not journal.is_waiting or journal.last_sent_s >= sent_s:
+        return
+    journal.is_waiting = False
+    journal.is_uncertain = True
+    journal.is_repeated = True
+    journal.last_sent_s = NEVER_SENT_S
+
+
 def _send(node: Node, at: Moment) -> None:
     journal = node.journal
     journal.last_sent_s = at.now_s
+    if not journal.is_repeated:
+        journal.confirms_s = at.now_s
     journal.is_waiting = True
     emit(
         node,
@@ -233,7 +256,7 @@
     journal = node.journal
     batch = journal.in_flight
     journal.in_flight = None
-    node.ownership.confirmed_s = max(node.ownership.confirmed_s, journal.last_sent_s)
+    node.ownership.confirmed_s = max(node.ownership.confirmed_s, journal.confirms_s)
     if batch is None:
         return
     for record in batch.records:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -91,8 +91,10 @@
     :param last_sent_s: when it was last sent.
     :param heartbeat_s: when the latest heartbeat was written.
     :param logged_s: when a failed append was last logged.
+    :param confirms_s: when the earliest attempt was sent that a response may belong to.
     :param is_waiting: whether a response to the append is outstanding.
     :param is_uncertain: whether the append in flight may already be committed.
+    :param is_repeated: whether it was sent again while a response was outstanding.
     """
 
     next: Batch = msgspec.field(default_factory=Batch)
@@ -101,10 +103,12 @@
     seq: int = 0
     sent_s: float = 0.0
     last_sent_s: float = 0.0
+    confirms_s: float = 0.0
     heartbeat_s: float = -1e9
     logged_s: float = -1e9
     is_waiting: bool = False
     is_uncertain: bool = False
+    is_repeated: bool = False
 
 
 class IntakeCall(NamedTuple):
@@ -336,6 +340,7 @@
     :param is_caught_up: whether the latest read reached the end of the log.
     :param has_caught_up: whether the end of the log was reached since the replicated state was
         created.
+    :param sent_s: when the latest read was sent.
     :param last_success_s: when the latest successful read was sent.
     :param answered_s: when its response arrived.
     :param readable_since_s: time since which no read has failed; 1e18 while reads fail.
@@ -350,6 +355,7 @@
     is_caught_up: bool = False
     has_caught_up: bool = False
     needs_snapshot: bool = True
+    sent_s: float = -1e9
     last_success_s: float = -1e9
     answered_s: float = -1e9
     readable_since_s: float = 1e18
@@ -387,15 +393,31 @@
     State of polling records that others publish.
 
     :param cursor: position of the next read, or ``None`` to read all records.
+    :param sent_s: when the latest read was sent.
     :param last_success_s: when the records were last read successfully.
     """
 
     cursor: int | None = None
     is_reading: bool = False
     next_read_s: float = 0.0
+    sent_s: float = -1e9
     last_success_s: float = -1e9
 
 
+class StoreContact(msgspec.Struct, eq=False):
+    """
+    Whether the store responds to reads of the log.
+
+    :param silent_since_s: when a read failed, if none has succeeded since; otherwise ``None``.
+    :param answered_sent_s: when the latest successful read was sent.
+    :param logged_s: when the failure of a read that was replaced was last logged.
+    """
+
+    silent_since_s: float | None = None
+    answered_sent_s: float = -1e9
+    logged_s: float = -1e9
+
+
 class Node(msgspec.Struct, eq=False):
     """
     The state of an instance.
@@ -422,6 +444,7 @@
     config: Config | None = None
     operator: Subscription = msgspec.field(default_factory=Subscription)
     registry: Subscription = msgspec.field(default_factory=Subscription)
+    store: StoreContact = msgspec.field(default_factory=StoreContact)
     workers: dict[str, Worker] = {}
     waves: dict[int, WaveState] = {}
     fleet: Fleet = msgspec.field(default_factory=Fleet)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_operator.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_operator.py
@@ -9,6 +9,9 @@
 READ_WAIT_S = 1.0
 # Delay before a failed read is retried.
 RETRY_S = 0.15
+# Age of the latest successful read from which a read doesn't wait for new records: after an outage,
+# the age of the known configuration decides about calls.
+OLD_S = 2 * READ_WAIT_S
 
 
 def read(node: Node, at: Moment) -> None:
@@ -22,7 +25,9 @@
     if operator.is_reading or at.now_s < operator.next_read_s:
         return
     operator.is_reading = True
-    emit(node, effects.ReadOperator(operator.cursor, READ_WAIT_S))
+    operator.sent_s = at.now_s
+    is_old = at.now_s - operator.last_success_s > OLD_S
+    emit(node, effects.ReadOperator(operator.cursor, 0.0 if is_old else READ_WAIT_S))
 
 
 def on_read(node: Node, at: Moment, event: events.OperatorRead) -> None:
@@ -34,9 +39,10 @@
     :param event: the records.
     """
     operator = node.operator
-    operator.is_reading = False
-    operator.cursor = event.cursor
-    operator.last_success_s = event.sent_s
+    if event.sent_s >= operator.sent_s:
+        operator.is_reading = False
+        operator.cursor = event.cursor
+    operator.last_success_s = max(operator.last_success_s, event.sent_s)
     known = node.config.version if node.config else -1
     if event.config is not None and event.config.version > known:
         node.config = event.config
@@ -73,11 +79,12 @@
     :param event: the failure.
     """
     operator = node.operator
-    operator.is_reading = False
-    operator.next_read_s = at.now_s + RETRY_S
-    if event.restart:
-        operator.cursor = None
-        operator.next_read_s = at.now_s
+    if event.sent_s >= operator.sent_s:
+        operator.is_reading = False
+        operator.next_read_s = at.now_s + RETRY_S
+        if event.restart:
+            operator.cursor = None
+            operator.next_read_s = at.now_s
     log_line(
         node,
         "config.unreadable",
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -25,6 +25,7 @@
     if registry.is_reading or at.now_s < registry.next_read_s:
         return
     registry.is_reading = True
+    registry.sent_s = at.now_s
     emit(node, effects.ReadWorkers(registry.cursor, REGISTRY_WAIT_S))
 
 
@@ -63,11 +64,12 @@
     :param event: reason of the failure.
     """
     registry = node.registry
-    registry.is_reading = False
-    registry.next_read_s = at.now_s + REGISTRY_RETRY_S
-    if event.restart:
-        registry.cursor = None
-        registry.next_read_s = at.now_s
+    if event.sent_s >= registry.sent_s:
+        registry.is_reading = False
+        registry.next_read_s = at.now_s + REGISTRY_RETRY_S
+        if event.restart:
+            registry.cursor = None
+            registry.next_read_s = at.now_s
     log_line(node, "registry.unreadable", reason=event.reason, restart=event.restart)
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -2,7 +2,17 @@
 Tails the job log and applies its records to the replicated state.
 """
 
-from . import _fold, _instances, _intake, _ownership, _replicated_state, _snapshot, effects, events
+from . import (
+    _fold,
+    _instances,
+    _intake,
+    _outage,
+    _ownership,
+    _replicated_state,
+    _snapshot,
+    effects,
+    events,
+)
 from ._node import CallerRecords, Moment, Node, Tail, emit, log_line
 from ._records import OWNER_RECORDS, Cancelled, Claimed, OwnerRecord, Submitted, decode_record
 
@@ -15,23 +25,33 @@
 # Factor by which a former maximum decays at each read: to a tenth after two seconds of reads at
 # `READER_INTERVAL_S`.
 DECAY_FACTOR = 0.85
+# Minimum interval between log lines about failures of reads that were replaced by later ones.
+REPLACED_LOG_INTERVAL_S = 1.0
 
 
 def read(node: Node, at: Moment) -> None:
     """
     Request the next part of the log, unless a read is in progress or not due yet.
 
+    While the log doesn't respond, reads are sent at intervals although others are pending.
+
     :param node: the instance.
     :param at: the current time.
     """
     tail = node.tail
-    if tail.is_reading or at.now_s < tail.next_read_s:
+    is_probing = _outage.is_silent(node) and not tail.needs_snapshot
+    if is_probing:
+        is_pending = at.now_s - tail.sent_s < _outage.PROBE_INTERVAL_S
+    else:
+        is_pending = tail.is_reading
+    if is_pending or at.now_s < tail.next_read_s:
         return
     tail.is_reading = True
+    tail.sent_s = at.now_s
     if tail.needs_snapshot:
         emit(node, effects.ReadSnapshot())
     else:
-        tail.wait_s = WAIT_S if tail.is_caught_up else 0.0
+        tail.wait_s = WAIT_S if tail.is_caught_up and not is_probing else 0.0
         emit(node, effects.ReadLog(node.replicated.offset, tail.wait_s))
 
 
@@ -44,7 +64,9 @@
     :param event: the part of the log.
     """
     tail = node.tail
-    tail.is_reading = False
+    if event.sent_s >= tail.sent_s:
+        tail.is_reading = False
+    _outage.on_read(node, at, event.sent_s)
     if tail.needs_snapshot or event.offset != node.replicated.offset:
         return
     if tail.readable_since_s > at.now_s:
@@ -84,7 +106,7 @@
         tail.owner_gap_s = max(
             tail.owner_record_s - former_owner_record_s, tail.owner_gap_s * DECAY_FACTOR
         )
-    if not event.records:
+    if not event.records and event.sent_s >= tail.sent_s:
         delay_s = max(0.0, now_s - event.sent_s - tail.wait_s)
         tail.store_delay_s = max(delay_s, tail.store_delay_s * DECAY_FACTOR)
 
@@ -117,6 +139,12 @@
     :param event: reason of the failure.
     """
     tail = node.tail
+    _outage.on_read_failed(node, at, event.sent_s)
+    if event.sent_s < tail.sent_s:
+        if at.now_s - node.store.logged_s >= REPLACED_LOG_INTERVAL_S:
+            node.store.logged_s = at.now_s
+            log_line(node, "store.replaced_read_failed", reason=event.reason)
+        return
     tail.is_reading = False
     tail.next_read_s = at.now_s + RETRY_S
     if tail.readable_since_s <= at.now_s:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
@@ -2,6 +2,7 @@
 The events that the job reducer handles.
 """
 
+import math
 from typing import NamedTuple
 
 from .model import Config, EndRow, InstanceRow, JobSpec, RunRow, TaskKey, Wave, WorkerEntry
@@ -89,9 +90,12 @@
 class LogReadFailed(NamedTuple):
     """
     A read of the log failed.
+
+    :param sent_s: when the read was sent, by this instance's clock.
     """
 
     reason: str
+    sent_s: float = math.inf
 
 
 class SnapshotRead(NamedTuple):
@@ -156,10 +160,12 @@
 
     :param restart: whether the store has dropped the records at the cursor, so that all records
         must be read again.
+    :param sent_s: when the read was sent, by this instance's clock.
     """
 
     reason: str
     restart: bool = False
+    sent_s: float = math.inf
 
 
 class WorkersRead(NamedTuple):
@@ -181,10 +187,12 @@
     The registry couldn't be read.
 
     :param restart: whether all entries must be read again.
+    :param sent_s: when the read was sent, by this instance's clock.
     """
 
     reason: str
     restart: bool = False
+    sent_s: float = math.inf
 
 
 class HoldAnswered(NamedTuple):
--- a/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
@@ -228,3 +228,34 @@
     ]
     assert 4 <= len(reads) <= 8
     assert all(read.wait_s == 0.0 for read in reads)
+
+
+# Guards against leases that reach beyond the time for which the ownership is known.
+def test_a_repeated_append_confirms_the_ownership_from_its_first_attempt(owner):
+    """
+    A response after a repeat may belong to the first attempt, so it proves no later ownership.
+    """
+    now_s = START_S + 2.5
+    commit(owner, now_s)
+    feed(owner, now_s, events.PeerRecords(5, 1, encode_submission()))
+    feed(owner, now_s + 0.3, events.LogReadFailed("timeout"))
+    offset = owner.replicated.offset
+    back_s = now_s + 0.6
+    feed(owner, back_s, events.LogRead(offset, (), offset, back_s - 0.01))
+    feed(owner, back_s, events.Appended("owner", owner.journal.seq, events.OK))
+    assert owner.ownership.confirmed_s <= now_s
+
+
+# Guards against a return of the store that is taken for an outage when older reads time out.
+def test_a_replaced_read_that_fails_late_is_no_outage(reader):
+    """
+    The failure of a read that was sent before the latest successful one changes nothing.
+    """
+    feed(reader, CALL_S, events.LogReadFailed("timeout"))
+    assert of_type(feed(reader, CALL_S + 0.1, events.Ticked()), effects.ReadLog)
+    assert of_type(feed(reader, CALL_S + 0.3, events.Ticked()), effects.ReadLog)
+    feed(reader, CALL_S + 0.31, events.LogRead(1, (), 1, CALL_S + 0.3))
+    assert reader.store.silent_since_s is None
+    feed(reader, CALL_S + 1.0, events.LogReadFailed("timeout", CALL_S + 0.1))
+    assert reader.store.silent_since_s is None
+    assert reader.tail.readable_since_s <= CALL_S + 0.31
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
@@ -36,8 +36,9 @@
 # reports not ready, so that callers are routed to other instances. The limit covers a long poll of
 # 0.5 s and a slow store's response time of 0.25 s.
 READINESS_MAX_AGE_S = 1.5
-# Connections to the store, for long-polling reads and appends.
-STORE_CONNS = 8
+# Connections to the store: long-polling reads, appends, and reads at short intervals until the
+# first of them times out while the store doesn't respond.
+STORE_CONNS = 16
 # Connections to one worker: one long poll for completions of runs, the others for orders.
 WORKER_CONNS = 8
 CONTROL_CONNS = 24
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -121,7 +121,7 @@
 def _read_log(world: World, instance: Instance, effect: effects.ReadLog) -> None:
     failure = _store_answers(world, instance)
     if failure is not None:
-        send_to(world, instance, TIMEOUT_S, events.LogReadFailed(failure))
+        send_to(world, instance, TIMEOUT_S, events.LogReadFailed(failure, world.now_s))
         return
     sent_s = world.now_s
     store = world.store
@@ -168,19 +168,21 @@
 def _read_operator(world: World, instance: Instance, effect: effects.ReadOperator) -> None:
     failure = _store_answers(world, instance)
     if failure is not None:
-        send_to(world, instance, TIMEOUT_S, events.OperatorReadFailed(failure))
+        event = events.OperatorReadFailed(failure, sent_s=world.now_s)
+        send_to(world, instance, TIMEOUT_S, event)
         return
     known = effect.cursor or 0
     cursor = len(world.config_log) + len(world.waves)
     news = world.config if cursor > known else None
-    event = events.OperatorRead(cursor, news, tuple(world.waves), world.now_s)
-    send_to(world, instance, LINK_S if news else 0.3, event)
+    read = events.OperatorRead(cursor, news, tuple(world.waves), world.now_s)
+    send_to(world, instance, 0.3 if effect.wait_s and not news else LINK_S, read)
 
 
 def _read_workers(world: World, instance: Instance, _effect: effects.ReadWorkers) -> None:
     failure = _store_answers(world, instance)
     if failure is not None:
-        send_to(world, instance, TIMEOUT_S, events.WorkersReadFailed(failure))
+        event = events.WorkersReadFailed(failure, sent_s=world.now_s)
+        send_to(world, instance, TIMEOUT_S, event)
         return
     entries: dict[str, model.WorkerEntry | None] = {
         worker.id: _entry(world, worker)
