Test what callers are told while the log is silent

The test of the growing delay now has callers with a deadline of 10 s: with 3 s, a delay of 4 s tells them to return too late.

--- a/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
@@ -259,3 +259,30 @@
     feed(reader, CALL_S + 1.0, events.LogReadFailed("timeout", CALL_S + 0.1))
     assert reader.store.silent_since_s is None
     assert reader.tail.readable_since_s <= CALL_S + 0.31
+
+
+# Guards against callers that wait at an owner that knows that the store doesn't respond.
+def test_an_owner_refuses_records_at_once_while_the_log_is_silent(owner):
+    """
+    While the log is silent and an append is pending, the owner refuses forwarded records.
+    """
+    now_s = START_S + 2.5
+    commit(owner, now_s)
+    feed(owner, now_s, events.PeerRecords(5, 1, encode_submission()))
+    feed(owner, now_s + 0.3, events.LogReadFailed("timeout"))
+    produced = feed(owner, now_s + 0.4, events.PeerRecords(6, 1, encode_submission("later")))
+    assert of_type(produced, effects.AnswerPeer) == [effects.AnswerPeer(6, events.REFUSED)]
+
+
+# Guards against callers that are refused although the owner can reach the store.
+def test_an_instance_whose_log_is_silent_still_forwards_to_the_owner(reader):
+    """
+    An instance that can't read the log forwards submissions, and appends none by itself.
+    """
+    feed(reader, CALL_S, events.LogReadFailed("timeout"))
+    (forward,) = of_type(submit(reader, CALL_S + 0.1), effects.Forward)
+    refused = events.Appended("intake", forward.seq, events.REFUSED)
+    produced = feed(reader, CALL_S + 0.2, refused)
+    produced += feed(reader, CALL_S + 0.25, events.Ticked())
+    assert of_type(produced, effects.Append) == []
+    assert [reply.outcome for reply in of_type(produced, effects.Reply)] == [effects.UNAVAILABLE]
--- a/packages/eelgrassdrum-core/tests/test_jobs_intake.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_intake.py
@@ -50,11 +50,11 @@
     return reduce(node, Moment(now_s, WALL_MS + round(now_s * 1000)), event)
 
 
-def call(kind, path="/q/job1", key="key", token=1, spec=SPEC, host="host"):
+def call(kind, path="/q/job1", key="key", token=1, spec=SPEC, host="host", deadline_s=3.0):
     """
     Build a caller's request.
     """
-    return events.CallReceived(token, kind, host, path, key, 3.0, spec)
+    return events.CallReceived(token, kind, host, path, key, deadline_s, spec)
 
 
 def of_type(produced, kind):
@@ -138,7 +138,8 @@
     times = []
     for now_s in (1.0, 3.0, 20.0):
         node.operator.last_success_s = now_s
-        feed(node, now_s, call(events.SUBMIT, f"/q/j{now_s}", token=round(now_s)))
+        request = call(events.SUBMIT, f"/q/j{now_s}", token=round(now_s), deadline_s=10.0)
+        feed(node, now_s, request)
         seq = node.intake.seq
         event = events.Appended("intake", seq, events.REFUSED)
         (reply,) = of_type(feed(node, now_s + 0.3, event), effects.Reply)
@@ -205,3 +206,51 @@
     feed(node, 0.2, events.OperatorRead(3, make_config(5, ("old",)), (), 0.2))
     assert node.config.version == 7
     assert "new" in node.config.workspace_of_key
+
+
+# Guards against a retry delay of 4 s for a caller that gives up after 2.7 s.
+def test_the_retry_delay_ends_before_the_callers_deadline(node):
+    """
+    A caller is told to return while its deadline still runs, or nothing if it can't.
+    """
+    node.operator.last_success_s = 20.0
+    for token, deadline_s in enumerate((3.0, 2.0, 1.0), start=1):
+        at_s = 20.0 + token
+        path = f"/q/j{token}"
+        feed(node, at_s, call(events.SUBMIT, path, token=token, deadline_s=deadline_s))
+        event = events.Appended("intake", node.intake.seq, events.REFUSED)
+        (reply,) = of_type(feed(node, at_s + 0.3, event), effects.Reply)
+        if deadline_s > 1.5:
+            assert 1.0 <= reply.retry_after_s <= deadline_s - 0.3
+        else:
+            assert reply.retry_after_s is None
+
+
+# Guards against calls that wait for a store that is known not to respond.
+def test_a_caller_is_refused_at_once_while_the_log_is_silent(node):
+    """
+    After a failed read of the log, nothing is appended, and a caller that can return is refused.
+    """
+    feed(node, 1.0, events.LogReadFailed("timeout"))
+    produced = feed(node, 1.1, call(events.SUBMIT))
+    produced += feed(node, 1.15, events.Ticked())
+    assert of_type(produced, effects.Append) == []
+    assert replies(produced) == [effects.UNAVAILABLE]
+
+
+# Guards against the refusal of a caller's last try just before the store returns.
+def test_the_last_try_of_a_caller_waits_for_the_return_of_the_log(node):
+    """
+    A caller that can't return in time waits for the log, and is refused by its deadline.
+    """
+    feed(node, 1.0, events.LogReadFailed("timeout"))
+    feed(node, 1.1, call(events.SUBMIT, "/q/early", token=1, deadline_s=0.9))
+    assert replies(feed(node, 1.9, events.Ticked())) == []
+    (reply,) = of_type(feed(node, 1.95, events.Ticked()), effects.Reply)
+    assert (reply.outcome, reply.retry_after_s) == (effects.UNAVAILABLE, None)
+    feed(node, 2.0, call(events.SUBMIT, "/q/late", token=2, deadline_s=0.9))
+    feed(node, 2.5, events.Ticked())
+    produced = feed(node, 2.6, events.LogRead(0, (), 0, 2.59))
+    (append,) = of_type(produced, effects.Append)
+    produced = feed(node, 2.61, events.Appended("intake", append.seq, events.OK))
+    assert replies(produced) == [effects.ACCEPTED]
