Test the return of a silent store whose owner is cut off

The log returned at 37.7 s, but the others had just forwarded their callers' records to the owner and waited 1.6 s for it; the first job was accepted at 38.57 s.

--- a/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
@@ -3,7 +3,13 @@
 """
 
 from eelgrassdrum_core.jobs import Identity, effects, events, model, new_node
-from eelgrassdrum_core.jobs._records import Claimed, Submitted, decode_record, encode_records
+from eelgrassdrum_core.jobs._records import (
+    Claimed,
+    OwnerHeartbeat,
+    Submitted,
+    decode_record,
+    encode_records,
+)
 from eelgrassdrum_testing.jobs.owner import (
     BOUNDS,
     START_S,
@@ -286,3 +292,22 @@
     produced += feed(reader, CALL_S + 0.25, events.Ticked())
     assert of_type(produced, effects.Append) == []
     assert [reply.outcome for reply in of_type(produced, effects.Reply)] == [effects.UNAVAILABLE]
+
+
+# Guards against callers that wait for an owner that can't be reached although the store is back.
+def test_a_forwarded_batch_is_appended_directly_after_an_outage(reader):
+    """
+    After an outage of the log, records are appended directly until the owner is heard again.
+    """
+    (forward,) = of_type(submit(reader), effects.Forward)
+    feed(reader, CALL_S + 0.2, events.LogReadFailed("timeout"))
+    produced = feed(reader, CALL_S + 0.4, events.LogRead(1, (), 1, CALL_S + 0.39))
+    (append,) = of_type(produced, effects.Append)
+    assert append.records == forward.records
+    feed(reader, CALL_S + 0.41, events.Appended("intake", append.seq, events.OK))
+    produced = submit(reader, CALL_S + 0.42, token=2, job="second")
+    (append,) = of_type(produced, effects.Append)
+    feed(reader, CALL_S + 0.43, events.Appended("intake", append.seq, events.OK))
+    heartbeat = tuple(encode_records([OwnerHeartbeat(7, 0)]))
+    feed(reader, CALL_S + 0.6, events.LogRead(1, heartbeat, 2, CALL_S + 0.59))
+    assert of_type(submit(reader, CALL_S + 0.61, token=3, job="third"), effects.Forward)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
@@ -188,12 +188,15 @@
     return longest_s
 
 
-def silent_store_returns(seed: int = 1) -> float:
+def silent_store_returns(is_owner_cut: bool = False, seed: int = 1) -> float:
     """
     The store answers nobody for `SILENCE_S`, while callers keep coming to every instance.
 
+    :param is_owner_cut: whether the owner is cut off from the store and from the other instances
+        in the second half of the outage, and stays so.
     :param seed: of all that is random.
-    :returns: seconds from the return of the store until every instance has accepted a job.
+    :returns: seconds from the return of the store until every instance that is not cut off has
+        accepted a job.
     """
     world = make_world(seed, 3, make_config(is_limited=False))
     world.durations = lambda _key: (0.3, "done")
@@ -204,9 +207,18 @@
     run_until(world, begin_s)
     world.store.state = SILENT
     return_s = begin_s + SILENCE_S
+    cut = {
+        name
+        for name, instance in world.instances.items()
+        if is_owner_cut and instance.node.ownership.is_owner
+    }
     given: dict[str, str] = {}
     for step in range(round((SILENCE_S + CALM_S / 4) * 50)):
         run_until(world, begin_s + step / 50)
+        if world.now_s >= begin_s + SILENCE_S / 2:
+            world.store.refused |= cut
+            for name in cut:
+                world.instances[name].is_cut_from_peers = True
         if world.now_s >= return_s:
             world.store.state = UP
         name = f"entry-{step % 3}"
@@ -218,7 +230,7 @@
     for job, at_s in world.judge.accepted_s.items():
         if at_s >= return_s and job in given:
             first_s.setdefault(given[job], at_s)
-    return max(first_s.get(name, world.now_s) for name in world.instances) - return_s
+    return max(first_s.get(name, world.now_s) for name in world.instances.keys() - cut) - return_s
 
 
 def _two_queues(is_moving: bool) -> model.Config:
--- a/packages/eelgrassdrum-testing/tests/test_jobs_patterns.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_patterns.py
@@ -103,7 +103,15 @@
     """
     Return of a silent store: every instance accepts jobs within a tenth of its callers' deadline.
     """
-    assert max(silent_store_returns(seed) for seed in SEEDS) <= RETURN_S
+    assert max(silent_store_returns(seed=seed) for seed in SEEDS) <= RETURN_S
+
+
+# Guards against callers that wait for an owner that can't be reached although the store is back.
+def test_instances_accept_jobs_without_the_owner_after_a_silent_store_returns():
+    """
+    Return of a silent store whose owner is cut off: the other instances accept jobs as soon.
+    """
+    assert max(silent_store_returns(is_owner_cut=True, seed=seed) for seed in SEEDS) <= RETURN_S
 
 
 def anyone(*_):
