--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
@@ -233,6 +233,40 @@
     return max(first_s.get(name, world.now_s) for name in world.instances.keys() - cut) - return_s
 
 
+def slow_store_returns(seed: int = 1) -> float:
+    """
+    The store answers none of fifteen instances for a while. Otherwise an append takes up the log
+    for a tenth of a second.
+
+    :param seed: of all that is random.
+    :returns: part of the jobs submitted since the return that were accepted within `ACCEPTED_S`.
+    """
+    world = make_world(seed, 15, make_config(is_limited=False))
+    world.durations = lambda _key: (0.3, "done")
+    for number in range(6):
+        add_worker(world, number, "service", CAPACITY)
+    run_until(world, SETTLE_S)
+    world.store.append_s, world.store.delay_s = 0.1, 0.1
+    run_until(world, SETTLE_S + 1.0)
+    world.store.state = SILENT
+    # Callers come during the outage too, so that batches are pending when it ends.
+    for step in range(100):
+        run_until(world, SETTLE_S + 1.0 + step * 0.025)
+        _submit(world, {}, "q", f"{step:015x}f", 1, 0.3)
+    world.store.state = UP
+    return_s = world.now_s
+    given: list[tuple[float, str]] = []
+    for step in range(160):
+        run_until(world, return_s + step * 0.025)
+        job = f"{step:016x}"
+        given.append((world.now_s, job))
+        _submit(world, {}, "q", job, 1, 0.3)
+    run_until(world, world.now_s + ACCEPTED_S)
+    accepted_s = world.judge.accepted_s
+    in_time = sum(job in accepted_s and accepted_s[job] <= at_s + ACCEPTED_S for at_s, job in given)
+    return in_time / len(given)
+
+
 def _two_queues(is_moving: bool) -> model.Config:
     base = make_config(is_limited=False)
     queues = {
--- a/packages/eelgrassdrum-testing/tests/test_jobs_patterns.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_patterns.py
@@ -9,6 +9,7 @@
     burst_beyond_room,
     owner_lost_in_a_burst,
     silent_store_returns,
+    slow_store_returns,
     slow_store_with_many_instances,
     turning_demand,
     workers_stall_in_a_burst,
@@ -114,6 +115,22 @@
     assert max(silent_store_returns(is_owner_cut=True, seed=seed) for seed in SEEDS) <= RETURN_S
 
 
+# Guards against appends that meet at a slow store when it returns.
+def test_a_slow_store_keeps_up_with_many_instances_after_an_outage():
+    """
+    Return of a slow store: callers are accepted in time, since one instance appends for all.
+    """
+    assert min(slow_store_returns(seed) for seed in (1, 3, 4)) >= ACCEPTED_PART
+
+
+# Guards against a queue of appends at the store that never gets shorter than their timeout.
+def test_a_slow_store_recovers_from_appends_that_meet_at_its_return():
+    """
+    Return of a slow store: appends that meet there don't keep it busy for good.
+    """
+    assert slow_store_returns(2) >= ACCEPTED_PART
+
+
 def anyone(*_):
     """
     Take any worker.
