Append past a mute owner when a silent store returns

An owner that can be reached gives records back after 0.8 s while its append has no response. One that leaves a forwarded batch without an answer for a second now counts as mute. At the return of the log, an instance with a mute owner appends its pending batch directly, and later ones until it reads a record of the owner or a new claim. Batches that the owner may still answer stay with it, so that a slow store isn't met by all instances at once.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_forwarding.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_forwarding.py
@@ -16,6 +16,9 @@
 # Timeout of a forwarded batch: two appends to the slowest store observed, 0.4 s each, and the same
 # again for the owner's own work.
 TIMEOUT_S = 1.6
+# Time after which an owner that can be reached has given back records that wait for its append,
+# which it does after `_journal.MAX_QUEUED_S`.
+ANSWER_S = 1.0
 # Time for which an instance appends directly after the owner didn't accept its records; about as
 # long as it takes until there is a new owner.
 DIRECT_APPEND_S = 1.0
@@ -46,7 +49,8 @@
     """
     replicated = node.replicated
     is_known = replicated.owner is not None and replicated.owner_address and node.identity.address
-    if not is_known or at.now_s < node.intake.direct_until_s:
+    direct_until_s = max(node.intake.direct_until_s, node.intake.unheard_until_s)
+    if not is_known or at.now_s < direct_until_s:
         return TO_STORE
     return Route(replicated.owner_address, replicated.epoch)
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -248,7 +248,8 @@
     :param node: the instance.
     """
     intake = node.intake
-    intake.direct_until_s = 0.0
+    intake.direct_until_s = intake.unheard_until_s = 0.0
+    intake.is_owner_mute = False
     is_elsewhere = intake.route is not None and intake.route.epoch not in (0, node.replicated.epoch)
     if intake.is_waiting and is_elsewhere:
         intake.seq += 1
@@ -256,17 +257,29 @@
         intake.is_uncertain = True
 
 
-def replace_pending(node: Node, sent_s: float) -> None:
+def replace_pending(node: Node, at: Moment, sent_s: float) -> None:
     """
-    Send a direct append of callers' records again without waiting for its timeout.
+    Append the pending batch directly after an outage, without waiting for its timeout.
+
+    A batch that was forwarded is left to an owner that may still respond. If the owner was found
+    mute during the outage, batches are appended directly until one of its records is read.
 
     :param node: the instance.
+    :param at: the current time.
     :param sent_s: appends that were sent later are not replaced, by this instance's clock.
     """
     intake = node.intake
     intake.is_failing = False
-    is_direct = intake.is_waiting and intake.route == _forwarding.TO_STORE
-    if not is_direct or intake.last_sent_s >= sent_s:
+    if node.ownership.is_owner:
+        return
+    is_forwarded = intake.is_waiting and intake.route != _forwarding.TO_STORE
+    if is_forwarded and sent_s - intake.last_sent_s >= _forwarding.ANSWER_S:
+        intake.is_owner_mute = True
+    if intake.is_owner_mute:
+        intake.unheard_until_s = at.now_s + _forwarding.DIRECT_APPEND_S
+    elif is_forwarded:
+        return
+    if not intake.is_waiting or intake.last_sent_s >= sent_s:
         return
     intake.seq += 1
     intake.is_waiting = False
@@ -286,6 +299,8 @@
     if event.seq != intake.seq or not intake.batch:
         return
     intake.is_waiting = False
+    if intake.route != _forwarding.TO_STORE:
+        intake.is_owner_mute = at.now_s - intake.last_sent_s >= _forwarding.ANSWER_S
     intake.is_failing = event.outcome != events.OK
     if event.outcome == events.OK:
         batch, intake.batch = intake.batch, ()
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -134,6 +134,8 @@
     :param is_uncertain: whether the batch in flight may already be committed.
     :param is_failing: whether the latest append of a batch failed.
     :param direct_until_s: batches are appended directly to the store before this time.
+    :param unheard_until_s: the same, unless a record of the owner is read.
+    :param is_owner_mute: whether the owner didn't respond to the latest batch forwarded to it.
     :param route: destination of the batch in flight.
     :param outcomes: sequence numbers and outcomes of batches that this instance appended as the
         owner.
@@ -153,6 +155,8 @@
     is_uncertain: bool = False
     is_failing: bool = False
     direct_until_s: float = 0.0
+    unheard_until_s: float = 0.0
+    is_owner_mute: bool = False
     route: Any = None
     outcomes: list[tuple[int, str]] = []
     abandoned: set[int] = set()
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_outage.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_outage.py
@@ -56,7 +56,7 @@
     for subscription in (node.operator, node.registry):
         _replace_pending(subscription, at, sent_s)
     _journal.replace_pending(node, sent_s)
-    _intake.replace_pending(node, sent_s)
+    _intake.replace_pending(node, at, sent_s)
 
 
 def _replace_pending(subscription: Subscription, at: Moment, sent_s: float) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -66,6 +66,7 @@
     tail = node.tail
     if event.sent_s >= tail.sent_s:
         tail.is_reading = False
+    was_silent = _outage.is_silent(node)
     _outage.on_read(node, at, event.sent_s)
     if tail.needs_snapshot or event.offset != node.replicated.offset:
         return
@@ -78,6 +79,8 @@
     for data in event.records:
         _fold_record(node, at, data)
         node.replicated.offset += 1
+    if tail.owner_record_s > former_owner_record_s and not was_silent:
+        node.intake.unheard_until_s = 0.0
     _update_delays(tail, at.now_s, event, former_owner_record_s)
     was_caught_up = tail.is_caught_up
     tail.is_caught_up = node.replicated.offset >= event.end
