Tell refused callers to retry before their deadline

A caller that follows the delay comes back too late.

The reply knows what is left of the caller's deadline (the header is smaller with each try: a second try received at 33.55 s was due at 35.19 s, three seconds after the first). The delay is now at most the whole seconds that are left; with less than one there is no delay in the reply.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -5,6 +5,7 @@
 accepts requests, also without a reachable owner.
 """
 
+import math
 from collections.abc import Callable
 
 from . import _forwarding, _replicated_state, effects, events
@@ -28,7 +29,8 @@
 # Assumed deadline of callers that send none.
 DEFAULT_DEADLINE_S = 5.0
 # Bounds of the retry delay that callers are given while the store is unavailable. The delay equals
-# the duration of the outage so far; most outages last a few seconds.
+# the duration of the outage so far, since most outages last a few seconds, but ends before the
+# deadline of the caller. The platform's callers are told whole seconds.
 MIN_STORE_RETRY_S = 1.0
 MAX_STORE_RETRY_S = 4.0
 # Retry delay for callers of a starting instance, which has a configuration within this time.
@@ -55,7 +57,7 @@
         _refuse(node, call, effects.NO_SUCH_QUEUE, "no_queue_matches")
         return
     if at.now_s - node.operator.last_success_s > node.bounds.config_stale_s:
-        retry_s = store_retry_s(node, at)
+        retry_s = store_retry_s(node, at, _due_s(at, call))
         _refuse(node, call, effects.UNAVAILABLE, "configuration_too_old", retry_s)
         return
     workspace = node.config.workspace_of_key.get(call.key)
@@ -139,14 +141,16 @@
     elif is_log_fresh(node, at.now_s):
         _refuse(node, call, effects.NO_SUCH_JOB, "no_such_job")
     else:
-        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", store_retry_s(node, at))
+        retry_s = store_retry_s(node, at, _due_s(at, call))
+        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", retry_s)
 
 
 def _count_pending(
     node: Node, at: Moment, call: CallReceived, queue: Queue, workspace: str, job_id: str
 ) -> None:
     if not is_log_fresh(node, at.now_s):
-        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", store_retry_s(node, at))
+        retry_s = store_retry_s(node, at, _due_s(at, call))
+        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", retry_s)
         return
     number = node.replicated.pending.get(queue.name, 0)
     emit(node, effects.Reply(call.token, effects.PENDING, number=number))
@@ -194,9 +198,12 @@
 
 
 def _enqueue(node: Node, at: Moment, call: CallReceived, record: Record) -> None:
+    node.intake.waiting.append(IntakeCall(call.token, record, _due_s(at, call), at.now_s))
+
+
+def _due_s(at: Moment, call: CallReceived) -> float:
     wait_s = call.deadline_s or DEFAULT_DEADLINE_S
-    due_s = at.now_s + max(0.0, wait_s - ANSWER_MARGIN_S)
-    node.intake.waiting.append(IntakeCall(call.token, record, due_s, at.now_s))
+    return at.now_s + max(0.0, wait_s - ANSWER_MARGIN_S)
 
 
 def flush(node: Node, at: Moment) -> None:
@@ -412,7 +419,7 @@
 
 
 def _refuse_unavailable(node: Node, at: Moment, call: IntakeCall) -> None:
-    retry_s = store_retry_s(node, at)
+    retry_s = store_retry_s(node, at, call.due_s)
     _reply(node, call, effects.UNAVAILABLE, "store_unavailable", retry_s)
     log_line(
         node,
@@ -435,16 +442,20 @@
     return round(at.now_s - call.since_s, 3)
 
 
-def store_retry_s(node: Node, at: Moment) -> float:
+def store_retry_s(node: Node, at: Moment, due_s: float) -> float | None:
     """
     Return the delay after which a caller should retry while the store is unavailable.
 
     :param node: the instance.
     :param at: the current time.
-    :returns: the delay in seconds.
+    :param due_s: time by which the caller must be answered.
+    :returns: the delay in seconds, or ``None`` if the caller can't return in time.
     """
+    longest_s = min(MAX_STORE_RETRY_S, math.floor(due_s - at.now_s))
+    if longest_s < MIN_STORE_RETRY_S:
+        return None
     outage_s = at.now_s - node.tail.last_success_s
-    return max(MIN_STORE_RETRY_S, min(MAX_STORE_RETRY_S, outage_s))
+    return max(MIN_STORE_RETRY_S, min(longest_s, outage_s))
 
 
 def _expire_cancels(node: Node, at: Moment) -> None:
