--- a/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
@@ -307,3 +307,23 @@
     feed(reader, CALL_S + 0.2, events.LogReadFailed("timeout"))
     produced = feed(reader, CALL_S + 0.4, events.LogRead(1, (), 1, CALL_S + 0.39))
     assert of_type(produced, effects.Append) == []
+
+
+# Guards against direct appends of all instances that meet at a slow store when it returns.
+def test_records_given_back_during_an_outage_are_not_appended_directly(reader):
+    """
+    Records that the owner gives back are refused while the log is silent, and sent to it again
+    just afterwards.
+    """
+    feed(reader, CALL_S, events.LogReadFailed("timeout"))
+    (forward,) = of_type(submit(reader, CALL_S + 0.1), effects.Forward)
+    produced = feed(reader, CALL_S + 0.9, events.Appended("intake", forward.seq, events.REFUSED))
+    assert of_type(produced, effects.Append) == []
+    assert [reply.outcome for reply in of_type(produced, effects.Reply)] == [effects.UNAVAILABLE]
+    (forward,) = of_type(submit(reader, CALL_S + 1.0, token=2, job="second"), effects.Forward)
+    feed(reader, CALL_S + 1.5, events.LogRead(1, (), 1, CALL_S + 1.49))
+    produced = feed(reader, CALL_S + 1.8, events.Appended("intake", forward.seq, events.REFUSED))
+    produced += feed(reader, CALL_S + 1.95, events.Ticked())
+    assert of_type(produced, effects.Reply) == []
+    assert of_type(produced, effects.Append) == []
+    assert of_type(produced, effects.Forward)
