Forward what the owner gives back around an outage once more

The owner gives records back after 0.8 s without an answer to its append. Each instance then appended directly for a second, all at once: the queue at the store grew to 2 s, the appends timed out after 0.9 s and were sent again.

An instance that can't read the log now refuses the callers of records that were given back, which is true as they were not appended, and appends nothing. In the second after the return of the log it forwards them once more. A second refusal means that the owner is gone, and it appends them. An instance that reads the log appends them at once, as before.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -24,6 +24,8 @@
 # Age at which a call that waits for a batch with a pending outcome is refused; twice the append
 # latency of the slowest store observed.
 MAX_QUEUED_S = 0.8
+# Time after an outage of the log within which an owner may give back what had to wait.
+RECENT_OUTAGE_S = 1.0
 # Part of a caller's deadline that is reserved for sending the response.
 ANSWER_MARGIN_S = 0.1
 # Assumed deadline of callers that send none.
@@ -310,6 +312,7 @@
         intake.is_owner_mute = at.now_s - intake.last_sent_s >= _forwarding.ANSWER_S
     intake.is_failing = event.outcome != events.OK
     if event.outcome == events.OK:
+        intake.was_given_back = False
         batch, intake.batch = intake.batch, ()
         for call in batch:
             _accept(node, at, call)
@@ -317,8 +320,11 @@
     if event.outcome != events.REFUSED:
         intake.is_uncertain = True
     is_forwarded = intake.route != _forwarding.TO_STORE
-    if is_forwarded:
+    is_given_back = is_forwarded and _is_given_back(node, at, event)
+    if is_forwarded and not is_given_back:
         intake.direct_until_s = at.now_s + _forwarding.DIRECT_APPEND_S
+    is_silent = node.store.silent_since_s is not None
+    intake.was_given_back = is_given_back and not is_silent
     log_line(
         node,
         "intake.append_failed",
@@ -328,10 +334,26 @@
         detail=event.detail,
         calls=len(intake.batch),
     )
-    if not intake.is_uncertain and not is_forwarded:
+    is_hopeless = is_given_back and is_silent
+    if not intake.is_uncertain and (not is_forwarded or is_hopeless):
         _refuse_overdue(node, at)
 
 
+def _is_given_back(node: Node, at: Moment, event: events.Appended) -> bool:
+    """
+    Return whether the owner gave a batch back because it waits for the log itself.
+
+    Direct appends of all instances would meet there. After the return of the log, the owner gets
+    the batch once more, unless it has just refused it for the second time.
+    """
+    intake = node.intake
+    if event.outcome != events.REFUSED or intake.is_owner_mute:
+        return False
+    if node.store.silent_since_s is not None:
+        return True
+    return at.now_s - node.store.resumed_s < RECENT_OUTAGE_S and not intake.was_given_back
+
+
 def _accept(node: Node, at: Moment, call: IntakeCall) -> None:
     if isinstance(call.record, Submitted):
         node.intake.accepted.setdefault(call.record.job, at.now_s)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -136,6 +136,7 @@
     :param direct_until_s: batches are appended directly to the store before this time.
     :param unheard_until_s: the same, unless a record of the owner is read.
     :param is_owner_mute: whether the owner didn't respond to the latest batch forwarded to it.
+    :param was_given_back: whether the owner gave back the latest batch since the return of the log.
     :param route: destination of the batch in flight.
     :param outcomes: sequence numbers and outcomes of batches that this instance appended as the
         owner.
@@ -157,6 +158,7 @@
     direct_until_s: float = 0.0
     unheard_until_s: float = 0.0
     is_owner_mute: bool = False
+    was_given_back: bool = False
     route: Any = None
     outcomes: list[tuple[int, str]] = []
     abandoned: set[int] = set()
@@ -414,11 +416,13 @@
 
     :param silent_since_s: when a read failed, if none has succeeded since; otherwise ``None``.
     :param answered_sent_s: when the latest successful read was sent.
+    :param resumed_s: when a read last succeeded after a failed one.
     :param logged_s: when the failure of a read that was replaced was last logged.
     """
 
     silent_since_s: float | None = None
     answered_sent_s: float = -1e9
+    resumed_s: float = -1e9
     logged_s: float = -1e9
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_outage.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_outage.py
@@ -52,6 +52,7 @@
         return
     silent_s = at.now_s - store.silent_since_s
     store.silent_since_s = None
+    store.resumed_s = at.now_s
     log_line(node, "store.responds", silent_s=round(silent_s, 3))
     for subscription in (node.operator, node.registry):
         _replace_pending(subscription, at, sent_s)
--- a/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
@@ -326,4 +326,8 @@
     produced += feed(reader, CALL_S + 1.95, events.Ticked())
     assert of_type(produced, effects.Reply) == []
     assert of_type(produced, effects.Append) == []
-    assert of_type(produced, effects.Forward)
+    (forward,) = of_type(produced, effects.Forward)
+    # The address of the owner may no longer be in use.
+    produced = feed(reader, CALL_S + 1.96, events.Appended("intake", forward.seq, events.REFUSED))
+    produced += feed(reader, CALL_S + 2.1, events.Ticked())
+    assert of_type(produced, effects.Append)
