--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -5,6 +5,7 @@
 accepts requests, also without a reachable owner.
 """
 
+import math
 from collections.abc import Callable
 
 from . import _forwarding, _replicated_state, effects, events
@@ -16,17 +17,22 @@
 CHANNEL = "intake"
 # Retry interval of an append without a response.
 RETRY_S = 0.1
+# Time of the last attempt of an append that is to be sent at once.
+NEVER_SENT_S = -1e9
 # Age at which a call is refused if the store refuses its append; allows for two attempts.
 REFUSE_AFTER_S = 0.25
 # Age at which a call that waits for a batch with a pending outcome is refused; twice the append
 # latency of the slowest store observed.
 MAX_QUEUED_S = 0.8
+# Time after an outage of the log within which an owner may give back what had to wait.
+RECENT_OUTAGE_S = 1.0
 # Part of a caller's deadline that is reserved for sending the response.
 ANSWER_MARGIN_S = 0.1
 # Assumed deadline of callers that send none.
 DEFAULT_DEADLINE_S = 5.0
 # Bounds of the retry delay that callers are given while the store is unavailable. The delay equals
-# the duration of the outage so far; most outages last a few seconds.
+# the duration of the outage so far, since most outages last a few seconds, but ends before the
+# deadline of the caller. The platform's callers are told whole seconds.
 MIN_STORE_RETRY_S = 1.0
 MAX_STORE_RETRY_S = 4.0
 # Retry delay for callers of a starting instance, which has a configuration within this time.
@@ -53,7 +59,7 @@
         _refuse(node, call, effects.NO_SUCH_QUEUE, "no_queue_matches")
         return
     if at.now_s - node.operator.last_success_s > node.bounds.config_stale_s:
-        retry_s = store_retry_s(node, at)
+        retry_s = store_retry_s(node, at, _due_s(at, call))
         _refuse(node, call, effects.UNAVAILABLE, "configuration_too_old", retry_s)
         return
     workspace = node.config.workspace_of_key.get(call.key)
@@ -149,14 +155,16 @@
     elif is_log_fresh(node, at.now_s):
         _refuse(node, call, effects.NO_SUCH_JOB, "no_such_job")
     else:
-        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", store_retry_s(node, at))
+        retry_s = store_retry_s(node, at, _due_s(at, call))
+        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", retry_s)
 
 
 def _count_pending(
     node: Node, at: Moment, call: CallReceived, queue: Queue, workspace: str, job_id: str
 ) -> None:
     if not is_log_fresh(node, at.now_s):
-        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", store_retry_s(node, at))
+        retry_s = store_retry_s(node, at, _due_s(at, call))
+        _refuse(node, call, effects.UNAVAILABLE, "log_not_read", retry_s)
         return
     number = node.replicated.pending.get(queue.name, 0)
     emit(node, effects.Reply(call.token, effects.PENDING, number=number))
@@ -204,9 +212,12 @@
 
 
 def _enqueue(node: Node, at: Moment, call: CallReceived, record: Record) -> None:
+    node.intake.waiting.append(IntakeCall(call.token, record, _due_s(at, call), at.now_s))
+
+
+def _due_s(at: Moment, call: CallReceived) -> float:
     wait_s = call.deadline_s or DEFAULT_DEADLINE_S
-    due_s = at.now_s + max(0.0, wait_s - ANSWER_MARGIN_S)
-    node.intake.waiting.append(IntakeCall(call.token, record, due_s, at.now_s))
+    return at.now_s + max(0.0, wait_s - ANSWER_MARGIN_S)
 
 
 def flush(node: Node, at: Moment) -> None:
@@ -258,7 +269,8 @@
     :param node: the instance.
     """
     intake = node.intake
-    intake.direct_until_s = 0.0
+    intake.direct_until_s = intake.unheard_until_s = 0.0
+    intake.is_owner_mute = False
     is_elsewhere = intake.route is not None and intake.route.epoch not in (0, node.replicated.epoch)
     if intake.is_waiting and is_elsewhere:
         intake.seq += 1
@@ -266,6 +278,36 @@
         intake.is_uncertain = True
 
 
+def replace_pending(node: Node, at: Moment, sent_s: float) -> None:
+    """
+    Append the pending batch directly after an outage, without waiting for its timeout.
+
+    A batch that was forwarded is left to an owner that may still respond. If the owner was found
+    mute during the outage, batches are appended directly until one of its records is read.
+
+    :param node: the instance.
+    :param at: the current time.
+    :param sent_s: appends that were sent later are not replaced, by this instance's clock.
+    """
+    intake = node.intake
+    intake.is_failing = False
+    if node.ownership.is_owner:
+        return
+    is_forwarded = intake.is_waiting and intake.route != _forwarding.TO_STORE
+    if is_forwarded and sent_s - intake.last_sent_s >= _forwarding.ANSWER_S:
+        intake.is_owner_mute = True
+    if intake.is_owner_mute:
+        intake.unheard_until_s = at.now_s + _forwarding.DIRECT_APPEND_S
+    elif is_forwarded:
+        return
+    if not intake.is_waiting or intake.last_sent_s >= sent_s:
+        return
+    intake.seq += 1
+    intake.is_waiting = False
+    intake.is_uncertain = True
+    intake.last_sent_s = NEVER_SENT_S
+
+
 def on_appended(node: Node, at: Moment, event: events.Appended) -> None:
     """
     Handle the outcome of an append.
@@ -278,8 +320,11 @@
     if event.seq != intake.seq or not intake.batch:
         return
     intake.is_waiting = False
+    if intake.route != _forwarding.TO_STORE:
+        intake.is_owner_mute = at.now_s - intake.last_sent_s >= _forwarding.ANSWER_S
     intake.is_failing = event.outcome != events.OK
     if event.outcome == events.OK:
+        intake.was_given_back = False
         batch, intake.batch = intake.batch, ()
         for call in batch:
             _accept(node, at, call)
@@ -287,8 +332,11 @@
     if event.outcome != events.REFUSED:
         intake.is_uncertain = True
     is_forwarded = intake.route != _forwarding.TO_STORE
-    if is_forwarded:
+    is_given_back = is_forwarded and _is_given_back(node, at, event)
+    if is_forwarded and not is_given_back:
         intake.direct_until_s = at.now_s + _forwarding.DIRECT_APPEND_S
+    is_silent = node.store.silent_since_s is not None
+    intake.was_given_back = is_given_back and not is_silent
     log_line(
         node,
         "intake.append_failed",
@@ -298,10 +346,26 @@
         detail=event.detail,
         calls=len(intake.batch),
     )
-    if not intake.is_uncertain and not is_forwarded:
+    is_hopeless = is_given_back and is_silent
+    if not intake.is_uncertain and (not is_forwarded or is_hopeless):
         _refuse_overdue(node, at)
 
 
+def _is_given_back(node: Node, at: Moment, event: events.Appended) -> bool:
+    """
+    Return whether the owner gave a batch back because it waits for the log itself.
+
+    Direct appends of all instances would meet there. After the return of the log, the owner gets
+    the batch once more, unless it has just refused it for the second time.
+    """
+    intake = node.intake
+    if event.outcome != events.REFUSED or intake.is_owner_mute:
+        return False
+    if node.store.silent_since_s is not None:
+        return True
+    return at.now_s - node.store.resumed_s < RECENT_OUTAGE_S and not intake.was_given_back
+
+
 def _accept(node: Node, at: Moment, call: IntakeCall) -> None:
     if isinstance(call.record, Submitted):
         node.intake.accepted.setdefault(call.record.job, at.now_s)
@@ -398,7 +462,7 @@
 
 
 def _refuse_unavailable(node: Node, at: Moment, call: IntakeCall) -> None:
-    retry_s = store_retry_s(node, at)
+    retry_s = store_retry_s(node, at, call.due_s)
     _reply(node, call, effects.UNAVAILABLE, "store_unavailable", retry_s)
     log_line(
         node,
@@ -422,16 +486,20 @@
     return round(at.now_s - call.since_s, 3)
 
 
-def store_retry_s(node: Node, at: Moment) -> float:
+def store_retry_s(node: Node, at: Moment, due_s: float) -> float | None:
     """
     Return the delay after which a caller should retry while the store is unavailable.
 
     :param node: the instance.
     :param at: the current time.
-    :returns: the delay in seconds.
+    :param due_s: time by which the caller must be answered.
+    :returns: the delay in seconds, or ``None`` if the caller can't return in time.
     """
+    longest_s = min(MAX_STORE_RETRY_S, math.floor(due_s - at.now_s))
+    if longest_s < MIN_STORE_RETRY_S:
+        return None
     outage_s = at.now_s - node.tail.last_success_s
-    return max(MIN_STORE_RETRY_S, min(MAX_STORE_RETRY_S, outage_s))
+    return max(MIN_STORE_RETRY_S, min(longest_s, outage_s))
 
 
 def _expire_cancels(node: Node, at: Moment) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -91,8 +91,10 @@
     :param last_sent_s: when it was last sent.
     :param heartbeat_s: when the latest heartbeat was written.
     :param logged_s: when a failed append was last logged.
+    :param confirms_s: when the earliest attempt was sent that a response may belong to.
     :param is_waiting: whether a response to the append is outstanding.
     :param is_uncertain: whether the append in flight may already be committed.
+    :param is_repeated: whether it was sent again while a response was outstanding.
     """
 
     next: Batch = msgspec.field(default_factory=Batch)
@@ -101,10 +103,12 @@
     seq: int = 0
     sent_s: float = 0.0
     last_sent_s: float = 0.0
+    confirms_s: float = 0.0
     heartbeat_s: float = -1e9
     logged_s: float = -1e9
     is_waiting: bool = False
     is_uncertain: bool = False
+    is_repeated: bool = False
 
 
 class IntakeCall(NamedTuple):
@@ -130,6 +134,9 @@
     :param is_uncertain: whether the batch in flight may already be committed.
     :param is_failing: whether the latest append of a batch failed.
     :param direct_until_s: batches are appended directly to the store before this time.
+    :param unheard_until_s: the same, unless a record of the owner is read.
+    :param is_owner_mute: whether the owner didn't respond to the latest batch forwarded to it.
+    :param was_given_back: whether the owner gave back the latest batch since the return of the log.
     :param route: destination of the batch in flight.
     :param outcomes: sequence numbers and outcomes of batches that this instance appended as the
         owner.
@@ -149,6 +156,9 @@
     is_uncertain: bool = False
     is_failing: bool = False
     direct_until_s: float = 0.0
+    unheard_until_s: float = 0.0
+    is_owner_mute: bool = False
+    was_given_back: bool = False
     route: Any = None
     outcomes: list[tuple[int, str]] = []
     abandoned: set[int] = set()
@@ -353,10 +363,10 @@
     """
     State of reading the log.
 
-    :param sent_s: when the latest read was sent.
     :param is_caught_up: whether the latest read reached the end of the log.
     :param has_caught_up: whether the end of the log was reached since the replicated state was
         created.
+    :param sent_s: when the latest read was sent.
     :param last_success_s: when the latest successful read was sent.
     :param answered_s: when its response arrived.
     :param readable_since_s: time since which no read has failed; 1e18 while reads fail.
@@ -367,11 +377,11 @@
     """
 
     is_reading: bool = False
-    sent_s: float = -1e9
     next_read_s: float = 0.0
     is_caught_up: bool = False
     has_caught_up: bool = False
     needs_snapshot: bool = True
+    sent_s: float = -1e9
     last_success_s: float = -1e9
     answered_s: float = -1e9
     readable_since_s: float = 1e18
@@ -409,12 +419,14 @@
     State of polling records that others publish.
 
     :param cursor: position of the next read, or ``None`` to read all records.
+    :param sent_s: when the latest read was sent.
     :param last_success_s: when the records were last read successfully.
     """
 
     cursor: int | None = None
     is_reading: bool = False
     next_read_s: float = 0.0
+    sent_s: float = -1e9
     last_success_s: float = -1e9
 
 
@@ -437,6 +449,22 @@
     next_line_s: dict[tuple[str, str], float] = {}
 
 
+class StoreContact(msgspec.Struct, eq=False):
+    """
+    Whether the store responds to reads of the log.
+
+    :param silent_since_s: when a read failed, if none has succeeded since; otherwise ``None``.
+    :param answered_sent_s: when the latest successful read was sent.
+    :param resumed_s: when a read last succeeded after a failed one.
+    :param logged_s: when the failure of a read that was replaced was last logged.
+    """
+
+    silent_since_s: float | None = None
+    answered_sent_s: float = -1e9
+    resumed_s: float = -1e9
+    logged_s: float = -1e9
+
+
 class Node(msgspec.Struct, eq=False):
     """
     The state of an instance.
@@ -463,6 +491,7 @@
     config: Config | None = None
     operator: Subscription = msgspec.field(default_factory=Subscription)
     registry: Subscription = msgspec.field(default_factory=Subscription)
+    store: StoreContact = msgspec.field(default_factory=StoreContact)
     workers: dict[str, Worker] = {}
     waves: dict[int, WaveState] = {}
     fleet: Fleet = msgspec.field(default_factory=Fleet)
--- a/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
@@ -3,7 +3,13 @@
 """
 
 from eelgrassdrum_core.jobs import Identity, effects, events, model, new_node
-from eelgrassdrum_core.jobs._records import Claimed, Submitted, decode_record, encode_records
+from eelgrassdrum_core.jobs._records import (
+    Claimed,
+    OwnerHeartbeat,
+    Submitted,
+    decode_record,
+    encode_records,
+)
 from eelgrassdrum_testing.jobs.owner import (
     BOUNDS,
     START_S,
@@ -188,7 +194,8 @@
     (append,) = of_type(produced, effects.Append)
     feed(owner, now_s + 0.3, events.LogReadFailed("timeout"))
     back_s = now_s + 0.6
-    produced = feed(owner, back_s, events.OperatorRead(1, None, (), back_s - 0.01))
+    offset = owner.replicated.offset
+    produced = feed(owner, back_s, events.LogRead(offset, (), offset, back_s - 0.01))
     (again,) = of_type(produced, effects.Append)
     assert (again.seq, again.records) == (append.seq, append.records)
     # The first attempt may have been executed, so a refusal of the second proves nothing.
@@ -208,23 +215,119 @@
     )
     for step in range(1, 8):
         at_s = now_s + step / 10
-        produced = feed(owner, at_s, events.OperatorRead(1, None, (), at_s - 0.01))
+        offset = owner.replicated.offset
+        produced = feed(owner, at_s, events.LogRead(offset, (), offset, at_s - 0.01))
         assert of_type(produced, effects.Append) == []
 
 
-# Guards against a configuration that is too old until a read of the outage times out.
+# Guards against a return of the store that shows only when a read of the outage has timed out.
 def test_reads_are_repeated_while_the_store_is_silent(reader):
     """
-    After a failed read, the operator's records are read at short intervals, whatever is pending.
+    After a failed read, the log is read at short intervals, whatever is pending.
     """
     feed(reader, CALL_S, events.Ticked())
     feed(reader, CALL_S, events.LogReadFailed("timeout"))
     reads = [
         effect
         for step in range(1, 21)
-        for effect in of_type(
-            feed(reader, CALL_S + step * 0.05, events.Ticked()), effects.ReadOperator
-        )
+        for effect in of_type(feed(reader, CALL_S + step * 0.05, events.Ticked()), effects.ReadLog)
     ]
     assert 4 <= len(reads) <= 8
     assert all(read.wait_s == 0.0 for read in reads)
+
+
+# Guards against leases that reach beyond the time for which the ownership is known.
+def test_a_repeated_append_confirms_the_ownership_from_its_first_attempt(owner):
+    """
+    A response after a repeat may belong to the first attempt, so it proves no later ownership.
+    """
+    now_s = START_S + 2.5
+    commit(owner, now_s)
+    feed(owner, now_s, events.PeerRecords(5, 1, encode_submission()))
+    feed(owner, now_s + 0.3, events.LogReadFailed("timeout"))
+    offset = owner.replicated.offset
+    back_s = now_s + 0.6
+    feed(owner, back_s, events.LogRead(offset, (), offset, back_s - 0.01))
+    feed(owner, back_s, events.Appended("owner", owner.journal.seq, events.OK))
+    assert owner.ownership.confirmed_s <= now_s
+
+
+# Guards against a return of the store that is taken for an outage when older reads time out.
+def test_a_replaced_read_that_fails_late_is_no_outage(reader):
+    """
+    The failure of a read that was sent before the latest successful one changes nothing.
+    """
+    feed(reader, CALL_S, events.LogReadFailed("timeout"))
+    assert of_type(feed(reader, CALL_S + 0.1, events.Ticked()), effects.ReadLog)
+    assert of_type(feed(reader, CALL_S + 0.3, events.Ticked()), effects.ReadLog)
+    feed(reader, CALL_S + 0.31, events.LogRead(1, (), 1, CALL_S + 0.3))
+    assert reader.store.silent_since_s is None
+    feed(reader, CALL_S + 1.0, events.LogReadFailed("timeout", CALL_S + 0.1))
+    assert reader.store.silent_since_s is None
+    assert reader.tail.readable_since_s <= CALL_S + 0.31
+
+
+# Guards against callers that are refused although the owner can reach the store.
+def test_an_instance_whose_log_is_silent_still_forwards_to_the_owner(reader):
+    """
+    An instance that can't read the log forwards submissions.
+    """
+    feed(reader, CALL_S, events.LogReadFailed("timeout"))
+    produced = submit(reader, CALL_S + 0.1)
+    assert of_type(produced, effects.Forward)
+    assert of_type(produced, effects.Append) == []
+
+
+# Guards against callers that wait for an owner that can't be reached although the store is back.
+def test_a_forwarded_batch_is_appended_directly_after_an_outage(reader):
+    """
+    After an outage of the log, records are appended directly until a mute owner is heard again.
+    """
+    (forward,) = of_type(submit(reader), effects.Forward)
+    feed(reader, CALL_S + 0.2, events.LogReadFailed("timeout"))
+    back_s = CALL_S + 1.2
+    produced = feed(reader, back_s, events.LogRead(1, (), 1, back_s - 0.01))
+    (append,) = of_type(produced, effects.Append)
+    assert append.records == forward.records
+    feed(reader, back_s + 0.01, events.Appended("intake", append.seq, events.OK))
+    produced = submit(reader, back_s + 0.02, token=2, job="second")
+    (append,) = of_type(produced, effects.Append)
+    feed(reader, back_s + 0.03, events.Appended("intake", append.seq, events.OK))
+    heartbeat = tuple(encode_records([OwnerHeartbeat(7, 0)]))
+    feed(reader, back_s + 0.2, events.LogRead(1, heartbeat, 2, back_s + 0.19))
+    assert of_type(submit(reader, back_s + 0.21, token=3, job="third"), effects.Forward)
+
+
+# Guards against many direct appends at a slow store that returns.
+def test_a_batch_that_the_owner_may_answer_is_left_to_it_after_an_outage(reader):
+    """
+    After an outage of the log, a batch that was forwarded lately stays with the owner.
+    """
+    submit(reader)
+    feed(reader, CALL_S + 0.2, events.LogReadFailed("timeout"))
+    produced = feed(reader, CALL_S + 0.4, events.LogRead(1, (), 1, CALL_S + 0.39))
+    assert of_type(produced, effects.Append) == []
+
+
+# Guards against direct appends of all instances that meet at a slow store when it returns.
+def test_records_given_back_during_an_outage_are_not_appended_directly(reader):
+    """
+    Records that the owner gives back are refused while the log is silent, and sent to it again
+    just afterwards.
+    """
+    feed(reader, CALL_S, events.LogReadFailed("timeout"))
+    (forward,) = of_type(submit(reader, CALL_S + 0.1), effects.Forward)
+    produced = feed(reader, CALL_S + 0.9, events.Appended("intake", forward.seq, events.REFUSED))
+    assert of_type(produced, effects.Append) == []
+    assert [reply.outcome for reply in of_type(produced, effects.Reply)] == [effects.UNAVAILABLE]
+    (forward,) = of_type(submit(reader, CALL_S + 1.0, token=2, job="second"), effects.Forward)
+    feed(reader, CALL_S + 1.5, events.LogRead(1, (), 1, CALL_S + 1.49))
+    produced = feed(reader, CALL_S + 1.8, events.Appended("intake", forward.seq, events.REFUSED))
+    produced += feed(reader, CALL_S + 1.95, events.Ticked())
+    assert of_type(produced, effects.Reply) == []
+    assert of_type(produced, effects.Append) == []
+    (forward,) = of_type(produced, effects.Forward)
+    # The address of the owner may no longer be in use.
+    produced = feed(reader, CALL_S + 1.96, events.Appended("intake", forward.seq, events.REFUSED))
+    produced += feed(reader, CALL_S + 2.1, events.Ticked())
+    assert of_type(produced, effects.Append)
--- a/packages/eelgrassdrum-core/tests/test_jobs_intake.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_intake.py
@@ -50,11 +50,11 @@
     return reduce(node, Moment(now_s, WALL_MS + round(now_s * 1000)), event)
 
 
-def call(kind, path="/q/job1", key="key", token=1, spec=SPEC, host="host"):
+def call(kind, path="/q/job1", key="key", token=1, spec=SPEC, host="host", deadline_s=3.0):
     """
     Build a caller's request.
     """
-    return events.CallReceived(token, kind, host, path, key, 3.0, spec)
+    return events.CallReceived(token, kind, host, path, key, deadline_s, spec)
 
 
 def of_type(produced, kind):
@@ -194,7 +194,8 @@
     times = []
     for now_s in (1.0, 3.0, 20.0):
         node.operator.last_success_s = now_s
-        feed(node, now_s, call(events.SUBMIT, f"/q/j{now_s}", token=round(now_s)))
+        request = call(events.SUBMIT, f"/q/j{now_s}", token=round(now_s), deadline_s=10.0)
+        feed(node, now_s, request)
         seq = node.intake.seq
         event = events.Appended("intake", seq, events.REFUSED)
         (reply,) = of_type(feed(node, now_s + 0.3, event), effects.Reply)
@@ -261,3 +262,35 @@
     feed(node, 0.2, events.OperatorRead(3, make_config(5, ("old",)), (), 0.2))
     assert node.config.version == 7
     assert "new" in node.config.workspace_of_key
+
+
+# Guards against a retry delay of 4 s for a caller that gives up after 2.7 s.
+def test_the_retry_delay_ends_before_the_callers_deadline(node):
+    """
+    A caller is told to return while its deadline still runs, or nothing if it can't.
+    """
+    node.operator.last_success_s = 20.0
+    for token, deadline_s in enumerate((3.0, 2.0, 1.0), start=1):
+        at_s = 20.0 + token
+        path = f"/q/j{token}"
+        feed(node, at_s, call(events.SUBMIT, path, token=token, deadline_s=deadline_s))
+        event = events.Appended("intake", node.intake.seq, events.REFUSED)
+        (reply,) = of_type(feed(node, at_s + 0.3, event), effects.Reply)
+        if deadline_s > 1.5:
+            assert 1.0 <= reply.retry_after_s <= deadline_s - 0.3
+        else:
+            assert reply.retry_after_s is None
+
+
+def test_calls_behind_a_failing_append_are_refused_within_a_quarter_of_a_second(node):
+    """
+    A caller whose record waits behind an append that fails is refused, and its record isn't sent.
+    """
+    (append,) = of_type(feed(node, 1.0, call(events.SUBMIT, "/q/first", token=1)), effects.Append)
+    feed(node, 1.9, events.Appended(append.channel, append.seq, events.UNKNOWN))
+    produced = feed(node, 1.95, call(events.SUBMIT, "/q/second", token=2))
+    produced += feed(node, 2.25, events.Ticked())
+    (reply,) = of_type(produced, effects.Reply)
+    assert (reply.token, reply.outcome) == (2, effects.UNAVAILABLE)
+    sent = of_type(produced, effects.Append)
+    assert all(append.records == item.records for item in sent)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
@@ -240,12 +240,15 @@
     return longest_s
 
 
-def silent_store_returns(seed: int = 1) -> float:
+def silent_store_returns(is_owner_cut: bool = False, seed: int = 1) -> float:
     """
     The store answers nobody for `SILENCE_S`, while callers keep coming to every instance.
 
+    :param is_owner_cut: whether the owner is cut off from the store and from the other instances
+        in the second half of the outage, and stays so.
     :param seed: of all that is random.
-    :returns: seconds from the return of the store until every instance has accepted a job.
+    :returns: seconds from the return of the store until every instance that is not cut off has
+        accepted a job.
     """
     world = make_world(seed, 3, make_config(is_limited=False))
     world.durations = lambda _key: (0.3, "done")
@@ -256,9 +259,18 @@
     run_until(world, begin_s)
     world.store.state = SILENT
     return_s = begin_s + SILENCE_S
+    cut = {
+        name
+        for name, instance in world.instances.items()
+        if is_owner_cut and instance.node.ownership.is_owner
+    }
     given: dict[str, str] = {}
     for step in range(round((SILENCE_S + CALM_S / 4) * 50)):
         run_until(world, begin_s + step / 50)
+        if world.now_s >= begin_s + SILENCE_S / 2:
+            world.store.refused |= cut
+            for name in cut:
+                world.instances[name].is_cut_from_peers = True
         if world.now_s >= return_s:
             world.store.state = UP
         name = f"entry-{step % 3}"
@@ -270,7 +282,41 @@
     for job, at_s in world.judge.accepted_s.items():
         if at_s >= return_s and job in given:
             first_s.setdefault(given[job], at_s)
-    return max(first_s.get(name, world.now_s) for name in world.instances) - return_s
+    return max(first_s.get(name, world.now_s) for name in world.instances.keys() - cut) - return_s
+
+
+def slow_store_returns(seed: int = 1) -> float:
+    """
+    The store answers none of fifteen instances for a while. Otherwise an append takes up the log
+    for a tenth of a second.
+
+    :param seed: of all that is random.
+    :returns: part of the jobs submitted since the return that were accepted within `ACCEPTED_S`.
+    """
+    world = make_world(seed, 15, make_config(is_limited=False))
+    world.durations = lambda _key: (0.3, "done")
+    for number in range(6):
+        add_worker(world, number, "service", CAPACITY)
+    run_until(world, SETTLE_S)
+    world.store.append_s, world.store.delay_s = 0.1, 0.1
+    run_until(world, SETTLE_S + 1.0)
+    world.store.state = SILENT
+    # Callers come during the outage too, so that batches are pending when it ends.
+    for step in range(100):
+        run_until(world, SETTLE_S + 1.0 + step * 0.025)
+        _submit(world, {}, "q", f"{step:015x}f", 1, 0.3)
+    world.store.state = UP
+    return_s = world.now_s
+    given: list[tuple[float, str]] = []
+    for step in range(160):
+        run_until(world, return_s + step * 0.025)
+        job = f"{step:016x}"
+        given.append((world.now_s, job))
+        _submit(world, {}, "q", job, 1, 0.3)
+    run_until(world, world.now_s + ACCEPTED_S)
+    accepted_s = world.judge.accepted_s
+    in_time = sum(job in accepted_s and accepted_s[job] <= at_s + ACCEPTED_S for at_s, job in given)
+    return in_time / len(given)
 
 
 def _two_queues(is_moving: bool) -> model.Config:
