Show that a late refusal takes an endpoint's next incarnation out of use

Callers lose an endpoint for good: an attempt goes to an endpoint that is leaving, the endpoint restarts with a newer incarnation, the list shows it, and only then is the refusal with X-Leaving processed. The refusal names no incarnation, so it marks the newer one as leaving, and every instance of the zone is told so. A leaving endpoint is not probed, and only a further incarnation ends that, so no later evidence corrects it.

The test fails: a line endpoint.leaving is written and the endpoint gets no work.

--- a/packages/eelgrassdrum-core/tests/test_request_path.py
+++ b/packages/eelgrassdrum-core/tests/test_request_path.py
@@ -182,3 +182,22 @@
     assert state.fold.config.documents["show"][-1].comment == "first"
     decision = state.fold.position.decisions[RecordId("operator", 1, 6)]
     assert (decision.accepted, decision.overtaken_by) == (False, 5)
+
+
+# Guards against a refusal that was decided by a former incarnation and took its successor out of
+# use for good, in the whole zone.
+def test_refusal_of_a_former_incarnation_says_nothing_about_the_next(
+    state: State, credential: Credential
+) -> None:
+    """
+    A refusal of an attempt that was sent to an older incarnation doesn't make the newer one leave.
+    """
+    _, produced = reduce(state, 2.0, submit(7, credential))
+    [dispatch] = effects_of_type(effects.Dispatch, produced)
+    listed = events.ListedInstance("ep-1", "endpoint", "127.0.0.1:9", "a", service="show/judging")
+    reduce(state, 2.1, events.InstancesListed((listed._replace(incarnation=1),)))
+    _, produced = reduce(state, 2.2, events.AttemptRefused(dispatch.attempt, True))
+    assert effects_of_type(effects.WriteLog, produced) == []
+    assert not state.endpoints.endpoints["ep-1"].leaving
+    _, produced = reduce(state, 3.0, events.Ticked())
+    assert len(effects_of_type(effects.Dispatch, produced)) == 1
