Count a refusal only against the incarnation that the attempt was sent to

Callers lost an endpoint for good when its refusal with X-Leaving was processed after a newer incarnation was known: the newer one was taken for leaving in the whole zone, was not probed any more, and no list could correct that.

An attempt now remembers the newest incarnation that was known at its dispatch, and its refusal marks the endpoint as leaving only while that is still the newest. Otherwise the endpoint only pauses as after a refusal without room; if the newer incarnation is leaving too, its list entry, a probe or the next refusal says so.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_dispatch.py
@@ -89,7 +89,9 @@
     if attempt is None:
         return
     endpoint = state.endpoints.endpoints.get(attempt.endpoint)
-    if event.leaving:
+    # The refusal names no incarnation; an older one may have sent it.
+    is_current = endpoint is not None and endpoint.incarnation == attempt.incarnation
+    if event.leaving and is_current:
         yield from _endpoints_health.note_leaving(state, attempt.endpoint)
     elif endpoint is not None:
         endpoint.retry_at_s = max(endpoint.retry_at_s, state.now_s + state.tuning.refused_pause_s)
@@ -190,7 +192,9 @@
         _retries.record_first_attempt(state.overload, req.queue)
     endpoint.in_flight += 1
     endpoint.last_attempt_s = state.now_s
-    state.requests.attempts[attempt_id] = Attempt(attempt_id, req, endpoint.id, state.now_s)
+    state.requests.attempts[attempt_id] = Attempt(
+        attempt_id, req, endpoint.id, state.now_s, endpoint.incarnation
+    )
     team: Team | None = state.fold.config.teams.get(req.team)
     share = OPEN_SHARE if team is None else team.share
     _fair_accounts.open_charge(state.fair, attempt_id, req, share, state.now_s)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_requests.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_requests.py
@@ -55,9 +55,11 @@
     :param request: the request.
     :param endpoint: id of the endpoint.
     :param started_s: time of dispatch.
+    :param incarnation: newest incarnation of the endpoint that was known at dispatch.
     """
 
     id: str
     request: Request
     endpoint: str
     started_s: float
+    incarnation: int = 0
