Show that stops begin for what was decided while nothing could be appended

Operators see instances stop in a round that is paused for related failures, when the log takes appends again. A controller proposes nothing while its reads of the log fail, so that no stale decision is appended later. But appends can fail while reads are answered, and an outage of both is noticed only when a read ends. What was proposed meanwhile waits in the outbox and is appended whenever the log takes it. The fold checks such a stop against the failures that its record names, those of the time of the proposal.

In the test appends are refused for 20 s, and a rack fails after 8 s. The harness's log learns to refuse appends only.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_log.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_log.py
@@ -75,6 +75,9 @@
         if is_refused(world, zone):
             later(world, CALL_TIMEOUT_S, lambda: deliver(events.AppendFailed("timeout", False)))
             return
+        if world.log.refuses_appends:
+            deliver(events.AppendFailed("status 503", False))
+            return
         offsets = tuple(append(world, record) for record in effect.records)
         if world.rng.random() < world.log.lose_answers:
             lost = events.AppendFailed("closed", True)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -135,6 +135,7 @@
     :param snapshots: chunk of each offset of the snapshot stream, from 1.
     :param first_snapshot: oldest chunk kept.
     :param outage: whether every call fails.
+    :param refuses_appends: whether appends fail without effect while reads are answered.
     :param delay_s: seconds that each call takes.
     :param lose_answers: share of appends whose answer is lost after the effect.
     :param waiters: long polls to answer at the next append.
@@ -145,6 +146,7 @@
     first_snapshot: int = 1
     first: int = 1
     outage: bool = False
+    refuses_appends: bool = False
     delay_s: float = 0.01
     lose_answers: float = 0.0
     waiters: list[Callable[[], None]] = msgspec.field(default_factory=list)
--- a/packages/eelgrassdrum-testing/tests/test_maintenance.py
+++ b/packages/eelgrassdrum-testing/tests/test_maintenance.py
@@ -106,6 +106,23 @@
     assert run_until_done(world) < 400.0
 
 
+# Guards against stops that were decided while nothing could be appended and began after it.
+def test_no_stop_begins_for_what_was_decided_before_the_appends_failed(world: World) -> None:
+    """A round that a failed rack must pause stops nothing when the log takes appends again."""
+    world.log.refuses_appends = True
+    order_maintenance(world, "start")
+    advance(world, 8.0)
+    for machine in world.platform.machines.values():
+        if machine.rack == "b-r1":
+            schedules.fail_machine(world, machine, repair_s=120.0)
+    advance(world, 12.0)
+    assert world.platform.stops == []
+    world.log.refuses_appends = False
+    advance(world, 20.0)
+    assert reference_fold(world).maintenance.rounds["fleet"].is_paused
+    assert world.platform.stops == []
+
+
 def test_a_round_pauses_when_a_rack_fails(world: World) -> None:
     """Failures in one rack pause the round; an operator who resumes has accepted them."""
     order_maintenance(world, "start")
