Drop decisions about instances that could not be appended in time

A proposed record may now have a validity, after which the outbox drops it instead of beginning or repeating its append. Controllers give their records the time after which they propose again anyway, so a decision that is still right is made anew from the current state, also a step that the platform has completed. A batch of unknown outcome is dropped only after the log was read without it. Records without a validity are kept as before.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_controllers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_controllers.py
@@ -62,7 +62,8 @@
     Propose a record once per revision of its subject, and retry after `PROPOSE_AGAIN_S` without a
     result.
 
-    Nothing is proposed while the log is unavailable, so that no stale decision is appended later.
+    Nothing is proposed while the log is unavailable, and what could not be appended until a retry
+    is due is not appended any more, so that no stale decision is appended later.
 
     :param state: state of this entry instance.
     :param kind: kind of the record.
@@ -81,7 +82,7 @@
     ):
         return
     state.fleet.proposed[subject] = ProposedRecord(base, state.now_s)
-    yield Emit(RecordProposed(kind, subject, base, body))
+    yield Emit(RecordProposed(kind, subject, base, body, PROPOSE_AGAIN_S))
 
 
 def on_folded(state: State, event: RecordFolded) -> Iterator[object]:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_events.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_events.py
@@ -2,6 +2,7 @@
 Events: the inputs of the reducer.
 """
 
+from math import inf
 from typing import Any, NamedTuple
 
 from ._ids import Credential, RecordId, Sender
@@ -278,17 +279,19 @@
     :param subject: the subject that it changes.
     :param base: revision of the subject that it builds on, or ``None`` for any.
     :param body: its fields.
+    :param valid_s: seconds from now in which its append may begin or be repeated.
     """
 
     kind: str
     subject: str
     base: int | None
     body: dict[str, Any]
+    valid_s: float = inf
 
 
 class RecordResolved(NamedTuple):
     """
-    A record written by this instance was accepted or rejected.
+    A record written by this instance was accepted or rejected, or is not appended any more.
 
     :param id: the record's id.
     :param offset: its offset in the log.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_log_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_log_state.py
@@ -98,12 +98,14 @@
     :param waiting: records that are not yet appended.
     :param in_flight: the batch that is not yet known to be in the log.
     :param uncertain_since_s: time since when it is unknown whether the batch is in the log, or -1.
+    :param expires_s: time after which a record is not appended any more, by sequence number.
     :param next_sequence: sequence number of the next record.
     """
 
     waiting: deque[Record] = msgspec.field(default_factory=deque)
     in_flight: tuple[Record, ...] = ()
     uncertain_since_s: float = NEVER_S
+    expires_s: dict[int, float] = msgspec.field(default_factory=dict)
     next_sequence: int = 1
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_outbox.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_outbox.py
@@ -5,10 +5,12 @@
 records of one writer only in the order of their sequence numbers. A batch with an unknown outcome
 is not appended again until the log has been read up to a head that is newer than the failure.
 Records that were not found there are appended again with the same ids; the fold applies each id
-only once.
+only once. A record of limited validity that has expired is dropped instead.
 """
 
+from collections import deque
 from collections.abc import Iterator
+from math import inf
 
 from ._effects import AppendRecords, Emit, WriteLog
 from ._events import (
@@ -37,6 +39,7 @@
 URGENT_KINDS = frozenset({KEY_WITHDRAWN})
 URGENT_SUFFIX = "/urgent"
 REASON_OUTBOX_FULL = "outbox_full"
+REASON_EXPIRED = "expired"
 
 
 def on_proposed(state: State, event: RecordProposed) -> Iterator[object]:
@@ -51,6 +54,8 @@
         yield Emit(RecordResolved(record_id, 0, False, REASON_OUTBOX_FULL))
         return
     lane.next_sequence += 1
+    if event.valid_s < inf:
+        lane.expires_s[record_id.sequence] = state.now_s + event.valid_s
     lane.waiting.append(Record(record_id, event.kind, event.subject, event.base, event.body))
     yield from _send_next(state)
 
@@ -138,6 +143,7 @@
     for name, lane in outbox.lanes.items():
         if lane.uncertain_since_s != NEVER_S:
             continue
+        yield from _drop_expired(lane, state.now_s)
         batch = _take_batch(outbox, lane)
         if batch:
             lane.in_flight = batch
@@ -148,6 +154,25 @@
             return
 
 
+def _drop_expired(lane: OutboxLane, now_s: float) -> Iterator[object]:
+    """
+    Drop the records that have expired, none of which is in an append that is pending.
+    """
+    expired = {sequence for sequence, at_s in lane.expires_s.items() if at_s <= now_s}
+    if not expired:
+        return
+    dropped = [r for r in (*lane.in_flight, *lane.waiting) if r.id.sequence in expired]
+    lane.in_flight = tuple(r for r in lane.in_flight if r.id.sequence not in expired)
+    lane.waiting = deque(r for r in lane.waiting if r.id.sequence not in expired)
+    for sequence in expired:
+        del lane.expires_s[sequence]
+    if dropped:
+        fields = {"records": len(dropped), "first": dropped[0].subject}
+        yield WriteLog("append.expired", fields)
+    for record in dropped:
+        yield Emit(RecordResolved(record.id, 0, False, REASON_EXPIRED))
+
+
 def _take_batch(outbox: Outbox, lane: OutboxLane) -> tuple[Record, ...]:
     if lane.in_flight:
         if outbox.quota_records < 1:
@@ -179,6 +204,7 @@
 
 
 def _remove_folded(lane: OutboxLane, sequence: int) -> None:
+    lane.expires_s.pop(sequence, None)
     if lane.in_flight:
         lane.in_flight = tuple(r for r in lane.in_flight if r.id.sequence > sequence)
 
--- a/packages/eelgrassdrum-testing/tests/test_outbox.py
+++ b/packages/eelgrassdrum-testing/tests/test_outbox.py
@@ -101,6 +101,23 @@
     assert all(noted_once(other, 60) for other in world.entries.values())
 
 
+def test_expired_records_are_dropped_and_others_follow(world: World) -> None:
+    """
+    Records that outlive their validity in an outage are never appended; the others are taken.
+    """
+    entry = world.entries["entry-a0"]
+    world.log.refuses_appends = True
+    for number, valid_s in enumerate((2.0, 60.0, 2.0, 60.0)):
+        body = {"number": number}
+        event = events.RecordProposed(KIND, f"note/{number}", 0, body, valid_s)
+        deliver(world, entry, event)
+    advance(world, 5.0)
+    world.log.refuses_appends = False
+    advance(world, 10.0)
+    assert noted(entry) == [1, 3]
+    assert entry.state.outbox.lanes["normal"].expires_s == {}
+
+
 def test_late_copy_of_an_append_is_no_second_record(world: World) -> None:
     """
     A copy that the log takes long after the first changes nothing, also for its writer.
