Show that a pause that expired in the outbox is never proposed again

A round goes on though two of its instances failed. The controller forgets which instances it has stopped as soon as it proposes a pause. Since decisions expire in the outbox, the pause may be dropped, and nothing is left that would propose it again; before, it was appended in the end.

--- a/packages/eelgrassdrum-testing/tests/test_maintenance.py
+++ b/packages/eelgrassdrum-testing/tests/test_maintenance.py
@@ -123,6 +123,32 @@
     assert world.platform.stops == []
 
 
+# Guards against a pause that was dropped with the evidence for it.
+def test_a_pause_that_could_not_be_appended_is_proposed_again(world: World) -> None:
+    """Maintained instances that fail while appends are refused pause the round afterwards."""
+    order_maintenance(world, "start")
+    while sum(machine.boots for machine in world.platform.machines.values()) < 7:
+        advance(world, 1.0)
+    advance(world, 20.0)
+    instances = reference_fold(world).pools.instances
+    back = [
+        machine
+        for machine in world.platform.machines.values()
+        if machine.boots and instances[machine.id].step == "in_service"
+    ]
+    first = back[0]
+    second = next(machine for machine in back if machine.rack != first.rack)
+    world.log.refuses_appends = True
+    for machine in (first, second):
+        schedules.fail_machine(world, machine, repair_s=120.0)
+    advance(world, 14.0)
+    world.log.refuses_appends = False
+    advance(world, 10.0)
+    current = reference_fold(world).maintenance.rounds["fleet"]
+    assert current.is_paused
+    assert "maintained instances failed" in current.reason
+
+
 def test_a_round_pauses_when_a_rack_fails(world: World) -> None:
     """Failures in one rack pause the round; an operator who resumes has accepted them."""
     order_maintenance(world, "start")
