Forget the stops of a round only once its pause is recorded

A round went on though two of its instances failed, when the pause that its controller had proposed expired in the outbox: the controller had forgotten the stops with the proposal. It now forgets them when the pause is folded, so the pause is proposed until it is recorded.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_maintenance.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_maintenance.py
@@ -11,7 +11,7 @@
 
 from ._controllers import claim_of, owned_shards, propose_record
 from ._effects import WriteLog
-from ._events import Ticked
+from ._events import RecordFolded, Ticked
 from ._fleet_messages import (
     DRAINING,
     IN_SERVICE,
@@ -64,6 +64,16 @@
             yield from maintain_shard(state, shard)
 
 
+def on_folded(state: State, event: RecordFolded) -> Iterator[object]:
+    """
+    Forget the stops that a controller's pause was based on, once the pause is recorded.
+    """
+    is_order = event.accepted and event.record.kind == MAINTENANCE_ORDERED
+    if is_order and event.record.body["author"] == CONTROLLER_AUTHOR:
+        state.fleet.last_stopped_s.clear()
+    return iter(())
+
+
 def maintain_shard(state: State, shard: str) -> Iterator[object]:
     """
     Propose the stops of a shard that are due now, or a pause of the round.
@@ -229,7 +239,6 @@
         "reason": reason,
         "claim": claim_of(state, shard),
     }
-    state.fleet.last_stopped_s.clear()
     yield WriteLog("maintenance.paused", {"shard": shard, "reason": reason})
     yield from propose_record(state, MAINTENANCE_ORDERED, maintenance_subject(shard), body)
 
@@ -287,4 +296,4 @@
         yield name, is_due(state, name, entry)
 
 
-HANDLERS: HandlerTable = {Ticked: on_tick}
+HANDLERS: HandlerTable = {Ticked: on_tick, RecordFolded: on_folded}
