--- a/packages/eelgrassdrum-core/tests/test_pools.py
+++ b/packages/eelgrassdrum-core/tests/test_pools.py
@@ -129,6 +129,22 @@
     assert log.move("c1", "move.started", "y2", target="fleet/y", down=down) == ""
 
 
+# Guards against a boot from before the order that was taken for one of the round.
+def test_a_boot_that_began_before_an_order_is_not_one_of_its_round(log: FoldedLog) -> None:
+    """An instance that had left when a round was ordered counts as booted before the order."""
+    order = {"shard": "fleet", "action": "start", "author": "op"}
+    assert log.move("c1", "move.started", "spare0", target="fleet/x") == ""
+    assert log.move("c1", "move.left", "spare0") == ""
+    assert log.write("op", "maintenance.ordered", "maintenance/fleet", **order) == ""
+    assert log.move("c1", "move.joined", "spare0") == ""
+    current = log.fold.maintenance.rounds["fleet"]
+    assert log.fold.pools.instances["spare0"].booted_offset < current.offset
+    assert log.move("c1", "move.started", "spare0", target="fleet/x", purpose="maintenance") == ""
+    assert log.move("c1", "move.left", "spare0") == ""
+    assert log.move("c1", "move.joined", "spare0") == ""
+    assert log.fold.pools.instances["spare0"].booted_offset > current.offset
+
+
 def test_concurrent_requests_have_one_winner(log: FoldedLog) -> None:
     """Of two requests on one revision the first is accepted, and the planner may only follow it."""
     base = log.fold.position.revisions["move/spare0"]
