Count a boot for a round only if the instance left its pool after the order

An instance that was booting for a move when a round was ordered was left out of the round, since its boot counted from the record of its return. It now counts from the record with which the instance left its pool, before which no reboot is sent. An instance that left before the order and booted after it is rebooted once more, which is safe.

The offset is read only by controllers that plan rounds; no record's acceptance depends on it, so instances of both versions agree about all records while they run together. Until the last one is upgraded, a controller of the old version may still leave such an instance out.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_moves_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_moves_fold.py
@@ -99,7 +99,8 @@
     if entry.step == LEFT:
         entry.wanted = "" if entry.wanted == entry.pool else entry.wanted
         entry.booted_at_s = max(entry.booted_at_s, body.booted_at_s)
-        entry.booted_offset = offset
+        # The reboot may have begun at any time since the instance left its pool.
+        entry.booted_offset = entry.epoch
     entry.target, entry.purpose = "", ""
     _set_step(fold, body.instance, IN_SERVICE, offset)
     return ""
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools.py
@@ -24,8 +24,8 @@
     :param wanted: destination pool that an operator has requested, or empty.
     :param purpose: ``move`` or ``maintenance`` during a move, otherwise empty.
     :param booted_at_s: time of its last recorded boot, on the platform's clock.
-    :param booted_offset: offset of the record that put it back in service after its last reboot,
-        0 before any reboot.
+    :param booted_offset: offset of the record with which it left its pool for its last reboot, 0
+        before any reboot.
     """
 
     pool: str
