--- a/packages/eelgrassdrum-testing/tests/test_fleet_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_fleet_schedules.py
@@ -117,6 +117,25 @@
     assert check_fleet(world, FINAL) == []
 
 
+# Guards against an instance that was missing twice for a moment and taken for gone.
+def test_an_instance_that_came_back_during_an_outage_is_kept(world: World) -> None:
+    """An instance that is listed again while the log is out isn't missing since before."""
+    name = "fleet-members-1"
+    offset = reference_fold(world).position.revisions[f"move/{name}"]
+    machine = world.platform.machines.pop(name)
+    advance(world, 10.0)
+    world.log.outage = True
+    world.platform.machines[name] = machine
+    advance(world, _pools_control.REMOVE_MISSING_AFTER_S)
+    del world.platform.machines[name]
+    advance(world, 3.0)
+    world.log.outage = False
+    advance(world, 10.0)
+    world.platform.machines[name] = machine
+    advance(world, 30.0)
+    assert reference_fold(world).position.revisions[f"move/{name}"] == offset
+
+
 def test_an_instance_that_is_gone_is_forgotten(world: World) -> None:
     """An instance that the platform no longer has leaves its pool after a while, not at once."""
     del world.platform.machines[MOVED]
