Clear the time since which an instance is missing as soon as it is listed

An instance was removed from its pool, with its moves and an operator's request, when the inventory lacked it for a moment before and after an outage of the log. Only a plan cleared the time since which it was missing, and nothing is planned without the log.

Each inventory now clears it for what it lists, and a change of the controlled shards clears it for all, since the inventories of the time between showed nothing of them.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_view.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_fleet_view.py
@@ -113,6 +113,8 @@
     inventory.instances.update((item.id, item) for item in event.instances)
     for name in event.removed:
         inventory.instances.pop(name, None)
+    for name in inventory.missing_since_s.keys() & inventory.instances.keys():
+        del inventory.missing_since_s[name]
     yield from ()
 
 
@@ -132,6 +134,8 @@
     if owned != inventory.shards:
         inventory.shards, inventory.version = owned, 0
         inventory.requested_s = NEVER_S
+        # Nothing was observed of the instances of a shard that this instance did not control.
+        inventory.missing_since_s.clear()
     if owned:
         yield ReadInventory(state.now_s, owned, inventory.version)
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools_control.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/_pools_control.py
@@ -176,9 +176,7 @@
 def _remove_missing_instances(state: State, shard: str) -> Iterator[object]:
     inventory = state.fleet.inventory
     for name, entry in state.fold.pools.instances.items():
-        if name in inventory.instances:
-            inventory.missing_since_s.pop(name, None)
-        elif shard_of(entry.pool) == shard:
+        if name not in inventory.instances and shard_of(entry.pool) == shard:
             missing_since_s = inventory.missing_since_s.setdefault(name, state.now_s)
             if state.now_s - missing_since_s >= REMOVE_MISSING_AFTER_S:
                 body = {"instance": name, "claim": claim_of(state, shard)}
