--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_fleet_schedules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_fleet_schedules.py
@@ -32,6 +32,8 @@
 REPAIR_S = 20.0
 # Long enough that another controller takes over meanwhile.
 LONG_PAUSE_S = 40.0
+# Long enough that decisions which wait for the log are made anew.
+REFUSED_S = 12.0
 REST_S = 150.0
 BUSY_UNITS = 60
 DEMAND_EVERY_S = 2.0
@@ -157,6 +159,16 @@
         pause_entry(world, entry, LONG_PAUSE_S)
 
 
+def refuse_appends(world: World) -> None:
+    """
+    Let every append to the log fail for a while, though reads are answered.
+
+    :param world: the world.
+    """
+    world.log.refuses_appends = True
+    later(world, REFUSED_S, lambda: setattr(world.log, "refuses_appends", False))
+
+
 def shift_demand(world: World) -> None:
     """
     Let one service have far more requests than its pool holds, and the others few, for a while.
@@ -195,6 +207,7 @@
     "demand shifts": shift_demand,
     "controller replaced": replace_controller,
     "controller paused": pause_controller,
+    "appends refused": refuse_appends,
     **{name: FAULTS[name] for name in ENTRY_FAULTS},
 }
 
