Show that an instance ignores its appended claim

Callers of a large site had to wait or were refused for four seconds after a restart of the owner. The store answered the claims of its successors only after their timeout. The log shows the claim of an instance with a fast link at 15.83 s, "owner.claim_failed" with a timeout at 16.73 s, and from 17.17 s "records.refused" with is_owner false for the epoch that it had claimed: it read its claim but no longer took over. At 18.82 s, before all others, an instance claimed the log that had a slow link and whose process had started at 15.85 s, so that its timeout did not yet reflect the slow store. It owned the log from 20.14 to 44 s, while most workers' answers came too late.

--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -216,3 +216,65 @@
     feed(node, 3.2, events.WorkersRead(8, False, {}))
     feed(node, 3.3, events.WorkersReadFailed("timeout"))
     assert worker_reads(feed(node, 3.9, events.Ticked())) == [None]
+
+
+# Guards against a log without an owner after a claim that the store appended but answered too late.
+def test_an_appended_claim_without_a_response_wins(node):
+    """
+    An instance whose claim had no response in time owns the log once it reads that claim.
+    """
+    read(node, 1.0, [])
+    (claim,) = claims(feed(node, 1.0, events.Ticked()))
+    feed(node, 1.9, events.Appended("claim", 1, events.UNKNOWN, "timeout"))
+    read(node, 2.4, [Claimed(claim.epoch, node.identity.instance, WALL_MS)])
+    assert node.ownership.is_owner
+
+
+# Guards against the same if the claim is read after the claimant stopped waiting for its response.
+def test_a_claim_that_is_read_late_wins(node):
+    """
+    An instance owns the log once it reads its claim, however late the store appended it.
+    """
+    read(node, 1.0, [])
+    (claim,) = claims(feed(node, 1.0, events.Ticked()))
+    feed(node, 2.6, events.Ticked())
+    read(node, 2.7, [Claimed(claim.epoch, node.identity.instance, WALL_MS)])
+    assert node.ownership.is_owner
+
+
+def test_a_former_claim_does_not_win_after_a_reload(node):
+    """
+    An instance that rebuilds its state does not resume an epoch that it has owned or claimed.
+    """
+    read(node, 1.0, [])
+    (claim,) = claims(feed(node, 1.0, events.Ticked()))
+    feed(node, 1.9, events.Appended("claim", 1, events.UNKNOWN, "timeout"))
+    feed(node, 2.0, events.LogRead(0, (), 0, 2.0))
+    node.replicated.offset = 1
+    feed(node, 2.1, events.LogGap(5))
+    feed(node, 2.2, events.SnapshotRead(None))
+    read(node, 2.3, [Claimed(claim.epoch, node.identity.instance, WALL_MS), Released(claim.epoch)])
+    assert not node.ownership.is_owner
+
+
+# Guards against an owner with a slow link while instances with fast ones wait for a slow store.
+def test_a_weak_instance_that_has_just_started_claims_after_strong_ones():
+    """
+    An instance with few resources that has not yet seen how slow the store is claims the log later
+    than one with all resources that has.
+    """
+    weak, strong = make_node("a"), make_node("b")
+    weak.identity = weak.identity._replace(weakness=0.5)
+    strong.process_start_s = -100.0
+
+    def first_claim_s(node, store_delay_s):
+        read(node, 0.1, [Claimed(1, "other", 5)])
+        for step in range(1, 100):
+            now_s = 0.1 + 0.05 * step
+            read(node, now_s, [])
+            node.tail.store_delay_s = store_delay_s
+            if claims(feed(node, now_s, events.Ticked())):
+                return now_s
+        raise AssertionError("no claim")
+
+    assert first_claim_s(strong, 1.0) < first_claim_s(weak, 0.0)
