Take over when an appended claim is read late

Callers were refused or waited while nobody owned the log: an instance took over only if it read its claim before the response to the append failed and within 1.5 s. A slow store answers later than that, yet appends the claim.

The claimant now takes over whenever it first reads its claim, unless it has rebuilt its state since or has read a later claim. The former flag only limits how often it claims. If the epoch was claimed several times, the ownership counts as confirmed since the first attempt, because that may be the one in the log; so no lease exceeds what a successor waits for. An instance that was asked to stop in the meantime releases the log at once.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -398,6 +398,10 @@
     :param epoch: epoch of this instance's latest ownership.
     :param claimed_s: when it became the owner.
     :param confirmed_s: when the latest successful append was sent.
+    :param claimed_epoch: epoch of this instance's latest claim.
+    :param claim_since_s: when it first claimed that epoch.
+    :param claim_sent_s: when the latest claim was sent.
+    :param is_claim_awaited: whether this instance owns the log once it reads that claim.
     :param next_claim_s: earliest time of another claim.
     :param refused_epoch: highest epoch that the store has refused.
     :param reload_wanted: whether the replicated state must be rebuilt from the store.
@@ -407,7 +411,10 @@
     epoch: int = 0
     claimed_s: float = 0.0
     confirmed_s: float = -1e9
+    claimed_epoch: int = 0
+    claim_since_s: float = 0.0
     claim_sent_s: float = 0.0
+    is_claim_awaited: bool = False
     next_claim_s: float = 0.0
     is_claiming: bool = False
     refused_epoch: int = 0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -40,7 +40,8 @@
 # owner sends all orders. It exceeds the interval between two reads of the log, from which the other
 # instances notice the owner's timeout.
 MAX_WEAKNESS_DELAY_S = 0.6
-# Timeout of a claim without a response. If the claim was appended, it is read from the log.
+# Time after which a claim without a response is sent again. If it was appended, it is read from the
+# log, however late.
 CLAIM_TIMEOUT_S = 1.5
 # Fraction by which workers' clocks may run slow; waits for the expiry of leases are extended by it.
 CLOCK_DRIFT = 0.021
@@ -70,7 +71,11 @@
         return
     epoch = max(node.replicated.epoch, ownership.refused_epoch) + 1
     ownership.is_claiming = True
+    ownership.is_claim_awaited = True
     ownership.claim_sent_s = at.now_s
+    if epoch != ownership.claimed_epoch:
+        ownership.claimed_epoch = epoch
+        ownership.claim_since_s = at.now_s
     identity = node.identity
     record = Claimed(epoch, identity.instance, identity.incarnation, identity.address)
     log_line(
@@ -152,8 +157,13 @@
     if ownership.is_owner:
         step_down(node, at, "claimed_by_another", by=record.instance, epoch=record.epoch)
     # After a reload, this instance reads its former claims again but must not resume their epochs.
-    if is_own and ownership.is_claiming and record.epoch > ownership.epoch:
+    is_awaited = ownership.is_claim_awaited and record.epoch == ownership.claimed_epoch
+    if record.epoch >= ownership.claimed_epoch:
+        ownership.is_claim_awaited = False
+    if is_own and is_awaited and record.epoch > ownership.epoch:
         _take_over(node, at, record)
+        if node.is_stopping:
+            release(node, at)
         return True
     return False
 
@@ -164,7 +174,7 @@
     ownership.is_claiming = False
     ownership.epoch = record.epoch
     ownership.claimed_s = at.now_s
-    ownership.confirmed_s = ownership.claim_sent_s
+    ownership.confirmed_s = ownership.claim_since_s
     _journal.reset(node, 1)
     node.journal.sent_s = node.journal.heartbeat_s = at.now_s
     node.workers = {}
@@ -183,7 +193,7 @@
         offset=node.replicated.offset,
         jobs=len(node.replicated.open_jobs),
         runs=sum(len(runs) for runs in node.replicated.running.values()),
-        claim_s=round(at.now_s - ownership.claim_sent_s, 3),
+        claim_s=round(at.now_s - ownership.claim_since_s, 3),
     )
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -166,6 +166,7 @@
     """
     log_line(node, "log.reload", reason=reason, offset=node.replicated.offset)
     node.ownership.reload_wanted = False
+    node.ownership.is_claim_awaited = False
     node.replicated = _replicated_state.ReplicatedState()
     node.tail = Tail(owner_record_s=at.now_s)
 
--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -242,6 +242,33 @@
     assert node.ownership.is_owner
 
 
+def test_an_instance_that_stops_releases_a_log_that_it_wins(node):
+    """
+    If an instance reads its claim after it was asked to stop, it releases the log at once.
+    """
+    read(node, 1.0, [])
+    (claim,) = claims(feed(node, 1.0, events.Ticked()))
+    feed(node, 1.2, events.StopAsked())
+    read(node, 1.9, [Claimed(claim.epoch, node.identity.instance, WALL_MS)])
+    in_flight = node.journal.in_flight
+    assert in_flight is not None and Released(claim.epoch) in in_flight.records
+
+
+def test_a_claim_that_was_repeated_confirms_only_its_first_attempt(node):
+    """
+    If an epoch was claimed twice, either attempt may be the one in the log, and so leases are bound
+    to the time of the first.
+    """
+    read(node, 1.0, [])
+    (claim,) = claims(feed(node, 1.0, events.Ticked()))
+    feed(node, 1.9, events.Appended("claim", 1, events.UNKNOWN, "timeout"))
+    read(node, 2.6, [])
+    assert [item.epoch for item in claims(feed(node, 2.6, events.Ticked()))] == [claim.epoch]
+    read(node, 2.7, [Claimed(claim.epoch, node.identity.instance, WALL_MS)])
+    assert node.ownership.is_owner
+    assert node.ownership.confirmed_s == 1.0
+
+
 def test_a_former_claim_does_not_win_after_a_reload(node):
     """
     An instance that rebuilds its state does not resume an epoch that it has owned or claimed.
