Let weak new processes wait for the maximum owner timeout

Callers of a large site lost half of their jobs while an instance owned the log whose link could not carry the owner's load. The timeout after which an instance claims the log grows with the store's response time that it has seen and with the gaps between the owner's records. A process that has just started has seen neither. While the store was slow it claimed after 1.1 s, where those with fast links waited for 1.8 s and more; the extra delay for its link is only 0.3 s. So it took the log even from an owner whose first records the slow store had not yet appended.

An instance that can't carry all of the owner's load now uses the maximum timeout for the first 5 s of its process. Instances with all resources and processes that have run for longer wait as before; a log without an owner is claimed as fast as before.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -25,6 +25,9 @@
 OWNER_GAP_FACTOR = 2.0
 # Upper bound of the timeout.
 MAX_OWNER_TIMEOUT_S = 2.4
+# Time from the start of a process after which its own reads show how slow the store is. Until then
+# an instance that can't carry all of the owner's load waits for the maximum timeout.
+STORE_SEEN_S = 5.0
 # Minimum delay after a failed claim, which allows time to read who owns the log.
 CLAIM_BACKOFF_S = 0.4
 # Jitter between the claims of several instances, so that the others can read the first claim before
@@ -66,7 +69,7 @@
     quiet_s = node.tail.answered_s - max(node.tail.owner_record_s, node.tail.readable_since_s)
     wait_s = claim_delay_s(node, at)
     if node.replicated.owner is not None:
-        wait_s += _owner_timeout_s(node)
+        wait_s += _owner_timeout_s(node, at)
     if node.config is None or quiet_s < wait_s or at.now_s < ownership.next_claim_s:
         return
     epoch = max(node.replicated.epoch, ownership.refused_epoch) + 1
@@ -91,7 +94,9 @@
     node.tail.next_read_s = at.now_s
 
 
-def _owner_timeout_s(node: Node) -> float:
+def _owner_timeout_s(node: Node, at: Moment) -> float:
+    if node.identity.weakness > 0 and at.now_s - node.process_start_s < STORE_SEEN_S:
+        return MAX_OWNER_TIMEOUT_S
     tail = node.tail
     timeout_s = max(
         OWNER_TIMEOUT_S + STORE_DELAY_FACTOR * tail.store_delay_s,
