--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -25,6 +25,9 @@
 OWNER_GAP_FACTOR = 2.0
 # Upper bound of the timeout.
 MAX_OWNER_TIMEOUT_S = 2.4
+# Time from the start of a process after which its own reads show how slow the store is. Until then
+# an instance that can't carry all of the owner's load waits for the maximum timeout.
+STORE_SEEN_S = 5.0
 # Minimum delay after a failed claim, which allows time to read who owns the log.
 CLAIM_BACKOFF_S = 0.4
 # Jitter between the claims of several instances, so that the others can read the first claim before
@@ -40,7 +43,8 @@
 # owner sends all orders. It exceeds the interval between two reads of the log, from which the other
 # instances notice the owner's timeout.
 MAX_WEAKNESS_DELAY_S = 0.6
-# Timeout of a claim without a response. If the claim was appended, it is read from the log.
+# Time after which a claim without a response is sent again. If it was appended, it is read from the
+# log, however late.
 CLAIM_TIMEOUT_S = 1.5
 # Fraction by which workers' clocks may run slow; waits for the expiry of leases are extended by it.
 CLOCK_DRIFT = 0.021
@@ -65,12 +69,16 @@
     quiet_s = node.tail.answered_s - max(node.tail.owner_record_s, node.tail.readable_since_s)
     wait_s = claim_delay_s(node, at)
     if node.replicated.owner is not None:
-        wait_s += _owner_timeout_s(node)
+        wait_s += _owner_timeout_s(node, at)
     if node.config is None or quiet_s < wait_s or at.now_s < ownership.next_claim_s:
         return
     epoch = max(node.replicated.epoch, ownership.refused_epoch) + 1
     ownership.is_claiming = True
+    ownership.is_claim_awaited = True
     ownership.claim_sent_s = at.now_s
+    if epoch != ownership.claimed_epoch:
+        ownership.claimed_epoch = epoch
+        ownership.claim_since_s = at.now_s
     identity = node.identity
     record = Claimed(epoch, identity.instance, identity.incarnation, identity.address)
     log_line(
@@ -86,7 +94,9 @@
     node.tail.next_read_s = at.now_s
 
 
-def _owner_timeout_s(node: Node) -> float:
+def _owner_timeout_s(node: Node, at: Moment) -> float:
+    if node.identity.weakness > 0 and at.now_s - node.process_start_s < STORE_SEEN_S:
+        return MAX_OWNER_TIMEOUT_S
     tail = node.tail
     timeout_s = max(
         OWNER_TIMEOUT_S + STORE_DELAY_FACTOR * tail.store_delay_s,
@@ -152,8 +162,13 @@
     if ownership.is_owner:
         step_down(node, at, "claimed_by_another", by=record.instance, epoch=record.epoch)
     # After a reload, this instance reads its former claims again but must not resume their epochs.
-    if is_own and ownership.is_claiming and record.epoch > ownership.epoch:
+    is_awaited = ownership.is_claim_awaited and record.epoch == ownership.claimed_epoch
+    if record.epoch >= ownership.claimed_epoch:
+        ownership.is_claim_awaited = False
+    if is_own and is_awaited and record.epoch > ownership.epoch:
         _take_over(node, at, record)
+        if node.is_stopping:
+            release(node, at)
         return True
     return False
 
@@ -164,7 +179,7 @@
     ownership.is_claiming = False
     ownership.epoch = record.epoch
     ownership.claimed_s = at.now_s
-    ownership.confirmed_s = ownership.claim_sent_s
+    ownership.confirmed_s = ownership.claim_since_s
     _journal.reset(node, 1)
     node.journal.sent_s = node.journal.heartbeat_s = at.now_s
     node.workers = {}
@@ -183,7 +198,7 @@
         offset=node.replicated.offset,
         jobs=len(node.replicated.open_jobs),
         runs=sum(len(runs) for runs in node.replicated.running.values()),
-        claim_s=round(at.now_s - ownership.claim_sent_s, 3),
+        claim_s=round(at.now_s - ownership.claim_since_s, 3),
     )
 
 
