Show that an outage of the store lengthens the owner's timeout

Two tests of the reducer show why: records from before the outage, read after it, count as late records of the owner, and the timeout rises to its maximum of 2.4 s.

Further tests state what has to stay: an owner that is reachable at the return keeps the log, late records and a slow store lengthen the timeout.

--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -3,7 +3,7 @@
 """
 
 from eelgrassdrum_core.jobs import Identity, Moment, effects, events, model, new_node, reduce
-from eelgrassdrum_core.jobs._ownership import CLAIM_JITTER_S, claim_delay_s
+from eelgrassdrum_core.jobs._ownership import CLAIM_JITTER_S, OWNER_TIMEOUT_S, claim_delay_s
 from eelgrassdrum_core.jobs._records import Claimed, OwnerHeartbeat, Released, encode_records
 
 BOUNDS = model.Bounds(10.0, 2.0, 5.0, 6.0, 0.4, 3.0, 0.25, 120.0, 1.5, 2.0)
@@ -90,6 +90,75 @@
     assert claims(feed(node, 5.5, events.Ticked())) == []
 
 
+def first_claim_s(node, now_s, end_s):
+    """
+    Let an instance read nothing new at intervals, and return when it claims the log.
+    """
+    while now_s < end_s:
+        now_s += 0.05
+        read(node, now_s, [])
+        if claims(feed(node, now_s, events.Ticked())):
+            return now_s
+    return None
+
+
+# Issue 19: an owner that was cut off during an outage was replaced up to 1.8 s later than others.
+def test_an_outage_of_the_store_does_not_lengthen_the_owners_timeout(node):
+    """
+    Records that the owner wrote before an outage and that are read after it are no late records.
+    """
+    read(node, 0.1, [Claimed(1, "other", 5)])
+    feed(node, 1.5, events.LogReadFailed("timeout"))
+    read(node, 7.0, [OwnerHeartbeat(1)])
+    claimed_s = first_claim_s(node, 7.0, 12.0)
+    assert claimed_s is not None
+    earliest_s = 7.0 + OWNER_TIMEOUT_S
+    delay_s = claim_delay_s(node, Moment(claimed_s, WALL_MS))
+    assert earliest_s <= claimed_s <= earliest_s + delay_s + 0.1
+
+
+# Issue 19: the next record of the owner counted from its last one before the outage.
+def test_a_record_some_time_after_an_outage_does_not_lengthen_the_owners_timeout(node):
+    """
+    After an outage, the owner's gap begins with the first read that succeeds.
+    """
+    read(node, 0.1, [Claimed(1, "other", 5)])
+    feed(node, 1.5, events.LogReadFailed("timeout"))
+    read(node, 7.0, [])
+    read(node, 7.2, [OwnerHeartbeat(1)])
+    claimed_s = first_claim_s(node, 7.2, 12.0)
+    assert claimed_s is not None
+    assert claimed_s <= 7.2 + OWNER_TIMEOUT_S + CLAIM_JITTER_S + 0.1
+
+
+# Guards against claims while the owner's records arrive late, as its appends are sent repeatedly.
+def test_late_records_of_the_owner_lengthen_its_timeout(node):
+    """
+    If the log can be read and the owner's records arrive late, its timeout is longer.
+    """
+    read(node, 0.1, [Claimed(1, "other", 5)])
+    read(node, 0.7, [])
+    read(node, 1.0, [OwnerHeartbeat(1)])
+    claimed_s = first_claim_s(node, 1.0, 6.0)
+    assert claimed_s is not None
+    assert claimed_s >= 1.0 + 2 * 0.9
+
+
+# Guards against claims while the store is slow but responds, also some time after an outage.
+def test_a_slow_store_lengthens_the_owners_timeout_after_an_outage_too(node):
+    """
+    After an outage, slow reads lengthen the owner's timeout as before.
+    """
+    read(node, 0.1, [Claimed(1, "other", 5)])
+    feed(node, 1.5, events.LogReadFailed("timeout"))
+    offset = node.replicated.offset
+    for step in range(20):
+        now_s = 7.0 + step * 0.1
+        feed(node, now_s, events.LogRead(offset, (), offset, now_s - 0.5))
+        produced = feed(node, now_s, events.Ticked())
+        assert now_s > 7.0 + OWNER_TIMEOUT_S + 2 * 0.5 or claims(produced) == []
+
+
 def test_a_released_log_is_claimed_at_once(node):
     """
     A released log is claimed without waiting for the owner's timeout.
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_patterns.py
@@ -268,9 +268,8 @@
     for step in range(round((SILENCE_S + CALM_S / 4) * 50)):
         run_until(world, begin_s + step / 50)
         if world.now_s >= begin_s + SILENCE_S / 2:
-            world.store.refused |= cut
             for name in cut:
-                world.instances[name].is_cut_from_peers = True
+                _cut(world, name)
         if world.now_s >= return_s:
             world.store.state = UP
         name = f"entry-{step % 3}"
@@ -285,6 +284,51 @@
     return max(first_s.get(name, world.now_s) for name in world.instances.keys() - cut) - return_s
 
 
+def owner_cut_without_store(is_healed: bool, seed: int = 1) -> list[float]:
+    """
+    The store answers nobody for `SILENCE_S`, and the owner is cut off from it and from the other
+    instances in the second half. Records that it wrote just before are read after the return.
+
+    :param is_healed: whether the owner can be reached again when the store returns.
+    :param seed: of all that is random.
+    :returns: seconds from the return of the store until each change of the owner within the time
+        that follows.
+    """
+    world = make_world(seed, 3, make_config(is_limited=False))
+    world.durations = lambda _key: (0.3, "done")
+    for number in range(6):
+        add_worker(world, number, "service", CAPACITY)
+    # The seed moves the outage against the ticks and reads of the instances.
+    begin_s = SETTLE_S + 1.0 + world.rng.random()
+    for step in range(50):
+        run_until(world, begin_s - 1.0 + step / 50)
+        _submit(world, {}, "q", f"{step:016x}", 1, 0.3)
+    run_until(world, begin_s)
+    world.store.state = SILENT
+    former = next(name for name, item in world.instances.items() if item.node.ownership.is_owner)
+    epoch = world.instances[former].node.ownership.epoch
+    run_until(world, begin_s + SILENCE_S / 2)
+    _cut(world, former)
+    run_until(world, begin_s + SILENCE_S)
+    world.store.state = UP
+    if is_healed:
+        world.store.refused.clear()
+        world.instances[former].is_cut_from_peers = False
+    changes_s: list[float] = []
+    for step in range(round(CALM_S / 4 * 100)):
+        run_until(world, begin_s + SILENCE_S + step / 100)
+        newest = max(item.node.ownership.epoch for item in world.instances.values())
+        if newest > epoch:
+            epoch = newest
+            changes_s.append(world.now_s - begin_s - SILENCE_S)
+    return changes_s
+
+
+def _cut(world: World, name: str) -> None:
+    world.store.refused.add(name)
+    world.instances[name].is_cut_from_peers = True
+
+
 def slow_store_returns(seed: int = 1) -> float:
     """
     The store answers none of fifteen instances for a while. Otherwise an append takes up the log
--- a/packages/eelgrassdrum-testing/tests/test_jobs_patterns.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_patterns.py
@@ -9,6 +9,7 @@
     backlog_after_outage,
     burst_beyond_room,
     demand_turns_without_store,
+    owner_cut_without_store,
     owner_lost_in_a_burst,
     silent_store_returns,
     slow_store_returns,
@@ -24,6 +25,9 @@
 SEEDS = range(1, 5)
 # A tenth of the 3 s that callers wait in all. Those whose last retry falls into this time are lost.
 RETURN_S = 0.3
+# A read notices the return of the store within 0.2 s. The owner's timeout is 0.6 s, claims are
+# delayed by up to 0.15 s, and instances read the log every 0.15 s.
+TAKE_OVER_S = 1.2
 # What a decision leaves of the loss that it is made against, at most.
 PART_LEFT = 0.5
 # Part of the callers of a slow store that are accepted in time.
@@ -146,6 +150,25 @@
     assert max(silent_store_returns(is_owner_cut=True, seed=seed) for seed in SEEDS) <= RETURN_S
 
 
+# Issue 19: nobody owned the log for 2.9 s, since the outage counted as a gap of the owner.
+def test_an_owner_that_is_cut_off_during_an_outage_is_replaced_soon_after_it():
+    """
+    Return of a silent store whose owner is cut off: another instance owns the log soon.
+    """
+    for seed in SEEDS:
+        changes_s = owner_cut_without_store(is_healed=False, seed=seed)
+        assert changes_s and changes_s[0] <= TAKE_OVER_S, (seed, changes_s)
+
+
+# Guards against claims that are sent before the owner's first record after an outage.
+def test_an_owner_that_can_be_reached_after_an_outage_is_not_replaced():
+    """
+    Return of a silent store and of its owner at once: the owner keeps the log.
+    """
+    for seed in SEEDS:
+        assert owner_cut_without_store(is_healed=True, seed=seed) == [], seed
+
+
 # Guards against appends that meet at a slow store when it returns.
 def test_a_slow_store_keeps_up_with_many_instances_after_an_outage():
     """
