Log how long a claim waited and why

The line owner.claiming told for how long the owner was silent, but not the timeout and delay that had to pass. It now has wait_s, and the gap of the owner's records and the store's response time that lengthen the timeout.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -79,6 +79,9 @@
         epoch=epoch,
         former=node.replicated.owner,
         quiet_s=round(quiet_s, 3),
+        wait_s=round(wait_s, 3),
+        owner_gap_s=round(node.tail.owner_gap_s, 3),
+        store_delay_s=round(node.tail.store_delay_s, 3),
         offset=node.replicated.offset,
     )
     data = tuple(encode_records([record]))
