Don't take an outage of the job log for a gap of the owner

Every other instance had records of the owner left to read from before the outage. Reading them set the gap of the owner's records to the whole outage, and the owner's timeout, at least twice that gap, to its maximum of 2.4 s. The store's response time played no part (0.006 s): reads that fail or that were replaced don't count towards it.

The owner's gap now begins with the first successful read after an outage, as its silence does already. An outage is a silence that lasts a second beyond the failed read, with reads every 0.2 s.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -370,7 +370,7 @@
     :param last_success_s: when the latest successful read was sent.
     :param answered_s: when its response arrived.
     :param readable_since_s: time since which no read has failed; 1e18 while reads fail.
-    :param owner_record_s: when a record of the owner was last read.
+    :param owner_record_s: when a record of the owner was last read, or an outage of the log ended.
     :param owner_gap_s: decaying maximum of the time between two reads with records of the owner.
     :param wait_s: how long the read in progress may wait at the store.
     :param store_delay_s: decaying maximum of the store's response time beyond `wait_s`.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_outage.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_outage.py
@@ -13,6 +13,9 @@
 # Interval of reads while the log doesn't respond. While it does, an instance reads it more often,
 # so a store under load doesn't get more reads than usual.
 PROBE_INTERVAL_S = 0.2
+# Silence after a failed read that isn't explained by lost responses of single reads: those sent
+# meanwhile had no response either.
+MIN_OUTAGE_S = 1.0
 
 
 def is_silent(node: Node) -> bool:
@@ -25,6 +28,18 @@
     return node.store.silent_since_s is not None
 
 
+def is_outage(node: Node, at: Moment) -> bool:
+    """
+    Return whether the log has been silent for longer than lost responses explain.
+
+    :param node: the instance.
+    :param at: the current time.
+    :returns: whether the log is out of reach.
+    """
+    silent_since_s = node.store.silent_since_s
+    return silent_since_s is not None and at.now_s - silent_since_s >= MIN_OUTAGE_S
+
+
 def on_read_failed(node: Node, at: Moment, sent_s: float) -> None:
     """
     Note a failed read of the log. It proves nothing if a later one has succeeded.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -66,7 +66,7 @@
     tail = node.tail
     if event.sent_s >= tail.sent_s:
         tail.is_reading = False
-    was_silent = _outage.is_silent(node)
+    was_silent, was_outage = _outage.is_silent(node), _outage.is_outage(node, at)
     _outage.on_read(node, at, event.sent_s)
     if tail.needs_snapshot or event.offset != node.replicated.offset:
         return
@@ -75,6 +75,9 @@
         log_line(node, "store.log_readable", offset=event.offset, end=event.end)
     tail.last_success_s = max(tail.last_success_s, event.sent_s)
     tail.answered_s = at.now_s
+    if was_outage:
+        # Nothing was known about the owner meanwhile, so its next gap begins here.
+        tail.owner_record_s = at.now_s
     former_owner_record_s = tail.owner_record_s
     for data in event.records:
         _fold_record(node, at, data)
--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -3,7 +3,12 @@
 """
 
 from eelgrassdrum_core.jobs import Identity, Moment, effects, events, model, new_node, reduce
-from eelgrassdrum_core.jobs._ownership import CLAIM_JITTER_S, OWNER_TIMEOUT_S, claim_delay_s
+from eelgrassdrum_core.jobs._ownership import (
+    CLAIM_JITTER_S,
+    MAX_OWNER_TIMEOUT_S,
+    OWNER_TIMEOUT_S,
+    claim_delay_s,
+)
 from eelgrassdrum_core.jobs._records import Claimed, OwnerHeartbeat, Released, encode_records
 
 BOUNDS = model.Bounds(10.0, 2.0, 5.0, 6.0, 0.4, 3.0, 0.25, 120.0, 1.5, 2.0)
@@ -144,6 +149,19 @@
     assert claimed_s >= 1.0 + 2 * 0.9
 
 
+# Guards against changes of the owner at a store that loses some responses.
+def test_a_single_failed_read_is_no_outage(node):
+    """
+    A late record of the owner lengthens its timeout although a read has failed.
+    """
+    read(node, 0.1, [Claimed(1, "other", 5)])
+    feed(node, 1.5, events.LogReadFailed("timeout"))
+    read(node, 1.7, [OwnerHeartbeat(1)])
+    claimed_s = first_claim_s(node, 1.7, 6.0)
+    assert claimed_s is not None
+    assert claimed_s >= 1.7 + MAX_OWNER_TIMEOUT_S
+
+
 # Guards against claims while the store is slow but responds, also some time after an outage.
 def test_a_slow_store_lengthens_the_owners_timeout_after_an_outage_too(node):
     """
