Don't take a refused read of the log for a silent store

A store that refused single reads (429, 503) made an instance append the same callers' records with each refused read, and their callers were never answered. A refused read counted as silence, so the next successful read replaced the direct append in flight. The replacement got a new sequence number, and the success of the first attempt was dropped.

Only reads without a response (timeout, closed, connect) now count as silence; a refused read is retried as it was before silent stores were handled. The success of any attempt of a batch answers its callers: the intake keeps the sequence number of the batch's first attempt.

On the unchanged logic, test_a_refused_read_does_not_replace_an_append and test_the_success_of_a_replaced_append_answers_its_callers failed; the test that a refused attempt refuses no caller passed before as well. test_jobs_intake afterwards: 21 passed.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -237,6 +237,7 @@
         intake.waiting.clear()
         intake.data = tuple(encode_records(call.record for call in intake.batch))
         intake.seq += 1
+        intake.first_seq = intake.seq
         intake.is_uncertain = False
     elif at.now_s - intake.last_sent_s < RETRY_S:
         return
@@ -282,6 +283,8 @@
     """
     Append the pending batch directly after an outage, without waiting for its timeout.
 
+    The success of either attempt answers the callers.
+
     A batch that was forwarded is left to an owner that may still respond. If the owner was found
     mute during the outage, batches are appended directly until one of its records is read.
 
@@ -317,10 +320,14 @@
     :param event: outcome of the append.
     """
     intake = node.intake
-    if event.seq != intake.seq or not intake.batch:
+    if not intake.batch or not intake.first_seq <= event.seq <= intake.seq:
+        return
+    is_latest = event.seq == intake.seq
+    if not is_latest and event.outcome != events.OK:
+        # The attempt was replaced, and the outcome of the batch depends on the latest one.
         return
     intake.is_waiting = False
-    if intake.route != _forwarding.TO_STORE:
+    if is_latest and intake.route != _forwarding.TO_STORE:
         intake.is_owner_mute = at.now_s - intake.last_sent_s >= _forwarding.ANSWER_S
     intake.is_failing = event.outcome != events.OK
     if event.outcome == events.OK:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -131,6 +131,8 @@
 
     :param batch: calls of the batch in flight.
     :param data: encoded records of the batch in flight.
+    :param seq: sequence number of the latest attempt to append a batch.
+    :param first_seq: sequence number of the first attempt of the batch in flight.
     :param is_uncertain: whether the batch in flight may already be committed.
     :param is_failing: whether the latest append of a batch failed.
     :param direct_until_s: batches are appended directly to the store before this time.
@@ -151,6 +153,7 @@
     batch: tuple[IntakeCall, ...] = ()
     data: tuple[bytes, ...] = ()
     seq: int = 0
+    first_seq: int = 0
     last_sent_s: float = 0.0
     is_waiting: bool = False
     is_uncertain: bool = False
@@ -460,7 +463,8 @@
     """
     Whether the store responds to reads of the log.
 
-    :param silent_since_s: when a read failed, if none has succeeded since; otherwise ``None``.
+    :param silent_since_s: when a read had no response, if none has succeeded since; otherwise
+        ``None``.
     :param answered_sent_s: when the latest successful read was sent.
     :param resumed_s: when a read last succeeded after a failed one.
     :param logged_s: when the failure of a read that was replaced was last logged.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_outage.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_outage.py
@@ -2,9 +2,9 @@
 Tracks whether the job log responds to this instance, and resumes reads and appends after an outage.
 
 A store that stops responding drops the calls in flight, which fail only after their timeouts, some
-of them well after its return. So after a failed read, the log is read at short intervals, whatever
-is pending, and the first successful read replaces all pending calls. Only reads of the log count:
-other topics may respond while the log doesn't.
+of them well after its return. So after a read without a response, the log is read at short
+intervals, whatever is pending, and the first successful read replaces all pending calls. Only reads
+of the log count: other topics may respond while the log doesn't.
 """
 
 from . import _intake, _journal
@@ -13,11 +13,14 @@
 # Interval of reads while the log doesn't respond. While it does, an instance reads it more often,
 # so a store under load doesn't get more reads than usual.
 PROBE_INTERVAL_S = 0.2
+# Reasons of failed reads without a response. A store that refuses a read, such as with 429 or 503,
+# responds, and calls in flight aren't dropped.
+SILENT_REASONS = frozenset({"timeout", "closed", "connect"})
 
 
 def is_silent(node: Node) -> bool:
     """
-    Return whether a read of the log has failed and none has succeeded since.
+    Return whether a read of the log had no response and none has succeeded since.
 
     :param node: the instance.
     :returns: whether the log doesn't respond, as far as this instance knows.
@@ -25,15 +28,18 @@
     return node.store.silent_since_s is not None
 
 
-def on_read_failed(node: Node, at: Moment, sent_s: float) -> None:
+def on_read_failed(node: Node, at: Moment, reason: str, sent_s: float) -> None:
     """
-    Note a failed read of the log. It proves nothing if a later one has succeeded.
+    Note a failed read of the log. It proves nothing if it was refused or a later one has succeeded.
 
     :param node: the instance.
     :param at: the current time.
+    :param reason: reason of the failure.
     :param sent_s: when the read was sent, by this instance's clock.
     """
     store = node.store
+    if reason not in SILENT_REASONS:
+        return
     if sent_s > store.answered_sent_s and store.silent_since_s is None:
         store.silent_since_s = at.now_s
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -142,7 +142,7 @@
     :param event: reason of the failure.
     """
     tail = node.tail
-    _outage.on_read_failed(node, at, event.sent_s)
+    _outage.on_read_failed(node, at, event.reason, event.sent_s)
     if event.sent_s < tail.sent_s:
         if at.now_s - node.store.logged_s >= REPLACED_LOG_INTERVAL_S:
             node.store.logged_s = at.now_s
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
@@ -91,6 +91,7 @@
     """
     A read of the log failed.
 
+    :param reason: such as ``timeout`` or ``connect``, or the status of the response.
     :param sent_s: when the read was sent, by this instance's clock.
     """
 
--- a/packages/eelgrassdrum-core/tests/test_jobs_intake.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_intake.py
@@ -294,3 +294,63 @@
     assert (reply.token, reply.outcome) == (2, effects.UNAVAILABLE)
     sent = of_type(produced, effects.Append)
     assert all(append.records == item.records for item in sent)
+
+
+# Guards against appends that are sent again and again while the store refuses some reads.
+def test_a_refused_read_does_not_replace_an_append(node):
+    """
+    A read that the store refuses is a response, so the append in flight is not sent twice.
+    """
+    (append,) = of_type(feed(node, 1.0, call(events.SUBMIT)), effects.Append)
+    produced = []
+    for number in range(2):
+        at_s = 1.05 + 0.3 * number
+        produced += feed(node, at_s, events.LogReadFailed("429"))
+        produced += feed(node, at_s + 0.15, events.Ticked())
+        produced += feed(node, at_s + 0.2, events.LogRead(0, (), 0, at_s + 0.15))
+    assert of_type(produced, effects.Append) == []
+    produced = feed(node, 1.6, events.Appended("intake", append.seq, events.OK))
+    assert [reply.outcome for reply in of_type(produced, effects.Reply)] == [effects.ACCEPTED]
+
+
+def replace_append(node):
+    """
+    Let an append be sent again after an outage, and return its sequence numbers.
+    """
+    (first,) = of_type(feed(node, 1.0, call(events.SUBMIT)), effects.Append)
+    feed(node, 1.1, events.LogReadFailed("timeout"))
+    feed(node, 1.3, events.Ticked())
+    (second,) = of_type(feed(node, 1.5, events.LogRead(0, (), 0, 1.3)), effects.Append)
+    assert second.records == first.records
+    return first.seq, second.seq
+
+
+# Guards against callers whose records are appended but who are never answered.
+def test_the_success_of_a_replaced_append_answers_its_callers(node):
+    """
+    After an append was sent again, the success of either attempt accepts the job, once.
+    """
+    first, second = replace_append(node)
+    produced = feed(node, 1.6, events.Appended("intake", first, events.OK))
+    assert [reply.outcome for reply in of_type(produced, effects.Reply)] == [effects.ACCEPTED]
+    produced = feed(node, 1.7, events.Appended("intake", second, events.OK))
+    produced += feed(node, 2.0, events.Ticked())
+    assert of_type(produced, effects.Reply) == []
+    assert of_type(produced, effects.Append) == []
+
+
+# Guards against records that are refused to their callers although another attempt appended them.
+def test_a_failed_attempt_does_not_refuse_what_another_may_have_appended(node):
+    """
+    Neither the refusal of the first nor of the second attempt refuses the callers, and a failure of
+    the first sends no third one while the second is pending.
+    """
+    first, second = replace_append(node)
+    produced = feed(node, 1.6, events.Appended("intake", first, events.REFUSED))
+    produced += feed(node, 1.8, events.Ticked())
+    assert of_type(produced, effects.Reply) == []
+    assert of_type(produced, effects.Append) == []
+    produced = feed(node, 1.9, events.Appended("intake", second, events.REFUSED))
+    assert of_type(produced, effects.Reply) == []
+    produced = feed(node, 1.95, events.Appended("intake", second, events.OK))
+    assert [reply.outcome for reply in of_type(produced, effects.Reply)] == [effects.ACCEPTED]
