Count the log as unreadable from any failed read while it is silent

When the log fell silent a second time while probes of the first outage were pending, every instance claimed it with its first successful read, although the owner could append nothing meanwhile: callers met a change of ownership after an outage that the owner had survived.

Probes are sent every 0.2 s, so the read that fails is seldom the latest one, and failures of older reads returned before they marked the log as unreadable. `readable_since_s` stayed at the answer of the first outage's probe, so the owner was given no time after the return.

While the log is silent, each failed read now marks it as unreadable. A failed read that was sent before the latest successful one still changes nothing.

test_the_log_is_unreadable_from_the_first_failure_of_a_second_outage failed on the unchanged logic (readable_since_s lay before the second outage). test_jobs_ownership afterwards: 19 passed; test_jobs_forwarding: 18 passed.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -143,6 +143,9 @@
     """
     tail = node.tail
     _outage.on_read_failed(node, at, event.reason, event.sent_s)
+    if _outage.is_silent(node):
+        # Later reads are sent meanwhile, so the failed one is seldom the latest.
+        _mark_unreadable(node, at, event.reason)
     if event.sent_s < tail.sent_s:
         if at.now_s - node.store.logged_s >= REPLACED_LOG_INTERVAL_S:
             node.store.logged_s = at.now_s
@@ -150,10 +153,14 @@
         return
     tail.is_reading = False
     tail.next_read_s = at.now_s + RETRY_S
-    if tail.readable_since_s <= at.now_s:
-        log_line(node, "store.log_unreadable", reason=event.reason, offset=node.replicated.offset)
+    _mark_unreadable(node, at, event.reason)
+
+
+def _mark_unreadable(node: Node, at: Moment, reason: str) -> None:
+    if node.tail.readable_since_s <= at.now_s:
+        log_line(node, "store.log_unreadable", reason=reason, offset=node.replicated.offset)
     # Later than any time, until a read succeeds.
-    tail.readable_since_s = 1e18
+    node.tail.readable_since_s = 1e18
 
 
 def reload(node: Node, at: Moment, reason: str) -> None:
--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -331,3 +331,47 @@
         if not node.ownership.is_owner:
             return
     raise AssertionError("the owner keeps the log")
+
+
+def send_probes(node, from_s, number):
+    """
+    Let time pass until an instance has sent reads of the log, and return when it sent them.
+    """
+    sent = []
+    for step in range(1, 40):
+        at_s = round(from_s + 0.05 * step, 3)
+        produced = feed(node, at_s, events.Ticked())
+        sent += [at_s for item in produced if isinstance(item, effects.ReadLog)]
+        if len(sent) == number:
+            return sent
+    raise AssertionError("reads are missing")
+
+
+# Guards against claims of all instances after a second outage, when the owner could not append.
+def test_the_log_is_unreadable_from_the_first_failure_of_a_second_outage(node):
+    """
+    A log that falls silent again while earlier reads are pending is not claimed with the first
+    successful read, although only replaced reads have failed.
+    """
+    read(node, 10.0, [Claimed(1, "other", 5), OwnerHeartbeat(1, 0)])
+    (first,) = send_probes(node, 10.0, 1)
+    feed(node, first + 1.0, events.LogReadFailed("timeout", first))
+    probes = send_probes(node, first + 1.0, 3)
+    back_s = probes[-1] + 0.05
+    record = tuple(encode_records([OwnerHeartbeat(1, 500)]))
+    feed(node, back_s, events.LogRead(2, record, 3, probes[0]))
+    assert node.tail.readable_since_s == back_s
+    pending, at_s = probes[1:], back_s
+    while at_s < back_s + 3.0:
+        at_s = round(at_s + 0.05, 3)
+        for sent_s in [sent_s for sent_s in pending if at_s >= sent_s + 0.9]:
+            pending.remove(sent_s)
+            feed(node, at_s, events.LogReadFailed("timeout", sent_s))
+        produced = feed(node, at_s, events.Ticked())
+        pending += [at_s for item in produced if isinstance(item, effects.ReadLog)]
+    assert node.tail.readable_since_s > at_s
+    offset = node.replicated.offset
+    produced = feed(node, at_s + 0.05, events.LogRead(offset, (), offset, pending[-1]))
+    produced += feed(node, at_s + 0.06, events.Ticked())
+    assert not [item for item in produced if isinstance(item, effects.Append)]
+    assert node.tail.readable_since_s == at_s + 0.05
