Ignore answers of registry reads that newer ones have replaced

After an outage two reads of the registry are pending, since the first successful read of the log sends another. If the older one was answered last, the cursor went back and a worker that had left was listed again, so that tasks could be ordered to it until the registry was read once more.

Answers to reads carried no time, only failures did. While a newer read is pending, the answer of an older one no longer ends it. An answer without a time counts as the one to the latest read.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -430,6 +430,7 @@
 
     :param cursor: position of the next read, or ``None`` to read all records.
     :param sent_s: when the latest read was sent.
+    :param answered_sent_s: when the latest successful read of the registry was sent.
     :param last_success_s: when the records were last read successfully.
     """
 
@@ -437,6 +438,7 @@
     is_reading: bool = False
     next_read_s: float = 0.0
     sent_s: float = -1e9
+    answered_sent_s: float = -1e9
     last_success_s: float = -1e9
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -38,11 +38,16 @@
     :param event: the entries.
     """
     registry = node.registry
+    sent_s = min(event.sent_s, registry.sent_s)
+    if sent_s < registry.answered_sent_s:
+        log_line(node, "registry.replaced_read", cursor=event.cursor)
+        return
     if registry.cursor is None and not event.is_full:
         # Requested during a former ownership; the entries before it have not been read since.
         log_line(node, "registry.outdated_read", cursor=event.cursor)
         return
-    registry.is_reading = False
+    registry.is_reading = sent_s < registry.sent_s
+    registry.answered_sent_s = sent_s
     registry.cursor = event.cursor
     registry.next_read_s = at.now_s + REGISTRY_INTERVAL_S
     registry.last_success_s = at.now_s
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
@@ -176,11 +176,13 @@
     :param cursor: position of the next read.
     :param is_full: whether these are the entries of all workers.
     :param entries: latest entry by worker; ``None`` for a worker whose entry is gone or unreadable.
+    :param sent_s: when the read was sent, by this instance's clock.
     """
 
     cursor: int
     is_full: bool
     entries: dict[str, WorkerEntry | None]
+    sent_s: float = math.inf
 
 
 class WorkersReadFailed(NamedTuple):
--- a/packages/eelgrassdrum-core/tests/test_jobs_registry.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_registry.py
@@ -2,10 +2,11 @@
 Log lines about workers that the owner takes for ended.
 """
 
-from eelgrassdrum_core.jobs import events
+from eelgrassdrum_core.jobs import effects, events
 from eelgrassdrum_testing.jobs.owner import (
     OWNER_TOKEN,
     START_S,
+    commit,
     feed,
     hand_in,
     logged,
@@ -101,3 +102,34 @@
     )
     assert line["ended_s_ago"] is None
     assert logged(read_registry(node, ORDERED_S + 1, old), "worker.ignored") == []
+
+
+# Guards against a worker that left and is listed again until the registry is read once more.
+def test_an_older_read_of_the_registry_does_not_replace_a_newer_one():
+    """
+    After an outage two reads of the registry are pending; the older one, answered last, is ignored.
+    """
+    a, b = worker_entry("a"), worker_entry("b")
+    node = owner_of([a, b])
+    begin_s = START_S + 3
+    feed(node, begin_s, events.WorkersRead(5, True, {"a": a, "b": b}, begin_s))
+    commit(node, begin_s)
+    first_s, second_s, back_s = begin_s + 0.3, begin_s + 1.05, begin_s + 1.0
+    assert [item.cursor for item in reads(feed(node, first_s, events.Ticked()))] == [5]
+    feed(node, begin_s + 0.5, events.LogReadFailed("timeout", begin_s + 0.4))
+    feed(node, begin_s + 0.8, events.Ticked())
+    offset = node.replicated.offset
+    feed(node, back_s, events.LogRead(offset, (), offset, begin_s + 0.8))
+    assert [item.cursor for item in reads(feed(node, second_s, events.Ticked()))] == [5]
+    feed(node, begin_s + 1.1, events.WorkersRead(9, False, {"b": None}, second_s))
+    feed(node, begin_s + 1.15, events.WorkersRead(6, False, {"b": b}, first_s))
+    assert node.registry.cursor == 9
+    assert not node.workers["b"].has_entry
+    assert [item.cursor for item in reads(feed(node, begin_s + 1.5, events.Ticked()))] == [9]
+
+
+def reads(produced):
+    """
+    Return the reads of the registry among effects.
+    """
+    return [item for item in produced if isinstance(item, effects.ReadWorkers)]
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -194,7 +194,7 @@
         for worker in world.workers.values()
         if worker.is_up and not worker.is_cut and not world.is_registry_empty
     }
-    send_to(world, instance, 0.1, events.WorkersRead(1, True, entries))
+    send_to(world, instance, 0.1, events.WorkersRead(1, True, entries, world.now_s))
 
 
 def _entry(world: World, worker: JobWorker) -> model.WorkerEntry:
