Append records directly if their owner can't be reached

Around an outage of the log, callers were refused, or waited for a second attempt to forward their records, although the owner's process had ended and the store accepted appends.

A refused connection to the owner had the same outcome, `REFUSED`, as the owner's own answer that it gives a batch back. During the outage such a batch counted as given back: it was forwarded again and its callers were refused without an append.

Forwarding now reports `UNSENT` if no byte can have been sent, as orders to workers and instances do. Such records were definitely not appended, but nothing was given back, so they are appended directly at once. The world of the tests reports the same for an instance that is down.

An instance that isn't the addressed owner still answers with the same status as an owner that gives records back, which the sender can't tell apart: then one more batch is forwarded after an outage, as before.

test_records_for_an_owner_that_cannot_be_reached_are_appended_directly failed on the unchanged logic, both with the outcome `REFUSED` that the forwarder reported (the caller was refused without an append) and with `UNSENT` (it counted as uncertain).

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -336,7 +336,7 @@
         for call in batch:
             _accept(node, at, call)
         return
-    if event.outcome != events.REFUSED:
+    if event.outcome not in (events.REFUSED, events.UNSENT):
         intake.is_uncertain = True
     is_forwarded = intake.route != _forwarding.TO_STORE
     is_given_back = is_forwarded and _is_given_back(node, at, event)
@@ -362,6 +362,8 @@
     """
     Return whether the owner gave a batch back because it waits for the log itself.
 
+    An owner that couldn't be reached gave nothing back.
+
     Direct appends of all instances would meet there. After the return of the log, the owner gets
     the batch once more, unless it has just refused it for the second time.
     """
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
@@ -115,7 +115,8 @@
 
     :param channel: channel of the append.
     :param seq: sequence number of the append.
-    :param outcome: `OK`, `REFUSED` (definitely not appended), `UNKNOWN` or `FENCED`.
+    :param outcome: `OK`, `REFUSED` (definitely not appended), `UNSENT` (the owner of the log
+        couldn't be reached, so that records were definitely not forwarded), `UNKNOWN` or `FENCED`.
     :param detail: details for the log.
     """
 
--- a/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_forwarding.py
@@ -331,3 +331,29 @@
     produced = feed(reader, CALL_S + 1.96, events.Appended("intake", forward.seq, events.REFUSED))
     produced += feed(reader, CALL_S + 2.1, events.Ticked())
     assert of_type(produced, effects.Append)
+
+
+# Guards against callers that are refused because a dead owner's address refuses connections.
+def test_records_for_an_owner_that_cannot_be_reached_are_appended_directly(reader):
+    """
+    While the log is silent and just afterwards, records that certainly did not reach the owner are
+    appended directly: it gave nothing back. Their callers are refused only if the store refuses.
+    """
+    feed(reader, CALL_S, events.LogReadFailed("timeout"))
+    (forward,) = of_type(submit(reader, CALL_S + 0.02), effects.Forward)
+    unsent = events.Appended("intake", forward.seq, events.UNSENT, "connect")
+    produced = feed(reader, CALL_S + 0.3, unsent)
+    assert of_type(produced, effects.Reply) == []
+    assert of_type(produced, effects.Forward) == []
+    (append,) = of_type(produced, effects.Append)
+    assert append.records == forward.records
+    refused = events.Appended("intake", append.seq, events.REFUSED, "503")
+    produced = feed(reader, CALL_S + 0.4, refused)
+    assert [reply.outcome for reply in of_type(produced, effects.Reply)] == [effects.UNAVAILABLE]
+    feed(reader, CALL_S + 1.4, events.LogRead(1, (), 1, CALL_S + 1.35))
+    (forward,) = of_type(submit(reader, CALL_S + 1.41, token=2, job="second"), effects.Forward)
+    unsent = events.Appended("intake", forward.seq, events.UNSENT, "connect")
+    produced = feed(reader, CALL_S + 1.42, unsent)
+    produced += feed(reader, CALL_S + 1.55, events.Ticked())
+    assert of_type(produced, effects.Forward) == []
+    assert of_type(produced, effects.Append)
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_peers.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_peers.py
@@ -61,13 +61,13 @@
     """
     Translate the outcome of a forwarding request to the outcome of an append.
 
-    Without a response the outcome is `REFUSED` if no byte can have been sent, otherwise `UNKNOWN`.
+    Without a response the outcome is `UNSENT` if no byte can have been sent, otherwise `UNKNOWN`.
 
     :param outcome: the owner's response, or the reason why there is none.
     :returns: one of the outcomes of `events`, and its detail.
     """
     if isinstance(outcome, HttpFailure):
-        return (events.UNKNOWN if outcome.sent else events.REFUSED), outcome.reason
+        return (events.UNKNOWN if outcome.sent else events.UNSENT), outcome.reason
     if outcome.status == MALFORMED_STATUS:
         return events.REFUSED, str(outcome.status)
     return OUTCOME_BY_STATUS.get(outcome.status, events.UNKNOWN), str(outcome.status)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -111,7 +111,7 @@
     if owner is None or owner.is_cut_from_peers or instance.is_cut_from_peers:
         return
     if not owner.is_up:
-        answer(events.REFUSED)
+        answer(events.UNSENT)
         return
     token = next(world.numbers)
     world.exchanges[token] = answer
