--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
@@ -91,6 +91,7 @@
     """
     A read of the log failed.
 
+    :param reason: such as ``timeout`` or ``connect``, or the status of the response.
     :param sent_s: when the read was sent, by this instance's clock.
     """
 
@@ -114,7 +115,8 @@
 
     :param channel: channel of the append.
     :param seq: sequence number of the append.
-    :param outcome: `OK`, `REFUSED` (definitely not appended), `UNKNOWN` or `FENCED`.
+    :param outcome: `OK`, `REFUSED` (definitely not appended), `UNSENT` (the owner of the log
+        couldn't be reached, so that records were definitely not forwarded), `UNKNOWN` or `FENCED`.
     :param detail: details for the log.
     """
 
@@ -175,11 +177,13 @@
     :param cursor: position of the next read.
     :param is_full: whether these are the entries of all workers.
     :param entries: latest entry by worker; ``None`` for a worker whose entry is gone or unreadable.
+    :param sent_s: when the read was sent, by this instance's clock.
     """
 
     cursor: int
     is_full: bool
     entries: dict[str, WorkerEntry | None]
+    sent_s: float = math.inf
 
 
 class WorkersReadFailed(NamedTuple):
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -111,7 +111,7 @@
     if owner is None or owner.is_cut_from_peers or instance.is_cut_from_peers:
         return
     if not owner.is_up:
-        answer(events.REFUSED)
+        answer(events.UNSENT)
         return
     token = next(world.numbers)
     world.exchanges[token] = answer
@@ -194,7 +194,7 @@
         for worker in world.workers.values()
         if worker.is_up and not worker.is_cut and not world.is_registry_empty
     }
-    send_to(world, instance, 0.1, events.WorkersRead(1, True, entries))
+    send_to(world, instance, 0.1, events.WorkersRead(1, True, entries, world.now_s))
 
 
 def _entry(world: World, worker: JobWorker) -> model.WorkerEntry:
