Ignore gaps and ends of the log from replaced reads

While the log is silent, several reads of it are pending.

A gap at another offset than the present one, or from a read sent before the latest answered one, is logged and ignored. A gap from a replaced read that is newer than that still counts: with a link slower than the probe interval, every answer comes from a replaced read. The answer to a read sent before the latest answered one no longer makes the instance caught up; its records are applied as before.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -66,6 +66,7 @@
     tail = node.tail
     if event.sent_s >= tail.sent_s:
         tail.is_reading = False
+    is_latest = event.sent_s >= node.store.answered_sent_s
     was_silent = _outage.is_silent(node)
     _outage.on_read(node, at, event.sent_s)
     if tail.needs_snapshot or event.offset != node.replicated.offset:
@@ -83,7 +84,9 @@
         node.intake.unheard_until_s = 0.0
     _update_delays(tail, at.now_s, event, former_owner_record_s)
     was_caught_up = tail.is_caught_up
-    tail.is_caught_up = node.replicated.offset >= event.end
+    # The end that a replaced read found may be older than the latest known one.
+    is_current = is_latest or was_caught_up
+    tail.is_caught_up = is_current and node.replicated.offset >= event.end
     tail.has_caught_up = tail.has_caught_up or tail.is_caught_up
     if tail.is_caught_up and not was_caught_up:
         log_line(
@@ -122,8 +125,14 @@
     :param at: the current time.
     :param event: the oldest offset that the log holds.
     """
-    node.tail.is_reading = False
-    if node.tail.needs_snapshot:
+    tail = node.tail
+    if event.sent_s >= tail.sent_s:
+        tail.is_reading = False
+    if tail.needs_snapshot:
+        return
+    is_replaced = event.sent_s < node.store.answered_sent_s
+    if is_replaced or event.offset not in (None, node.replicated.offset):
+        log_line(node, "store.replaced_read_gap", first=event.first, offset=event.offset)
         return
     if node.replicated.offset == 0 and not node.replicated.jobs:
         # There is neither a snapshot nor replicated state, so the remaining log is all there is.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
@@ -82,9 +82,13 @@
     The log no longer holds the requested records.
 
     :param first: oldest offset that the log holds.
+    :param offset: the requested offset, or ``None`` if unknown.
+    :param sent_s: when the read was sent, by this instance's clock.
     """
 
     first: int
+    offset: int | None = None
+    sent_s: float = math.inf
 
 
 class LogReadFailed(NamedTuple):
--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -375,3 +375,36 @@
     produced += feed(node, at_s + 0.06, events.Ticked())
     assert not [item for item in produced if isinstance(item, effects.Append)]
     assert node.tail.readable_since_s == at_s + 0.05
+
+
+# Guards against a replicated state that is discarded because of a read that was replaced.
+def test_a_gap_of_a_replaced_read_is_ignored(node):
+    """
+    A gap found by a read of a former offset, or sent before the latest answered one, is outdated.
+    """
+    read(node, 1.0, [Claimed(1, "other", 5), OwnerHeartbeat(1, 0)])
+    (sent,) = send_probes(node, 1.0, 1)
+    feed(node, 1.3, events.LogGap(5, 0, sent - 0.1))
+    assert not node.tail.needs_snapshot
+    assert node.tail.is_reading
+    feed(node, 1.4, events.LogRead(2, (), 2, sent))
+    feed(node, 1.4, events.LogGap(5, 2, sent - 0.1))
+    assert not node.tail.needs_snapshot
+    (latest,) = send_probes(node, 1.4, 1)
+    feed(node, latest + 0.1, events.LogGap(5, 2, latest))
+    assert node.tail.needs_snapshot
+
+
+# Guards against an instance that tells former states as if it had read the log to its end.
+def test_an_older_read_does_not_show_the_end_of_the_log(node):
+    """
+    The end of the log that a read found is outdated if a read that was sent later was answered.
+    """
+    first = tuple(encode_records([Claimed(1, "other", 5)]))
+    feed(node, 1.0, events.LogRead(0, (), 2, 0.9))
+    assert not node.tail.is_caught_up
+    feed(node, 1.1, events.LogRead(0, first, 1, 0.8))
+    assert node.replicated.offset == 1
+    assert not node.tail.is_caught_up
+    feed(node, 1.2, events.LogRead(1, tuple(encode_records([OwnerHeartbeat(1, 0)])), 2, 1.1))
+    assert node.tail.is_caught_up
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -137,7 +137,8 @@
             return
         is_answered[0] = True
         if effect.offset < store.first:
-            send_to(world, instance, LINK_S, events.LogGap(store.first))
+            gap = events.LogGap(store.first, effect.offset, sent_s)
+            send_to(world, instance, LINK_S, gap)
             return
         records = tuple(store.records[effect.offset - store.first :])
         event = events.LogRead(effect.offset, records, store.end, sent_s)
