Close refused moves, and keep those without an answer drained

Cause: a move that was refused or not sent was dropped, and its record in the log stayed open. - If an earlier attempt of the move had no answer, tasks started on the instance while that attempt might still be carried out and cut them off. - The next owner drained the instance again and repeated the decision. - The next move of the instance counted as a repetition: it was not withdrawn when its record was committed late, and its former workers were those of the refused move.

Change: the owner keeps when the latest attempt without an answer was made, its own or a former owner's. Without one, a refused or unsent move is closed by a record. With one, the instance stays drained and the move is sent again, until it is answered, a list shows it done, or a list that was requested after the time of a late order (that of a former owner's) shows the instance up. A busy instance stays drained until a list shows it up, and its move is not repeated. Whether an order is a repetition now depends on the attempt without an answer, not on the open record. An order of a wave that the service refuses as not of that wave follows the same rule; no record closes it, since that would count as its maintenance.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -43,6 +43,9 @@
 # After this time an instance that was ordered down is up again or listed with its actual state.
 RECENT_ORDER_S = 15.0
 UP = "up"
+# Reasons of a refused order: the instance is not up; it is not one of the wave.
+BUSY = "busy"
+NOT_IN_WAVE = "wave"
 
 
 def list_instances(node: Node, at: Moment) -> None:
@@ -112,11 +115,13 @@
             del fleet.down[instance]
             fleet.draining.pop(instance, None)
             fleet.pool_of.pop(instance, None)
+            fleet.refused.pop(instance, None)
             log_line(node, "instance.back", instance=instance, is_listed=row is not None)
             if row is not None:
                 _end_replaced_workers(node, at, row)
     _drop_unlisted(node)
     _settle_moves(node, at)
+    _close_refused(node, at)
     _resume_workers(node)
     _end_stopped_workers(node, at)
     node.plan_due = True
@@ -131,6 +136,7 @@
     for instance in fleet.draining.keys() - fleet.rows.keys():
         reason = fleet.draining.pop(instance)
         fleet.pool_of.pop(instance, None)
+        fleet.refused.pop(instance, None)
         log_line(node, "instance.gone", instance=instance, emptied_for=reason)
 
 
@@ -155,10 +161,45 @@
         _end_replaced_workers(node, at, row)
         fleet.draining.pop(instance, None)
         del fleet.pool_of[instance]
+        fleet.unanswered.pop(instance, None)
+        fleet.refused.pop(instance, None)
         fleet.moved.add(instance)
     _record_moved(node, at)
 
 
+def _close_refused(node: Node, at: Moment) -> None:
+    """
+    Give up refused orders whose instances the list shows up, once no attempt that had no answer can
+    be carried out any more.
+    """
+    fleet = node.fleet
+    for instance, refused_s in list(fleet.refused.items()):
+        row = fleet.rows.get(instance)
+        is_open = instance not in fleet.in_flight and instance not in fleet.down
+        if row is None or row.state != UP or not is_open:
+            continue
+        late_s = node.bounds.order_lease_s + ORDER_MARGIN_S
+        last_s = fleet.unanswered.get(instance, refused_s - late_s) + late_s
+        # Only a list that was requested afterwards shows that none was carried out.
+        if fleet.rows_s > max(refused_s, last_s):
+            _give_up(node, at, instance)
+
+
+def _give_up(node: Node, at: Moment, instance: str) -> None:
+    """
+    Use an instance again whose order was not and will not be carried out.
+    """
+    fleet = node.fleet
+    reason = fleet.draining.pop(instance, None)
+    pool = fleet.pool_of.pop(instance, "")
+    fleet.unanswered.pop(instance, None)
+    fleet.refused.pop(instance, None)
+    order = node.replicated.orders.get(instance)
+    if order is not None and not order.is_done and order.wave < 0:
+        write(node, at, InstanceDone(node.ownership.epoch, instance, -1))
+    log_line(node, "instance.order_given_up", instance=instance, pool=pool, reason=reason)
+
+
 def _record_moved(node: Node, at: Moment) -> None:
     """
     Record moves as done that a list showed done. While a previous owner may still send the order,
@@ -237,6 +278,9 @@
     for instance, reason in list(node.fleet.draining.items()):
         if instance in node.fleet.down or instance in node.fleet.in_flight:
             continue
+        if instance in node.fleet.refused and instance not in node.fleet.unanswered:
+            # It is not up. The demand may have changed once it is.
+            continue
         for worker in _workers_on(node, instance):
             if worker.is_held and not worker.is_failing:
                 _draining.drain_long_running(node, at, worker)
@@ -343,14 +387,10 @@
     else:
         pool = node.fleet.pool_of[instance]
     node.fleet.in_flight[instance] = at.now_s
-    former = node.replicated.orders.get(instance)
-    if former is None or former.is_done:
-        node.fleet.repeated.discard(instance)
+    if instance not in node.fleet.unanswered:
         node.fleet.former_workers[instance] = {
             worker.id: worker.entry.incarnation for worker in _workers_on(node, instance)
         }
-    else:
-        node.fleet.repeated.add(instance)
     earliest_s = max(node.fleet.next_order_s, at.now_s - ORDER_BURST_S)
     node.fleet.next_order_s = earliest_s + 1 / (ORDER_RATE_FRACTION * node.bounds.orders_per_s)
     epoch = node.ownership.epoch
@@ -400,7 +440,7 @@
     fleet = node.fleet
     age_s = at.now_s - fleet.in_flight.get(effect.instance, at.now_s)
     is_move = effect.wave < 0
-    if is_move and age_s > MAX_DECISION_AGE_S and effect.instance not in fleet.repeated:
+    if is_move and age_s > MAX_DECISION_AGE_S and effect.instance not in fleet.unanswered:
         _withdraw(node, at, effect, age_s)
         return
     if is_order_allowed(node, at):
@@ -451,18 +491,26 @@
         return
     if event.outcome == events.OK:
         fleet.down[event.instance] = at.now_s
+        fleet.unanswered.pop(event.instance, None)
+        fleet.refused.pop(event.instance, None)
         _end_former_workers(node, at, event.instance)
         write(node, at, InstanceDone(node.ownership.epoch, event.instance, event.wave))
         return
     if event.outcome == events.UNKNOWN:
         # The instance may be down already; in that case the retry is answered as done.
+        fleet.unanswered[event.instance] = at.now_s
         fleet.retry_s[event.instance] = at.now_s + ORDER_RETRY_S
         return
     is_unsent = event.outcome == events.UNSENT
     fleet.retry_s[event.instance] = at.now_s + (UNSENT_RETRY_S if is_unsent else ORDER_RETRY_S)
-    if event.reason == "wave" or event.wave < 0:
-        fleet.draining.pop(event.instance, None)
-        fleet.pool_of.pop(event.instance, None)
+    is_wanted = event.wave >= 0 and event.reason != NOT_IN_WAVE
+    if is_wanted:
+        return
+    if event.instance in fleet.unanswered or event.reason == BUSY:
+        # A refusal says nothing about an earlier attempt that had no answer.
+        fleet.refused[event.instance] = at.now_s
+    else:
+        _give_up(node, at, event.instance)
 
 
 def _end_former_workers(node: Node, at: Moment, instance: str) -> None:
@@ -491,6 +539,7 @@
     for instance, order in node.replicated.orders.items():
         if order.is_done:
             continue
+        node.fleet.unanswered[instance] = at.now_s
         if order.wave >= 0:
             node.fleet.draining[instance] = MAINTENANCE
             node.fleet.wave_of[instance] = order.wave
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -315,7 +315,10 @@
     :param rows: latest listing of each instance.
     :param listed_s: when the latest list was requested.
     :param in_flight: when each order without a response was decided, by instance.
-    :param repeated: instances whose order may have been sent before.
+    :param unanswered: since when the latest attempt of an order that has no answer may be carried
+        out late, by instance.
+    :param refused: when an order was refused whose instance may be down or may still go down, by
+        instance.
     :param retry_s: earliest time of another order, by instance.
     :param draining: instances that get no new work, with the reason.
     :param wave_of: wave for which each instance is drained.
@@ -333,7 +336,8 @@
     listed_s: float = -1e9
     is_listing: bool = False
     in_flight: dict[str, float] = {}
-    repeated: set[str] = set()
+    unanswered: dict[str, float] = {}
+    refused: dict[str, float] = {}
     retry_s: dict[str, float] = {}
     draining: dict[str, str] = {}
     wave_of: dict[str, int] = {}
--- a/packages/eelgrassdrum-core/tests/test_jobs_instances.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_instances.py
@@ -393,3 +393,119 @@
     feed(node, START_S + 2.3, events.Ticked())
     assert accepts_tasks(node, START_S + 2.4, "new")
     assert "m-1" not in node.fleet.down
+
+
+def refuse_order(node, at_s, outcome, reason, pool="service"):
+    """
+    Let the machine service refuse a move, or a connection for it.
+    """
+    feed(node, at_s, events.InstanceOrderAnswered("m-1", -1, pool, outcome, reason))
+    feed(node, at_s, events.Ticked())
+    commit(node, at_s)
+
+
+# Guards against tasks that an earlier attempt of a refused move cuts.
+def test_no_task_starts_while_an_unanswered_move_may_be_carried_out():
+    """
+    A refused or unsent repetition of a move without an answer leaves its instance drained.
+    """
+    for outcome, reason in (
+        (events.REFUSED, "429"),
+        (events.REFUSED, "busy"),
+        (events.UNSENT, "connect"),
+    ):
+        node = make_owner_that_moves()
+        refuse_order(node, LISTED_S + 1.0, events.UNKNOWN, "timeout")
+        assert sent_orders(node, LISTED_S + 2.1) == ["m-1"]
+        refuse_order(node, LISTED_S + 2.2, outcome, reason)
+        assert not accepts_tasks(node, LISTED_S + 2.3, "old"), (outcome, reason)
+        # A list that was requested while the first attempt may be late is no evidence either.
+        list_rows(node, LISTED_S + 2.4, make_row("m-1", "old", pool="other"))
+        assert not accepts_tasks(node, LISTED_S + 2.5, "old"), (outcome, reason)
+        assert not node.replicated.orders["m-1"].is_done
+
+
+# Guards against an instance that stays drained for a move that is refused for good.
+def test_a_repeated_move_that_is_refused_for_good_is_given_up():
+    """
+    An instance is used again once no attempt without an answer can be carried out any more.
+    """
+    node = make_owner_that_moves()
+    refuse_order(node, LISTED_S + 1.0, events.UNKNOWN, "timeout")
+    assert sent_orders(node, LISTED_S + 2.1) == ["m-1"]
+    refuse_order(node, LISTED_S + 2.2, events.REFUSED, "400")
+    late_s = LISTED_S + 1.0 + BOUNDS.order_lease_s + instances.ORDER_MARGIN_S
+    list_rows(node, late_s + 0.1, make_row("m-1", "old", pool="other"))
+    commit(node, late_s + 0.2)
+    answer_holds(node, late_s + 0.2, node.workers["old"].entry)
+    assert accepts_tasks(node, late_s + 0.3, "old")
+    feed(node, late_s + 0.3, events.Ticked())
+    commit(node, late_s + 0.3)
+    assert node.replicated.orders["m-1"].is_done
+
+
+# Guards against a former owner's move that is dropped while it may still be carried out.
+def test_a_refused_move_of_a_former_owner_waits_for_a_list():
+    """
+    A new owner gives up a refused move of a previous owner only after a list shows it not done.
+    """
+    records = [
+        Claimed(1, "former", 1),
+        OwnerHeartbeat(1, 50_000),
+        InstanceOrdered(1, "m-1", -1, "service", WALL_MS),
+    ]
+    node = make_restarted_owner(records)
+    register(node, START_S + 2.1, on_instance("old", "m-1"))
+    list_rows(node, START_S + 2.2, make_row("m-1", "old", pool="other"))
+    repeat_s = START_S + 2 + BOUNDS.order_lease_s + instances.ORDER_MARGIN_S + 0.1
+    assert sent_orders(node, repeat_s) == ["m-1"]
+    refuse_order(node, repeat_s + 0.1, events.REFUSED, "400")
+    assert "m-1" in node.fleet.draining
+    list_rows(node, repeat_s + 0.2, make_row("m-1", "old", pool="other"))
+    assert "m-1" not in node.fleet.draining
+
+
+# Guards against tasks on an instance that is down or moving.
+def test_an_instance_that_is_busy_stays_drained_until_it_is_up():
+    """
+    A move refused as busy is not repeated, and given up once a list shows the instance up.
+    """
+    node = make_owner_that_moves()
+    refuse_order(node, LISTED_S + 0.2, events.REFUSED, "busy")
+    list_rows(node, LISTED_S + 0.3, make_row("m-1", "", "moving", pool="other"))
+    assert "m-1" in node.fleet.draining
+    assert sent_orders(node, LISTED_S + 1.5) == []
+    list_rows(node, LISTED_S + 1.6, make_row("m-1", "old", pool="other"))
+    assert "m-1" not in node.fleet.draining
+    commit(node, LISTED_S + 1.7)
+    assert node.replicated.orders["m-1"].is_done
+
+
+# Guards against a new owner that repeats a decision which its predecessor gave up.
+def test_a_refused_move_is_closed():
+    """
+    A move that was refused or not sent, and given up, is recorded as done.
+    """
+    for outcome, reason in ((events.REFUSED, "429"), (events.UNSENT, "connect")):
+        node = make_owner_that_moves()
+        refuse_order(node, LISTED_S + 0.2, outcome, reason)
+        assert "m-1" not in node.fleet.draining
+        assert node.replicated.orders["m-1"].is_done, (outcome, reason)
+
+
+# Guards against the next move of an instance that is taken for a repetition of a refused one.
+def test_a_move_after_a_refused_one_is_not_a_repeated_one():
+    """
+    A decision whose record is committed late is withdrawn, also if an older move was refused.
+    """
+    node = make_owner_that_moves()
+    refuse_order(node, LISTED_S + 0.2, events.REFUSED, "429")
+    sent_orders(node, LISTED_S + 5.0)
+    node.fleet.draining["m-1"] = instances.MOVE
+    node.fleet.pool_of["m-1"] = "third"
+    feed(node, LISTED_S + 5.1, events.Ticked())
+    assert "m-1" in node.fleet.in_flight
+    seq = node.journal.seq
+    produced = feed(node, LISTED_S + 9.0, events.Appended("owner", seq, events.OK))
+    assert not [item for item in produced if isinstance(item, effects.OrderInstance)]
+    assert "m-1" not in node.fleet.draining
