Let a run of all tests fail if KNOWN-RED.txt lists no test

Cause: an entry whose test had been renamed or removed stayed in the list without a word. Change: a run without a name pattern prints each label that names no test, and fails.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/run_tests.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/run_tests.py
@@ -5,7 +5,7 @@
 are plain functions or generator functions listed in the module's ``FIXTURES`` mapping.
 
 A test whose label starts an entry of ``KNOWN-RED.txt`` is expected to fail; if it passes, the run
-fails until the entry is removed.
+fails until the entry is removed. A run of all tests also fails if an entry's label names no test.
 """
 
 import contextlib
@@ -105,6 +105,18 @@
                 yield unittest.expectedFailure(case) if label in red else case
 
 
+def labels_without_test(suite: unittest.TestSuite, red: frozenset[str]) -> list[str]:
+    """
+    Return the labels of known failures that name no test.
+
+    :param suite: all tests, before they run.
+    :param red: the labels.
+    :returns: the labels in order, ``PACKAGE/MODULE.FUNCTION`` each.
+    """
+    labels = {case.shortDescription() for case in suite if isinstance(case, unittest.TestCase)}
+    return sorted(red - labels)
+
+
 def main() -> int:
     """
     Run the tests, optionally only those whose name contains the first argument.
@@ -122,16 +134,19 @@
     )
     red = known_red((REPOSITORY / "KNOWN-RED.txt").read_text())
     suite = unittest.TestSuite(collect(paths, pattern, red))
+    unmatched = [] if pattern else labels_without_test(suite, red)
     result = unittest.TextTestRunner(verbosity=1).run(suite)
     for case, _trace in result.expectedFailures:
         print(f"known red, failed as expected: {case.shortDescription()}")
     for case in result.unexpectedSuccesses:
         print(f"listed in KNOWN-RED.txt, but passed: {case.shortDescription()}")
+    for label in unmatched:
+        print(f"listed in KNOWN-RED.txt, but names no test: {label}")
     failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
     skipped = len(result.skipped)
     passed = result.testsRun - failed - skipped - len(result.expectedFailures)
     print(f"{passed} passed, {failed} failed, {skipped} skipped")
-    return 0 if failed == 0 and result.testsRun > 0 else 1
+    return 0 if failed == 0 and not unmatched and result.testsRun > 0 else 1
 
 
 if __name__ == "__main__":
--- a/packages/eelgrassdrum-testing/tests/test_run_tests.py
+++ b/packages/eelgrassdrum-testing/tests/test_run_tests.py
@@ -2,9 +2,13 @@
 The runner of the tests.
 """
 
+import contextlib
+import io
+import sys
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from eelgrassdrum_testing import run_tests
 
@@ -63,3 +67,30 @@
     """
     result = run(tmp_path, ["package/test_sample.test_passes"])
     assert len(result.unexpectedSuccesses) == 1 and len(result.failures) == 1
+
+
+# Guards against an entry that stays listed after its test was renamed or removed.
+def test_a_listed_label_without_a_test_fails_a_run_of_all_tests(tmp_path):
+    """
+    A label that names no test fails a run of all tests, and not a run of some.
+    """
+    path = Path(tmp_path) / "packages" / "package" / "tests" / "test_sample.py"
+    path.parent.mkdir(parents=True)
+    path.write_text(FAILING)
+    red = Path(tmp_path) / "KNOWN-RED.txt"
+    for names, pattern, expected in (
+        (["test_fails"], "", 0),
+        (["test_fails", "test_gone"], "", 1),
+        (["test_fails", "test_gone"], "test_fails", 0),
+    ):
+        red.write_text("".join(f"package/test_sample.{name}: seen\n" for name in names))
+        output = io.StringIO()
+        with (
+            mock.patch.object(run_tests, "REPOSITORY", Path(tmp_path)),
+            mock.patch.object(sys, "argv", ["run_tests", *([pattern] if pattern else [])]),
+            mock.patch.object(sys, "path", list(sys.path)),
+            contextlib.redirect_stdout(output),
+            contextlib.redirect_stderr(io.StringIO()),
+        ):
+            assert run_tests.main() == expected, (names, pattern)
+        assert ("names no test: package/test_sample.test_gone" in output.getvalue()) == expected
