Let schedules refuse repetitions of instance orders without an answer

Cause: the stand-in of the machine service refused an order only if the instance was busy or unknown, and carried out a late order at most 2 s after it was sent, which is when the owner sends it again. So no schedule showed what a refused repetition does. Change: while the fault instance_orders_lost lasts, half of the repetitions of an order without an answer are refused with 429, and a late order may take 3 s, still less than the 3.5 s that a new owner waits.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -34,7 +34,9 @@
 # Fraction of the orders without an answer that the machine service carries out, and the longest
 # time until it does; shorter than the time that a new owner waits.
 CARRIED_OUT_PART = 0.7
-LATE_ORDER_S = 2.0
+# Fraction of the repetitions of these orders that the machine service refuses.
+REFUSED_REPEAT_PART = 0.5
+LATE_ORDER_S = 3.0
 
 
 def _reply(world: World, instance: Instance, effect: effects.Reply) -> None:
@@ -361,7 +363,13 @@
     if world.are_machines_cut:
         answer(events.UNKNOWN, "timeout", TIMEOUT_S)
         return
+    order = (effect.instance, effect.wave, effect.pool)
+    is_repeated = order in world.unanswered_orders
+    if world.lost_order_part and is_repeated and world.rng.random() < REFUSED_REPEAT_PART:
+        later(world, 0.01, lambda: answer(events.REFUSED, "429", LINK_S))
+        return
     if world.lost_order_part and world.rng.random() < world.lost_order_part:
+        world.unanswered_orders.add(order)
         if world.rng.random() < CARRIED_OUT_PART:
             delay_s = world.rng.uniform(0.01, LATE_ORDER_S)
             later(world, delay_s, lambda: _carry_out_order(world, effect))
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
@@ -67,6 +67,7 @@
     :param upkeep: instances ordered down, with time, token and wave.
     :param is_registry_empty: whether the entries of workers have lapsed.
     :param lost_order_part: part of the orders for instances that get no answer.
+    :param unanswered_orders: instance, wave and pool of the orders that got no answer.
     :param are_machines_cut: whether the machine service answers nobody.
     :param exchanges: takes the answer to records that an instance sent to another, by token.
     :param effects: carries out the effects of an instance, by type.
@@ -92,6 +93,7 @@
     answered: dict[str, int] = {}
     is_registry_empty: bool = False
     lost_order_part: float = 0.0
+    unanswered_orders: set[tuple[str, int, str]] = set()
     are_machines_cut: bool = False
     effects: dict[type, Callable[["World", Instance, Any], None]] = {}
 
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -42,6 +42,7 @@
     ): "an instance whose worker's entry had lapsed counted as empty",
 }
 LOST_ORDERS = ("wave", "instance_orders_lost", "wave")
+REFUSED_REPEATS = ("instance_orders_lost",) * 3
 LOST_MOVES = ("instance_orders_lost", "kill_owner", "instance_orders_lost", "kill_owner")
 FRESH_SEEDS = range(1000, 1012)
 MOVING_SEEDS = range(1100, 1124)
@@ -102,7 +103,7 @@
     """
     Orders for instances that get no answer leave no worker without work while tasks wait.
     """
-    for seed in (103, 105, 117):
+    for seed in (103, 105, 106, 109, 117):
         result = run_schedule(seed, LOST_ORDERS)
         assert result.violations == (), (seed, result.violations[:3])
 
@@ -112,11 +113,21 @@
     """
     Moves that get no answer, repeated by new owners, leave no worker of the pool without work.
     """
-    for seed in (105, 138):
+    for seed in (105, 138, 143):
         result = run_schedule(seed, LOST_MOVES, is_moving=True)
         assert result.violations == (), (seed, result.violations[:3])
 
 
+# Guards against tasks that a move without an answer cuts, since its repetition was refused.
+def test_refused_repetitions_of_moves_cut_nothing():
+    """
+    An instance gets no task while a move without an answer may be carried out.
+    """
+    for seed in (130, 138):
+        result = run_schedule(seed, REFUSED_REPEATS, is_moving=True)
+        assert result.violations == (), (seed, result.violations[:3])
+
+
 def test_mixed_faults_break_no_rule():
     """
     Several faults that overlap break no rule.
@@ -243,7 +254,7 @@
         replaced(_instances, "_end_former_workers", end_all_workers),
         replaced(_instances, "_resume_workers", lambda _node: None),
     ):
-        assert "work_with_room_starts" in broken_rules((103, 105), LOST_ORDERS)
+        assert "work_with_room_starts" in broken_rules((106, 109), LOST_ORDERS)
 
 
 def test_attempts_are_checked():
