Drop the tickets of a worker that has restarted

A ticket of the advice service is valid for one incarnation of a worker. The owner kept it across a restart under the same id, so the new incarnation refused each start with it until it had expired. Change: a new incarnation drops the worker's tickets and also its refusals, since it may be of another kind. A start that is refused for its ticket drops that ticket, for answers that were under way at the restart.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_advice.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_advice.py
@@ -2,8 +2,8 @@
 Requests tickets from the advice service, which decides on which workers a step may run.
 
 The service accepts one call at a time from each instance, and a call takes longer the more workers
-it names. The decision for a step and a worker never changes, so a ticket is requested once, and
-again only after it has expired.
+it names. The decision for a step and an incarnation of a worker never changes, so a ticket is
+requested once, and again only after it has expired or the worker has restarted or refused it.
 """
 
 from typing import Any
@@ -11,6 +11,7 @@
 from . import effects, events
 from ._node import Moment, Node, StepAdvice, emit, log_line
 from ._replicated_state import Job
+from .model import TaskKey
 
 # Workers named in one call: enough to find a few that may run the step.
 WORKERS_PER_CALL = 6
@@ -110,6 +111,31 @@
     node.plan_due = True
 
 
+def forget_worker(node: Node, worker_id: str) -> None:
+    """
+    Drop the tickets and refusals of a worker, which are those of its former incarnation.
+
+    :param node: the instance.
+    :param worker_id: the worker.
+    """
+    for advice in node.advice.values():
+        advice.tickets.pop(worker_id, None)
+        advice.refused.discard(worker_id)
+
+
+def drop_ticket(node: Node, key: TaskKey, worker_id: str) -> None:
+    """
+    Drop a ticket that its worker has refused.
+
+    :param node: the instance.
+    :param key: the task that was to start.
+    :param worker_id: the worker.
+    """
+    advice = node.advice.get((key.job, key.occurrence, key.step))
+    if advice is not None:
+        advice.tickets.pop(worker_id, None)
+
+
 def prune(node: Node) -> None:
     """
     Drop the tickets of jobs that are no longer open.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -7,7 +7,7 @@
 it was not, a stop bars the run before the task is started again.
 """
 
-from . import _journal, _leases, _replicated_state, _workers, effects, events
+from . import _advice, _journal, _leases, _replicated_state, _workers, effects, events
 from ._node import NEVER_S, Moment, Node, Order, Worker, emit, log_line
 from ._records import Started
 from ._replicated_state import Task
@@ -21,6 +21,8 @@
 REFUSED_BACKOFF_S = 0.5
 UNSENT = "unsent"
 REFUSED = "refused"
+# Reason of a refused start: its ticket is not valid for the worker.
+TICKET = "ticket"
 
 
 def start(node: Node, at: Moment, worker: Worker, task: Task, run: int, ticket: str) -> None:
@@ -151,6 +153,9 @@
         order.unanswered_s = at.now_s
         _workers.request_lists(node, at, worker)
         return
+    if event.reason == TICKET:
+        # It may be the ticket of a former incarnation.
+        _advice.drop_ticket(node, event.key, worker.id)
     worker.no_starts_until_s = at.now_s + REFUSED_BACKOFF_S
     if event.outcome == events.UNSENT:
         worker.next_hold_s = at.now_s
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -2,7 +2,7 @@
 Tracks the registry of workers and the incarnations of each worker.
 """
 
-from . import _ownership, effects, events
+from . import _advice, _ownership, effects, events
 from ._node import NEVER_S, Moment, Node, Worker, emit, log_line
 from ._runs import mark_all_lost, raise_token, runs_on
 from .model import WorkerEntry
@@ -195,6 +195,7 @@
     # The former incarnation's runs are only recorded as lost once the new one has responded: a
     # delayed order may have reached the new one before its fencing token was raised.
     raise_token(worker)
+    _advice.forget_worker(node, worker.id)
     worker.orders.clear()
     worker.stops.clear()
     worker.possible_runs_until_s = at.now_s + node.bounds.max_lease_s * (1 + _ownership.CLOCK_DRIFT)
--- a/packages/eelgrassdrum-core/tests/test_jobs_orders.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_orders.py
@@ -3,6 +3,7 @@
 """
 
 from eelgrassdrum_core.jobs import effects, events, model
+from eelgrassdrum_core.jobs._node import StepAdvice
 from eelgrassdrum_testing.jobs.owner import (
     OWNER_TOKEN,
     START_S,
@@ -124,3 +125,50 @@
     assert next_hold.acked == 1
     produced = feed(node, SENT_S + 0.23, worker_lists(SENT_S + 0.22, (row,)))
     assert [hold.acked for hold in of_type(produced, effects.Hold)] == [0]
+
+
+def make_owner_with_ticket():
+    """
+    Return an owner that has a ticket for the step of an order, which it has sent, and the order.
+    """
+    node = owner_of([worker_entry("w")])
+    hand_in(node, [("job", "usual", (one_step(),), 0.0)])
+    (order,) = commit(node, SENT_S)
+    advice = StepAdvice(tickets={"w": ("ticket", SENT_S + 100)}, refused={"v"})
+    node.advice[(order.key.job, order.key.occurrence, order.key.step)] = advice
+    return node, order, advice
+
+
+# Guards against starts that a worker refuses until the ticket of its former incarnation expires.
+def test_a_restarted_worker_needs_a_new_ticket():
+    """
+    The tickets of a worker are dropped when it has restarted, and it may be asked for anew.
+    """
+    node, _order, advice = make_owner_with_ticket()
+    advice.refused.add("w")
+    feed(node, SENT_S + 0.1, events.HoldAnswered("w", OWNER_TOKEN, SENT_S + 0.1, 10, 8, (), ()))
+    assert node.workers["w"].entry.incarnation == 8
+    assert "w" not in advice.tickets
+    assert advice.refused == {"v"}
+
+
+# Guards against the same, if the ticket arrived after the restart.
+def test_a_refused_ticket_is_dropped():
+    """
+    A ticket that its worker refuses is requested again, and others are kept.
+    """
+    node, order, advice = make_owner_with_ticket()
+    advice.tickets["v"] = ("other", SENT_S + 100)
+    refusal = events.StartAnswered("w", order.key, order.run, events.REFUSED, "ticket", 0)
+    feed(node, SENT_S + 0.1, refusal)
+    assert set(advice.tickets) == {"v"}
+
+
+def test_a_refusal_for_another_reason_keeps_the_ticket():
+    """
+    A worker without room keeps its ticket.
+    """
+    node, order, advice = make_owner_with_ticket()
+    refusal = events.StartAnswered("w", order.key, order.run, events.REFUSED, "room", 0)
+    feed(node, SENT_S + 0.1, refusal)
+    assert set(advice.tickets) == {"w"}
