--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -62,6 +62,7 @@
         worker=worker.id,
         age_s=round(at.now_s - job.seen_s, 3),
         free_millicores=_workers.free_resources(node, worker).millicores,
+        log_age_s=round(at.now_s - node.tail.last_success_s, 3),
         config=node.config.version if node.config else None,
     )
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -190,6 +190,15 @@
     if sent_run == run and at.now_s - sent_s < STOP_RETRY_S:
         return
     worker.stops[key] = (run, at.now_s)
+    log_line(
+        node,
+        "run.stop_sent",
+        job=key.job,
+        task=".".join(map(str, key[1:])),
+        run=run,
+        worker=worker.id,
+        is_repeated=sent_run == run,
+    )
     address = worker.entry.address
     emit(node, effects.StopTask(worker.id, address, key, run, fencing_token(node, worker)))
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -375,6 +375,16 @@
     :param at: the time.
     :param event: the outcome.
     """
+    if event.outcome != events.OK:
+        log_line(
+            node,
+            "run.stop_unanswered",
+            job=event.key.job,
+            task=".".join(map(str, event.key[1:])),
+            run=event.run,
+            worker=event.worker,
+            outcome=event.outcome,
+        )
     worker = node.workers.get(event.worker)
     if worker is None or event.outcome != events.OK:
         return
--- a/packages/eelgrassdrum-core/tests/test_jobs_orders.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_orders.py
@@ -172,3 +172,18 @@
     refusal = events.StartAnswered("w", order.key, order.run, events.REFUSED, "room", 0)
     feed(node, SENT_S + 0.1, refusal)
     assert set(advice.tickets) == {"w"}
+
+
+def test_unanswered_stop_is_logged():
+    """
+    The log says which stop had no answer, so that a run that goes on can be explained.
+    """
+    node = owner_of([worker_entry("w")])
+    hand_in(node, [("job", "usual", (one_step(),), 0.0)])
+    (order,) = commit(node, SENT_S)
+    outcome = events.StopAnswered("w", order.key, order.run, events.UNKNOWN)
+    lines = of_type(feed(node, GIVEN_UP_S, outcome), effects.WriteLine)
+    fields = [line.fields for line in lines if line.action == "run.stop_unanswered"]
+    assert [(item["job"], item["worker"], item["outcome"]) for item in fields] == [
+        ("job", "w", events.UNKNOWN)
+    ]
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_logging.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_logging.py
@@ -22,7 +22,9 @@
 PROGRESS_LINES_PER_S = 200
 # Lines buffered for a slow reader; above it the oldest lines are dropped and counted.
 MAX_PENDING_LINES = 5_000
-PROGRESS_ACTIONS = frozenset({"job.accepted", "run.decided", "run.ended", "call.answered"})
+PROGRESS_ACTIONS = frozenset(
+    {"job.accepted", "run.decided", "run.ended", "run.stop_sent", "call.answered"}
+)
 # Runs that end in these states are logged even above the rate limit.
 UNLIMITED_END_STATES = frozenset({"failed", "lost", "lapsed", "refused", "unsent"})
 
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_metrics.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_metrics.py
@@ -108,18 +108,19 @@
             lines.append(f"{PREFIX}_{name}_seconds{{{quantile}}} {value_s:.4f}")
         total = histogram.get_total_count()
         lines.append(f'{PREFIX}_{name}_seconds_count{{label="{text}"}} {total}')
-    lines += [f"{PREFIX}_{name} {value}" for name, value in _gauges(node).items()]
+    lines += [f"{PREFIX}_{name} {value}" for name, value in _gauges(node, at).items()]
     lines += _pool_gauges(node, at)
     return "\n".join([*lines, ""]).encode()
 
 
-def _gauges(node: Node) -> dict[str, float]:
+def _gauges(node: Node, at: Moment) -> dict[str, float]:
     return {
         "is_owner": int(node.ownership.is_owner),
         "epoch": node.replicated.epoch,
         "config_version": node.config.version if node.config else -1,
         "log_offset": node.replicated.offset,
         "log_caught_up": int(node.tail.is_caught_up),
+        "log_age_seconds": round(at.now_s - node.tail.last_success_s, 3),
         "snapshot_offset": node.snapshot_offset,
         "jobs": len(node.replicated.jobs),
         "jobs_open": len(node.replicated.open_jobs),
--- a/packages/eelgrassdrum-daemon/tests/test_jobs_metrics.py
+++ b/packages/eelgrassdrum-daemon/tests/test_jobs_metrics.py
@@ -66,3 +66,12 @@
         'eelgrassdrum_call_refused_total{label="store_unavailable"} 2',
         'eelgrassdrum_retry_after_seconds_count{label="store_unavailable"} 1',
     } <= lines_of(owner_of([]), metrics)
+
+
+def test_age_of_the_log_is_shown():
+    """
+    The age of the state that an instance decides and answers by is shown to scrapers.
+    """
+    node = owner_of([worker_entry("w")])
+    node.tail.last_success_s = AT.now_s - 1.5
+    assert "eelgrassdrum_log_age_seconds 1.5" in lines_of(node)
