Show that runs are given up before their leases are over

Once the worker doesn't answer, its runs are recorded as lost and started a second time beside the first one.

--- /dev/null
+++ b/packages/eelgrassdrum-core/tests/test_jobs_leases.py
@@ -0,0 +1,186 @@
+"""
+When the runs on a worker that doesn't answer are recorded as lost.
+"""
+
+from eelgrassdrum_core.jobs import Identity, Moment, effects, events, model, new_node
+from eelgrassdrum_core.jobs._leases import lease_over_s
+from eelgrassdrum_core.jobs._ownership import CLOCK_DRIFT, LEASE_MARGIN_S
+from eelgrassdrum_core.jobs._records import Claimed, Started, Submitted, encode_records
+from eelgrassdrum_core.jobs._registry import end_incarnation, resume_incarnation
+from eelgrassdrum_core.jobs._runs import fencing_token
+from eelgrassdrum_testing.jobs.owner import (
+    BOUNDS,
+    START_S,
+    WALL_MS,
+    commit,
+    feed,
+    hand_in,
+    logged,
+    make_owner_config,
+    one_step,
+    worker_entry,
+)
+
+CLAIM_SENT_S = START_S + 2
+# The claim of a slow store is read late.
+CLAIMED_S = CLAIM_SENT_S + 6
+# Longest time that a lease lasts on the slowest clock, from when the worker takes it.
+LONGEST_S = BOUNDS.max_lease_s * (1 + CLOCK_DRIFT)
+FORMER_LEASES_END_S = CLAIMED_S + LONGEST_S + LEASE_MARGIN_S
+TASK = model.TaskKey("job", 0, 0, 0)
+ROW = model.RunRow(TASK, 1, "", 10, 0.0)
+
+
+def make_successor():
+    """
+    Return an instance that has just taken over the log of an owner whose run is on the worker "w".
+    """
+    node = new_node(Identity("entry", WALL_MS, "zone"), BOUNDS)
+    feed(node, START_S, events.OperatorRead(1, make_owner_config(), (), START_S))
+    feed(node, START_S, events.SnapshotRead(None))
+    spec = model.JobSpec("x", (one_step(),))
+    former = [
+        Claimed(1, "former", WALL_MS),
+        Submitted("job", "usual", "service", "a", spec, WALL_MS),
+        Started(1, *TASK, 1, "w", 7),
+    ]
+    read_log(node, START_S, former)
+    read_log(node, CLAIM_SENT_S, [])
+    feed(node, CLAIM_SENT_S, events.Ticked())
+    read_log(node, CLAIMED_S, [Claimed(2, "entry", WALL_MS)])
+    assert node.ownership.is_owner
+    feed(node, CLAIMED_S, events.WorkersRead(1, True, {"w": worker_entry("w")}))
+    assert TASK in node.replicated.running["w"]
+    return node
+
+
+FIXTURES = {"successor": make_successor}
+
+
+def read_log(node, now_s, records):
+    """
+    Let an instance read the rest of the log.
+    """
+    data = tuple(encode_records(records))
+    offset = node.replicated.offset
+    feed(node, now_s, events.LogRead(offset, data, offset + len(data), now_s))
+
+
+def answer(node, now_s, incarnation=7, rows=(ROW,), clock_ms=5000):
+    """
+    Let the worker answer a hold with the newest token, and return the effects.
+    """
+    token = fencing_token(node, node.workers["w"])
+    event = events.HoldAnswered("w", token, now_s, clock_ms, incarnation, rows, ())
+    return feed(node, now_s, event)
+
+
+def time_out(node, now_s):
+    """
+    Let a hold with the newest token have no answer.
+    """
+    token = fencing_token(node, node.workers["w"])
+    feed(node, now_s, events.HoldFailed("w", "timeout", token))
+
+
+def lost_runs(node, from_s, to_s):
+    """
+    Let time pass while the worker doesn't answer, and return when its runs are recorded as lost.
+    """
+    lines = []
+    now_s = from_s
+    while now_s < to_s:
+        lines += [now_s for _line in logged(feed(node, now_s, events.Ticked()), "worker.runs_lost")]
+        now_s += 0.1
+    return lines
+
+
+def regain(node):
+    """
+    Let a worker that didn't answer the first hold answer one of the later ones, and list the run.
+    """
+    time_out(node, CLAIMED_S + 0.8)
+    for number in range(4):
+        feed(node, CLAIMED_S + 0.81 + number * 0.26, events.Ticked())
+    answer(node, CLAIMED_S + 1.7)
+
+
+# Guards against a second run beside the first one, whose lease a former owner had granted.
+def test_a_worker_that_got_no_lease_from_this_owner_may_hold_a_former_one(successor):
+    """
+    The runs on a worker that was regained for a moment only aren't lost before former leases end.
+    """
+    regain(successor)
+    time_out(successor, CLAIMED_S + 1.8)
+    assert lost_runs(successor, CLAIMED_S + 1.81, FORMER_LEASES_END_S - 0.1) == []
+    assert TASK in successor.replicated.running["w"]
+
+
+# Guards against the same, if this owner may grant short leases only, since its claim was read late.
+def test_a_former_lease_may_be_longer_than_the_one_of_this_owner(successor):
+    """
+    The runs on a worker aren't lost when the lease of this owner is over but a former one may last.
+    """
+    (hold,) = [item for item in answer(successor, CLAIMED_S) if isinstance(item, effects.Hold)]
+    assert hold.lease_ms is not None
+    assert hold.lease_ms <= 5000 + 1000 * (CLAIM_SENT_S + BOUNDS.max_lease_s - CLAIMED_S)
+    time_out(successor, CLAIMED_S + 2)
+    assert lost_runs(successor, CLAIMED_S + 2.1, FORMER_LEASES_END_S - 0.1) == []
+
+
+# Guards against the same, if an order was all that renewed the lease.
+def test_a_former_lease_may_be_longer_than_that_of_an_order(successor):
+    """
+    The short lease of an order doesn't replace a former one of another run.
+    """
+    successor.workers["w"].holds = 2
+    answer(successor, CLAIMED_S + 0.1)
+    hand_in(successor, [("other", "usual", (one_step(),), 0.0)], CLAIMED_S + 0.2)
+    (order,) = commit(successor, CLAIMED_S + 0.3)
+    assert order.lease_ms
+    time_out(successor, CLAIMED_S + 0.9)
+    assert lost_runs(successor, CLAIMED_S + 1, FORMER_LEASES_END_S - 0.1) == []
+
+
+# Guards against a second run beside one that a delayed order began after the worker's restart.
+def test_a_restarted_worker_may_hold_the_lease_of_a_delayed_order(successor):
+    """
+    A restarted worker may have taken a full lease until it accepted this owner's newest token.
+    """
+    accepted_s = FORMER_LEASES_END_S + 5
+    answer(successor, CLAIMED_S)
+    answer(successor, accepted_s - 4, incarnation=8, clock_ms=10)
+    successor.workers["w"].holds = 2
+    answer(successor, accepted_s, incarnation=8, clock_ms=4000)
+    time_out(successor, accepted_s + 0.5)
+    assert lost_runs(successor, accepted_s + 0.6, accepted_s + LONGEST_S) == []
+
+
+# Guards against the same, if the worker has not accepted the newest token.
+def test_a_restarted_worker_that_does_not_answer_may_hold_the_lease_of_a_delayed_order(successor):
+    """
+    The runs on a worker that restarted and doesn't answer are lost after the longest lease.
+    """
+    restarted_s = FORMER_LEASES_END_S + 5
+    answer(successor, CLAIMED_S)
+    answer(successor, restarted_s, incarnation=8, clock_ms=10)
+    longest_s = restarted_s + LONGEST_S + LEASE_MARGIN_S
+    (lost_s,) = lost_runs(successor, restarted_s, longest_s + 1)
+    assert longest_s <= lost_s <= longest_s + 0.2
+
+
+# Guards against the same after the end of the worker was concluded by mistake.
+def test_a_resumed_worker_may_hold_a_lease_of_before(successor):
+    """
+    The lease that was granted before a worker was considered ended still counts once it is resumed.
+    """
+    answer(successor, CLAIMED_S, clock_ms=5000)
+    granted_s = CLAIMED_S + 6
+    feed(successor, granted_s, events.Ticked())
+    commit(successor, granted_s)
+    answer(successor, granted_s, clock_ms=11_000)
+    worker = successor.workers["w"]
+    end_incarnation(successor, Moment(granted_s + 1, WALL_MS), worker, "instance_ordered_down")
+    before_s = lease_over_s(successor, worker)
+    resume_incarnation(successor, worker)
+    assert lease_over_s(successor, worker) >= before_s
