Keep runs until no lease of any owner can last on their worker

The owner took the leases on a worker that had accepted its token for those that it had granted itself, none at first, and after a restart it forgot all. A worker that answered once and then not for a moment had its runs recorded as lost while they went on under the lease of a former owner, and they were started again.

One function now says when all leases on a worker are over: those that this owner granted to the present incarnation, those of former owners, and those that the worker may have taken from delayed orders until it accepted the newest token, which it shortens to the maximum.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
@@ -48,11 +48,26 @@
     :param worker: the worker.
     :returns: time by this instance's clock, in seconds.
     """
-    if not worker.is_held:
-        return max(worker.possible_runs_until_s, _ownership.former_leases_end_s(node))
     left_s = max(0, worker.granted_ms - worker.clock_ms) / 1000
     slowest_s = left_s * (1 + _ownership.CLOCK_DRIFT) + _ownership.LEASE_MARGIN_S
-    return worker.clock_at_s + slowest_s
+    own_s = worker.clock_at_s + slowest_s
+    return max(own_s, worker.other_leases_until_s, _ownership.former_leases_end_s(node))
+
+
+def extend_other_leases(node: Node, at: Moment, worker: Worker) -> None:
+    """
+    Account for leases that a worker may have taken until now from orders of former owners, or from
+    delayed orders to its former incarnation.
+
+    Until a worker accepts this owner's newest fencing token, it may carry out such orders, and it
+    shortens their leases only to the maximum.
+
+    :param node: the instance.
+    :param at: the current time.
+    :param worker: the worker.
+    """
+    lease_s = node.bounds.max_lease_s * (1 + _ownership.CLOCK_DRIFT)
+    worker.other_leases_until_s = at.now_s + lease_s + _ownership.LEASE_MARGIN_S
 
 
 def _lose_unlisted(node: Node, at: Moment, worker_id: str) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -219,8 +219,8 @@
     :param ended_reason: reason for which it was last considered ended, or empty.
     :param ignored_reason: reason for which its entry was last logged as ignored, or empty.
     :param token_raises: number of times this owner has raised its fencing token for the worker.
-    :param possible_runs_until_s: time until which an incarnation that never responded may have
-        runs.
+    :param other_leases_until_s: time until which leases may last that `granted_ms` doesn't count,
+        because a former owner granted them or a delayed order to a former incarnation did.
     :param outbox: orders to start tasks that wait for responses to earlier ones.
     :param outstanding: number of orders to start tasks without a response.
     :param is_held: whether it has accepted this owner's fencing token.
@@ -252,7 +252,7 @@
     ended_reason: str = ""
     ignored_reason: str = ""
     token_raises: int = 0
-    possible_runs_until_s: float = 0.0
+    other_leases_until_s: float = 0.0
     outbox: deque[Any] = msgspec.field(default_factory=deque)
     outstanding: int = 0
     is_held: bool = False
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -2,7 +2,7 @@
 Tracks the registry of workers and the incarnations of each worker.
 """
 
-from . import _advice, _ownership, effects, events
+from . import _advice, _leases, effects, events
 from ._node import NEVER_S, Moment, Node, Worker, emit, log_line
 from ._runs import mark_all_lost, raise_token, runs_on
 from .model import WorkerEntry
@@ -203,7 +203,7 @@
     _advice.forget_worker(node, worker.id)
     worker.orders.clear()
     worker.stops.clear()
-    worker.possible_runs_until_s = at.now_s + node.bounds.max_lease_s * (1 + _ownership.CLOCK_DRIFT)
+    _leases.extend_other_leases(node, at, worker)
     worker.entry = worker.entry._replace(incarnation=incarnation)
     worker.is_held = worker.has_ended = False
     worker.ended_reason = worker.ignored_reason = ""
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -206,6 +206,7 @@
     worker.clock_at_s = at.now_s
     if not worker.is_held:
         worker.is_held = True
+        _leases.extend_other_leases(node, at, worker)
         node.plan_due = True
     _apply_exits(node, at, worker, event.ends)
     worker.rows = {row.key: row for row in event.runs}
