--- a/packages/eelgrassdrum-core/tests/test_jobs_orders.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_orders.py
@@ -187,3 +187,95 @@
     assert [(item["job"], item["worker"], item["outcome"]) for item in fields] == [
         ("job", "w", events.UNKNOWN)
     ]
+
+
+def make_given_up():
+    """
+    Return an owner that has given up a run on an unreachable worker and decided to start the task
+    on another one, the former order, the new worker, and the time.
+    """
+    node = owner_of([worker_entry("v"), worker_entry("w")])
+    hand_in(node, [("job", "usual", (one_step(),), 0.0)])
+    (order,) = commit(node, SENT_S)
+    feed(node, SENT_S + 0.01, events.StartAnswered(order.worker, order.key, 1, events.OK, "", 6000))
+    feed(node, GIVEN_UP_S, events.HoldFailed(order.worker, "timeout", OWNER_TOKEN))
+    now_s, decided = GIVEN_UP_S, []
+    while not decided:
+        now_s += 0.5
+        commit(node, now_s)
+        offset = node.replicated.offset
+        read = events.LogRead(offset, (), offset, now_s)
+        decided = started(feed(node, now_s, read) + feed(node, now_s, events.Ticked()))
+    ((_job, other),) = decided
+    assert other != order.worker
+    return node, order, other, now_s
+
+
+def late_completion(order, sent_s):
+    """
+    Build the lists of a worker that is reachable again, with the completion of the given-up run.
+    """
+    end = model.EndRow(1, order.key, order.run, "done", "")
+    token = OWNER_TOKEN + 1
+    return events.HoldAnswered(order.worker, token, sent_s, 25_000, 7, (), (end,))
+
+
+# Guards against a restart of a task whose completion was listed before the next order was sent.
+def test_a_late_completion_voids_an_order_that_is_not_sent():
+    """
+    A given-up run that turns out to have completed ends its task, if no later run was ordered yet.
+    """
+    node, order, _other, now_s = make_given_up()
+    feed(node, now_s + 0.01, late_completion(order, now_s))
+    assert commit(node, now_s + 0.05) == []
+    assert node.replicated.jobs["job"].state == "completed"
+
+
+# Guards against a restart of a task whose completion was listed after a later order was refused.
+def test_a_late_completion_counts_after_a_later_run_was_refused():
+    """
+    A given-up run that turns out to have completed ends its task, although a later run was refused.
+    """
+    node, order, other, now_s = make_given_up()
+    (repeated,) = commit(node, now_s + 0.05)
+    refused = events.StartAnswered(other, repeated.key, repeated.run, events.REFUSED, "room", 0)
+    feed(node, now_s + 0.06, refused)
+    feed(node, now_s + 0.07, late_completion(order, now_s))
+    assert node.replicated.jobs["job"].state == "completed"
+
+
+# Guards against a second completion of a task whose later run was ordered and may be running.
+def test_a_late_completion_leaves_an_order_alone_that_was_sent():
+    """
+    A given-up run that turns out to have completed changes nothing once a later run was ordered.
+    """
+    node, order, other, now_s = make_given_up()
+    (repeated,) = commit(node, now_s + 0.05)
+    assert repeated.worker == other
+    feed(node, now_s + 0.06, late_completion(order, now_s))
+    assert node.replicated.jobs["job"].state == "running"
+
+
+# Guards against acknowledged exits of an incarnation whose exits the owner has not listed.
+def test_an_unreachable_worker_gets_no_acknowledgement():
+    """
+    Holds to a worker that doesn't answer acknowledge nothing, since its next incarnation may get
+    them and numbers its exits anew.
+    """
+    node = owner_of([worker_entry("w")])
+    hand_in(node, [("job", "usual", (one_step(2),), 0.0)])
+    first, second = commit(node, SENT_S)
+    for order in (first, second):
+        feed(node, SENT_S, events.StartAnswered("w", order.key, order.run, events.OK, "", 6000))
+    row = model.RunRow(second.key, second.run, "", 10, 0.0)
+    end = model.EndRow(1, first.key, first.run, "done", "")
+    feed(node, SENT_S + 0.2, worker_lists(SENT_S + 0.1, (row,), (end,)))
+    appended = events.Appended("owner", node.journal.seq, events.OK)
+    (hold,) = of_type(feed(node, SENT_S + 0.21, appended), effects.Hold)
+    assert hold.acked == 1
+    produced = feed(node, SENT_S + 1.0, events.HoldFailed("w", "timeout", OWNER_TOKEN))
+    for wait_s in (1.3, 1.6, 1.9):
+        produced += feed(node, SENT_S + wait_s, events.Ticked())
+    holds = of_type(produced, effects.Hold)
+    assert len(holds) >= 3
+    assert {hold.acked for hold in holds} == {0}
