Count a late completion if no later run was ordered

Such a run was given up when its worker's lease was over; when its end was listed, the task already had the next run, decided but not sent, and the end was dropped without a log line, since its run number was lower. The same after the next run was refused.

Now the end completes the task as long as no order of a later run was sent: that run ends as unsent, and send() finds no run to order. Tasks of gangs and long-running ones are left out: a gang starts as a whole, and long-running tasks start again however they end.

Both tests of late completions failed before; a third, which passed before and still does, keeps runs whose order was sent.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -11,7 +11,7 @@
 from ._node import NEVER_S, Moment, Node, Order, Worker, emit, log_line
 from ._records import Started
 from ._replicated_state import Task
-from ._runs import end_run, fencing_token, runs_on
+from ._runs import UNSENT, end_run, fencing_token, runs_on
 
 # Lifetime of an order, after which a delayed order has no effect.
 ORDER_TTL_S = 2.5
@@ -19,7 +19,6 @@
 MAX_OUTSTANDING = 2
 # A worker that refused a start gets no other one for this time.
 REFUSED_BACKOFF_S = 0.5
-UNSENT = "unsent"
 REFUSED = "refused"
 # Reason of a refused start: its ticket is not valid for the worker.
 TICKET = "ticket"
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -12,6 +12,8 @@
 
 # Exit of a run that no longer runs, without an exit that a worker listed.
 LOST = "lost"
+# Exit of a run whose order was not sent.
+UNSENT = "unsent"
 # A stop that had no effect is sent again after this time.
 STOP_RETRY_S = 0.8
 # Attempts of a task whose queue is no longer in the configuration.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -14,7 +14,16 @@
 from . import _journal, _leases, _ownership, _registry, _replicated_state, effects, events
 from ._node import NEVER_S, Moment, Node, Worker, emit, log_line
 from ._replicated_state import Task, find_task
-from ._runs import LOST, end_run, epoch_of, fencing_token, raise_token, runs_on, send_stop
+from ._runs import (
+    LOST,
+    UNSENT,
+    end_run,
+    epoch_of,
+    fencing_token,
+    raise_token,
+    runs_on,
+    send_stop,
+)
 from .model import NO_RESOURCES, EndRow, Resources, RunRow, TaskKey
 
 # Long-poll time of a hold; a third of the shortest usual lease.
@@ -270,7 +279,10 @@
     ):
         end_run(node, at, worker, task, end.end_state, end.checkpoint)
         return
-    if task.status == _replicated_state.DONE or task.run > end.run:
+    if task.status == _replicated_state.DONE:
+        return
+    is_done = end.end_state == _replicated_state.DONE
+    if task.run > end.run and not (is_done and _may_count_former_run(node, task)):
         return
     log_line(
         node,
@@ -280,16 +292,34 @@
         task=".".join(map(str, end.key[1:])),
         run=end.run,
         how=end.end_state,
+        latest_run=task.run,
     )
-    if (
-        task.status == _replicated_state.WAITING
-        and task.run == end.run
-        and end.end_state == _replicated_state.DONE
-    ):
+    if not is_done or task.run < end.run:
+        return
+    if task.status == _replicated_state.RUNNING and task.run > end.run:
+        end_run(node, at, node.workers[task.worker], task, UNSENT)
+    if task.status == _replicated_state.WAITING:
         # The run that was considered lost has completed after all.
         end_run(node, at, worker, task, end.end_state, end.checkpoint)
 
 
+def _may_count_former_run(node: Node, task: Task) -> bool:
+    """
+    Return whether the completion of a former run may end a task: if no later run of it may be in
+    progress.
+
+    The members of a gang only start and end together, and a long-running task is always restarted.
+    """
+    step = node.replicated.jobs[task.key.job].spec.steps[task.key.step]
+    if step.gang or step.is_long_running:
+        return False
+    if task.status != _replicated_state.RUNNING:
+        return True
+    worker = node.workers.get(task.worker)
+    order = worker.orders.get(task.key) if worker is not None else None
+    return order is not None and order.run == task.run and not order.sent_s
+
+
 def _reconcile(node: Node, at: Moment, worker: Worker, event: events.HoldAnswered) -> None:
     """
     Compare the runs that a worker lists with those that the log has for it.
