Acknowledge nothing to a worker that doesn't answer

A worker that restarts under its id numbers the ends of runs anew. Holds to a worker that doesn't answer are sent four times a second, over connections that may open when its next incarnation is up, and each acknowledged the ends of the former one. The next incarnation would then forget ends that the owner has not listed, and the owner would start tasks again that are done.

Holds to a failing worker now acknowledge nothing. Its first answer says which incarnation it is, and what is still to be acknowledged goes with the next hold. What is left: a hold that was sent while the worker answered and is delivered after a crash and a restart, within 0.8 s or when the platform carries it out late.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -127,11 +127,23 @@
         worker.lists_due_s = at.now_s + wait_s + ANSWER_TIMEOUT_S
     worker.holds += 1
     address, token = worker.entry.address, fencing_token(node, worker)
-    # Acknowledged only once: a worker that has restarted undetected numbers its exits anew.
-    acked = worker.acked if worker.acked > worker.ack_confirmed else 0
+    acked = _exits_to_acknowledge(worker)
     emit(node, effects.Hold(worker.id, address, token, acked, lease_ms, wait_s))
 
 
+def _exits_to_acknowledge(worker: Worker) -> int:
+    """
+    Return the number of the latest exit that a hold acknowledges, or 0 for none.
+
+    A worker that has restarted undetected numbers its exits anew. So exits are acknowledged only
+    until the worker is known to have received that, and not while it doesn't answer: its next
+    incarnation may receive holds that were sent in between.
+    """
+    if worker.is_failing or worker.acked <= worker.ack_confirmed:
+        return 0
+    return worker.acked
+
+
 def _count_answer(worker: Worker, at: Moment) -> None:
     worker.holds = max(0, worker.holds - 1)
     is_awaiting = worker.holds > 0
