--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -14,7 +14,16 @@
 from . import _journal, _leases, _ownership, _registry, _replicated_state, effects, events
 from ._node import NEVER_S, Moment, Node, Worker, emit, log_line
 from ._replicated_state import Task, find_task
-from ._runs import LOST, end_run, epoch_of, fencing_token, raise_token, runs_on, send_stop
+from ._runs import (
+    LOST,
+    UNSENT,
+    end_run,
+    epoch_of,
+    fencing_token,
+    raise_token,
+    runs_on,
+    send_stop,
+)
 from .model import NO_RESOURCES, EndRow, Resources, RunRow, TaskKey
 
 # Long-poll time of a hold; a third of the shortest usual lease.
@@ -118,11 +127,23 @@
         worker.lists_due_s = at.now_s + wait_s + ANSWER_TIMEOUT_S
     worker.holds += 1
     address, token = worker.entry.address, fencing_token(node, worker)
-    # Acknowledged only once: a worker that has restarted undetected numbers its exits anew.
-    acked = worker.acked if worker.acked > worker.ack_confirmed else 0
+    acked = _exits_to_acknowledge(worker)
     emit(node, effects.Hold(worker.id, address, token, acked, lease_ms, wait_s))
 
 
+def _exits_to_acknowledge(worker: Worker) -> int:
+    """
+    Return the number of the latest exit that a hold acknowledges, or 0 for none.
+
+    A worker that has restarted undetected numbers its exits anew. So exits are acknowledged only
+    until the worker is known to have received that, and not while it doesn't answer: its next
+    incarnation may receive holds that were sent in between.
+    """
+    if worker.is_failing or worker.acked <= worker.ack_confirmed:
+        return 0
+    return worker.acked
+
+
 def _count_answer(worker: Worker, at: Moment) -> None:
     worker.holds = max(0, worker.holds - 1)
     is_awaiting = worker.holds > 0
@@ -271,7 +292,10 @@
     ):
         end_run(node, at, worker, task, end.end_state, end.checkpoint)
         return
-    if task.status == _replicated_state.DONE or task.run > end.run:
+    if task.status == _replicated_state.DONE:
+        return
+    is_done = end.end_state == _replicated_state.DONE
+    if task.run > end.run and not (is_done and _may_count_former_run(node, task)):
         return
     log_line(
         node,
@@ -281,16 +305,34 @@
         task=".".join(map(str, end.key[1:])),
         run=end.run,
         how=end.end_state,
+        latest_run=task.run,
     )
-    if (
-        task.status == _replicated_state.WAITING
-        and task.run == end.run
-        and end.end_state == _replicated_state.DONE
-    ):
+    if not is_done or task.run < end.run:
+        return
+    if task.status == _replicated_state.RUNNING and task.run > end.run:
+        end_run(node, at, node.workers[task.worker], task, UNSENT)
+    if task.status == _replicated_state.WAITING:
         # The run that was considered lost has completed after all.
         end_run(node, at, worker, task, end.end_state, end.checkpoint)
 
 
+def _may_count_former_run(node: Node, task: Task) -> bool:
+    """
+    Return whether the completion of a former run may end a task: if no later run of it may be in
+    progress.
+
+    The members of a gang only start and end together, and a long-running task is always restarted.
+    """
+    step = node.replicated.jobs[task.key.job].spec.steps[task.key.step]
+    if step.gang or step.is_long_running:
+        return False
+    if task.status != _replicated_state.RUNNING:
+        return True
+    worker = node.workers.get(task.worker)
+    order = worker.orders.get(task.key) if worker is not None else None
+    return order is not None and order.run == task.run and not order.sent_s
+
+
 def _reconcile(node: Node, at: Moment, worker: Worker, event: events.HoldAnswered) -> None:
     """
     Compare the runs that a worker lists with those that the log has for it.
