Judge the runs of cancelled jobs in the random schedules

No schedule looked at what a cancelled job does after its cancellation was acknowledged, and none lost the answer of an order that was carried out, so neither half of the rule on cancelled jobs was checked. Two rules: a task of such a job starts no later than 3 s after the acknowledgement if its sender was in touch, and a run has ended 3.4 s after the acknowledgement, the last disturbance, or its start if its order was held up. Four faults: cancel_promptly, late_calls (stops and holds are held up as well), worker_answers_lost and remove_owner (for good, while orders are held up).

Schedules whose faults are drawn take other ones than before, as there are four more to draw from. Both rules have a mutation that breaks them, and tests for the moments from which they count.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -24,6 +24,7 @@
     World,
     advance_worker,
     advance_workers,
+    cancel,
     fresh_node,
     kill,
     later,
@@ -37,6 +38,11 @@
 # Fraction of the repetitions of these orders that the machine service refuses.
 REFUSED_REPEAT_PART = 0.5
 LATE_ORDER_S = 3.0
+# Bounds of the time after which a worker carries out a call that was held up on the way.
+LEAST_LATE_S = 2.0
+MOST_LATE_S = 12.0
+# Longest time from the acceptance of a job to its prompt cancellation.
+PROMPT_CANCEL_S = 1.5
 
 
 def _reply(world: World, instance: Instance, effect: effects.Reply) -> None:
@@ -47,15 +53,29 @@
             world.judge.accepted.add(job)
             world.judge.accepted_s.setdefault(job, world.now_s)
             world.judge.refused.discard(job)
+            _cancel_promptly(world, job)
         elif effect.outcome == effects.UNAVAILABLE and job not in world.judge.accepted:
             world.judge.refused.add(job)
         elif effect.outcome == effects.UNCERTAIN:
             world.judge.accepted.discard(job)
+    elif kind == events.CANCEL and effect.outcome in (effects.STATE, effects.NO_SUCH_JOB):
+        world.judge.cancel_acked_s.setdefault(job, world.now_s)
     elif kind == events.LOOK_UP and effect.outcome == effects.STATE:
         is_fresh = is_log_fresh(instance.node, world.now_s)
         _rules.on_shown(world.judge, world.now_s, job, effect.detail, is_fresh)
 
 
+def _cancel_promptly(world: World, job: str) -> None:
+    """
+    Let the caller of a job cancel it soon, perhaps at another instance.
+    """
+    if not world.prompt_cancel_part or world.rng.random() >= world.prompt_cancel_part:
+        return
+    name = world.rng.choice(sorted(world.instances))
+    delay_s = world.rng.uniform(0.0, PROMPT_CANCEL_S)
+    later(world, delay_s, lambda: cancel(world, name, job, "key-a"))
+
+
 def _store_answers(world: World, instance: Instance) -> str | None:
     """
     Give why the store does not answer an instance, or ``None``.
@@ -228,11 +248,19 @@
     sent_s = world.now_s
     due_s = world.now_s + effect.wait_s
 
+    def fail() -> None:
+        event = events.HoldFailed(effect.worker, "timeout", effect.token)
+        send_to(world, instance, TIMEOUT_S, event)
+
+    if _is_held_up(world, effect.worker):
+        _carry_out_late(world, lambda: _take_late_hold(world, effect))
+        fail()
+        return
+
     def poll() -> None:
         worker = _reach(world, instance, effect.worker)
         if worker is None:
-            event = events.HoldFailed(effect.worker, "timeout", effect.token)
-            send_to(world, instance, TIMEOUT_S, event)
+            fail()
             return
         if effect.token < worker.token:
             event = events.HoldFailed(effect.worker, "fence", effect.token)
@@ -242,6 +270,9 @@
         if not worker.ends and world.now_s < due_s:
             later(world, TICK_S, poll)
             return
+        if _is_answer_lost(world, worker):
+            fail()
+            return
         answer = events.HoldAnswered(
             worker.id,
             effect.token,
@@ -256,6 +287,38 @@
     later(world, LINK_S, poll)
 
 
+def _is_held_up(world: World, worker_id: str) -> bool:
+    """
+    Draw whether a stop or a hold is held up on its way to a worker.
+    """
+    worker = world.workers.get(worker_id)
+    part = worker.late_call_part if worker is not None else 0.0
+    return bool(part) and world.rng.random() < part
+
+
+def _is_answer_lost(world: World, worker: JobWorker) -> bool:
+    """
+    Draw whether the answer of a worker is lost.
+    """
+    return bool(worker.lost_part) and world.rng.random() < worker.lost_part
+
+
+def _carry_out_late(world: World, action: Callable[[], None]) -> None:
+    later(world, world.rng.uniform(LEAST_LATE_S, MOST_LATE_S), action)
+
+
+def _take_late_hold(world: World, effect: effects.Hold) -> None:
+    """
+    Carry out a hold that was held up, whatever has become of its worker meanwhile.
+    """
+    worker = world.workers.get(effect.worker)
+    if worker is None or not worker.is_up:
+        return
+    advance_worker(world, worker)
+    if effect.token >= worker.token:
+        _take_hold(world, worker, effect)
+
+
 def _take_hold(world: World, worker: JobWorker, effect: effects.Hold) -> None:
     worker.token = effect.token
     for end in worker.ends:
@@ -270,7 +333,7 @@
     worker = world.workers.get(effect.worker)
     is_late = worker is not None and world.rng.random() < worker.late_part
     if is_late:
-        later(world, world.rng.uniform(2, 12), lambda: _do_start(world, effect))
+        _carry_out_late(world, lambda: _start_late(world, effect))
     if is_late or _reach(world, instance, effect.worker) is None:
         outcome, reason = events.UNKNOWN, "timeout"
         send_to(world, instance, TIMEOUT_S, _start_answer(effect, outcome, reason, 0))
@@ -282,7 +345,15 @@
             answer = _start_answer(effect, events.UNKNOWN, "timeout", 0)
             send_to(world, instance, TIMEOUT_S, answer)
             return
+        former = reached.runs.get(effect.key)
         reason = _do_start(world, effect)
+        if reached.runs.get(effect.key) is not former:
+            disturbed_s = max(instance.disturbed_s, world.store_disturbed_s)
+            _rules.on_ordered_start(world.judge, world.now_s, effect.key.job, disturbed_s)
+        if _is_answer_lost(world, reached):
+            answer = _start_answer(effect, events.UNKNOWN, "timeout", 0)
+            send_to(world, instance, TIMEOUT_S, answer)
+            return
         outcome = events.REFUSED if reason else events.OK
         clock_ms = reached.clock_ms(world.now_s)
         send_to(world, instance, LINK_S, _start_answer(effect, outcome, reason, clock_ms))
@@ -290,6 +361,18 @@
     later(world, LINK_S, do)
 
 
+def _start_late(world: World, effect: effects.StartTask) -> None:
+    """
+    Carry out a start that was held up.
+    """
+    worker = world.workers[effect.worker]
+    former = worker.runs.get(effect.key)
+    _do_start(world, effect)
+    run = worker.runs.get(effect.key)
+    if run is not None and run is not former:
+        run.is_late = True
+
+
 def _start_answer(
     effect: effects.StartTask, outcome: str, reason: str, clock_ms: int
 ) -> events.StartAnswered:
@@ -325,27 +408,51 @@
 
 
 def _stop(world: World, instance: Instance, effect: effects.StopTask) -> None:
-    def do() -> None:
-        worker = _reach(world, instance, effect.worker)
-        if worker is None:
-            outcome = events.UNKNOWN
-        elif effect.token < worker.token:
-            outcome = events.REFUSED
-        else:
-            outcome = events.OK
-            worker.token = effect.token
-            running = worker.runs.get(effect.key)
-            if running is not None and running.run <= effect.run:
-                running.stop_s = running.stop_s or world.now_s + STOP_S
-            newest = worker.newest_run.get(effect.key, 0)
-            worker.newest_run[effect.key] = max(newest, effect.run)
+    def answer(outcome: str) -> None:
         delay_s = TIMEOUT_S if outcome == events.UNKNOWN else LINK_S
         event = events.StopAnswered(effect.worker, effect.key, effect.run, outcome)
         send_to(world, instance, delay_s, event)
 
+    if _is_held_up(world, effect.worker):
+        _carry_out_late(world, lambda: _stop_late(world, effect))
+        answer(events.UNKNOWN)
+        return
+
+    def do() -> None:
+        worker = _reach(world, instance, effect.worker)
+        outcome = events.UNKNOWN if worker is None else _do_stop(world, worker, effect)
+        if worker is not None and _is_answer_lost(world, worker):
+            outcome = events.UNKNOWN
+        answer(outcome)
+
     later(world, LINK_S, do)
 
 
+def _do_stop(world: World, worker: JobWorker, effect: effects.StopTask) -> str:
+    """
+    Carry out a stop, and give the outcome.
+    """
+    if effect.token < worker.token:
+        return events.REFUSED
+    worker.token = effect.token
+    running = worker.runs.get(effect.key)
+    if running is not None and running.run <= effect.run:
+        running.stop_s = running.stop_s or world.now_s + STOP_S
+    newest = worker.newest_run.get(effect.key, 0)
+    worker.newest_run[effect.key] = max(newest, effect.run)
+    return events.OK
+
+
+def _stop_late(world: World, effect: effects.StopTask) -> None:
+    """
+    Carry out a stop that was held up, whatever has become of its worker meanwhile.
+    """
+    worker = world.workers.get(effect.worker)
+    if worker is not None and worker.is_up:
+        advance_worker(world, worker)
+        _do_stop(world, worker, effect)
+
+
 def _list_instances(world: World, instance: Instance, _effect: effects.ListInstances) -> None:
     if world.are_machines_cut:
         send_to(world, instance, TIMEOUT_S, events.InstancesListed(None, world.now_s))
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
@@ -7,10 +7,12 @@
 from eelgrassdrum_core.jobs import events, model
 
 from ._store import REFUSING, SILENT, UP
-from ._world import World, cancel, kill, later, post, publish
+from ._world import World, cancel, disturb, kill, later, post, publish, remove
 
 # Workers that are left at least, so that all work still has room.
 LEAST_WORKERS = 4
+# Instances that are left at least, so that the log finds an owner.
+LEAST_INSTANCES = 3
 
 
 def _owner(world: World) -> str:
@@ -126,8 +128,10 @@
         worker = world.workers[name]
         worker.crash()
         worker.is_up = False
+    disturb(world)
 
     def restart() -> None:
+        disturb(world)
         for name in names:
             worker = world.workers[name]
             if world.rows[worker.instance].worker != name:
@@ -146,6 +150,7 @@
     worker = world.workers[world.rng.choice(up)]
     worker.crash()
     worker.is_up = False
+    disturb(world)
     if world.rng.random() < 0.5:
         del world.rows[worker.instance]
 
@@ -194,6 +199,47 @@
     later(world, 5.0, heal)
 
 
+def _late_calls(world: World) -> None:
+    _hold_up_calls(world, 5.0)
+
+
+def _hold_up_calls(world: World, for_s: float) -> None:
+    names = _pick_workers(world, 0.5)
+    for name in names:
+        world.workers[name].late_part = world.workers[name].late_call_part = 0.3
+
+    def heal() -> None:
+        for name in names:
+            world.workers[name].late_part = world.workers[name].late_call_part = 0.0
+
+    later(world, for_s, heal)
+
+
+def _worker_answers_lost(world: World) -> None:
+    names = _pick_workers(world, 0.7)
+    for name in names:
+        world.workers[name].lost_part = 0.5
+
+    def heal() -> None:
+        for name in names:
+            world.workers[name].lost_part = 0.0
+
+    later(world, world.rng.uniform(2.0, 5.0), heal)
+
+
+def _remove_owner(world: World) -> None:
+    _hold_up_calls(world, 2.0)
+
+    def strike() -> None:
+        left = [name for name in world.instances if not world.instances[name].is_removed]
+        owner = _owner(world)
+        if len(left) > LEAST_INSTANCES and owner in left:
+            remove(world, owner)
+            disturb(world)
+
+    later(world, 1.0, strike)
+
+
 def _worker_fails_all(world: World) -> None:
     names = _pick_workers(world, 0.1)
     for name in names:
@@ -232,6 +278,15 @@
         cancel(world, world.rng.choice(sorted(world.instances)), job, "key-a")
 
 
+def _cancel_promptly(world: World) -> None:
+    world.prompt_cancel_part = 0.5
+
+    def cease() -> None:
+        world.prompt_cancel_part = 0.0
+
+    later(world, 6.0, cease)
+
+
 FAULTS: dict[str, Callable[[World], None]] = {
     "kill_owner": _kill_owner,
     "kill_any": _kill_any,
@@ -258,4 +313,8 @@
     "workers_slow": _workers_at_speed(0.3, 0.15),
     "config_change": _lower_limits,
     "cancel_some": _cancel_some,
+    "cancel_promptly": _cancel_promptly,
+    "late_calls": _late_calls,
+    "worker_answers_lost": _worker_answers_lost,
+    "remove_owner": _remove_owner,
 }
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
@@ -19,6 +19,12 @@
 MAX_WAIT_S = 3.0
 # Interval at which waiting tasks are judged.
 CALM_STEP_S = 0.1
+# Time from the acknowledgement of a cancellation in which tasks of the job may still start.
+CANCEL_S = 3.0
+# Time that a stop takes at most.
+STOP_S = 0.4
+# Time without disruption after which an instance is in touch.
+CONTACT_S = 3.0
 
 
 class Violation(NamedTuple):
@@ -41,6 +47,8 @@
     :param accepted_s: when that was first answered.
     :param specs: every job that was handed in.
     :param refused: jobs of which every submission was refused.
+    :param cancel_acked_s: when the cancellation of a job was first acknowledged.
+    :param went_on: runs of cancelled jobs that went on too long.
     :param waiting_since_s: since when a task could start but did not.
     :param waited: tasks that waited too long.
     """
@@ -55,6 +63,8 @@
     accepted_s: dict[str, float] = {}
     refused: set[str] = set()
     cancelled_s: dict[str, float] = {}
+    cancel_acked_s: dict[str, float] = {}
+    went_on: set[tuple[model.TaskKey, int]] = set()
     shown: dict[str, str] = {}
     waiting_since_s: dict[model.TaskKey, float] = {}
     waited: set[model.TaskKey] = set()
@@ -133,6 +143,42 @@
         _broken(judge, "limit_holds", at_s, f"{workspace} {used} of {limit}")
 
 
+def on_ordered_start(judge: Judge, at_s: float, job: str, disturbed_s: float) -> None:
+    """
+    Judge the start of a task whose order was not held up on the way.
+
+    :param judge: what was seen.
+    :param at_s: time of the world.
+    :param job: the job.
+    :param disturbed_s: when the instance that sent the order, or the store, was last disturbed.
+    """
+    acked_s = judge.cancel_acked_s.get(job)
+    is_in_touch = at_s - disturbed_s >= CONTACT_S
+    if acked_s is not None and is_in_touch and at_s - acked_s > CANCEL_S:
+        _broken(judge, "cancelled_starts_nothing", at_s, f"{job} {at_s - acked_s:.2f}")
+
+
+def on_running(judge: Judge, at_s: float, worker: JobWorker, disturbed_s: float) -> None:
+    """
+    Judge whether the runs of cancelled jobs on a worker have had time enough to end.
+
+    :param judge: what was seen.
+    :param at_s: time of the world.
+    :param worker: the worker.
+    :param disturbed_s: when anything was last disturbed.
+    """
+    for run in worker.runs.values():
+        acked_s = judge.cancel_acked_s.get(run.key.job)
+        if acked_s is None or (run.key, run.run) in judge.went_on:
+            continue
+        since_s = max(acked_s, disturbed_s, run.started_s if run.is_late else 0.0)
+        if at_s - since_s > CANCEL_S + STOP_S:
+            judge.went_on.add((run.key, run.run))
+            name = ".".join(map(str, run.key))
+            text = f"{name} run {run.run} {worker.id} since {run.started_s:.2f}"
+            _broken(judge, "cancelled_runs_end", at_s, text)
+
+
 def on_instance_stopped(judge: Judge, at_s: float, worker: JobWorker) -> None:
     """
     Judge an order that stops an instance, just before it takes effect.
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_worker.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_worker.py
@@ -17,6 +17,7 @@
     :param ends_s: when it ends by itself; never for a task that lasts.
     :param how: how it will end.
     :param left_s: work that it had left at `left_at_s`, in seconds at full speed.
+    :param is_late: whether its order was held up on the way.
     """
 
     key: model.TaskKey
@@ -30,6 +31,7 @@
     left_s: float
     left_at_s: float
     stop_s: float | None = None
+    is_late: bool = False
 
 
 class JobWorker(msgspec.Struct, eq=False):
@@ -38,7 +40,9 @@
 
     :param speed: how fast its clock goes.
     :param work_speed: how fast tasks get on, against a sound worker; 0 when they stand still.
-    :param late_part: part of the orders that are carried out seconds later, without an answer.
+    :param late_part: part of the starts that are carried out seconds later, without an answer.
+    :param late_call_part: the same for stops and holds.
+    :param lost_part: part of all calls that are carried out at once, without an answer.
     :param newest_run: newest run that was stopped or ended, by task.
     :param ended_s: when each end came about, by its number.
     :param lapsed: numbers of the ends that were not noted before the lease ran out; the platform
@@ -61,6 +65,8 @@
     is_draining: bool = False
     is_cut: bool = False
     late_part: float = 0.0
+    late_call_part: float = 0.0
+    lost_part: float = 0.0
     fails_all: bool = False
     work_speed: float = 1.0
     runs: dict[model.TaskKey, Run] = {}
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
@@ -14,7 +14,7 @@
 from eelgrassdrum_core.jobs import Identity, Moment, Node, events, model, new_node, reduce
 
 from . import _rules
-from ._store import JobStore
+from ._store import UP, JobStore
 from ._worker import JobWorker
 
 TICK_S = 0.05
@@ -25,6 +25,8 @@
 MOVE_S = 1.5
 KEEP_LINES = 4000
 STANDBY = "standby"
+# A store that takes longer for an answer is disturbed.
+USUAL_DELAY_S = 0.1
 
 BOUNDS = model.Bounds(
     max_lease_s=10.0,
@@ -46,6 +48,8 @@
 
     :param frozen_until_s: it neither runs nor sees time pass before then.
     :param life: number of its process; what was sent to an earlier one is dropped.
+    :param is_removed: whether it never starts again.
+    :param disturbed_s: when it was last disturbed.
     """
 
     name: str
@@ -57,6 +61,8 @@
     held: deque[object] = msgspec.field(default_factory=deque)
     is_cut_from_workers: bool = False
     is_cut_from_peers: bool = False
+    is_removed: bool = False
+    disturbed_s: float = -1e9
 
 
 class World(msgspec.Struct, eq=False):
@@ -70,6 +76,9 @@
     :param unanswered_orders: instance, wave and pool of the orders that got no answer.
     :param are_machines_cut: whether the machine service answers nobody.
     :param exchanges: takes the answer to records that an instance sent to another, by token.
+    :param prompt_cancel_part: part of the jobs that are cancelled soon after their acceptance.
+    :param store_disturbed_s: when the store was last disturbed.
+    :param disturbed_s: when the store, an instance or a worker was last disturbed.
     :param effects: carries out the effects of an instance, by type.
     """
 
@@ -95,6 +104,9 @@
     lost_order_part: float = 0.0
     unanswered_orders: set[tuple[str, int, str]] = set()
     are_machines_cut: bool = False
+    prompt_cancel_part: float = 0.0
+    store_disturbed_s: float = -1e9
+    disturbed_s: float = -1e9
     effects: dict[type, Callable[["World", Instance, Any], None]] = {}
 
 
@@ -184,12 +196,14 @@
     :param down_s: the while.
     """
     instance = world.instances[name]
+    if instance.is_removed:
+        return
     instance.life += 1
     instance.is_up = False
     life = instance.life
 
     def start() -> None:
-        if instance.life != life:
+        if instance.life != life or instance.is_removed:
             return
         instance.node = fresh_node(world, name, life)
         instance.is_up = True
@@ -200,6 +214,18 @@
     later(world, down_s, start)
 
 
+def remove(world: World, name: str) -> None:
+    """
+    Kill an instance's process and start none there again.
+
+    :param world: the world.
+    :param name: the instance.
+    """
+    instance = world.instances[name]
+    instance.is_removed = True
+    instance.is_up = False
+
+
 def publish(world: World, config: model.Config) -> None:
     """
     Publish a configuration.
@@ -301,12 +327,49 @@
 
     :param world: the world.
     """
+    _note_disturbances(world)
     for worker in world.workers.values():
         if worker.is_up:
             advance_worker(world, worker)
+            _rules.on_running(world.judge, world.now_s, worker, world.disturbed_s)
     later(world, TICK_S, lambda: advance_workers(world))
 
 
+def _note_disturbances(world: World) -> None:
+    """
+    Note when the store, each instance and the workers were last disturbed.
+    """
+    store = world.store
+    if store.state != UP or store.refused or store.lost_part or store.delay_s > USUAL_DELAY_S:
+        world.store_disturbed_s = world.now_s
+    for instance in world.instances.values():
+        if not instance.is_removed and _is_disturbed(world, instance):
+            instance.disturbed_s = world.now_s
+    instances_s = max(instance.disturbed_s for instance in world.instances.values())
+    world.disturbed_s = max(world.disturbed_s, world.store_disturbed_s, instances_s)
+    if world.is_registry_empty or any(map(_is_worker_disturbed, world.workers.values())):
+        world.disturbed_s = world.now_s
+
+
+def _is_disturbed(world: World, instance: Instance) -> bool:
+    is_running = instance.is_up and world.now_s >= instance.frozen_until_s
+    is_cut = instance.is_cut_from_workers or instance.is_cut_from_peers
+    return not is_running or instance.node.is_stopping or is_cut
+
+
+def _is_worker_disturbed(worker: JobWorker) -> bool:
+    return worker.is_cut or max(worker.late_part, worker.late_call_part, worker.lost_part) > 0
+
+
+def disturb(world: World) -> None:
+    """
+    Note that something has just been disturbed that shows no other sign of it.
+
+    :param world: the world.
+    """
+    world.disturbed_s = world.now_s
+
+
 def add_worker(world: World, number: int, service: str, capacity: model.Resources) -> JobWorker:
     """
     Add a worker on an instance of its own.
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -8,19 +8,22 @@
 from typing import Any
 
 from eelgrassdrum_core.jobs import (
+    _fold,
     _instances,
     _journal,
     _leases,
     _orders,
     _planner,
     _ready,
+    _records,
     _registry,
     _replicated_state,
     _runs,
     _workers,
     model,
 )
-from eelgrassdrum_testing.jobs import FAULTS, run_schedule
+from eelgrassdrum_testing.jobs import FAULTS, _rules, run_schedule
+from eelgrassdrum_testing.jobs._worker import JobWorker
 
 LATE_ORDERS = ("late_orders", "crash_workers", "late_orders", "crash_workers")
 LATE_ORDERS_AND_SILENCE = ("cancel_some", "late_orders", "crash_workers", "store_silent")
@@ -41,6 +44,7 @@
         ("wave", "entries_lapse"),
     ): "an instance whose worker's entry had lapsed counted as empty",
 }
+PROMPT_CANCELS = ("cancel_promptly",) * 3
 LOST_ORDERS = ("wave", "instance_orders_lost", "wave")
 REFUSED_REPEATS = ("instance_orders_lost",) * 3
 LOST_MOVES = ("instance_orders_lost", "kill_owner", "instance_orders_lost", "kill_owner")
@@ -281,3 +285,67 @@
 
     with replaced(_runs, "Ended", as_done):
         assert "completed_is_done" in broken_rules([3, 4], ("crash_workers", "crash_workers"))
+
+
+def never_sent(_node, at, worker, key, run):
+    """
+    Note a stop as sent without sending it.
+    """
+    worker.stops[key] = (run, at.now_s)
+
+
+def test_the_end_of_cancelled_runs_is_checked():
+    """
+    Mutation: runs of cancelled jobs are never stopped, and the check shows it.
+    """
+    with replaced(_runs, "send_stop", never_sent), replaced(_workers, "send_stop", never_sent):
+        assert "cancelled_runs_end" in broken_rules([2, 3], PROMPT_CANCELS)
+
+
+def test_starts_after_cancellations_are_checked():
+    """
+    Mutation: acknowledged cancellations are not applied, and the check shows the later starts.
+    """
+    handlers = {**_fold._HANDLERS, _records.Cancelled: lambda *_: None}
+    with replaced(_fold, "_HANDLERS", handlers):
+        assert "cancelled_starts_nothing" in broken_rules([2], PROMPT_CANCELS)
+
+
+def worker_with_run(started_s, is_late):
+    """
+    Return a worker that runs a task, and the rules' state, in which its job is cancelled at 1 s.
+    """
+    capacity = model.Resources(1000, 1000, 0)
+    worker = JobWorker("w", "service", "zone", "m", "w", capacity, 1, 0.0)
+    step = model.Step(1, (500, 100, 0), 500, is_long_running=True)
+    run = worker.begin(model.TaskKey("job", 0, 0, 0), 1, step, started_s, 1.0, "done")
+    run.is_late = is_late
+    return worker, _rules.Judge(cancel_acked_s={"job": 1.0})
+
+
+def test_the_time_of_a_cancelled_run_is_counted_from_a_late_start():
+    """
+    A run that an order held up on the way has begun has its time from that start, others from the
+    acknowledgement or the end of the last disturbance.
+    """
+    bound_s = _rules.CANCEL_S + _rules.STOP_S
+    for is_late, disturbed_s, since_s in ((False, 0.0, 1.0), (True, 0.0, 4.0), (True, 6.0, 6.0)):
+        worker, judge = worker_with_run(4.0, is_late)
+        _rules.on_running(judge, since_s + bound_s - 0.01, worker, disturbed_s)
+        assert judge.violations == []
+        for at_s in (since_s + bound_s + 0.01, since_s + bound_s + 0.1):
+            _rules.on_running(judge, at_s, worker, disturbed_s)
+        assert [item.rule for item in judge.violations] == ["cancelled_runs_end"]
+
+
+def test_only_instances_in_touch_must_know_of_cancellations():
+    """
+    A start counts against its sender only once the sender and the store have been undisturbed for
+    long enough.
+    """
+    for disturbed_s, broken in ((0.0, 1), (2.1, 0)):
+        judge = _rules.Judge(cancel_acked_s={"job": 1.0})
+        _rules.on_ordered_start(judge, 1.0 + _rules.CANCEL_S, "job", disturbed_s)
+        assert judge.violations == []
+        _rules.on_ordered_start(judge, 1.01 + _rules.CANCEL_S, "job", disturbed_s)
+        assert len(judge.violations) == broken
