Test that what must end is stopped until it is gone

A stop without an answer is dropped, and sent again only when a list shows the run. A worker without known runs is listed every 20 s, and one whose entry has lapsed not at all, so a run that the log doesn't contain goes on until its lease ends, up to ten seconds, and its resources stay reserved after its end. For a known run the next list takes up to 2.3 s.

--- /dev/null
+++ b/packages/eelgrassdrum-core/tests/test_jobs_cancelling.py
@@ -0,0 +1,182 @@
+"""
+Runs that must end, because their job was cancelled or the log doesn't contain them.
+"""
+
+from eelgrassdrum_core.jobs import effects, events, model
+from eelgrassdrum_core.jobs._records import Cancelled, encode_records
+from eelgrassdrum_testing.jobs.owner import (
+    BOUNDS,
+    OWNER_TOKEN,
+    START_S,
+    WALL_MS,
+    commit,
+    feed,
+    hand_in,
+    one_step,
+    owner_of,
+    worker_entry,
+)
+
+SENT_S = START_S + 3.1
+SEEN_S = SENT_S + 1.0
+# Time within which a stop that had no effect is sent again.
+REPEATED_S = 1.0
+TICK_S = 0.05
+STRAY = model.TaskKey("stray", 0, 0, 0)
+
+
+def worker_lists(sent_s, runs=(), ends=()):
+    """
+    Build the worker's lists of runs and exits, requested at the given time.
+    """
+    return events.HoldAnswered("w", OWNER_TOKEN, sent_s, 8000, 7, runs, ends)
+
+
+def row_of(key, run=1):
+    """
+    Build the row of a run.
+    """
+    return model.RunRow(key, run, "", 10, 0.0)
+
+
+def of_type(produced, kind):
+    """
+    Return the effects of a type.
+    """
+    return [item for item in produced if isinstance(item, kind)]
+
+
+def stops_of(produced):
+    """
+    Return task and run of each stop.
+    """
+    return [(item.key, item.run) for item in of_type(produced, effects.StopTask)]
+
+
+def let_pass(node, since_s, for_s):
+    """
+    Let time pass without any answer, and return the effects.
+    """
+    produced = []
+    for number in range(1, round(for_s / TICK_S) + 1):
+        produced += feed(node, since_s + number * TICK_S, events.Ticked())
+    return produced
+
+
+def make_owner_with_stray():
+    """
+    Return an owner whose only worker has just listed a run that the log doesn't contain.
+    """
+    node = owner_of([worker_entry("w")])
+    produced = feed(node, SEEN_S, worker_lists(SEEN_S - 0.01, (row_of(STRAY),)))
+    assert stops_of(produced) == [(STRAY, 1)]
+    return node
+
+
+def make_owner_with_cancelled_run():
+    """
+    Return an owner whose only run was stopped, since its job was cancelled, and the order.
+    """
+    node = owner_of([worker_entry("w")])
+    step = one_step(is_long_running=True)
+    hand_in(node, [("job", "usual", (step,), 0.0)])
+    (order,) = commit(node, SENT_S)
+    feed(node, SENT_S + 0.01, events.StartAnswered("w", order.key, order.run, events.OK, "", 6000))
+    feed(node, SENT_S + 0.1, worker_lists(SENT_S + 0.02, (row_of(order.key),)))
+    offset = node.replicated.offset
+    records = tuple(encode_records([Cancelled("job", WALL_MS)]))
+    produced = feed(node, SEEN_S, events.LogRead(offset, records, offset + 1, SEEN_S))
+    assert stops_of(produced) == [(order.key, order.run)]
+    return node, order
+
+
+FIXTURES = {"with_stray": make_owner_with_stray, "with_cancelled": make_owner_with_cancelled_run}
+
+
+# Guards against a run that goes on until its lease ends, since its only stop had no answer.
+def test_unanswered_stop_of_an_unknown_run_is_sent_again(with_stray):
+    """
+    A stop of a run that the log doesn't contain is repeated without another list.
+    """
+    for outcome in (events.UNKNOWN, events.REFUSED, events.UNSENT):
+        node = make_owner_with_stray()
+        feed(node, SEEN_S + 0.1, events.StopAnswered("w", STRAY, 1, outcome))
+        assert (STRAY, 1) in stops_of(let_pass(node, SEEN_S + 0.1, REPEATED_S)), outcome
+    assert (STRAY, 1) in stops_of(let_pass(with_stray, SEEN_S, REPEATED_S)), "no outcome"
+
+
+# Guards against the same, and against resources that stay reserved for a run that has ended.
+def test_worker_with_an_unknown_run_is_listed_again_soon(with_stray):
+    """
+    The lists of a worker without known runs are requested again once its unknown run should have
+    ended, and frequently until a list doesn't contain it.
+    """
+    produced = let_pass(with_stray, SEEN_S, BOUNDS.stop_s + 2 * TICK_S)
+    (hold,) = of_type(produced, effects.Hold)
+    assert hold.lease_ms is None
+    now_s = SEEN_S + 0.6
+    feed(with_stray, now_s, worker_lists(now_s - 0.01, (row_of(STRAY),)))
+    assert of_type(let_pass(with_stray, now_s, BOUNDS.stop_s + 2 * TICK_S), effects.Hold)
+    feed(with_stray, now_s + 0.6, worker_lists(now_s + 0.55))
+    assert with_stray.workers["w"].unknown_runs == {}
+    produced = let_pass(with_stray, now_s + 0.6, 5.0)
+    assert of_type(produced, effects.Hold) == []
+    assert stops_of(produced) == []
+
+
+# Guards against a run of a cancelled job that goes on, since a list that would repeat its stop was
+# late.
+def test_unanswered_stop_of_a_cancelled_run_is_sent_again(with_cancelled):
+    """
+    A stop of a run whose job was cancelled is repeated while the worker's lists are awaited.
+    """
+    node, order = with_cancelled
+    feed(node, SEEN_S + 0.1, events.StopAnswered("w", order.key, order.run, events.UNKNOWN))
+    assert (order.key, order.run) in stops_of(let_pass(node, SEEN_S + 0.1, REPEATED_S))
+
+
+def test_acknowledged_stop_is_not_sent_again(with_cancelled):
+    """
+    A stop that the worker has acknowledged is repeated only if a later list contains the run.
+    """
+    node, order = with_cancelled
+    feed(node, SEEN_S + 0.1, events.StopAnswered("w", order.key, order.run, events.OK))
+    assert stops_of(let_pass(node, SEEN_S + 0.1, 1.5)) == []
+    row = row_of(order.key, order.run)
+    produced = feed(node, SEEN_S + 1.6, worker_lists(SEEN_S + 1.5, (row,)))
+    assert stops_of(produced) == [(order.key, order.run)]
+
+
+def test_stop_of_an_ended_run_is_not_sent_again(with_cancelled):
+    """
+    No stop is repeated once the worker has listed the end of the run.
+    """
+    node, order = with_cancelled
+    end = model.EndRow(1, order.key, order.run, "stopped", "")
+    feed(node, SEEN_S + 0.4, worker_lists(SEEN_S, (), (end,)))
+    assert stops_of(let_pass(node, SEEN_S + 0.4, 2.0)) == []
+
+
+# Guards against an unknown run that counts as gone by a list that is older than the one that
+# contained it.
+def test_list_requested_before_an_unknown_run_was_seen_does_not_clear_it(with_stray):
+    """
+    Answers may overtake each other, so only a list requested later shows that an unknown run is
+    gone.
+    """
+    feed(with_stray, SEEN_S + 0.01, worker_lists(SEEN_S - 0.02))
+    assert STRAY in with_stray.workers["w"].unknown_runs
+
+
+# Guards against an unknown run that goes on because its worker's entry in the registry has lapsed.
+def test_unlisted_worker_with_an_unknown_run_is_still_called(with_stray):
+    """
+    A worker whose entry has lapsed is called until its unknown run is gone or its lease is over.
+    """
+    feed(with_stray, SEEN_S + 0.05, events.WorkersRead(2, True, {}))
+    assert of_type(let_pass(with_stray, SEEN_S + 0.05, REPEATED_S), effects.Hold)
+    failure = events.HoldFailed("w", "timeout", OWNER_TOKEN)
+    feed(with_stray, SEEN_S + 1.5, failure)
+    let_pass(with_stray, SEEN_S + 1.5, BOUNDS.max_lease_s * 1.1)
+    assert with_stray.workers["w"].unknown_runs == {}
+    assert of_type(let_pass(with_stray, SEEN_S + 13.0, 2.0), effects.Hold) == []
