Repeat a stop until the worker has acknowledged it

A run of a cancelled job, or one that the log doesn't contain, went on if its stop had no answer: the stop was sent again only when a list showed the run, after up to 2.3 s for a worker of known runs and 20 s for one without. The owner now sends each such stop again after 0.8 s unless it was acknowledged, whatever lists come. Stops for other reasons (evacuations, slow workers, orders without an answer) are repeated by lists as before, since a later stop might exceed what may be unavailable. Unreachable workers are left out; their first list stops what must end. A stop that was acknowledged is sent again only if a later list still contains the run, so the number of calls grows only where answers are missing.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -190,6 +190,21 @@
     ticket: str = ""
 
 
+class Stop(NamedTuple):
+    """
+    The latest order to stop a run.
+
+    :param sent_s: when it was sent.
+    :param since_s: when the run was first ordered to stop.
+    :param is_acked: whether the worker has acknowledged it.
+    """
+
+    run: int
+    sent_s: float
+    since_s: float
+    is_acked: bool = False
+
+
 class RunProgress(msgspec.Struct, eq=False):
     """
     Progress of a run.
@@ -232,7 +247,7 @@
     :param ack_confirmed: number of the latest end whose acknowledgement it is known to have
         received.
     :param orders: orders to start runs, by task.
-    :param stops: run and time of the latest order to stop, by task.
+    :param stops: latest order to stop a run, by task.
     :param rows: runs that it listed last, by task.
     :param rows_s: when the call that returned this list was sent.
     :param unknown_runs: resources of runs that it lists but that the log doesn't contain, by task.
@@ -267,7 +282,7 @@
     acked: int = 0
     ack_confirmed: int = 0
     orders: dict[TaskKey, Order] = {}
-    stops: dict[TaskKey, tuple[int, float]] = {}
+    stops: dict[TaskKey, Stop] = {}
     rows: dict[TaskKey, RunRow] = {}
     rows_s: float = 0.0
     unknown_runs: dict[TaskKey, Resources] = {}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -23,6 +23,7 @@
     _registry,
     _shutdown,
     _snapshot,
+    _stops,
     _tail,
     _waiting,
     _waves,
@@ -79,6 +80,7 @@
     if node.ownership.is_owner:
         _registry.read_registry(node, at)
         _leases.expire_leases(node, at)
+        _stops.send_due_stops(node, at)
         _workers.detect_silent_zones(node, at)
         _instances.list_instances(node, at)
         _waves.advance(node, at)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from . import _journal, _replicated_state, effects
-from ._node import Moment, Node, Worker, emit, log_line
+from ._node import Moment, Node, Stop, Worker, emit, log_line
 from ._records import Closed, Ended
 from ._replicated_state import Job, Task
 from .model import TaskKey
@@ -186,10 +186,12 @@
     :param key: the task.
     :param run: number of the run.
     """
-    sent_run, sent_s = worker.stops.get(key, (0, -1e9))
-    if sent_run == run and at.now_s - sent_s < STOP_RETRY_S:
+    former = worker.stops.get(key)
+    if former is not None and former.run != run:
+        former = None
+    if former is not None and at.now_s - former.sent_s < STOP_RETRY_S:
         return
-    worker.stops[key] = (run, at.now_s)
+    worker.stops[key] = Stop(run, at.now_s, former.since_s if former is not None else at.now_s)
     log_line(
         node,
         "run.stop_sent",
@@ -197,7 +199,7 @@
         task=".".join(map(str, key[1:])),
         run=run,
         worker=worker.id,
-        is_repeated=sent_run == run,
+        is_repeated=former is not None,
     )
     address = worker.entry.address
     emit(node, effects.StopTask(worker.id, address, key, run, fencing_token(node, worker)))
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -388,6 +388,9 @@
     worker = node.workers.get(event.worker)
     if worker is None or event.outcome != events.OK:
         return
+    stop = worker.stops.get(event.key)
+    if stop is not None and stop.run == event.run:
+        worker.stops[event.key] = stop._replace(is_acked=True)
     order = worker.orders.get(event.key)
     task = runs_on(node, worker.id).get(event.key)
     if task is None or order is None or task.run != event.run:
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -22,6 +22,7 @@
     _workers,
     model,
 )
+from eelgrassdrum_core.jobs._node import Stop
 from eelgrassdrum_testing.jobs import FAULTS, _rules, run_schedule
 from eelgrassdrum_testing.jobs._worker import JobWorker
 
@@ -291,7 +292,7 @@
     """
     Note a stop as sent without sending it.
     """
-    worker.stops[key] = (run, at.now_s)
+    worker.stops[key] = Stop(run, at.now_s, at.now_s)
 
 
 def test_the_end_of_cancelled_runs_is_checked():
