Ask a worker with an unknown run for its lists until it is gone

A worker that listed a run which the log doesn't contain was asked again after 20 s if it had no known runs, and never if its entry in the registry had lapsed. Until then nobody saw whether the run had ended, and its resources stayed reserved. It is now asked again after the longest time of a stop until a list is clean, whether it is listed or not. The calls end with the first clean list or, for a worker that can't be reached, when its lease is surely over; its unknown runs are then forgotten with a log line. Workers without unknown runs are called as often as before.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -80,6 +80,7 @@
     if node.ownership.is_owner:
         _registry.read_registry(node, at)
         _leases.expire_leases(node, at)
+        _stops.forget_lapsed_runs(node, at)
         _stops.send_due_stops(node, at)
         _workers.detect_silent_zones(node, at)
         _instances.list_instances(node, at)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stops.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stops.py
@@ -5,11 +5,33 @@
 stop or its answer may be lost, and so may the list that would show the run.
 """
 
-from . import _replicated_state, _runs
-from ._node import Moment, Node, Worker
+from . import _leases, _replicated_state, _runs
+from ._node import Moment, Node, Worker, log_line
 from .model import TaskKey
 
 
+def forget_lapsed_runs(node: Node, at: Moment) -> None:
+    """
+    Forget the unknown runs of unreachable workers whose leases have certainly expired.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    """
+    for worker in node.workers.values():
+        if not worker.unknown_runs or (worker.is_held and not worker.is_failing):
+            continue
+        if at.now_s > _leases.lease_over_s(node, worker):
+            log_line(node, "worker.strays_lapsed", worker=worker.id, runs=len(worker.unknown_runs))
+            _forget_unknown_runs(worker)
+            node.plan_due = True
+
+
+def _forget_unknown_runs(worker: Worker) -> None:
+    for key in worker.unknown_runs:
+        worker.stops.pop(key, None)
+    worker.unknown_runs.clear()
+
+
 def send_due_stops(node: Node, at: Moment) -> None:
     """
     Send the stops again that the worker has not acknowledged in time.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -66,7 +66,8 @@
         if worker.holds >= max_holds or at.now_s < worker.next_hold_s:
             continue
         runs = runs_on(node, worker.id)
-        if worker.is_listed or runs:
+        has_unknown_runs = bool(worker.unknown_runs) and not worker.has_ended
+        if worker.is_listed or runs or has_unknown_runs:
             _send_lease_hold(node, at, worker, bool(runs))
 
 
@@ -221,6 +222,9 @@
         worker.next_hold_s = at.now_s + STALLED_HOLD_INTERVAL_S
     elif runs_on(node, worker.id):
         worker.next_hold_s = at.now_s
+    elif worker.unknown_runs:
+        # Their stops take that long at most.
+        worker.next_hold_s = at.now_s + node.bounds.stop_s
     else:
         worker.next_hold_s = at.now_s + IDLE_HOLD_INTERVAL_S
 
