Count an unknown run as gone only by a later list

Answers on different connections may overtake each other. A list that was requested before an unknown run was seen, and doesn't contain it, cleared the run: its stop was no longer repeated, its resources counted as free, and the worker was not asked again for 20 s. Only a list requested after the first stop of the run, or one with the run's end, counts now. Stops of unknown runs are forgotten with the run; before, they stayed for the life of the worker.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stops.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stops.py
@@ -22,14 +22,38 @@
             continue
         if at.now_s > _leases.lease_over_s(node, worker):
             log_line(node, "worker.strays_lapsed", worker=worker.id, runs=len(worker.unknown_runs))
-            _forget_unknown_runs(worker)
+            for key in list(worker.unknown_runs):
+                forget_unknown_run(worker, key)
             node.plan_due = True
 
 
-def _forget_unknown_runs(worker: Worker) -> None:
-    for key in worker.unknown_runs:
-        worker.stops.pop(key, None)
-    worker.unknown_runs.clear()
+def forget_unknown_run(worker: Worker, key: TaskKey, run: int | None = None) -> None:
+    """
+    Forget an unknown run that is gone, and its stop.
+
+    :param worker: the worker.
+    :param key: the task.
+    :param run: number of the run, or ``None`` for whichever run the worker has listed.
+    """
+    worker.unknown_runs.pop(key, None)
+    stop = worker.stops.get(key)
+    if stop is not None and run in (None, stop.run):
+        del worker.stops[key]
+
+
+def is_gone(worker: Worker, key: TaskKey, sent_s: float) -> bool:
+    """
+    Return whether a list that doesn't contain an unknown run shows that the run is gone.
+
+    The list that contained the run may have overtaken an earlier one.
+
+    :param worker: the worker.
+    :param key: the task.
+    :param sent_s: when the list was requested.
+    :returns: whether it was requested after the run was seen.
+    """
+    stop = worker.stops.get(key)
+    return stop is None or sent_s >= stop.since_s
 
 
 def send_due_stops(node: Node, at: Moment) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -11,7 +11,16 @@
 
 from collections import Counter
 
-from . import _journal, _leases, _ownership, _registry, _replicated_state, effects, events
+from . import (
+    _journal,
+    _leases,
+    _ownership,
+    _registry,
+    _replicated_state,
+    _stops,
+    effects,
+    events,
+)
 from ._node import NEVER_S, Moment, Node, Worker, emit, log_line
 from ._replicated_state import Task, find_task
 from ._runs import LOST, end_run, epoch_of, fencing_token, raise_token, runs_on, send_stop
@@ -262,7 +271,7 @@
 
 
 def _apply_exit(node: Node, at: Moment, worker: Worker, end: EndRow) -> None:
-    worker.unknown_runs.pop(end.key, None)
+    _stops.forget_unknown_run(worker, end.key, end.run)
     task = find_task(node.replicated, end.key)
     if task is None:
         log_line(node, "run.unknown_end", worker=worker.id, job=end.key.job, how=end.end_state)
@@ -301,8 +310,8 @@
     for key, row in worker.rows.items():
         _reconcile_listed_run(node, at, worker, key, row)
     for key in list(worker.unknown_runs):
-        if key not in worker.rows:
-            del worker.unknown_runs[key]
+        if key not in worker.rows and _stops.is_gone(worker, key, event.sent_s):
+            _stops.forget_unknown_run(worker, key)
             node.plan_due = True
     for task in list(runs_on(node, worker.id).values()):
         if task.key not in worker.rows:
