Cancel many jobs that last in the random schedules

Few of the tasks of a schedule run for longer than the rule on cancelled runs allows, so a schedule may now have more jobs whose tasks last. Twelve of them are cancelled beside calls that are lost or held up. Schedules with the usual part of such jobs draw the same numbers as before.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
@@ -22,6 +22,8 @@
 PROBE_TASK_S = 4.0
 PROBE_JOB = "f" * 16
 JOBS = 40
+# Part of the jobs whose tasks last until the job is cancelled.
+LASTING_PART = 0.08
 INSTANCES = 5
 WORKERS = 6
 CAPACITY = model.Resources(8_000, 64_000, 0)
@@ -64,11 +66,12 @@
     )
 
 
-def random_spec(world: World) -> model.JobSpec:
+def random_spec(world: World, lasting_part: float = LASTING_PART) -> model.JobSpec:
     """
     Draw a job.
 
     :param world: gives the random numbers.
+    :param lasting_part: part of the jobs whose tasks last until the job is cancelled.
     :returns: the job.
     """
     rng = world.rng
@@ -83,13 +86,16 @@
                 max_per_worker=rng.choice((0, 0, 0, 2)),
             )
         )
-    if rng.random() < 0.08:
+    if rng.random() < lasting_part:
         steps = [model.Step(count=2, need=(500, 1000, 0), is_long_running=True, max_unavailable=1)]
     return model.JobSpec("payload", tuple(steps))
 
 
 def run_schedule(
-    seed: int, faults: tuple[str, ...] | None = None, is_moving: bool = False
+    seed: int,
+    faults: tuple[str, ...] | None = None,
+    is_moving: bool = False,
+    lasting_part: float = LASTING_PART,
 ) -> ScheduleResult:
     """
     Run one schedule.
@@ -97,6 +103,7 @@
     :param seed: of all that is random.
     :param faults: the faults, or ``None`` to draw some.
     :param is_moving: whether there is a standby pool, so that instances are moved.
+    :param lasting_part: part of the jobs whose tasks last until the job is cancelled.
     :returns: what it showed.
     """
     config = make_config()
@@ -121,7 +128,7 @@
     )
     for at_s, kind, name in moments:
         run_until(world, at_s)
-        _act(world, kind, name)
+        _act(world, kind, name, lasting_part)
     run_until(world, LOAD_S + CALM_S)
     _probe(world)
     _judge_end(world)
@@ -136,12 +143,13 @@
     )
 
 
-def _act(world: World, kind: str, name: str) -> None:
+def _act(world: World, kind: str, name: str, lasting_part: float) -> None:
     up = [other for other, instance in sorted(world.instances.items()) if instance.is_up]
     if kind == "fault":
         FAULTS[name](world)
     elif up and kind == "job":
-        submit(world, world.rng.choice(up), name, "key-a", random_spec(world))
+        at = world.rng.choice(up)
+        submit(world, at, name, "key-a", random_spec(world, lasting_part))
     elif up:
         look_up(world, world.rng.choice(up), name, "key-a")
 
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -46,6 +46,13 @@
     ): "an instance whose worker's entry had lapsed counted as empty",
 }
 PROMPT_CANCELS = ("cancel_promptly",) * 3
+# Beside prompt cancellations of jobs whose tasks last.
+CANCELLING_FAULTS = (
+    ("late_calls", "remove_owner"),
+    ("worker_answers_lost", "crash_workers"),
+    ("cut_workers", "late_calls"),
+    ("entries_lapse", "worker_answers_lost"),
+)
 LOST_ORDERS = ("wave", "instance_orders_lost", "wave")
 REFUSED_REPEATS = ("instance_orders_lost",) * 3
 LOST_MOVES = ("instance_orders_lost", "kill_owner", "instance_orders_lost", "kill_owner")
@@ -151,6 +158,17 @@
         assert result.violations == (), (seed, result.faults, result.violations[:3])
 
 
+# Guards against tasks of cancelled jobs that run on, since their stops were lost or held up.
+def test_cancelled_jobs_that_last_end_beside_lost_and_late_calls():
+    """
+    Tasks that last end in time after their job was cancelled, also if calls are lost or late.
+    """
+    for number, faults in enumerate(CANCELLING_FAULTS * 3):
+        seed = 1200 + number
+        result = run_schedule(seed, (*PROMPT_CANCELS, *faults), lasting_part=0.4)
+        assert result.violations == (), (seed, faults, result.violations[:3])
+
+
 def test_room_is_checked():
     """
     Mutation: workers that seem empty are overfilled, and the check shows it.
