Count only holds that were sent since a worker last answered or restarted

A restarted worker was not called with the newest token while a hold to its former incarnation had no answer, so it could take delayed orders longer.

A regained or restarted worker begins with no holds, so that the next one is sent at once, and what was sent before changes the count no more and is no sign of a loss.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -227,6 +227,7 @@
     :param clock_ms: its clock at `clock_at_s`.
     :param granted_ms: latest expiry of the leases that it was granted, by its own clock.
     :param holds: number of lease renewals without a response.
+    :param holds_since_s: time since which they are counted.
     :param handled: number of its latest end of a run that was processed.
     :param acked: number of its latest end of a run that is committed to the log.
     :param ack_confirmed: number of the latest end whose acknowledgement it is known to have
@@ -262,6 +263,7 @@
     clock_at_s: float = 0.0
     granted_ms: int = 0
     holds: int = 0
+    holds_since_s: float = 0.0
     next_hold_s: float = 0.0
     handled: int = 0
     acked: int = 0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -4,7 +4,7 @@
 
 from . import _advice, _leases, effects, events
 from ._node import NEVER_S, Moment, Node, Worker, emit, log_line
-from ._runs import mark_all_lost, raise_token, runs_on
+from ._runs import forget_holds, mark_all_lost, raise_token, runs_on
 from .model import WorkerEntry
 
 # Poll interval of the registry; short enough that a draining worker gets no new work well before it
@@ -209,7 +209,8 @@
     worker.ended_reason = worker.ignored_reason = ""
     worker.clock_ms = worker.granted_ms = worker.handled = worker.acked = worker.ack_confirmed = 0
     worker.next_hold_s = 0.0
-    worker.lists_due_s = worker.answer_due_s = NEVER_S
+    worker.answer_due_s = NEVER_S
+    forget_holds(worker, at)
     worker.unknown_runs.clear()
     worker.rows.clear()
     worker.throttles.clear()
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from . import _journal, _replicated_state, effects
-from ._node import Moment, Node, Worker, emit, log_line
+from ._node import NEVER_S, Moment, Node, Worker, emit, log_line
 from ._records import Closed, Ended
 from ._replicated_state import Job, Task
 from .model import TaskKey
@@ -166,6 +166,17 @@
     worker.token_raises = min(worker.token_raises + 1, MAX_RAISES)
 
 
+def forget_holds(worker: Worker, at: Moment) -> None:
+    """
+    Count no holds that were sent to a worker so far, and ignore their failures.
+
+    :param worker: the worker, which has answered or restarted.
+    :param at: the time.
+    """
+    worker.holds, worker.holds_since_s = 0, at.now_s
+    worker.lists_due_s = NEVER_S
+
+
 def epoch_of(token: int) -> int:
     """
     Return the epoch of the owner that a token belongs to.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -14,7 +14,16 @@
 from . import _journal, _leases, _ownership, _registry, _replicated_state, effects, events
 from ._node import NEVER_S, Moment, Node, Worker, emit, log_line
 from ._replicated_state import Task, find_task
-from ._runs import LOST, end_run, epoch_of, fencing_token, raise_token, runs_on, send_stop
+from ._runs import (
+    LOST,
+    end_run,
+    epoch_of,
+    fencing_token,
+    forget_holds,
+    raise_token,
+    runs_on,
+    send_stop,
+)
 from .model import NO_RESOURCES, EndRow, Resources, RunRow, TaskKey
 
 # Long-poll time of a hold; a third of the shortest usual lease.
@@ -123,7 +132,9 @@
     emit(node, effects.Hold(worker.id, address, token, acked, lease_ms, wait_s))
 
 
-def _count_answer(worker: Worker, at: Moment) -> None:
+def _count_answer(worker: Worker, at: Moment, sent_s: float) -> None:
+    if sent_s < worker.holds_since_s:
+        return
     worker.holds = max(0, worker.holds - 1)
     is_awaiting = worker.holds > 0
     worker.lists_due_s = at.now_s + HOLD_WAIT_S + ANSWER_TIMEOUT_S if is_awaiting else NEVER_S
@@ -186,7 +197,7 @@
     if epoch_of(event.token) != node.ownership.epoch:
         # Sent during an earlier ownership of this instance, whose calls are no longer counted.
         return None
-    _count_answer(worker, at)
+    _count_answer(worker, at, event.sent_s)
     if event.incarnation and event.incarnation != worker.entry.incarnation:
         if event.incarnation > worker.entry.incarnation:
             _registry.reset_incarnation(node, at, worker, event.incarnation)
@@ -196,6 +207,7 @@
         return None
     if worker.is_failing:
         worker.is_failing = False
+        forget_holds(worker, at)
         log_line(
             node,
             "worker.regained",
@@ -413,7 +425,7 @@
         return
     if epoch_of(event.token) != node.ownership.epoch:
         return
-    _count_answer(worker, at)
+    _count_answer(worker, at, event.sent_s)
     if event.token != fencing_token(node, worker):
         # The failure of a call with an earlier token is out of date.
         return
@@ -421,6 +433,9 @@
         # The worker has accepted the token of a newer owner.
         _ownership.step_down(node, at, "worker_has_newer_token", worker=worker.id)
         return
+    if event.sent_s < worker.holds_since_s:
+        # The worker has answered since, or has restarted.
+        return
     if not worker.is_failing:
         worker.is_failing = True
         worker.failing_since_s = at.now_s
