Check random schedules for a second run on the worker of the first one

Workers of the users start a higher run of a task beside a lower one. The stand-in refuses it, so the rule of one run at a time saw second runs on other workers only, where the incident's were on the same one. Such an order is now a broken rule. A mutation shows it; the schedules of the tests break no rule.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -313,6 +313,8 @@
     running = worker.runs.get(effect.key)
     if running is not None and running.run == effect.run:
         return ""
+    if running is not None and effect.run > running.run:
+        _rules.on_second_start(world.judge, world.now_s, worker, running)
     if running is not None or effect.run <= worker.newest_run.get(effect.key, 0):
         return "old"
     step = world.judge.specs[effect.key.job].steps[effect.key.step]
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
@@ -105,6 +105,19 @@
     _judge_limit(judge, at_s, workers, run)
 
 
+def on_second_start(judge: Judge, at_s: float, worker: JobWorker, running: Run) -> None:
+    """
+    Judge an order to start a task again on the worker that still runs it.
+
+    :param judge: what was seen.
+    :param at_s: time of the world.
+    :param worker: the worker.
+    :param running: the run that goes on.
+    """
+    name = ".".join(map(str, running.key))
+    _broken(judge, "one_run_at_a_time", at_s, f"{name} {worker.id} {worker.id}")
+
+
 def _judge_twice(
     judge: Judge,
     at_s: float,
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -217,6 +217,17 @@
         assert "accepted_is_finished" in broken_rules(range(4), ("worker_gone", "worker_gone"))
 
 
+# Guards against a second run on the worker of the first one, which the check did not see.
+def test_second_runs_on_one_worker_are_checked():
+    """
+    Mutation: leases count as over at once, and a task is started again on the worker that runs it.
+    """
+    with replaced(_leases, "lease_over_s", lambda *_: 0.0):
+        result = run_schedule(2, ("cut_workers", "stop_owner", "cut_workers"))
+    twice = [item.text.split() for item in result.violations if item.rule == "one_run_at_a_time"]
+    assert any(first == second for _task, first, second in twice)
+
+
 def test_acknowledgements_are_checked():
     """
     Mutation: ends noted for a former life of a worker are acknowledged to the next one, each time.
