Show two leases that may outlast the wait of the next owner

Two tests, listed as known red: a lease that is computed from an old reading of a slow clock, and one that counts from a repeated append although the store may have done the first attempt before another owner began.

--- a/packages/eelgrassdrum-core/tests/test_jobs_leases.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_leases.py
@@ -20,6 +20,7 @@
     logged,
     make_owner_config,
     one_step,
+    owner_of,
     worker_entry,
 )
 
@@ -228,3 +229,33 @@
     produced = feed(successor, CLAIMED_S + 1, events.WorkersRead(2, False, {"w": entry}))
     tokens = [item.token for item in produced if isinstance(item, effects.Hold)]
     assert tokens == [fencing_token(successor, successor.workers["w"])]
+
+
+# Guards against leases that outlast the wait of the next owner, on a slow clock that was read long
+# ago.
+def test_a_lease_on_a_slow_clock_ends_before_the_next_owner_gives_it_up():
+    """
+    The lease for the first run after a while without any is over when the next owner assumes it.
+    """
+    node = owner_of([worker_entry("w")])
+    worker = node.workers["w"]
+    granted_s = worker.clock_at_s + 19
+    hand_in(node, [("job", "usual", (one_step(),), 0.0)], granted_s)
+    commit(node, granted_s)
+    assert node.ownership.confirmed_s == granted_s
+    lease_s = (worker.granted_ms - worker.clock_ms) / 1000
+    assert lease_s > 19 + BOUNDS.max_lease_s - 1
+    assert worker.clock_at_s + lease_s * (1 + CLOCK_DRIFT) <= granted_s + LONGEST_S
+
+
+# Guards against leases beyond the claim of the next owner, whose start the former one has not seen.
+def test_an_append_that_may_have_been_done_before_confirms_its_first_attempt(successor):
+    """
+    The store may answer a repeated append as before although another owner has begun since.
+    """
+    sent_s = CLAIMED_S + 0.3
+    feed(successor, sent_s, events.Ticked())
+    feed(successor, sent_s + 0.9, events.Appended("owner", successor.journal.seq, events.UNKNOWN))
+    feed(successor, sent_s + 1.2, events.Ticked())
+    feed(successor, sent_s + 1.3, events.Appended("owner", successor.journal.seq, events.OK))
+    assert successor.ownership.confirmed_s == sent_s
