Compute leases from the slowest clock that a worker may have

A lease is set as a time on its worker's clock, which may be 2% slow and was last read up to 20 s before if nothing ran there.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
@@ -2,6 +2,8 @@
 Determines when the leases of workers have certainly expired, and records their runs as lost.
 """
 
+import math
+
 from . import _journal, _ownership
 from ._node import Moment, Node, Worker, log_line
 from ._records import Ended
@@ -10,13 +12,14 @@
 
 def clock_ms(worker: Worker, at_s: float) -> int:
     """
-    Estimate a worker's clock.
+    Return what a worker's clock shows at least, so that no lease lasts longer than intended.
 
     :param worker: the worker.
-    :param at_s: time by this instance's clock.
-    :returns: the worker's clock at that time, in milliseconds.
+    :param at_s: time by this instance's clock, not before the worker's clock was last read.
+    :returns: the slowest clock at that time, in milliseconds.
     """
-    return worker.clock_ms + round((at_s - worker.clock_at_s) * 1000)
+    elapsed_s = (at_s - worker.clock_at_s) / (1 + _ownership.CLOCK_DRIFT)
+    return worker.clock_ms + math.floor(elapsed_s * 1000)
 
 
 def expire_leases(node: Node, at: Moment) -> None:
