Confirm an owner by the first attempt of an append that may have been done

A repeated append is answered as the first attempt was, which the store may have done before another owner began. The owner counted as confirmed since the later attempt, and could grant leases that outlast the wait of its successor by the time between the two. It now counts from the first attempt that may have been done.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
@@ -208,7 +208,7 @@
 def _send(node: Node, at: Moment) -> None:
     journal = node.journal
     journal.last_sent_s = at.now_s
-    if not journal.is_repeated:
+    if not (journal.is_repeated or journal.is_uncertain):
         journal.confirms_s = at.now_s
     journal.is_waiting = True
     emit(
