--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -29,6 +29,7 @@
     end_run,
     epoch_of,
     fencing_token,
+    forget_holds,
     raise_token,
     runs_on,
     send_stop,
@@ -154,7 +155,9 @@
     return worker.acked
 
 
-def _count_answer(worker: Worker, at: Moment) -> None:
+def _count_answer(worker: Worker, at: Moment, sent_s: float) -> None:
+    if sent_s < worker.holds_since_s:
+        return
     worker.holds = max(0, worker.holds - 1)
     is_awaiting = worker.holds > 0
     worker.lists_due_s = at.now_s + HOLD_WAIT_S + ANSWER_TIMEOUT_S if is_awaiting else NEVER_S
@@ -217,7 +220,7 @@
     if epoch_of(event.token) != node.ownership.epoch:
         # Sent during an earlier ownership of this instance, whose calls are no longer counted.
         return None
-    _count_answer(worker, at)
+    _count_answer(worker, at, event.sent_s)
     if event.incarnation and event.incarnation != worker.entry.incarnation:
         if event.incarnation > worker.entry.incarnation:
             _registry.reset_incarnation(node, at, worker, event.incarnation)
@@ -227,6 +230,7 @@
         return None
     if worker.is_failing:
         worker.is_failing = False
+        forget_holds(worker, at)
         log_line(
             node,
             "worker.regained",
@@ -471,7 +475,7 @@
         return
     if epoch_of(event.token) != node.ownership.epoch:
         return
-    _count_answer(worker, at)
+    _count_answer(worker, at, event.sent_s)
     if event.token != fencing_token(node, worker):
         # The failure of a call with an earlier token is out of date.
         return
@@ -479,6 +483,9 @@
         # The worker has accepted the token of a newer owner.
         _ownership.step_down(node, at, "worker_has_newer_token", worker=worker.id)
         return
+    if event.sent_s < worker.holds_since_s:
+        # The worker has answered since, or has restarted.
+        return
     if not worker.is_failing:
         worker.is_failing = True
         worker.failing_since_s = at.now_s
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -249,7 +249,7 @@
     due_s = world.now_s + effect.wait_s
 
     def fail() -> None:
-        event = events.HoldFailed(effect.worker, "timeout", effect.token)
+        event = events.HoldFailed(effect.worker, "timeout", effect.token, sent_s)
         send_to(world, instance, TIMEOUT_S, event)
 
     if _is_held_up(world, effect.worker):
@@ -263,7 +263,7 @@
             fail()
             return
         if effect.token < worker.token:
-            event = events.HoldFailed(effect.worker, "fence", effect.token)
+            event = events.HoldFailed(effect.worker, "fence", effect.token, sent_s)
             send_to(world, instance, LINK_S, event)
             return
         _take_hold(world, worker, effect)
@@ -396,6 +396,8 @@
     running = worker.runs.get(effect.key)
     if running is not None and running.run == effect.run:
         return ""
+    if running is not None and effect.run > running.run:
+        _rules.on_second_start(world.judge, world.now_s, worker, running)
     if running is not None or effect.run <= worker.newest_run.get(effect.key, 0):
         return "old"
     step = world.judge.specs[effect.key.job].steps[effect.key.step]
