--- a/packages/eelgrassdrum-core/tests/test_jobs_cancelling.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_cancelling.py
@@ -1,9 +1,13 @@
 """
-Runs that must end, because their job was cancelled or the log doesn't contain them.
+Cancellations, and runs that must end because their job was cancelled or the log doesn't contain
+them.
 """
 
-from eelgrassdrum_core.jobs import effects, events, model
-from eelgrassdrum_core.jobs._records import Cancelled, encode_records
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eelgrassdrum_core.jobs import ReplicatedState, _fold, _snapshot, effects, events, model
+from eelgrassdrum_core.jobs._records import Cancelled, Submitted, encode_records
 from eelgrassdrum_testing.jobs.owner import (
     BOUNDS,
     OWNER_TOKEN,
@@ -23,6 +27,7 @@
 REPEATED_S = 1.0
 TICK_S = 0.05
 STRAY = model.TaskKey("stray", 0, 0, 0)
+JOBS = st.sampled_from(["j1", "j2"])
 
 
 def worker_lists(sent_s, runs=(), ends=()):
@@ -180,3 +185,76 @@
     let_pass(with_stray, SEEN_S + 1.5, BOUNDS.max_lease_s * 1.1)
     assert with_stray.workers["w"].unknown_runs == {}
     assert of_type(let_pass(with_stray, SEEN_S + 13.0, 2.0), effects.Hold) == []
+
+
+CALLERS_RECORDS = st.lists(
+    st.one_of(
+        st.builds(
+            Submitted,
+            JOBS,
+            st.just("usual"),
+            st.just("service"),
+            st.just("a"),
+            st.just(model.JobSpec("x", (one_step(),))),
+            st.just(WALL_MS),
+        ),
+        st.builds(Cancelled, JOBS, st.just(WALL_MS)),
+    ),
+    max_size=12,
+)
+
+
+def cancelled_jobs(records):
+    """
+    Return the jobs that result from callers' records, and whether they are cancelled.
+    """
+    replicated = ReplicatedState()
+    for record in records:
+        _fold.apply(replicated, record, 10.0, WALL_MS)
+    return {job.id: job.cancelled for job in replicated.jobs.values()}
+
+
+# Guards against an owner that forgets a cancellation, since it applies the callers' records that it
+# has appended before those that precede them in the log.
+@given(st.data(), CALLERS_RECORDS)
+@settings(max_examples=150, deadline=None, derandomize=True)
+def test_cancellations_hold_in_any_order_of_callers_records(data, records):
+    """
+    A job is cancelled if its submission and its cancellation were applied, in whatever order and
+    however often.
+    """
+    repeated = records + data.draw(st.lists(st.sampled_from(records))) if records else records
+    shuffled = data.draw(st.permutations(repeated))
+    submitted = {item.job for item in records if isinstance(item, Submitted)}
+    cancelled = {item.job for item in records if isinstance(item, Cancelled)}
+    expected = {job: job in cancelled for job in submitted}
+    assert cancelled_jobs(records) == cancelled_jobs(shuffled) == expected
+
+
+# Guards against a job that runs although its cancellation was answered before its submission was
+# appended.
+def test_job_that_was_cancelled_before_its_submission_never_starts():
+    """
+    The owner starts no task of a job whose cancellation precedes its submission in the log, also
+    after a reload from a snapshot between the two.
+    """
+    node = owner_of([worker_entry("w")])
+    offset = node.replicated.offset
+    records = tuple(encode_records([Cancelled("job", WALL_MS)]))
+    feed(node, START_S + 2.5, events.LogRead(offset, records, offset + 1, START_S + 2.5))
+    data = _snapshot.encode(node.replicated, START_S + 2.5, WALL_MS)
+    node.replicated = _snapshot.decode(data, START_S + 2.5, WALL_MS)
+    assert hand_in(node, [("job", "usual", (one_step(),), 0.0)]) == []
+    assert node.replicated.jobs["job"].state == "cancelled"
+    assert commit(node, SENT_S) == []
+
+
+def test_repeated_submission_does_not_revive_a_cancelled_job(with_cancelled):
+    """
+    A submission that arrives again after the cancellation changes nothing.
+    """
+    node, _order = with_cancelled
+    step = one_step(is_long_running=True)
+    assert hand_in(node, [("job", "usual", (step,), 0.0)], SEEN_S + 0.2) == []
+    assert node.replicated.jobs["job"].state == "cancelled"
+    assert "job" not in node.replicated.open_jobs
