--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
@@ -298,6 +298,8 @@
     :param move_s: duration of an instance's move to another pool.
     :param upkeep_s: duration of an instance's maintenance.
     :param orders_per_s: rate of orders for instances that the machine service accepts.
+    :param cancel_s: time after the acknowledgement of a cancellation from which no task of the job
+        may start.
     """
 
     max_lease_s: float
@@ -311,3 +313,4 @@
     move_s: float
     upkeep_s: float
     orders_per_s: float = 64.0
+    cancel_s: float = 3.0
