Test that cancellations take effect while the owner reads late

The owner had not read the cancellation, which another instance had appended; its appends succeeded, so it kept the log.

The tests ask of an owner that it starts nothing from an old state, that orders become void in time, and that it gives up the log when it can append but not read.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -146,7 +146,7 @@
 
 
 def _read_log(world: World, instance: Instance, effect: effects.ReadLog) -> None:
-    failure = _store_answers(world, instance)
+    failure = "timeout" if instance.is_unread else _store_answers(world, instance)
     if failure is not None:
         send_to(world, instance, TIMEOUT_S, events.LogReadFailed(failure, world.now_s))
         return
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
@@ -9,6 +9,8 @@
 from ._store import REFUSING, SILENT, UP
 from ._world import World, cancel, disturb, kill, later, post, publish, remove
 
+# Time from which an owner reads nothing until jobs are cancelled.
+MISSED_CANCELS_S = 0.5
 # Workers that are left at least, so that all work still has room.
 LEAST_WORKERS = 4
 # Instances that are left at least, so that the log finds an owner.
@@ -287,6 +289,23 @@
     later(world, 6.0, cease)
 
 
+def _owner_misses_cancels(world: World) -> None:
+    instance = world.instances[_owner(world)]
+    instance.is_unread = instance.is_cut_from_peers = True
+
+    def heal() -> None:
+        instance.is_unread = instance.is_cut_from_peers = False
+
+    def cancel_open_jobs() -> None:
+        others = [name for name in sorted(world.instances) if name != instance.name]
+        for job in sorted(instance.node.replicated.open_jobs):
+            if job in world.judge.accepted:
+                cancel(world, world.rng.choice(others), job, "key-a")
+
+    later(world, world.rng.uniform(4.0, 9.0), heal)
+    later(world, MISSED_CANCELS_S, cancel_open_jobs)
+
+
 FAULTS: dict[str, Callable[[World], None]] = {
     "kill_owner": _kill_owner,
     "kill_any": _kill_any,
@@ -317,4 +336,5 @@
     "late_calls": _late_calls,
     "worker_answers_lost": _worker_answers_lost,
     "remove_owner": _remove_owner,
+    "owner_misses_cancels": _owner_misses_cancels,
 }
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_owner.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_owner.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from eelgrassdrum_core.jobs import Identity, Moment, Node, effects, events, model, new_node, reduce
-from eelgrassdrum_core.jobs._records import Claimed, Submitted, encode_records
+from eelgrassdrum_core.jobs._records import Claimed, OwnerHeartbeat, Submitted, encode_records
 
 BOUNDS = model.Bounds(10.0, 2.0, 5.0, 6.0, 0.4, 3.0, 0.25, 120.0, 1.5, 2.0)
 WALL_MS = 1_700_000_000_000
@@ -98,6 +98,8 @@
     node: Node,
     jobs: Iterable[tuple[str, str, tuple[model.Step, ...], float]],
     now_s: float = START_S + 3,
+    sent_s: float | None = None,
+    records_left: int = 0,
 ) -> list[tuple[str, str]]:
     """
     Let an instance read submissions.
@@ -105,6 +107,8 @@
     :param node: the instance.
     :param jobs: id, queue, steps and age in seconds of each.
     :param now_s: its clock.
+    :param sent_s: when it sent the read, or ``None`` for now.
+    :param records_left: number of later records that the read doesn't return.
     :returns: the tasks that it starts, as job and worker.
     """
     records = [
@@ -120,8 +124,9 @@
     ]
     offset = node.replicated.offset
     data = tuple(encode_records(records))
-    produced = feed(node, now_s, events.LogRead(offset, data, offset + len(data), now_s))
-    return started(produced)
+    end = offset + len(data) + records_left
+    sent_s = now_s if sent_s is None else sent_s
+    return started(feed(node, now_s, events.LogRead(offset, data, end, sent_s)))
 
 
 def started(produced: list[Any]) -> list[tuple[str, str]]:
@@ -168,6 +173,22 @@
     return [item for item in produced if isinstance(item, effects.StartTask)]
 
 
+def read_back(node: Node, now_s: float, sent_s: float, written_s: float) -> list[Any]:
+    """
+    Let an owner read one of its heartbeats.
+
+    :param node: the instance.
+    :param now_s: its clock.
+    :param sent_s: when it sent the read.
+    :param written_s: when it wrote the heartbeat.
+    :returns: the effects.
+    """
+    heartbeat = OwnerHeartbeat(node.ownership.epoch, round(written_s * 1000))
+    offset = node.replicated.offset
+    data = tuple(encode_records([heartbeat]))
+    return feed(node, now_s, events.LogRead(offset, data, offset + 1, sent_s))
+
+
 def one_step(count: int = 1, millicores: int = 1000, **fields: Any) -> model.Step:
     """
     Give a step.
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
@@ -19,7 +19,8 @@
 MAX_WAIT_S = 3.0
 # Interval at which waiting tasks are judged.
 CALM_STEP_S = 0.1
-# Time from the acknowledgement of a cancellation in which tasks of the job may still start.
+# Time from the acknowledgement of a cancellation in which tasks of the job may still start; the
+# bound of `World`.
 CANCEL_S = 3.0
 # Time that a stop takes at most.
 STOP_S = 0.4
@@ -98,6 +99,8 @@
         _broken(judge, "refused_never_runs", at_s, name)
     if run.key in judge.done:
         _broken(judge, "done_never_starts_again", at_s, name)
+    if at_s - judge.cancel_acked_s.get(run.key.job, at_s) > CANCEL_S:
+        _broken(judge, "cancelled_never_starts", at_s, name)
     _judge_twice(judge, at_s, workers, worker, run, name)
     used = model.NO_RESOURCES
     for other in worker.runs.values():
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
@@ -39,6 +39,7 @@
     status_s=120.0,
     move_s=MOVE_S,
     upkeep_s=2.0,
+    cancel_s=_rules.CANCEL_S,
 )
 
 
@@ -50,6 +51,7 @@
     :param life: number of its process; what was sent to an earlier one is dropped.
     :param is_removed: whether it never starts again.
     :param disturbed_s: when it was last disturbed.
+    :param is_unread: whether its reads of the log get no answer.
     """
 
     name: str
@@ -63,6 +65,7 @@
     is_cut_from_peers: bool = False
     is_removed: bool = False
     disturbed_s: float = -1e9
+    is_unread: bool = False
 
 
 class World(msgspec.Struct, eq=False):
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/owner.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/owner.py
@@ -14,6 +14,7 @@
     make_owner_config,
     one_step,
     owner_of,
+    read_back,
     started,
     worker_entry,
 )
@@ -30,6 +31,7 @@
     "make_owner_config",
     "one_step",
     "owner_of",
+    "read_back",
     "started",
     "worker_entry",
 ]
