Start nothing from an old state

Callers saw tasks of a job start after its cancellation was acknowledged: another instance had appended the cancellation and the owner had not read it. Nothing bounded the age of the state from which the owner plans.

The state now carries the time up to which it is complete: the sending of a read that reached the end of the log, or the writing of an own heartbeat that was read back. While that is older than a third of the bound on cancellations (cancel_ms), no start is decided. The log line work.waiting names the cause log_read_late, and run.decided tells this age instead of that of the last read, which may have returned only a part.

Tests that let an owner wait without reads now read the log as owners do; their assertions are as before.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -393,6 +393,7 @@
     :param sent_s: when the latest read was sent.
     :param last_success_s: when the latest successful read was sent.
     :param answered_s: when its response arrived.
+    :param complete_s: time up to which the replicated state has all acknowledged records.
     :param readable_since_s: time since which no read has failed; 1e18 while reads fail.
     :param owner_record_s: when a record of the owner was last read, or an outage of the log ended.
     :param owner_gap_s: decaying maximum of the time between two reads with records of the owner.
@@ -408,6 +409,7 @@
     sent_s: float = -1e9
     last_success_s: float = -1e9
     answered_s: float = -1e9
+    complete_s: float = -1e9
     readable_since_s: float = 1e18
     owner_record_s: float = 0.0
     owner_gap_s: float = 0.0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -7,7 +7,7 @@
 it was not, a stop bars the run before the task is started again.
 """
 
-from . import _advice, _journal, _leases, _replicated_state, _workers, effects, events
+from . import _advice, _freshness, _journal, _leases, _replicated_state, _workers, effects, events
 from ._node import NEVER_S, Moment, Node, Order, Worker, emit, log_line
 from ._records import Started
 from ._replicated_state import Task
@@ -61,7 +61,7 @@
         worker=worker.id,
         age_s=round(at.now_s - job.seen_s, 3),
         free_millicores=_workers.free_resources(node, worker).millicores,
-        log_age_s=round(at.now_s - node.tail.last_success_s, 3),
+        log_age_s=round(_freshness.state_age_s(node, at), 3),
         config=node.config.version if node.config else None,
     )
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -7,7 +7,7 @@
 
 from collections import Counter
 
-from . import _advice, _candidates, _journal, _orders, _ready, _replicated_state
+from . import _advice, _candidates, _freshness, _journal, _orders, _ready, _replicated_state
 from ._candidates import Candidate
 from ._node import Moment, Node, log_line
 from ._ready import ReadyStep
@@ -61,7 +61,7 @@
         return
     node.plan_due = False
     _close_cancelled(node, at)
-    if _journal.is_stalled(node, at.now_s):
+    if is_paused(node, at):
         node.plan_due = True
         return
     pools: dict[str, PoolCandidates] = {}
@@ -80,6 +80,17 @@
         node.next_plan_s = at.now_s + REPLAN_INTERVAL_S
 
 
+def is_paused(node: Node, at: Moment) -> bool:
+    """
+    Return whether nothing may be started on account of the store.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    :returns: whether an append takes too long, or the log was not read to its end lately.
+    """
+    return _journal.is_stalled(node, at.now_s) or not _freshness.may_start(node, at)
+
+
 def _candidates_of_pool(
     node: Node, at: Moment, pools: dict[str, PoolCandidates], item: ReadyStep
 ) -> PoolCandidates:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -14,7 +14,15 @@
     events,
 )
 from ._node import CallerRecords, Moment, Node, Tail, emit, log_line
-from ._records import OWNER_RECORDS, Cancelled, Claimed, OwnerRecord, Submitted, decode_record
+from ._records import (
+    OWNER_RECORDS,
+    Cancelled,
+    Claimed,
+    OwnerHeartbeat,
+    OwnerRecord,
+    Submitted,
+    decode_record,
+)
 
 # How long a read waits at the store for a new record; bounds the staleness of the replicated state.
 WAIT_S = 0.5
@@ -89,6 +97,8 @@
     was_caught_up = tail.is_caught_up
     # The end that a replaced read found may be older than the latest known one.
     is_current = is_latest or was_caught_up
+    if node.replicated.offset >= event.end:
+        tail.complete_s = max(tail.complete_s, event.sent_s)
     tail.is_caught_up = is_current and node.replicated.offset >= event.end
     tail.has_caught_up = tail.has_caught_up or tail.is_caught_up
     if tail.is_caught_up and not was_caught_up:
@@ -262,6 +272,9 @@
         # The owner applied the record when it wrote it. Reading it back proves that it is
         # committed, even if the response to its append was lost.
         _fold.confirm(node.replicated, record)
+        if isinstance(record, OwnerHeartbeat):
+            # All records that were acknowledged before it was written precede it in the log.
+            node.tail.complete_s = max(node.tail.complete_s, record.clock_ms / 1000)
         return
     _fold.apply(node.replicated, record, at.now_s, at.wall_ms)
     _fold.confirm(node.replicated, record)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
@@ -8,7 +8,7 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
-from . import _advice, _candidates, _journal, _members, _planner, _ready
+from . import _advice, _candidates, _freshness, _journal, _members, _planner, _ready
 from ._candidates import Candidate
 from ._node import Moment, Node, WaitingWork, log_line
 from ._ready import ReadyStep
@@ -21,6 +21,7 @@
 LINE_INTERVAL_S = 1.0
 
 STALLED = "append_stalled"
+OLD_STATE = "log_read_late"
 LIMIT = "workspace_limit"
 FORMER_RUNS = "former_gang_runs"
 NO_MEMBERS = "no_members"
@@ -100,7 +101,7 @@
         work = node.waiting_work = WaitingWork(node.ownership.epoch)
     if node.config is None or at.now_s < work.next_check_s:
         return
-    if node.plan_due and not _journal.is_stalled(node, at.now_s):
+    if node.plan_due and not _planner.is_paused(node, at):
         return
     work.next_check_s = at.now_s + CHECK_INTERVAL_S
     for service, steps in _long_waiting(node, at, work).items():
@@ -173,6 +174,8 @@
     step, waiting = item.state.step, item.state.waiting
     if _journal.is_stalled(node, at.now_s):
         return STALLED
+    if not _freshness.may_start(node, at):
+        return OLD_STATE
     if step.gang and waiting < step.count:
         return FORMER_RUNS
     needed = waiting if step.gang else 1
--- a/packages/eelgrassdrum-core/tests/test_jobs_cancelling.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_cancelling.py
@@ -17,6 +17,7 @@
     one_step,
     owner_of,
     read_back,
+    read_to_end,
     started,
     worker_entry,
 )
@@ -31,9 +32,7 @@
     """
     node = owner_of([worker_entry("w")])
     assert hand_in(node, [JOB], HAND_IN_S, sent_s=HAND_IN_S - 1.8) == []
-    offset = node.replicated.offset
-    produced = feed(node, HAND_IN_S + 0.1, events.LogRead(offset, (), offset, HAND_IN_S))
-    assert started(produced) == [("job", "w")]
+    assert started(read_to_end(node, HAND_IN_S + 0.1)) == [("job", "w")]
 
 
 def test_a_part_of_the_log_does_not_make_the_state_recent():
--- a/packages/eelgrassdrum-core/tests/test_jobs_orders.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_orders.py
@@ -12,6 +12,7 @@
     hand_in,
     one_step,
     owner_of,
+    read_to_end,
     started,
     worker_entry,
 )
@@ -101,6 +102,7 @@
     produced = feed(node, GIVEN_UP_S + 0.03, worker_lists(GIVEN_UP_S + 0.02, (row,)))
     assert started(produced) == []
     commit(node, GIVEN_UP_S + 0.1)
+    read_to_end(node, GIVEN_UP_S + 0.1)
     end = model.EndRow(1, order.key, order.run, "stopped", "")
     produced = feed(node, GIVEN_UP_S + 0.4, worker_lists(GIVEN_UP_S + 0.03, (), (end,)))
     assert started(produced) == [("job", "w")]
--- a/packages/eelgrassdrum-core/tests/test_jobs_planner.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_planner.py
@@ -11,6 +11,7 @@
     make_owner_config,
     one_step,
     owner_of,
+    read_to_end,
     started,
     worker_entry,
 )
@@ -139,5 +140,6 @@
     assert len(started(feed(node, START_S + 3.1, answer))) == 1
     commit(node, START_S + 3.2)
     node.replicated.load["w1"] = model.NO_RESOURCES
+    read_to_end(node, START_S + 5.9)
     assert started(feed(node, START_S + 6.0, events.Ticked())) == []
     assert node.advice[("job", 0, 0)].is_asking
--- a/packages/eelgrassdrum-core/tests/test_jobs_waiting.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_waiting.py
@@ -14,6 +14,7 @@
     make_owner_config,
     one_step,
     owner_of,
+    read_to_end,
     worker_entry,
 )
 
@@ -21,15 +22,18 @@
 TICK_S = 0.25
 
 
-def run_ticks(node, until_s, from_s=HANDED_IN_S, can_append=True):
+def run_ticks(node, until_s, from_s=HANDED_IN_S, can_append=True, can_read=True):
     """
-    Let the time pass while the store takes all appends or none, and return the effects.
+    Let the time pass while the store answers all appends or none, and all reads or none, and return
+    the effects.
     """
     produced = []
     for tick in range(1, round((until_s - from_s) / TICK_S) + 1):
         at_s = from_s + tick * TICK_S
         while can_append and node.journal.in_flight is not None:
             produced += feed(node, at_s, events.Appended("owner", node.journal.seq, events.OK))
+        if can_read:
+            produced += read_to_end(node, at_s)
         produced += feed(node, at_s, events.Ticked())
     return produced
 
@@ -176,6 +180,15 @@
     assert (line["cause"], line["members"]) == (waiting.LIMIT, {"usable": 1})
 
 
+def test_old_state_is_named():
+    """
+    Work that waits because the owner reads the log too late is logged with that cause.
+    """
+    node = owner_of([worker_entry("w", 1000)])
+    hand_in(node, one_job(one_step(2)), sent_s=HANDED_IN_S - 0.3)
+    assert waiting_line(node, can_read=False)["cause"] == waiting.OLD_STATE
+
+
 def test_stalled_append_is_named():
     """
     Work that waits because the store takes no append is logged with that cause.
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_owner.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_owner.py
@@ -173,6 +173,18 @@
     return [item for item in produced if isinstance(item, effects.StartTask)]
 
 
+def read_to_end(node: Node, now_s: float) -> list[Any]:
+    """
+    Let an instance read that the log holds nothing new.
+
+    :param node: the instance.
+    :param now_s: its clock.
+    :returns: the effects.
+    """
+    offset = node.replicated.offset
+    return feed(node, now_s, events.LogRead(offset, (), offset, now_s))
+
+
 def read_back(node: Node, now_s: float, sent_s: float, written_s: float) -> list[Any]:
     """
     Let an owner read one of its heartbeats.
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/owner.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/owner.py
@@ -15,6 +15,7 @@
     one_step,
     owner_of,
     read_back,
+    read_to_end,
     started,
     worker_entry,
 )
@@ -32,6 +33,7 @@
     "one_step",
     "owner_of",
     "read_back",
+    "read_to_end",
     "started",
     "worker_entry",
 ]
