Withdraw orders that wait, and let them expire in time

Callers saw a start 1.37 s after its decision and 4.03 s after the cancellation was acknowledged. Between a decision and its order lie the append, the queue behind earlier orders to the worker, the connection and the link; nothing bounded their sum, and an order was valid for 2.5 s from its sending, however old the state behind it was.

An order that can be sent only when the state has become old again is withdrawn (its run ends as unsent) and planned anew later. Orders that were sent expire at the worker before the bound on cancellations has passed since the state was complete, less the drift of the worker's clock. So the bound holds on any way that an order takes.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_freshness.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_freshness.py
@@ -36,3 +36,16 @@
     :returns: whether starts may be decided and ordered.
     """
     return state_age_s(node, at) <= MAX_START_AGE * node.bounds.cancel_s
+
+
+def orders_expire_s(node: Node) -> float:
+    """
+    Return the time at which orders to start tasks must expire.
+
+    A cancellation that the state lacks was acknowledged after the time up to which it is complete,
+    and has to be in force for the bound from then on.
+
+    :param node: the instance, which owns the log.
+    :returns: time by this instance's clock, in seconds.
+    """
+    return node.tail.complete_s + node.bounds.cancel_s - EXPIRY_MARGIN_S
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -7,13 +7,23 @@
 it was not, a stop bars the run before the task is started again.
 """
 
-from . import _advice, _freshness, _journal, _leases, _replicated_state, _workers, effects, events
+from . import (
+    _advice,
+    _freshness,
+    _journal,
+    _leases,
+    _ownership,
+    _replicated_state,
+    _workers,
+    effects,
+    events,
+)
 from ._node import NEVER_S, Moment, Node, Order, Worker, emit, log_line
 from ._records import Started
 from ._replicated_state import Task
 from ._runs import UNSENT, end_run, fencing_token, runs_on
 
-# Lifetime of an order, after which a delayed order has no effect.
+# Maximum lifetime of an order, after which a delayed order has no effect.
 ORDER_TTL_S = 2.5
 # Unanswered orders to one worker; each takes a connection.
 MAX_OUTSTANDING = 2
@@ -70,8 +80,9 @@
     """
     Send an order whose record is committed, if it is still valid.
 
-    The run ends as unsent if the job is closed or the worker no longer takes tasks. The order is
-    queued while the worker has the maximum of unanswered orders.
+    The run ends as unsent if the job is closed, the worker no longer takes tasks or the replicated
+    state has become too old to tell. The order is queued while the worker has the maximum of
+    unanswered orders.
 
     :param node: the instance.
     :param at: the time.
@@ -83,7 +94,8 @@
     if worker is None or task is None or order is None or order.run != effect.run:
         return
     job = node.replicated.jobs[effect.key.job]
-    may_start = not job.cancelled and job.state not in _replicated_state.FINAL_STATES
+    is_open = not job.cancelled and job.state not in _replicated_state.FINAL_STATES
+    may_start = is_open and _freshness.may_start(node, at)
     if not may_start or not worker.is_held or worker.is_failing or worker.entry.is_draining:
         end_run(node, at, worker, task, UNSENT)
         return
@@ -94,7 +106,7 @@
         worker.answer_due_s = at.now_s + _workers.ANSWER_TIMEOUT_S
     worker.outstanding += 1
     order.sent_s = at.now_s
-    order.lease_ms = _leases.clock_ms(worker, at.now_s + ORDER_TTL_S)
+    order.lease_ms = _leases.clock_ms(worker, _expiry_s(node, at, worker))
     worker.granted_ms = max(worker.granted_ms, order.lease_ms)
     # The next hold renews the lease of the order and waits for the run's exit.
     worker.next_hold_s = min(worker.next_hold_s, at.now_s)
@@ -108,6 +120,14 @@
     )
 
 
+def _expiry_s(node: Node, at: Moment, worker: Worker) -> float:
+    """
+    Return the time at which an order that is sent now expires, also if the worker's clock is slow.
+    """
+    drift_s = _ownership.CLOCK_DRIFT * (at.now_s - worker.clock_at_s)
+    return min(at.now_s + ORDER_TTL_S, _freshness.orders_expire_s(node) - drift_s)
+
+
 def on_answered(node: Node, at: Moment, event: events.StartAnswered) -> None:
     """
     Process the outcome of an order, and send the queued orders that may go out now.
--- a/packages/eelgrassdrum-core/tests/test_jobs_cancelling.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_cancelling.py
@@ -1,7 +1,8 @@
 """
 Time from the acknowledgement of a cancellation until no task of the job starts any more.
 
-Any instance may append a cancellation to the log, so the owner knows of it only once it has read it.
+Any instance may append a cancellation to the log, so the owner knows of it only once it has read
+it.
 """
 
 from eelgrassdrum_core.jobs import effects, events
