--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -2,7 +2,7 @@
 Ownership of the log: claims, timeouts of the owner and fencing.
 """
 
-from eelgrassdrum_core.jobs import Identity, Moment, effects, events, model, new_node, reduce
+from eelgrassdrum_core.jobs import Identity, Moment, _tail, effects, events, model, new_node, reduce
 from eelgrassdrum_core.jobs._ownership import (
     CLAIM_JITTER_S,
     MAX_OWNER_TIMEOUT_S,
@@ -496,3 +496,16 @@
     assert not node.tail.is_caught_up
     feed(node, 1.2, events.LogRead(1, tuple(encode_records([OwnerHeartbeat(1, 0)])), 2, 1.1))
     assert node.tail.is_caught_up
+
+
+# Guards against an owner with a slow link although strong instances could claim the log.
+def test_a_weak_instance_leaves_the_claim_to_strong_ones_at_any_phase_of_reads():
+    """
+    An instance with few resources whose read happens to end just after the owner's timeout claims
+    later than a strong one whose read ends as late as it can.
+    """
+    weak, strong = make_node("a"), make_node("b")
+    weak.identity = weak.identity._replace(weakness=0.1)
+    at = Moment(10.0, WALL_MS)
+    interval_s = _tail.WAIT_S + _tail.READER_INTERVAL_S
+    assert claim_delay_s(weak, at) > claim_delay_s(strong, at) + interval_s
