Let weak instances claim after strong ones at any phase of reads

Instances notice the owner's timeout when a read ends, every 0.65 s; the delay of a weak instance was 0.3 s, so the phase of the reads decided.

The delay of weak instances now exceeds the interval of reads and the jitter. Where all instances are weak, a change of owner takes that much longer.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -39,10 +39,11 @@
 MAX_AGE_DELAY_S = 0.2
 # Age from which the delay by age no longer grows.
 OLD_INSTANCE_S = 60.0
-# Maximum extra delay of instances with a slow link or little CPU time: they claim last, because the
-# owner sends all orders. It exceeds the interval between two reads of the log, from which the other
-# instances notice the owner's timeout.
-MAX_WEAKNESS_DELAY_S = 0.6
+# Extra delay of instances with a slow link or little CPU time: they claim last, because the owner
+# sends all orders. The minimum exceeds the interval between two reads of the log, from which the
+# other instances notice the owner's timeout, and the jitter.
+MIN_WEAKNESS_DELAY_S = 0.8
+MAX_WEAKNESS_DELAY_S = 1.0
 # Time after which a claim without a response is sent again. If it was appended, it is read from the
 # log, however late.
 CLAIM_TIMEOUT_S = 1.5
@@ -127,10 +128,12 @@
     seed = f"{node.identity.producer}/{node.replicated.epoch}"
     slot = xxhash.xxh64_intdigest(seed.encode()) % CLAIM_JITTER_STEPS
     age_s = min(OLD_INSTANCE_S, at.now_s - node.process_start_s)
+    weakness = node.identity.weakness
+    weakness_s = MIN_WEAKNESS_DELAY_S + weakness * (MAX_WEAKNESS_DELAY_S - MIN_WEAKNESS_DELAY_S)
     return (
         CLAIM_JITTER_S * slot / CLAIM_JITTER_STEPS
         + MAX_AGE_DELAY_S * age_s / OLD_INSTANCE_S
-        + MAX_WEAKNESS_DELAY_S * node.identity.weakness
+        + (weakness_s if weakness > 0 else 0.0)
     )
 
 
