--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -190,6 +190,21 @@
     ticket: str = ""
 
 
+class Stop(NamedTuple):
+    """
+    The latest order to stop a run.
+
+    :param sent_s: when it was sent.
+    :param since_s: when the run was first ordered to stop.
+    :param is_acked: whether the worker has acknowledged it.
+    """
+
+    run: int
+    sent_s: float
+    since_s: float
+    is_acked: bool = False
+
+
 class RunProgress(msgspec.Struct, eq=False):
     """
     Progress of a run.
@@ -219,8 +234,8 @@
     :param ended_reason: reason for which it was last considered ended, or empty.
     :param ignored_reason: reason for which its entry was last logged as ignored, or empty.
     :param token_raises: number of times this owner has raised its fencing token for the worker.
-    :param possible_runs_until_s: time until which an incarnation that never responded may have
-        runs.
+    :param other_leases_until_s: time until which leases may last that `granted_ms` doesn't count,
+        because a former owner granted them or a delayed order to a former incarnation did.
     :param outbox: orders to start tasks that wait for responses to earlier ones.
     :param outstanding: number of orders to start tasks without a response.
     :param is_held: whether it has accepted this owner's fencing token.
@@ -232,7 +247,7 @@
     :param ack_confirmed: number of the latest end whose acknowledgement it is known to have
         received.
     :param orders: orders to start runs, by task.
-    :param stops: run and time of the latest order to stop, by task.
+    :param stops: latest order to stop a run, by task.
     :param rows: runs that it listed last, by task.
     :param rows_s: when the call that returned this list was sent.
     :param unknown_runs: resources of runs that it lists but that the log doesn't contain, by task.
@@ -252,7 +267,7 @@
     ended_reason: str = ""
     ignored_reason: str = ""
     token_raises: int = 0
-    possible_runs_until_s: float = 0.0
+    other_leases_until_s: float = 0.0
     outbox: deque[Any] = msgspec.field(default_factory=deque)
     outstanding: int = 0
     is_held: bool = False
@@ -267,7 +282,7 @@
     acked: int = 0
     ack_confirmed: int = 0
     orders: dict[TaskKey, Order] = {}
-    stops: dict[TaskKey, tuple[int, float]] = {}
+    stops: dict[TaskKey, Stop] = {}
     rows: dict[TaskKey, RunRow] = {}
     rows_s: float = 0.0
     unknown_runs: dict[TaskKey, Resources] = {}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -11,7 +11,16 @@
 
 from collections import Counter
 
-from . import _journal, _leases, _ownership, _registry, _replicated_state, effects, events
+from . import (
+    _journal,
+    _leases,
+    _ownership,
+    _registry,
+    _replicated_state,
+    _stops,
+    effects,
+    events,
+)
 from ._node import NEVER_S, Moment, Node, Worker, emit, log_line
 from ._replicated_state import Task, find_task
 from ._runs import (
@@ -75,7 +84,8 @@
         if worker.holds >= max_holds or at.now_s < worker.next_hold_s:
             continue
         runs = runs_on(node, worker.id)
-        if worker.is_listed or runs:
+        has_unknown_runs = bool(worker.unknown_runs) and not worker.has_ended
+        if worker.is_listed or runs or has_unknown_runs:
             _send_lease_hold(node, at, worker, bool(runs))
 
 
@@ -227,6 +237,7 @@
     worker.clock_at_s = at.now_s
     if not worker.is_held:
         worker.is_held = True
+        _leases.extend_other_leases(node, at, worker)
         node.plan_due = True
     _apply_exits(node, at, worker, event.ends)
     worker.rows = {row.key: row for row in event.runs}
@@ -242,6 +253,9 @@
         worker.next_hold_s = at.now_s + STALLED_HOLD_INTERVAL_S
     elif runs_on(node, worker.id):
         worker.next_hold_s = at.now_s
+    elif worker.unknown_runs:
+        # Their stops take that long at most.
+        worker.next_hold_s = at.now_s + node.bounds.stop_s
     else:
         worker.next_hold_s = at.now_s + IDLE_HOLD_INTERVAL_S
 
@@ -279,7 +293,7 @@
 
 
 def _apply_exit(node: Node, at: Moment, worker: Worker, end: EndRow) -> None:
-    worker.unknown_runs.pop(end.key, None)
+    _stops.forget_unknown_run(worker, end.key, end.run)
     task = find_task(node.replicated, end.key)
     if task is None:
         log_line(node, "run.unknown_end", worker=worker.id, job=end.key.job, how=end.end_state)
@@ -339,8 +353,8 @@
     for key, row in worker.rows.items():
         _reconcile_listed_run(node, at, worker, key, row)
     for key in list(worker.unknown_runs):
-        if key not in worker.rows:
-            del worker.unknown_runs[key]
+        if key not in worker.rows and _stops.is_gone(worker, key, event.sent_s):
+            _stops.forget_unknown_run(worker, key)
             node.plan_due = True
     for task in list(runs_on(node, worker.id).values()):
         if task.key not in worker.rows:
@@ -430,6 +444,9 @@
     worker = node.workers.get(event.worker)
     if worker is None or event.outcome != events.OK:
         return
+    stop = worker.stops.get(event.key)
+    if stop is not None and stop.run == event.run:
+        worker.stops[event.key] = stop._replace(is_acked=True)
     order = worker.orders.get(event.key)
     task = runs_on(node, worker.id).get(event.key)
     if task is None or order is None or task.run != event.run:
