Restart workers behind a cut in schedules that name that

No schedule let calls that were held up reach a worker that had restarted behind a cut, so acknowledgements that reach the next incarnation were not checked. The fault reborn_workers holds up half of the calls to two fifths of the workers for 1.5 s, then cuts these off and restarts them at once, under their ids.

The fault can be named but isn't drawn, because an order that is held up can still reach the next incarnation.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
@@ -11,6 +11,9 @@
 
 # Workers that are left at least, so that all work still has room.
 LEAST_WORKERS = 4
+# Time for which calls to workers are held up before these restart, and fraction of these calls.
+REBORN_AFTER_S = 1.5
+REBORN_LATE_PART = 0.5
 # Instances that are left at least, so that the log finds an owner.
 LEAST_INSTANCES = 3
 
@@ -287,6 +290,34 @@
     later(world, 6.0, cease)
 
 
+def _reborn_workers(world: World) -> None:
+    """
+    Restart workers behind a cut, while the calls that were sent before are still on their way.
+    """
+    names = _pick_workers(world, 0.4)
+    for name in names:
+        world.workers[name].late_part = REBORN_LATE_PART
+        world.workers[name].late_call_part = REBORN_LATE_PART
+
+    def restart() -> None:
+        for name in names:
+            worker = world.workers[name]
+            worker.is_cut = True
+            if worker.is_up:
+                worker.crash()
+                worker.incarnation += round(world.now_s * 1000)
+                worker.born_s = world.now_s
+
+    def heal() -> None:
+        for name in names:
+            worker = world.workers[name]
+            worker.is_cut = False
+            worker.late_part = worker.late_call_part = 0.0
+
+    later(world, REBORN_AFTER_S, restart)
+    later(world, REBORN_AFTER_S + world.rng.uniform(2.0, 6.0), heal)
+
+
 FAULTS: dict[str, Callable[[World], None]] = {
     "kill_owner": _kill_owner,
     "kill_any": _kill_any,
@@ -318,3 +349,10 @@
     "worker_answers_lost": _worker_answers_lost,
     "remove_owner": _remove_owner,
 }
+# Faults that a schedule may name and that none draws.
+NAMED_FAULTS: dict[str, Callable[[World], None]] = {
+    **FAULTS,
+    # An order that is held up may start a task in a worker's next incarnation, although the task
+    # has run elsewhere meanwhile; an order can't name the incarnation that it is for.
+    "reborn_workers": _reborn_workers,
+}
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
@@ -9,7 +9,7 @@
 
 from . import _rules
 from ._answers import make_world
-from ._faults import FAULTS
+from ._faults import FAULTS, NAMED_FAULTS
 from ._rules import Violation
 from ._worker import JobWorker
 from ._world import STANDBY, World, add_worker, look_up, run_until, submit
@@ -146,7 +146,7 @@
 def _act(world: World, kind: str, name: str, lasting_part: float) -> None:
     up = [other for other, instance in sorted(world.instances.items()) if instance.is_up]
     if kind == "fault":
-        FAULTS[name](world)
+        NAMED_FAULTS[name](world)
     elif up and kind == "job":
         at = world.rng.choice(up)
         submit(world, at, name, "key-a", random_spec(world, lasting_part))
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -29,6 +29,7 @@
 LATE_ORDERS = ("late_orders", "crash_workers", "late_orders", "crash_workers")
 LATE_ORDERS_AND_SILENCE = ("cancel_some", "late_orders", "crash_workers", "store_silent")
 CRASHES_AND_OUTAGES = ("crash_workers", "store_down", "store_silent", "crash_workers")
+REBORN_WORKERS = ("reborn_workers",) * 3
 # Schedules that break a rule without the change that mended its fault, with the cause.
 REGRESSIONS = {
     (2, LATE_ORDERS): "an order that was held up was carried out by the next life of its worker",
@@ -39,6 +40,9 @@
     (1032, LATE_ORDERS_AND_SILENCE): "an order without an answer was sent again",
     (1067, LATE_ORDERS_AND_SILENCE): "the same",
     (37, ("kill_all", "kill_any")): "an instance that read the log anew told former states",
+    (11, REBORN_WORKERS): "holds to an unreachable worker acknowledged ends of its next life",
+    (14, REBORN_WORKERS): "the same",
+    (16, REBORN_WORKERS): "the same",
     (7001, ("worker_gone", "worker_gone")): "calls that nobody answered extended a lease",
     (
         5003,
@@ -260,6 +264,21 @@
         assert "done_never_starts_again" in broken_rules([14, 42], CRASHES_AND_OUTAGES)
 
 
+def acknowledged_always(worker):
+    """
+    Return what a hold acknowledges if it does so whether or not the worker answers.
+    """
+    return worker.acked if worker.acked > worker.ack_confirmed else 0
+
+
+def test_acknowledgements_to_unreachable_workers_are_checked():
+    """
+    Mutation: holds to workers that don't answer acknowledge ends.
+    """
+    with replaced(_workers, "_exits_to_acknowledge", acknowledged_always):
+        assert "done_never_starts_again" in broken_rules([11, 14], REBORN_WORKERS)
+
+
 def end_all_workers(node, at, instance):
     """
     End all workers of an instance whose order was answered as done.
