--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
@@ -7,10 +7,15 @@
 from eelgrassdrum_core.jobs import events, model
 
 from ._store import REFUSING, SILENT, UP
-from ._world import World, cancel, kill, later, post, publish
+from ._world import World, cancel, disturb, kill, later, post, publish, remove
 
 # Workers that are left at least, so that all work still has room.
 LEAST_WORKERS = 4
+# Time for which calls to workers are held up before these restart, and fraction of these calls.
+REBORN_AFTER_S = 1.5
+REBORN_LATE_PART = 0.5
+# Instances that are left at least, so that the log finds an owner.
+LEAST_INSTANCES = 3
 
 
 def _owner(world: World) -> str:
@@ -126,8 +131,10 @@
         worker = world.workers[name]
         worker.crash()
         worker.is_up = False
+    disturb(world)
 
     def restart() -> None:
+        disturb(world)
         for name in names:
             worker = world.workers[name]
             if world.rows[worker.instance].worker != name:
@@ -146,6 +153,7 @@
     worker = world.workers[world.rng.choice(up)]
     worker.crash()
     worker.is_up = False
+    disturb(world)
     if world.rng.random() < 0.5:
         del world.rows[worker.instance]
 
@@ -194,6 +202,47 @@
     later(world, 5.0, heal)
 
 
+def _late_calls(world: World) -> None:
+    _hold_up_calls(world, 5.0)
+
+
+def _hold_up_calls(world: World, for_s: float) -> None:
+    names = _pick_workers(world, 0.5)
+    for name in names:
+        world.workers[name].late_part = world.workers[name].late_call_part = 0.3
+
+    def heal() -> None:
+        for name in names:
+            world.workers[name].late_part = world.workers[name].late_call_part = 0.0
+
+    later(world, for_s, heal)
+
+
+def _worker_answers_lost(world: World) -> None:
+    names = _pick_workers(world, 0.7)
+    for name in names:
+        world.workers[name].lost_part = 0.5
+
+    def heal() -> None:
+        for name in names:
+            world.workers[name].lost_part = 0.0
+
+    later(world, world.rng.uniform(2.0, 5.0), heal)
+
+
+def _remove_owner(world: World) -> None:
+    _hold_up_calls(world, 2.0)
+
+    def strike() -> None:
+        left = [name for name in world.instances if not world.instances[name].is_removed]
+        owner = _owner(world)
+        if len(left) > LEAST_INSTANCES and owner in left:
+            remove(world, owner)
+            disturb(world)
+
+    later(world, 1.0, strike)
+
+
 def _worker_fails_all(world: World) -> None:
     names = _pick_workers(world, 0.1)
     for name in names:
@@ -232,6 +281,43 @@
         cancel(world, world.rng.choice(sorted(world.instances)), job, "key-a")
 
 
+def _cancel_promptly(world: World) -> None:
+    world.prompt_cancel_part = 0.5
+
+    def cease() -> None:
+        world.prompt_cancel_part = 0.0
+
+    later(world, 6.0, cease)
+
+
+def _reborn_workers(world: World) -> None:
+    """
+    Restart workers behind a cut, while the calls that were sent before are still on their way.
+    """
+    names = _pick_workers(world, 0.4)
+    for name in names:
+        world.workers[name].late_part = REBORN_LATE_PART
+        world.workers[name].late_call_part = REBORN_LATE_PART
+
+    def restart() -> None:
+        for name in names:
+            worker = world.workers[name]
+            worker.is_cut = True
+            if worker.is_up:
+                worker.crash()
+                worker.incarnation += round(world.now_s * 1000)
+                worker.born_s = world.now_s
+
+    def heal() -> None:
+        for name in names:
+            worker = world.workers[name]
+            worker.is_cut = False
+            worker.late_part = worker.late_call_part = 0.0
+
+    later(world, REBORN_AFTER_S, restart)
+    later(world, REBORN_AFTER_S + world.rng.uniform(2.0, 6.0), heal)
+
+
 FAULTS: dict[str, Callable[[World], None]] = {
     "kill_owner": _kill_owner,
     "kill_any": _kill_any,
@@ -258,4 +344,15 @@
     "workers_slow": _workers_at_speed(0.3, 0.15),
     "config_change": _lower_limits,
     "cancel_some": _cancel_some,
+    "cancel_promptly": _cancel_promptly,
+    "late_calls": _late_calls,
+    "worker_answers_lost": _worker_answers_lost,
+    "remove_owner": _remove_owner,
+}
+# Faults that a schedule may name and that none draws.
+NAMED_FAULTS: dict[str, Callable[[World], None]] = {
+    **FAULTS,
+    # An order that is held up may start a task in a worker's next incarnation, although the task
+    # has run elsewhere meanwhile; an order can't name the incarnation that it is for.
+    "reborn_workers": _reborn_workers,
 }
