Count a long-running task as waiting once after a late completion

A long-running run that was recorded as lost and is listed as completed later raised the number of waiting tasks of its step a second time, so that its pool kept an instance too many for as long as the job ran. Found by reading; the test failed before. Such an end now changes nothing, like any other late end.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -128,18 +128,17 @@
     if task is None or record.run != task.run:
         return
     job = replicated.jobs[record.job]
+    steps = occurrence_of(job, record.occurrence)
+    state = steps[record.step]
+    is_completion = record.end_state == _replicated_state.DONE and not state.step.is_long_running
     # A run that was recorded as lost may turn out to have completed.
-    is_late_completion = (
-        task.status == _replicated_state.WAITING and record.end_state == _replicated_state.DONE
-    )
+    is_late_completion = is_completion and task.status == _replicated_state.WAITING
     if task.status != _replicated_state.RUNNING and not is_late_completion:
         return
     _remove_run(replicated, job, task)
-    steps = occurrence_of(job, record.occurrence)
-    state = steps[record.step]
     if record.checkpoint:
         task.checkpoint = record.checkpoint
-    if record.end_state == _replicated_state.DONE and not state.step.is_long_running:
+    if is_completion:
         _finish_tasks(replicated, job, steps, state, task)
         return
     task.status = _replicated_state.WAITING
--- a/packages/eelgrassdrum-core/tests/test_jobs_records.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_records.py
@@ -179,3 +179,22 @@
         ]
     )
     assert replicated.jobs["j1"].occurrences[0][0].unfinished == 1
+
+
+# Guards against long-running tasks that count as waiting twice and keep their pool too large.
+def test_late_completion_of_a_long_running_run_changes_nothing():
+    """
+    A long-running task whose lost run turns out to have completed waits once for its next run.
+    """
+    state = ReplicatedState()
+    spec = model.JobSpec("payload", (model.Step(1, (500, 100, 0), is_long_running=True),))
+    for record in (
+        records.Claimed(1, "entry", 1),
+        records.Submitted("j1", "q", "s", "a", spec, WALL_MS),
+        records.Started(1, "j1", 0, 0, 0, 1, "w1", 1),
+        records.Ended(1, "j1", 0, 0, 0, 1, "lost", ""),
+        records.Ended(1, "j1", 0, 0, 0, 1, "done", ""),
+    ):
+        fold.apply(state, record, 0.0, WALL_MS)
+    (step,) = state.jobs["j1"].occurrences[0]
+    assert step.waiting == 1
