--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -114,6 +114,20 @@
         assert result.violations == (), (seed, cause, result.violations[:3])
 
 
+# Guards against a second run of a task, since the lease of a former owner counted as expired.
+def test_runs_last_as_long_as_the_leases_of_former_owners():
+    """
+    Runs on workers that a new owner has reached once are kept while a former lease may last.
+    """
+    for seed, others in (
+        (530063, ("crash_workers", "remove_owner", "worker_answers_lost")),
+        (560074, ("worker_answers_lost", "crash_workers", "remove_owner")),
+    ):
+        faults = ("cancel_promptly", "cancel_promptly", *others)
+        result = run_schedule(seed, faults, lasting_part=0.4)
+        assert result.violations == (), (seed, result.violations[:3])
+
+
 # Guards against workers that are up but never used, after orders for their instances were repeated.
 def test_workers_are_used_after_orders_without_answers():
     """
