--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
@@ -146,7 +146,6 @@
     journal.seq += 1
     journal.sent_s = at.now_s
     journal.is_uncertain = False
-    journal.is_repeated = False
     _encode(journal, batch)
     _send(node, at)
 
@@ -201,14 +200,13 @@
         return
     journal.is_waiting = False
     journal.is_uncertain = True
-    journal.is_repeated = True
     journal.last_sent_s = NEVER_SENT_S
 
 
 def _send(node: Node, at: Moment) -> None:
     journal = node.journal
     journal.last_sent_s = at.now_s
-    if not (journal.is_repeated or journal.is_uncertain):
+    if not journal.is_uncertain:
         journal.confirms_s = at.now_s
     journal.is_waiting = True
     emit(
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -94,7 +94,6 @@
     :param confirms_s: when the earliest attempt was sent that a response may belong to.
     :param is_waiting: whether a response to the append is outstanding.
     :param is_uncertain: whether the append in flight may already be committed.
-    :param is_repeated: whether it was sent again while a response was outstanding.
     """
 
     next: Batch = msgspec.field(default_factory=Batch)
@@ -108,7 +107,6 @@
     logged_s: float = -1e9
     is_waiting: bool = False
     is_uncertain: bool = False
-    is_repeated: bool = False
 
 
 class IntakeCall(NamedTuple):
