--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
@@ -245,6 +245,18 @@
     later(world, 1.0, strike)
 
 
+def _lossy_workers(world: World) -> None:
+    names = _pick_workers(world, 0.5)
+    for name in names:
+        world.workers[name].unheard_part = 0.5
+
+    def heal() -> None:
+        for name in names:
+            world.workers[name].unheard_part = 0.0
+
+    later(world, world.rng.uniform(3.0, 9.0), heal)
+
+
 def _worker_fails_all(world: World) -> None:
     names = _pick_workers(world, 0.1)
     for name in names:
@@ -369,9 +381,10 @@
     "remove_owner": _remove_owner,
     "owner_misses_cancels": _owner_misses_cancels,
 }
-# Faults that a schedule may name and that none draws.
+# Faults that a schedule may name and that none draws, so that recorded seeds draw as before.
 NAMED_FAULTS: dict[str, Callable[[World], None]] = {
     **FAULTS,
+    "lossy_workers": _lossy_workers,
     # An order that is held up may start a task in a worker's next incarnation, although the task
     # has run elsewhere meanwhile; an order can't name the incarnation that it is for.
     "reborn_workers": _reborn_workers,
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_worker.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_worker.py
@@ -40,6 +40,7 @@
 
     :param speed: how fast its clock goes.
     :param work_speed: how fast tasks get on, against a sound worker; 0 when they stand still.
+    :param unheard_part: part of the calls that don't reach it.
     :param late_part: part of the starts that are carried out seconds later, without an answer.
     :param late_call_part: the same for stops and holds.
     :param lost_part: part of all calls that are carried out at once, without an answer.
@@ -64,6 +65,7 @@
     is_up: bool = True
     is_draining: bool = False
     is_cut: bool = False
+    unheard_part: float = 0.0
     late_part: float = 0.0
     late_call_part: float = 0.0
     lost_part: float = 0.0
