--- a/packages/eelgrassdrum-core/tests/test_jobs_stops.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_stops.py
@@ -6,7 +6,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from eelgrassdrum_core.jobs import ReplicatedState, _fold, _snapshot, effects, events, model
+from eelgrassdrum_core.jobs import (
+    Moment,
+    ReplicatedState,
+    _fold,
+    _registry,
+    _snapshot,
+    effects,
+    events,
+    model,
+)
 from eelgrassdrum_core.jobs._records import Cancelled, Submitted, encode_records
 from eelgrassdrum_testing.jobs.owner import (
     BOUNDS,
@@ -258,3 +267,33 @@
     assert hand_in(node, [("job", "usual", (step,), 0.0)], SEEN_S + 0.2) == []
     assert node.replicated.jobs["job"].state == "cancelled"
     assert "job" not in node.replicated.open_jobs
+
+
+# Guards against calls without end to a worker that is known to be gone.
+def test_stops_to_an_ended_worker_are_not_repeated(with_stray):
+    """
+    Once a worker's instance was ordered down, the unanswered stops of its unknown runs cease.
+    """
+    worker = with_stray.workers["w"]
+    _registry.end_incarnation(with_stray, Moment(SEEN_S, WALL_MS), worker, "instance_ordered_down")
+    assert stops_of(let_pass(with_stray, SEEN_S, 30.0)) == []
+
+
+# Guards against the end of a sound run by the stop of an earlier run of its task.
+def test_the_stop_of_an_unknown_run_does_not_end_a_later_run():
+    """
+    A listed run that the log contains goes on, although an earlier run of its task, which an older
+    list has shown, was to be stopped on the same worker.
+    """
+    node = owner_of([worker_entry("w")])
+    hand_in(node, [("job", "usual", (one_step(),), 0.0)])
+    (order,) = commit(node, SENT_S)
+    feed(node, SENT_S + 0.01, events.StartAnswered("w", order.key, 1, events.OK, "", 6000))
+    ended = model.EndRow(1, order.key, 1, "failed", "")
+    feed(node, SENT_S + 0.2, worker_lists(SENT_S + 0.1, ends=(ended,)))
+    (later_order,) = commit(node, SENT_S + 0.25)
+    assert (later_order.worker, later_order.run) == ("w", 2)
+    late = worker_lists(SENT_S + 0.05, (row_of(order.key),))
+    assert stops_of(feed(node, SENT_S + 0.3, late)) == [(order.key, 1)]
+    produced = feed(node, SENT_S + 1.4, worker_lists(SENT_S + 1.3, (row_of(order.key, 2),)))
+    assert stops_of(produced) == []
