Let an owner with late reads go on until the log is claimed

Callers would have been served nothing on a slow store, and long-running tasks would have ended where no instance can read the log: a review showed that one lost answer ended an ownership, that every owner in turn released the log of a slow store, that starts were decided and withdrawn again and again, and that a log which nobody can read lost its owner.

The bound on late starts is the expiry of the orders, so the age of the state from which starts are decided and ordered may be half and three quarters of the bound on cancellations, instead of a third for both.

The name of the age in log lines and metrics is now one, state_age.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_forwarding.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_forwarding.py
@@ -83,9 +83,7 @@
     """
     ownership = node.ownership
     is_addressed_owner = (
-        ownership.is_owner
-        and event.epoch == ownership.epoch
-        and not (node.is_stopping or ownership.is_releasing)
+        ownership.is_owner and event.epoch == ownership.epoch and not node.is_stopping
     )
     if not is_addressed_owner or not all(_is_callers_record(data) for data in event.records):
         emit(node, effects.AnswerPeer(event.token, events.REFUSED))
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_freshness.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_freshness.py
@@ -9,12 +9,15 @@
 
 from ._node import Moment, Node
 
-# Fraction of the bound on cancellations up to which the owner's state may be old when a start is
-# decided, or its order sent. Each read takes at most a half of it if the store responds as usual.
-MAX_START_AGE = 1 / 3
-# Fraction of the bound on cancellations at which an owner whose state is that old leaves the log to
-# another instance, which needs the rest of the time to claim it and to stop what was cancelled.
-MAX_OWNER_AGE = 1 / 2
+# Ages of the owner's state, as fractions of the bound on cancellations: up to the first one starts
+# are decided, up to the second one their orders are sent once their records are committed, which
+# takes another call of the store.
+DECISION_FRACTION = 1 / 2
+ORDER_FRACTION = 3 / 4
+# Age of the state, as a fraction of that bound, from which another instance should own the log, and
+# its minimum: a read without an answer, its timeout and the next read.
+OWNER_FRACTION = 3 / 4
+MIN_OWNER_AGE_S = 2.0
 # Time before the bound on cancellations at which an order expires.
 EXPIRY_MARGIN_S = 0.1
 
@@ -30,15 +33,26 @@
     return at.now_s - node.tail.complete_s
 
 
-def may_start(node: Node, at: Moment) -> bool:
+def may_decide(node: Node, at: Moment) -> bool:
     """
-    Return whether the replicated state is recent enough to start tasks.
+    Return whether the replicated state is recent enough to decide about starts.
 
     :param node: the instance, which owns the log.
     :param at: the current time.
-    :returns: whether starts may be decided and ordered.
+    :returns: whether starts may be decided.
     """
-    return state_age_s(node, at) <= MAX_START_AGE * node.bounds.cancel_s
+    return state_age_s(node, at) <= DECISION_FRACTION * node.bounds.cancel_s
+
+
+def may_order(node: Node, at: Moment) -> bool:
+    """
+    Return whether the replicated state is recent enough to order a start that was decided.
+
+    :param node: the instance, which owns the log.
+    :param at: the current time.
+    :returns: whether orders to start tasks may be sent.
+    """
+    return state_age_s(node, at) <= ORDER_FRACTION * node.bounds.cancel_s
 
 
 def orders_expire_s(node: Node) -> float:
@@ -54,13 +68,11 @@
     return node.tail.complete_s + node.bounds.cancel_s - EXPIRY_MARGIN_S
 
 
-def is_too_old(node: Node, at: Moment, since_s: float) -> bool:
+def max_owner_age_s(node: Node) -> float:
     """
-    Return whether the replicated state has been too old to decide for too long.
+    Return the age of the replicated state from which another instance should own the log.
 
     :param node: the instance, which owns the log.
-    :param at: the current time.
-    :param since_s: time since which the state can have been brought up to date.
-    :returns: whether another instance should own the log.
+    :returns: seconds.
     """
-    return at.now_s - max(node.tail.complete_s, since_s) > MAX_OWNER_AGE * node.bounds.cancel_s
+    return max(MIN_OWNER_AGE_S, OWNER_FRACTION * node.bounds.cancel_s)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -428,7 +428,7 @@
     :param is_claim_awaited: whether this instance owns the log once it reads that claim.
     :param next_claim_s: earliest time of another claim.
     :param refused_epoch: highest epoch that the store has refused.
-    :param is_releasing: whether the release of the log is being appended.
+    :param has_released: whether this owner has asked the other instances to claim the log.
     :param committed_s: when an append last succeeded.
     :param committing_since_s: since when appends have succeeded without a long pause.
     :param reload_wanted: whether the replicated state must be rebuilt from the store.
@@ -446,7 +446,7 @@
     is_claiming: bool = False
     refused_epoch: int = 0
     reload_wanted: bool = False
-    is_releasing: bool = False
+    has_released: bool = False
     committed_s: float = -1e9
     committing_since_s: float = -1e9
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -12,7 +12,6 @@
     _freshness,
     _journal,
     _leases,
-    _ownership,
     _replicated_state,
     _workers,
     effects,
@@ -71,7 +70,7 @@
         worker=worker.id,
         age_s=round(at.now_s - job.seen_s, 3),
         free_millicores=_workers.free_resources(node, worker).millicores,
-        log_age_s=round(_freshness.state_age_s(node, at), 3),
+        state_age_s=round(_freshness.state_age_s(node, at), 3),
         config=node.config.version if node.config else None,
     )
 
@@ -95,7 +94,7 @@
         return
     job = node.replicated.jobs[effect.key.job]
     is_open = not job.cancelled and job.state not in _replicated_state.FINAL_STATES
-    may_start = is_open and _freshness.may_start(node, at)
+    may_start = is_open and _freshness.may_order(node, at)
     if not may_start or not worker.is_held or worker.is_failing or worker.entry.is_draining:
         end_run(node, at, worker, task, UNSENT)
         return
@@ -106,7 +105,8 @@
         worker.answer_due_s = at.now_s + _workers.ANSWER_TIMEOUT_S
     worker.outstanding += 1
     order.sent_s = at.now_s
-    order.lease_ms = _leases.clock_ms(worker, _expiry_s(node, at, worker))
+    expiry_s = min(at.now_s + ORDER_TTL_S, _freshness.orders_expire_s(node))
+    order.lease_ms = _leases.clock_ms(worker, expiry_s)
     worker.granted_ms = max(worker.granted_ms, order.lease_ms)
     # The next hold renews the lease of the order and waits for the run's exit.
     worker.next_hold_s = min(worker.next_hold_s, at.now_s)
@@ -120,14 +120,6 @@
     )
 
 
-def _expiry_s(node: Node, at: Moment, worker: Worker) -> float:
-    """
-    Return the time at which an order that is sent now expires, also if the worker's clock is slow.
-    """
-    drift_s = _ownership.CLOCK_DRIFT * (at.now_s - worker.clock_at_s)
-    return min(at.now_s + ORDER_TTL_S, _freshness.orders_expire_s(node) - drift_s)
-
-
 def on_answered(node: Node, at: Moment, event: events.StartAnswered) -> None:
     """
     Process the outcome of an order, and send the queued orders that may go out now.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -49,9 +49,6 @@
 CLAIM_TIMEOUT_S = 1.5
 # Pause between two successful appends from which the store counts as having been out of reach.
 COMMIT_PAUSE_S = 1.0
-# Time after a release because of late answers in which this instance doesn't claim the log again,
-# so that any other one can; longer than the delay of every claim.
-RELEASE_BACKOFF_S = 3.0
 # Fraction by which workers' clocks may run slow; waits for the expiry of leases are extended by it.
 CLOCK_DRIFT = 0.021
 # Safety margin added to every wait for the expiry of a lease.
@@ -188,7 +185,7 @@
     ownership = node.ownership
     ownership.is_owner = True
     ownership.is_claiming = False
-    ownership.is_releasing = False
+    ownership.has_released = False
     ownership.committed_s = ownership.committing_since_s = at.now_s
     ownership.epoch = record.epoch
     ownership.claimed_s = at.now_s
@@ -230,7 +227,7 @@
     if not ownership.is_owner:
         return
     ownership.is_owner = False
-    ownership.is_releasing = False
+    ownership.has_released = False
     ownership.reload_wanted = True
     _journal.reset(node, 0)
     node.workers = {}
@@ -252,7 +249,7 @@
     :param node: the instance, which owns the log.
     :param at: the current time.
     """
-    node.ownership.is_releasing = True
+    node.ownership.has_released = True
     node.journal.next.records.append(Released(node.ownership.epoch))
     log_line(node, "owner.releasing", epoch=node.ownership.epoch)
 
@@ -274,31 +271,26 @@
     """
     Release the log if this owner's appends succeed but the log doesn't reach it in time.
 
-    Its heartbeats would keep the log for it, while it knows nothing of what others append. While
-    appends fail too, the log stays with it: then the store is out of reach, perhaps for all.
+    Its heartbeats would keep the log for it, while it knows nothing of what others append. It goes
+    on as the owner until another instance has claimed the log: perhaps none of them can read it.
+    While appends fail too, the store is out of reach, perhaps for all.
+
+    A recent owner doesn't release the log: its predecessor may have done so, with no better reads.
 
     :param node: the instance, which owns the log.
     :param at: the current time.
     """
     ownership = node.ownership
-    if ownership.is_releasing or at.now_s - ownership.committed_s > COMMIT_PAUSE_S:
+    if ownership.has_released or at.now_s - ownership.committed_s > COMMIT_PAUSE_S:
+        return
+    if at.now_s - ownership.claimed_s < node.bounds.max_lease_s:
         return
-    if _freshness.is_too_old(node, at, ownership.committing_since_s):
-        log_line(node, "owner.reads_late", state_age_s=round(_freshness.state_age_s(node, at), 3))
+    age_s = at.now_s - max(node.tail.complete_s, ownership.committing_since_s)
+    if age_s > _freshness.max_owner_age_s(node):
+        log_line(node, "owner.reads_late", state_age_s=round(age_s, 3))
         release(node, at)
 
 
-def end_released(node: Node, at: Moment) -> None:
-    """
-    Step down after the release was appended, and leave the next claim to other instances.
-
-    :param node: the instance, which owned the log.
-    :param at: the current time.
-    """
-    step_down(node, at, "released")
-    node.ownership.next_claim_s = at.now_s + RELEASE_BACKOFF_S
-
-
 def lease_end_s(node: Node, bounds: Bounds) -> float:
     """
     Return the latest time until which this owner may grant leases to workers.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -88,7 +88,7 @@
     :param at: the time.
     :returns: whether an append takes too long, or the log was not read to its end lately.
     """
-    return _journal.is_stalled(node, at.now_s) or not _freshness.may_start(node, at)
+    return _journal.is_stalled(node, at.now_s) or not _freshness.may_decide(node, at)
 
 
 def _candidates_of_pool(
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -32,7 +32,6 @@
     events,
 )
 from ._node import Moment, Node
-from ._records import Released
 
 # Interval at which jobs that ended long ago are dropped.
 PRUNE_INTERVAL_S = 5.0
@@ -63,7 +62,7 @@
     _intake.take_outcomes(node, at)
     _intake.flush(node, at)
     if node.ownership.is_owner:
-        if not node.ownership.is_releasing:
+        if not node.is_stopping:
             if node.plan_due:
                 _planner.plan(node, at)
                 _waiting.log_if_due(node, at)
@@ -132,9 +131,6 @@
                 _instances.send_order(node, at, effect)
             else:
                 node.out.append(effect)
-        is_released = any(isinstance(record, Released) for record in in_flight.records)
-        if is_released and not node.is_stopping:
-            _ownership.end_released(node, at)
 
 
 def _hold_answered(node: Node, at: Moment, event: events.HoldAnswered) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_shutdown.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_shutdown.py
@@ -23,7 +23,7 @@
     node.is_stopping = True
     node.stop_asked_s = at.now_s
     log_line(node, "instance.stopping", is_owner=node.ownership.is_owner)
-    if node.ownership.is_owner and not node.ownership.is_releasing:
+    if node.ownership.is_owner and not node.ownership.has_released:
         _ownership.release(node, at)
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -267,7 +267,9 @@
 def _fold_owner_record(node: Node, at: Moment, record: OwnerRecord) -> None:
     if record.epoch != node.replicated.epoch:
         return
-    node.tail.owner_record_s = at.now_s
+    if node.replicated.owner is not None:
+        # An owner that has released the log goes on until another instance claims it.
+        node.tail.owner_record_s = at.now_s
     if node.ownership.is_owner and record.epoch == node.ownership.epoch:
         # The owner applied the record when it wrote it. Reading it back proves that it is
         # committed, even if the response to its append was lost.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
@@ -174,7 +174,7 @@
     step, waiting = item.state.step, item.state.waiting
     if _journal.is_stalled(node, at.now_s):
         return STALLED
-    if not _freshness.may_start(node, at):
+    if not _freshness.may_decide(node, at):
         return OLD_STATE
     if step.gang and waiting < step.count:
         return FORMER_RUNS
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_metrics.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_metrics.py
@@ -120,7 +120,7 @@
         "config_version": node.config.version if node.config else -1,
         "log_offset": node.replicated.offset,
         "log_caught_up": int(node.tail.is_caught_up),
-        "log_age_seconds": round(at.now_s - node.tail.last_success_s, 3),
+        "state_age_seconds": round(at.now_s - node.tail.complete_s, 3),
         "snapshot_offset": node.snapshot_offset,
         "jobs": len(node.replicated.jobs),
         "jobs_open": len(node.replicated.open_jobs),
