--- a/packages/eelgrassdrum-core/tests/test_jobs_leases.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_leases.py
@@ -217,6 +217,40 @@
     assert worker.is_failing
 
 
+# Guards against tasks on a worker that is lost again, which nobody notices until its next call.
+def test_an_idle_worker_that_was_regained_is_called_at_once():
+    """
+    A worker without runs is called when it answers again, and the failure of that call counts.
+    """
+    node = owner_of([worker_entry("w")])
+    worker = node.workers["w"]
+    time_out(node, CLAIMED_S)
+    feed(node, CLAIMED_S + 0.05, events.Ticked())
+    regained_s = CLAIMED_S + 0.5
+    token = fencing_token(node, worker)
+    late = events.HoldAnswered("w", token, CLAIMED_S + 0.05, 9000, 7, (), ())
+    calls = [item for item in feed(node, regained_s, late) if isinstance(item, effects.Hold)]
+    assert [(item.lease_ms, item.wait_s) for item in calls] == [(None, 0.0)]
+    assert not worker.is_failing
+    time_out(node, regained_s + 0.8, regained_s)
+    assert worker.is_failing
+
+
+# Guards against calls without end to a worker that runs nothing.
+def test_an_idle_worker_that_was_regained_is_called_once():
+    """
+    After the call at once, a regained worker without runs is called as rarely as others.
+    """
+    node = owner_of([worker_entry("w")])
+    time_out(node, CLAIMED_S)
+    feed(node, CLAIMED_S + 0.05, events.Ticked())
+    answer(node, CLAIMED_S + 0.5, rows=())
+    produced = answer(node, CLAIMED_S + 0.6, rows=())
+    for number in range(40):
+        produced += feed(node, CLAIMED_S + 0.7 + number * 0.1, events.Ticked())
+    assert [item for item in produced if isinstance(item, effects.Hold)] == []
+
+
 # Guards against a restarted worker that takes delayed orders until a call to its former incarnation
 # has timed out.
 def test_a_restarted_worker_is_called_at_once(successor):
--- a/packages/eelgrassdrum-core/tests/test_jobs_stops.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_stops.py
@@ -25,6 +25,7 @@
     commit,
     feed,
     hand_in,
+    logged,
     one_step,
     owner_of,
     worker_entry,
@@ -36,6 +37,10 @@
 REPEATED_S = 1.0
 TICK_S = 0.05
 STRAY = model.TaskKey("stray", 0, 0, 0)
+MANY_STRAYS = tuple(model.TaskKey("stray", 0, 0, number) for number in range(100))
+# Most stops that are repeated at one tick, and time in which many stops are repeated.
+MAX_STOPS_PER_TICK = 25
+ALL_REPEATED_S = 2.0
 JOBS = st.sampled_from(["j1", "j2"])
 
 
@@ -279,6 +284,18 @@
     assert stops_of(let_pass(with_stray, SEEN_S, 30.0)) == []
 
 
+# Guards against resources that stay reserved on a worker that is known to be gone.
+def test_unknown_runs_of_an_ended_worker_are_forgotten(with_stray):
+    """
+    The unknown runs of a worker whose instance was ordered down are forgotten once its lease is
+    certainly over.
+    """
+    worker = with_stray.workers["w"]
+    _registry.end_incarnation(with_stray, Moment(SEEN_S, WALL_MS), worker, "instance_ordered_down")
+    let_pass(with_stray, SEEN_S, BOUNDS.max_lease_s * 1.1)
+    assert worker.unknown_runs == {}
+
+
 # Guards against the end of a sound run by the stop of an earlier run of its task.
 def test_the_stop_of_an_unknown_run_does_not_end_a_later_run():
     """
@@ -297,3 +314,65 @@
     assert stops_of(feed(node, SENT_S + 0.3, late)) == [(order.key, 1)]
     produced = feed(node, SENT_S + 1.4, worker_lists(SENT_S + 1.3, (row_of(order.key, 2),)))
     assert stops_of(produced) == []
+
+
+# Guards against connections for all repeated stops at once.
+def test_many_unanswered_stops_are_not_repeated_at_once():
+    """
+    Stops without an answer are repeated over several ticks, each of them soon.
+    """
+    node = owner_of([worker_entry("w")])
+    rows = tuple(row_of(key) for key in MANY_STRAYS)
+    assert len(stops_of(feed(node, SEEN_S, worker_lists(SEEN_S - 0.01, rows)))) == len(rows)
+    repeated = set()
+    for number in range(1, round(ALL_REPEATED_S / TICK_S) + 1):
+        stops = stops_of(feed(node, SEEN_S + number * TICK_S, events.Ticked()))
+        assert len(stops) <= MAX_STOPS_PER_TICK
+        repeated.update(stops)
+    assert repeated == {(key, 1) for key in MANY_STRAYS}
+
+
+# Guards against stops that are not repeated because others always precede them.
+def test_the_oldest_unanswered_stops_are_repeated_first():
+    """
+    Of the stops that are due, those that were sent first are repeated first.
+    """
+    node = owner_of([worker_entry("v"), worker_entry("w")])
+    half = len(MANY_STRAYS) // 2
+    for worker, keys, sent_s in (
+        ("w", MANY_STRAYS[:half], SEEN_S),
+        ("v", MANY_STRAYS[half:], SEEN_S + TICK_S),
+    ):
+        lists = worker_lists(sent_s - 0.01, tuple(row_of(key) for key in keys))
+        feed(node, sent_s, lists._replace(worker=worker))
+    produced = let_pass(node, SEEN_S + 1.0, 1.0)
+    repeated = [item.worker for item in of_type(produced, effects.StopTask)]
+    assert repeated[:half] == ["w"] * half
+    assert set(repeated[half:]) == {"v"}
+
+
+# Guards against a log line for each list of a worker.
+def test_an_unknown_run_is_logged_once(with_stray):
+    """
+    A run that the log doesn't contain is logged when a list first contains it, and so is the next.
+    """
+    for number in range(1, 4):
+        now_s = SEEN_S + number * 0.5
+        produced = feed(with_stray, now_s, worker_lists(now_s - 0.01, (row_of(STRAY),)))
+        assert logged(produced, "run.stray") == []
+    produced = feed(with_stray, SEEN_S + 2, worker_lists(SEEN_S + 1.99, (row_of(STRAY, 2),)))
+    (line,) = logged(produced, "run.stray")
+    assert line.fields["run"] == 2
+
+
+# Guards against calls without a pause if the platform stops tasks immediately.
+def test_a_worker_with_an_unknown_run_is_not_called_without_a_pause(with_stray):
+    """
+    The worker's lists are requested again after a pause, however short the time of a stop is.
+    """
+    with_stray.bounds = BOUNDS._replace(stop_s=0.0)
+    now_s = SEEN_S + 0.5
+    produced = feed(with_stray, now_s, worker_lists(now_s - 0.01, (row_of(STRAY),)))
+    produced += let_pass(with_stray, now_s, 2 * TICK_S)
+    assert of_type(produced, effects.Hold) == []
+    assert of_type(let_pass(with_stray, now_s + 2 * TICK_S, 0.5), effects.Hold)
