Stop a listed run for its own stop only

When lists of a worker overtook each other, a late one showed run 1 of a task as unknown after run 2 had been ordered on the same worker; the stop of run 1 was noted by task, and the next list with run 2 made the owner stop that run, though the log expects it.

The condition compared only the task. Now a stop counts for the run that it names, also where progress and the eviction of tasks look at it, and once a worker lists an expected run, the unknown earlier run and its stop are forgotten: a worker has one run of a task, and takes no lower one after it.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_draining.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_draining.py
@@ -25,7 +25,7 @@
         step = job.spec.steps[task.key.step]
         if (
             not step.is_long_running
-            or task.key in worker.stops
+            or _runs.is_stopping(worker, task.key, task.run)
             or job.state in _replicated_state.FINAL_STATES
         ):
             continue
@@ -77,7 +77,7 @@
         return False
     row = worker.rows.get(task.key)
     is_up = row is not None and row.run == task.run and row.percent >= 100
-    return is_up and task.key not in worker.stops
+    return is_up and not _runs.is_stopping(worker, task.key, task.run)
 
 
 def other_candidates(node: Node, at: Moment, worker: Worker) -> list[_candidates.Candidate]:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_progress.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_progress.py
@@ -73,7 +73,7 @@
     task = find_task(node.replicated, row.key)
     if task is None or task.status != _replicated_state.RUNNING or task.run != row.run:
         return None
-    if task.worker != worker.id or row.key in worker.stops:
+    if task.worker != worker.id or _runs.is_stopping(worker, row.key, row.run):
         return None
     step = node.replicated.jobs[row.key.job].spec.steps[row.key.step]
     return None if step.is_long_running or step.is_backfill else task
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -218,6 +218,19 @@
     emit(node, effects.StopTask(worker.id, address, key, run, fencing_token(node, worker)))
 
 
+def is_stopping(worker: Worker, key: TaskKey, run: int) -> bool:
+    """
+    Return whether a run was ordered to stop.
+
+    :param worker: the worker on which the task runs.
+    :param key: the task.
+    :param run: number of the run.
+    :returns: whether the latest stop of the task is one of this run.
+    """
+    stop = worker.stops.get(key)
+    return stop is not None and stop.run == run
+
+
 def mark_all_lost(node: Node, at: Moment, worker: Worker, reason: str) -> None:
     """
     Record all runs on a worker as lost.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stops.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stops.py
@@ -41,6 +41,22 @@
         del worker.stops[key]
 
 
+def forget_earlier_run(node: Node, worker: Worker, key: TaskKey, run: int) -> None:
+    """
+    Forget an unknown run, and its stop, once the worker lists a later run of the task.
+
+    :param node: the instance.
+    :param worker: the worker.
+    :param key: the task.
+    :param run: number of the listed run.
+    """
+    stop = worker.stops.get(key)
+    if stop is not None and stop.run >= run:
+        return
+    node.plan_due = node.plan_due or key in worker.unknown_runs
+    forget_unknown_run(worker, key)
+
+
 def is_gone(worker: Worker, key: TaskKey, sent_s: float) -> bool:
     """
     Return whether a list that doesn't contain an unknown run shows that the run is gone.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -30,6 +30,7 @@
     epoch_of,
     fencing_token,
     forget_holds,
+    is_stopping,
     raise_token,
     runs_on,
     send_stop,
@@ -379,13 +380,15 @@
         and task.run == row.run
     )
     if is_expected:
+        _stops.forget_earlier_run(node, worker, key, row.run)
         job = node.replicated.jobs[key.job]
         order = worker.orders.get(key)
         if order is not None and not order.answered_s:
             order.answered_s = at.now_s
         if worker.started_s.setdefault(key, at.now_s) == at.now_s:
             node.plan_due = True
-        if job.cancelled or job.state in _replicated_state.FINAL_STATES or key in worker.stops:
+        is_over = job.cancelled or job.state in _replicated_state.FINAL_STATES
+        if is_over or is_stopping(worker, key, row.run):
             send_stop(node, at, worker, key, row.run)
         return
     resources = NO_RESOURCES
