Cease the stops to workers that were ended, and forget their unknown runs

The stop of an unknown run was sent each 0.8 s to a worker whose instance had been ordered down, as long as the ownership lasted, and the resources of the run stayed reserved: the repetition left out only workers that fail to answer, and so did the end of unknown runs with the lease. A worker that was ended without ever failing is called no more, so it never does.

Both now look at has_ended as well: no stop is repeated, and the unknown runs are forgotten once the lease is surely over. A worker that is resumed lists its runs first, and what must end is stopped then.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stops.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stops.py
@@ -12,13 +12,13 @@
 
 def forget_lapsed_runs(node: Node, at: Moment) -> None:
     """
-    Forget the unknown runs of unreachable workers whose leases have certainly expired.
+    Forget the unknown runs of unreachable and ended workers whose leases have certainly expired.
 
     :param node: the instance, which owns the log.
     :param at: the time.
     """
     for worker in node.workers.values():
-        if not worker.unknown_runs or (worker.is_held and not worker.is_failing):
+        if not worker.unknown_runs or _is_answering(worker):
             continue
         if at.now_s > _leases.lease_over_s(node, worker):
             log_line(node, "worker.strays_lapsed", worker=worker.id, runs=len(worker.unknown_runs))
@@ -76,19 +76,26 @@
     """
     Send the stops again that the worker has not acknowledged in time.
 
-    Unreachable workers are left out: their runs are stopped once they have listed them.
+    Unreachable and ended workers are left out: their runs are stopped once they have listed them.
 
     :param node: the instance, which owns the log.
     :param at: the time.
     """
     for worker in node.workers.values():
-        if worker.is_failing:
+        if worker.is_failing or worker.has_ended:
             continue
         for key, stop in list(worker.stops.items()):
             if not stop.is_acked and _must_end(node, worker, key):
                 _runs.send_stop(node, at, worker, key, stop.run)
 
 
+def _is_answering(worker: Worker) -> bool:
+    """
+    Return whether a worker's lists are expected to show when its unknown runs are gone.
+    """
+    return worker.is_held and not (worker.is_failing or worker.has_ended)
+
+
 def _must_end(node: Node, worker: Worker, key: TaskKey) -> bool:
     if key in worker.unknown_runs:
         return True
