Call a worker at once when it answers again

A worker that answers after it counted as unreachable begins with no holds, and failures of holds that were sent before are ignored, also of those sent after the answered one. If the worker ran nothing, its next hold followed after 20 s; until then tasks could be placed on a worker that was lost again, and only their own orders would show it.

A regained worker is now called at once, whatever it runs: without runs the hold carries no lease and doesn't wait, and an overdue answer keeps new tasks away after 0.2 s. Failures are not counted from when the answered hold was sent, since those of the holds repeated meanwhile are what made workers unreachable again and again.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -229,15 +229,9 @@
     if event.token != fencing_token(node, worker):
         # Orders to the worker's previous incarnation could still be carried out.
         return None
-    if worker.is_failing:
-        worker.is_failing = False
-        forget_holds(worker, at)
-        log_line(
-            node,
-            "worker.regained",
-            worker=worker.id,
-            away_s=round(at.now_s - worker.failing_since_s, 3),
-        )
+    is_regained = worker.is_failing
+    if is_regained:
+        _note_regained(node, at, worker)
     worker.clock_ms = event.clock_ms
     worker.clock_at_s = at.now_s
     if not worker.is_held:
@@ -248,11 +242,25 @@
     worker.rows = {row.key: row for row in event.runs}
     worker.rows_s = event.sent_s
     _reconcile(node, at, worker, event)
-    _schedule_hold(node, at, worker, event)
+    _schedule_hold(node, at, worker)
+    if is_regained:
+        # The failures of earlier holds are ignored, so another one has to show a loss.
+        worker.next_hold_s = at.now_s
     return worker
 
 
-def _schedule_hold(node: Node, at: Moment, worker: Worker, event: events.HoldAnswered) -> None:
+def _note_regained(node: Node, at: Moment, worker: Worker) -> None:
+    worker.is_failing = False
+    forget_holds(worker, at)
+    log_line(
+        node,
+        "worker.regained",
+        worker=worker.id,
+        away_s=round(at.now_s - worker.failing_since_s, 3),
+    )
+
+
+def _schedule_hold(node: Node, at: Moment, worker: Worker) -> None:
     if worker.handled != worker.acked:
         # The exits have to be committed first; the commit brings the next hold forward.
         worker.next_hold_s = at.now_s + STALLED_HOLD_INTERVAL_S
