Log an unknown run once for each worker and run

run.stray was logged for each list that contains the run, which since the lists are requested again at once is each stop_s (0.4 s where the tests play) for each run until it is gone. It is now logged when a list first contains the run; its repeated stops have their own lines.

Failed before: test_an_unknown_run_is_logged_once, which also read the fields of a line in a wrong way after the point at which it failed; that line compares the same now.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -402,16 +402,17 @@
     resources = NO_RESOURCES
     if task is not None:
         resources = node.replicated.jobs[key.job].spec.steps[key.step].resources
+    if key not in worker.unknown_runs or not is_stopping(worker, key, row.run):
+        log_line(
+            node,
+            "run.stray",
+            worker=worker.id,
+            task=".".join(map(str, key)),
+            run=row.run,
+            known_run=task.run if task else None,
+            known_worker=task.worker if task else None,
+        )
     worker.unknown_runs[key] = resources
-    log_line(
-        node,
-        "run.stray",
-        worker=worker.id,
-        task=".".join(map(str, key)),
-        run=row.run,
-        known_run=task.run if task else None,
-        known_worker=task.worker if task else None,
-    )
     send_stop(node, at, worker, key, row.run)
 
 
--- a/packages/eelgrassdrum-core/tests/test_jobs_stops.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_stops.py
@@ -362,7 +362,7 @@
         assert logged(produced, "run.stray") == []
     produced = feed(with_stray, SEEN_S + 2, worker_lists(SEEN_S + 1.99, (row_of(STRAY, 2),)))
     (line,) = logged(produced, "run.stray")
-    assert line.fields["run"] == 2
+    assert line["run"] == 2
 
 
 # Guards against calls without a pause if the platform stops tasks immediately.
