Bound how often a worker with unknown runs is called

The next hold of a worker whose only runs are unknown was due stop_s after each answer. A platform that states a stop_s of 0 would have such a worker called without a pause until the run is gone. The interval is now at least MIN_UNKNOWN_RUNS_HOLD_INTERVAL_S, which is less than the stop_s of the tests, so their calls are as before.

Failed before: test_a_worker_with_an_unknown_run_is_not_called_without_a_pause. The tests of jobs pass (241, and 7 that are known red).

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -43,6 +43,8 @@
 WATCHED_HOLD_WAIT_S = 0.25
 # Interval between holds of a worker that runs nothing.
 IDLE_HOLD_INTERVAL_S = 20.0
+# Minimum interval between holds of a worker that runs only unknown runs.
+MIN_UNKNOWN_RUNS_HOLD_INTERVAL_S = 0.25
 # Interval at which the lease is renewed while exits can't be committed to the log.
 STALLED_HOLD_INTERVAL_S = 0.8
 # Time for an answer, in addition to the long-poll time; some hundred round trips. A worker whose
@@ -267,8 +269,9 @@
     elif runs_on(node, worker.id):
         worker.next_hold_s = at.now_s
     elif worker.unknown_runs:
-        # Their stops take that long at most.
-        worker.next_hold_s = at.now_s + node.bounds.stop_s
+        # Their stops take `stop_s` at most.
+        interval_s = max(node.bounds.stop_s, MIN_UNKNOWN_RUNS_HOLD_INTERVAL_S)
+        worker.next_hold_s = at.now_s + interval_s
     else:
         worker.next_hold_s = at.now_s + IDLE_HOLD_INTERVAL_S
 
