--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stops.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stops.py
@@ -5,20 +5,25 @@
 stop or its answer may be lost, and so may the list that would show the run.
 """
 
+from operator import itemgetter
+
 from . import _leases, _replicated_state, _runs
 from ._node import Moment, Node, Worker, log_line
 from .model import TaskKey
 
+# Stops that are repeated at one tick; each takes a connection.
+MAX_REPEATED_STOPS = 16
+
 
 def forget_lapsed_runs(node: Node, at: Moment) -> None:
     """
-    Forget the unknown runs of unreachable workers whose leases have certainly expired.
+    Forget the unknown runs of unreachable and ended workers whose leases have certainly expired.
 
     :param node: the instance, which owns the log.
     :param at: the time.
     """
     for worker in node.workers.values():
-        if not worker.unknown_runs or (worker.is_held and not worker.is_failing):
+        if not worker.unknown_runs or _is_answering(worker):
             continue
         if at.now_s > _leases.lease_over_s(node, worker):
             log_line(node, "worker.strays_lapsed", worker=worker.id, runs=len(worker.unknown_runs))
@@ -41,6 +46,22 @@
         del worker.stops[key]
 
 
+def forget_earlier_run(node: Node, worker: Worker, key: TaskKey, run: int) -> None:
+    """
+    Forget an unknown run, and its stop, once the worker lists a later run of the task.
+
+    :param node: the instance.
+    :param worker: the worker.
+    :param key: the task.
+    :param run: number of the listed run.
+    """
+    stop = worker.stops.get(key)
+    if stop is not None and stop.run >= run:
+        return
+    node.plan_due = node.plan_due or key in worker.unknown_runs
+    forget_unknown_run(worker, key)
+
+
 def is_gone(worker: Worker, key: TaskKey, sent_s: float) -> bool:
     """
     Return whether a list that doesn't contain an unknown run shows that the run is gone.
@@ -58,19 +79,31 @@
 
 def send_due_stops(node: Node, at: Moment) -> None:
     """
-    Send the stops again that the worker has not acknowledged in time.
+    Send the stops again that the workers have not acknowledged in time, those sent first before the
+    others.
 
-    Unreachable workers are left out: their runs are stopped once they have listed them.
+    Unreachable and ended workers are left out: their runs are stopped once they have listed them.
 
     :param node: the instance, which owns the log.
     :param at: the time.
     """
-    for worker in node.workers.values():
-        if worker.is_failing:
-            continue
-        for key, stop in list(worker.stops.items()):
-            if not stop.is_acked and _must_end(node, worker, key):
-                _runs.send_stop(node, at, worker, key, stop.run)
+    due = [
+        (stop.sent_s, worker, key, stop.run)
+        for worker in node.workers.values()
+        if worker.stops and not (worker.is_failing or worker.has_ended)
+        for key, stop in worker.stops.items()
+        if not stop.is_acked and _runs.is_stop_due(stop, at) and _must_end(node, worker, key)
+    ]
+    due.sort(key=itemgetter(0))
+    for _sent_s, worker, key, run in due[:MAX_REPEATED_STOPS]:
+        _runs.send_stop(node, at, worker, key, run)
+
+
+def _is_answering(worker: Worker) -> bool:
+    """
+    Return whether a worker's lists are expected to show when its unknown runs are gone.
+    """
+    return worker.is_held and not (worker.is_failing or worker.has_ended)
 
 
 def _must_end(node: Node, worker: Worker, key: TaskKey) -> bool:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -30,6 +30,7 @@
     epoch_of,
     fencing_token,
     forget_holds,
+    is_stopping,
     raise_token,
     runs_on,
     send_stop,
@@ -42,6 +43,8 @@
 WATCHED_HOLD_WAIT_S = 0.25
 # Interval between holds of a worker that runs nothing.
 IDLE_HOLD_INTERVAL_S = 20.0
+# Minimum interval between holds of a worker that runs only unknown runs.
+MIN_UNKNOWN_RUNS_HOLD_INTERVAL_S = 0.25
 # Interval at which the lease is renewed while exits can't be committed to the log.
 STALLED_HOLD_INTERVAL_S = 0.8
 # Time for an answer, in addition to the long-poll time; some hundred round trips. A worker whose
@@ -228,15 +231,9 @@
     if event.token != fencing_token(node, worker):
         # Orders to the worker's previous incarnation could still be carried out.
         return None
-    if worker.is_failing:
-        worker.is_failing = False
-        forget_holds(worker, at)
-        log_line(
-            node,
-            "worker.regained",
-            worker=worker.id,
-            away_s=round(at.now_s - worker.failing_since_s, 3),
-        )
+    is_regained = worker.is_failing
+    if is_regained:
+        _note_regained(node, at, worker)
     worker.clock_ms = event.clock_ms
     worker.clock_at_s = at.now_s
     if not worker.is_held:
@@ -247,19 +244,34 @@
     worker.rows = {row.key: row for row in event.runs}
     worker.rows_s = event.sent_s
     _reconcile(node, at, worker, event)
-    _schedule_hold(node, at, worker, event)
+    _schedule_hold(node, at, worker)
+    if is_regained:
+        # The failures of earlier holds are ignored, so another one has to show a loss.
+        worker.next_hold_s = at.now_s
     return worker
 
 
-def _schedule_hold(node: Node, at: Moment, worker: Worker, event: events.HoldAnswered) -> None:
+def _note_regained(node: Node, at: Moment, worker: Worker) -> None:
+    worker.is_failing = False
+    forget_holds(worker, at)
+    log_line(
+        node,
+        "worker.regained",
+        worker=worker.id,
+        away_s=round(at.now_s - worker.failing_since_s, 3),
+    )
+
+
+def _schedule_hold(node: Node, at: Moment, worker: Worker) -> None:
     if worker.handled != worker.acked:
         # The exits have to be committed first; the commit brings the next hold forward.
         worker.next_hold_s = at.now_s + STALLED_HOLD_INTERVAL_S
     elif runs_on(node, worker.id):
         worker.next_hold_s = at.now_s
     elif worker.unknown_runs:
-        # Their stops take that long at most.
-        worker.next_hold_s = at.now_s + node.bounds.stop_s
+        # Their stops take `stop_s` at most.
+        interval_s = max(node.bounds.stop_s, MIN_UNKNOWN_RUNS_HOLD_INTERVAL_S)
+        worker.next_hold_s = at.now_s + interval_s
     else:
         worker.next_hold_s = at.now_s + IDLE_HOLD_INTERVAL_S
 
@@ -379,28 +391,31 @@
         and task.run == row.run
     )
     if is_expected:
+        _stops.forget_earlier_run(node, worker, key, row.run)
         job = node.replicated.jobs[key.job]
         order = worker.orders.get(key)
         if order is not None and not order.answered_s:
             order.answered_s = at.now_s
         if worker.started_s.setdefault(key, at.now_s) == at.now_s:
             node.plan_due = True
-        if job.cancelled or job.state in _replicated_state.FINAL_STATES or key in worker.stops:
+        is_over = job.cancelled or job.state in _replicated_state.FINAL_STATES
+        if is_over or is_stopping(worker, key, row.run):
             send_stop(node, at, worker, key, row.run)
         return
     resources = NO_RESOURCES
     if task is not None:
         resources = node.replicated.jobs[key.job].spec.steps[key.step].resources
+    if key not in worker.unknown_runs or not is_stopping(worker, key, row.run):
+        log_line(
+            node,
+            "run.stray",
+            worker=worker.id,
+            task=".".join(map(str, key)),
+            run=row.run,
+            known_run=task.run if task else None,
+            known_worker=task.worker if task else None,
+        )
     worker.unknown_runs[key] = resources
-    log_line(
-        node,
-        "run.stray",
-        worker=worker.id,
-        task=".".join(map(str, key)),
-        run=row.run,
-        known_run=task.run if task else None,
-        known_worker=task.worker if task else None,
-    )
     send_stop(node, at, worker, key, row.run)
 
 
