Show that memories of a slow store decide who claims the log

A strong instance that remembers long gaps between the owner's records or slow reads waits for up to 2.4 s before it claims the log. A weak one that remembers none waits for 0.6 s and its extra delay, and so claims first.

--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -509,3 +509,34 @@
     at = Moment(10.0, WALL_MS)
     interval_s = _tail.WAIT_S + _tail.READER_INTERVAL_S
     assert claim_delay_s(weak, at) > claim_delay_s(strong, at) + interval_s
+
+
+# Guards against an owner with a slow link, as only strong instances remember a slow store.
+def test_a_weak_instance_claims_after_strong_ones_whatever_they_remember():
+    """
+    An instance with few resources claims the log later than a strong one, whatever either of them
+    has seen of the store and of the owner.
+    """
+    interval_s = _tail.WAIT_S + _tail.READER_INTERVAL_S
+    delays_s = (0.0, 0.2, 1.0)
+    gaps_s = (0.0, 0.6, 2.2)
+
+    def claimed_s(weakness, age_s, delay_s, gap_s):
+        node = make_node(f"entry-{weakness}")
+        node.identity = node.identity._replace(weakness=weakness)
+        node.process_start_s = 200.0 - age_s
+        read(node, 200.0, [Claimed(1, "other", 5)])
+        for step in range(1, 100):
+            now_s = 200.0 + 0.05 * step
+            read(node, now_s, [])
+            node.tail.store_delay_s, node.tail.owner_gap_s = delay_s, gap_s
+            if claims(feed(node, now_s, events.Ticked())):
+                return now_s
+        raise AssertionError("no claim")
+
+    strong_s = [claimed_s(0.0, 100.0, delay_s, gap_s) for delay_s in delays_s for gap_s in gaps_s]
+    for age_s in (1.0, 6.0, 100.0):
+        for delay_s in delays_s:
+            for gap_s in gaps_s:
+                weak_s = claimed_s(0.1, age_s, delay_s, gap_s)
+                assert weak_s > max(strong_s) + interval_s, (age_s, delay_s, gap_s)
