Record in each claim how weak the claimant is

An instance knows from its own settings whether it can carry the load of the owner, but nobody else does: neither whether the owner of the log can, nor whether any instance of the deployment can.

The claim tells the claimant's weakness.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -80,6 +80,12 @@
         replicated.epoch = record.epoch
         replicated.owner = (record.instance, record.incarnation)
         replicated.owner_address = record.address
+        replicated.owner_weakness = record.weakness
+        if record.weakness is not None:
+            least = replicated.least_weakness
+            replicated.least_weakness = (
+                record.weakness if least is None else min(least, record.weakness)
+            )
 
 
 def _released(
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
@@ -48,12 +48,14 @@
 
     :param incarnation: Unix time in milliseconds at which the instance started.
     :param address: address at which it accepts callers' records from other instances, or empty.
+    :param weakness: 0 if it can carry the owner's load, up to 1 if it can't; ``None`` if unknown.
     """
 
     epoch: int
     instance: str
     incarnation: int
     address: str = ""
+    weakness: float | None = None
 
 
 class Released(_Record, frozen=True, tag="l"):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
@@ -110,6 +110,8 @@
     :param epoch: epoch of the latest claim.
     :param owner: instance and incarnation of the log's owner, or ``None`` once released.
     :param owner_address: address at which the owner accepts callers' records from other instances.
+    :param owner_weakness: weakness of the latest claimant, or ``None`` if its claim doesn't tell.
+    :param least_weakness: least weakness of any claimant so far, or ``None``.
     :param running: tasks with a running run, by worker.
     :param load: resources taken up by these runs, by worker.
     :param used: resources requested by the running tasks of each workspace.
@@ -141,6 +143,8 @@
     log_s: float = 0.0
     log_read_s: float = 0.0
     newest_heartbeat: tuple[int, int] = (0, 0)
+    owner_weakness: float | None = None
+    least_weakness: float | None = None
 
 
 def occurrence_of(job: Job, number: int) -> list[StepState]:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -58,6 +58,8 @@
     closed_waves: list[int]
     log_s: float
     newest_heartbeat: tuple[int, int]
+    owner_weakness: float | None = None
+    least_weakness: float | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -85,6 +87,8 @@
         sorted(replicated.closed_waves),
         replicated.log_s,
         replicated.newest_heartbeat,
+        replicated.owner_weakness,
+        replicated.least_weakness,
     )
     return zlib.compress(_encoder.encode(snapshot), 1)
 
@@ -117,6 +121,8 @@
         log_s=snapshot.log_s,
         log_read_s=now_s,
         newest_heartbeat=snapshot.newest_heartbeat,
+        owner_weakness=snapshot.owner_weakness,
+        least_weakness=snapshot.least_weakness,
     )
     for row in snapshot.jobs:
         _restore_job(replicated, row, now_s, wall_ms)
--- a/packages/eelgrassdrum-core/tests/test_jobs_records.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_records.py
@@ -2,6 +2,9 @@
 Records of the job log, and snapshots of the replicated state that they result in.
 """
 
+import zlib
+
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -198,3 +201,34 @@
         fold.apply(state, record, 0.0, WALL_MS)
     (step,) = state.jobs["j1"].occurrences[0]
     assert step.waiting == 1
+
+
+# Guards against logs and snapshots of a former release that can't be read after an update.
+def test_claims_and_snapshots_without_a_weakness_are_read():
+    """
+    Claims and snapshots that don't tell the claimant's weakness are read; it counts as unknown.
+    """
+    former = msgspec.msgpack.encode(["o", 1, "entry", 5, "address"])
+    assert records.decode_record(former) == records.Claimed(1, "entry", 5, "address")
+    replicated = apply_all([records.Claimed(1, "entry", 5, "address", 0.5)])
+    rows = msgspec.msgpack.decode(zlib.decompress(snapshot.encode(replicated, 10.0, WALL_MS)))
+    data = zlib.compress(msgspec.msgpack.encode(rows[:-2]))
+    restored = snapshot.decode(data, 10.0, WALL_MS)
+    assert restored.owner == ("entry", 5)
+    assert (restored.owner_weakness, restored.least_weakness) == (None, None)
+
+
+def test_the_weakness_of_claimants_is_part_of_the_replicated_state():
+    """
+    The weakness of the latest claimant and the least of all are known, also from a snapshot.
+    """
+    replicated = apply_all(
+        [
+            records.Claimed(1, "strong", 1, "", 0.25),
+            records.Claimed(2, "weak", 1, "", 0.5),
+            records.Claimed(2, "late", 1, "", 0.0),
+        ]
+    )
+    data = snapshot.encode(replicated, 10.0, WALL_MS)
+    for state in (replicated, snapshot.decode(data, 10.0, WALL_MS)):
+        assert (state.owner_weakness, state.least_weakness) == (0.5, 0.25)
