--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -3,7 +3,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from eelgrassdrum_core.jobs import effects, events, model
@@ -582,16 +582,25 @@
 }
 
 
-def make_world(seed: int, instances: int, config: model.Config) -> World:
+def make_world(
+    seed: int, instances: int, config: model.Config, weakness: Mapping[str, float] | None = None
+) -> World:
     """
     Make a world whose instances have just started.
 
     :param seed: of all that is random.
     :param instances: how many.
     :param config: what the operator has published.
+    :param weakness: fraction of the owner's load that an instance can't carry, by instance.
     :returns: the world.
     """
-    world = World(random.Random(seed), config=config, config_log=[config], effects=EFFECTS)
+    world = World(
+        random.Random(seed),
+        config=config,
+        config_log=[config],
+        weakness=weakness or {},
+        effects=EFFECTS,
+    )
     for number in range(instances):
         name = f"entry-{number}"
         world.instances[name] = Instance(name, f"zone-{number % 3}", fresh_node(world, name, 0))
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
@@ -3,7 +3,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from eelgrassdrum_core.jobs import model
@@ -98,6 +98,7 @@
     is_moving: bool = False,
     lasting_part: float = LASTING_PART,
     drawn_from: Iterable[str] = FAULTS,
+    weakness: Mapping[str, float] | None = None,
 ) -> ScheduleResult:
     """
     Run one schedule.
@@ -107,13 +108,14 @@
     :param is_moving: whether there is a standby pool, so that instances are moved.
     :param lasting_part: part of the jobs whose tasks last until the job is cancelled.
     :param drawn_from: names of the faults to draw from, such as `FORMER_FAULTS`.
+    :param weakness: fraction of the owner's load that an instance can't carry, by instance.
     :returns: what it showed.
     """
     config = make_config()
     if is_moving:
         standby = model.Service(STANDBY, False, True)
         config = config._replace(services={**config.services, STANDBY: standby})
-    world = make_world(seed, INSTANCES, config)
+    world = make_world(seed, INSTANCES, config, weakness)
     rng = world.rng
     world.judge.limits["a"] = LIMIT
     world.durations = lambda key: _draw_duration(world, key)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import msgspec
@@ -82,6 +82,7 @@
     :param prompt_cancel_part: part of the jobs that are cancelled soon after their acceptance.
     :param store_disturbed_s: when the store was last disturbed.
     :param disturbed_s: when the store, an instance or a worker was last disturbed.
+    :param weakness: fraction of the owner's load that an instance can't carry, by instance.
     :param effects: carries out the effects of an instance, by type.
     """
 
@@ -110,6 +111,7 @@
     prompt_cancel_part: float = 0.0
     store_disturbed_s: float = -1e9
     disturbed_s: float = -1e9
+    weakness: Mapping[str, float] = {}
     effects: dict[type, Callable[["World", Instance, Any], None]] = {}
 
 
@@ -122,7 +124,8 @@
     :param number: tells processes of one time apart.
     """
     incarnation = START_UNIX_MS + round(world.now_s * 1000) + number
-    return new_node(Identity(name, incarnation, "zone", address=name), BOUNDS)
+    weakness = world.weakness.get(name, 0.0)
+    return new_node(Identity(name, incarnation, "zone", weakness, name), BOUNDS)
 
 
 def later(world: World, delay_s: float, action: Callable[[], None]) -> None:
