Let weak instances claim last whatever they remember

Cause: the owner timeout follows the gaps between the owner's records and the store's response time that an instance remembers, up to 2.4 s. Strong instances that had seen a slow store waited for all of it; weak ones that remembered nothing waited for 0.6 s and their delay of 0.8 to 1.0 s. Only for the first 5 s of a process did they wait for 2.4 s, and even then the delay by age of strong ones (up to 0.2 s) and the phase of the reads could put a weak one first.

An instance that is weaker than any claimant so far now waits for 2.6 s and its delay: the longest timeout and the longest delay by age of the others. That a stronger one exists is known from the claims in the log. Where all are equally weak they wait as before; if all strong ones are lost, a weak one owns the log some 2 s later.

The test of 27 combinations of age and memory failed before: strong instances claimed after 0.9 to 2.7 s, weak ones that were 6 s old after 1.55 to 3.35 s and those 1 s old after 3.3 s, where 3.35 s are wanted for the phase of the reads.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -39,6 +39,9 @@
 MAX_AGE_DELAY_S = 0.2
 # Age from which the delay by age no longer grows.
 OLD_INSTANCE_S = 60.0
+# Owner timeout of an instance that may be weaker than another one. It doesn't depend on what either
+# has seen: the others wait for at most the maximum timeout, their delay by age and their jitter.
+WEAK_OWNER_TIMEOUT_S = MAX_OWNER_TIMEOUT_S + MAX_AGE_DELAY_S
 # Extra delay of instances with a slow link or little CPU time: they claim last, because the owner
 # sends all orders. The minimum exceeds the interval between two reads of the log, from which the
 # other instances notice the owner's timeout, and the jitter.
@@ -103,6 +106,8 @@
 
 
 def _owner_timeout_s(node: Node, at: Moment) -> float:
+    if _may_be_weaker(node):
+        return WEAK_OWNER_TIMEOUT_S
     if node.identity.weakness > 0 and at.now_s - node.process_start_s < STORE_SEEN_S:
         return MAX_OWNER_TIMEOUT_S
     tail = node.tail
@@ -113,6 +118,13 @@
     return min(MAX_OWNER_TIMEOUT_S, timeout_s)
 
 
+def _may_be_weaker(node: Node) -> bool:
+    """
+    Return whether some claimant so far was stronger than this instance, as far as the log tells.
+    """
+    return node.identity.weakness > (node.replicated.least_weakness or 0.0)
+
+
 def claim_delay_s(node: Node, at: Moment) -> float:
     """
     Return how long this instance waits before it claims the next epoch.
--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -540,3 +540,19 @@
             for gap_s in gaps_s:
                 weak_s = claimed_s(0.1, age_s, delay_s, gap_s)
                 assert weak_s > max(strong_s) + interval_s, (age_s, delay_s, gap_s)
+
+
+# Guards against long pauses without an owner where all instances have slow links.
+def test_weak_instances_claim_without_a_further_delay_where_none_is_stronger(node):
+    """
+    If no claimant so far was stronger than an instance, its timeout follows the store's speed.
+    """
+    node.identity = node.identity._replace(weakness=0.5)
+    read(node, 0.1, [Claimed(1, "other", 5, "", 0.5)])
+    for step in range(1, 50):
+        read(node, 0.1 + 0.2 * step, [OwnerHeartbeat(1)])
+    last_s = node.tail.owner_record_s
+    claimed_s = first_claim_s(node, last_s, last_s + 5.0)
+    assert claimed_s is not None
+    delay_s = claim_delay_s(node, Moment(claimed_s, WALL_MS))
+    assert claimed_s <= last_s + OWNER_TIMEOUT_S + delay_s + 0.1
