Let a strong instance take the log over from a weak owner

Cause: nothing but the owner's silence, its refused appends or its own release ended an ownership, however little of the load the owner could carry.

The claim of the owner tells its weakness. An instance that can carry a quarter of the load more claims the next epoch once it has run for 5 s, has read the log completely and quickly for 3 s and has read no claim for 5 s, after a jitter of up to 2 s. It does not if it lost the log within the last 30 s or its last claim is less than 5 s old. So the log changes its owner once, and an instance that is cut off from the workers does not win it over and over. The line of a claim gives its reason and both weaknesses.

Unit tests show each of the conditions.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -395,6 +395,8 @@
     :param readable_since_s: time since which no read has failed; 1e18 while reads fail.
     :param owner_record_s: when a record of the owner was last read, or an outage of the log ended.
     :param owner_gap_s: decaying maximum of the time between two reads with records of the owner.
+    :param claim_read_s: when the latest claim was read, or the state was last rebuilt.
+    :param steady_since_s: time since which all reads were complete and quick; 1e18 after others.
     :param wait_s: how long the read in progress may wait at the store.
     :param store_delay_s: decaying maximum of the store's response time beyond `wait_s`.
     """
@@ -411,6 +413,8 @@
     readable_since_s: float = 1e18
     owner_record_s: float = 0.0
     owner_gap_s: float = 0.0
+    claim_read_s: float = -1e9
+    steady_since_s: float = 1e18
     wait_s: float = 0.0
     store_delay_s: float = 0.0
 
@@ -431,6 +435,7 @@
     :param has_released: whether this owner has asked the other instances to claim the log.
     :param committed_s: when an append last succeeded.
     :param committing_since_s: since when appends have succeeded without a long pause.
+    :param ended_s: when its latest ownership ended.
     :param reload_wanted: whether the replicated state must be rebuilt from the store.
     """
 
@@ -449,6 +454,7 @@
     has_released: bool = False
     committed_s: float = -1e9
     committing_since_s: float = -1e9
+    ended_s: float = -1e9
 
 
 class Subscription(msgspec.Struct, eq=False):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -2,15 +2,16 @@
 Leader election: decides which instance owns the log and so decides about tasks and instances.
 
 When no record of the owner arrives for a timeout, the log goes to the first instance whose claim is
-appended. The store accepts only one claim per epoch and from then on refuses appends with an older
-epoch. A claimant takes over when it reads its own claim; by then it has read all earlier records.
+appended. `_takeover` decides when the log of an owner that is alive is claimed. The store accepts
+only one claim per epoch and from then on refuses appends with an older epoch. A claimant takes over
+when it reads its own claim; by then it has read all earlier records.
 """
 
 from typing import Any
 
 import xxhash
 
-from . import _freshness, _journal, effects, events
+from . import _freshness, _journal, _takeover, effects, events
 from ._node import Fleet, Moment, Node, Subscription, emit, log_line
 from ._records import Claimed, Released, encode_records
 from .model import Bounds
@@ -34,6 +35,8 @@
 # they send theirs.
 CLAIM_JITTER_S = 0.1
 CLAIM_JITTER_STEPS = 16
+# Number of values of the hash from which the jitter is derived.
+HASH_RANGE = 2**64
 # Maximum extra delay by age: recently started instances claim first, since a rolling restart
 # reaches them last.
 MAX_AGE_DELAY_S = 0.2
@@ -58,9 +61,9 @@
 LEASE_MARGIN_S = 0.3
 
 
-def claim_if_owner_timed_out(node: Node, at: Moment) -> None:
+def claim_if_due(node: Node, at: Moment) -> None:
     """
-    Claim the log if it has no owner or the owner's timeout has passed.
+    Claim the log if it has no owner, the owner's timeout has passed or the owner is weak.
 
     :param node: the instance.
     :param at: the current time.
@@ -76,7 +79,10 @@
     wait_s = claim_delay_s(node, at)
     if node.replicated.owner is not None:
         wait_s += _owner_timeout_s(node, at)
-    if node.config is None or quiet_s < wait_s or at.now_s < ownership.next_claim_s:
+    if node.config is None or at.now_s < ownership.next_claim_s:
+        return
+    is_timeout = quiet_s >= wait_s
+    if not is_timeout and not _takeover.is_due(node, at, _hash(node) / HASH_RANGE):
         return
     epoch = max(node.replicated.epoch, ownership.refused_epoch) + 1
     ownership.is_claiming = True
@@ -93,7 +99,10 @@
         node,
         "owner.claiming",
         epoch=epoch,
+        reason="timeout" if is_timeout else "takeover",
+        weakness=identity.weakness,
         former=node.replicated.owner,
+        former_weakness=node.replicated.owner_weakness,
         quiet_s=round(quiet_s, 3),
         wait_s=round(wait_s, 3),
         owner_gap_s=round(node.tail.owner_gap_s, 3),
@@ -136,8 +145,7 @@
     :param at: the current time.
     :returns: seconds to wait.
     """
-    seed = f"{node.identity.producer}/{node.replicated.epoch}"
-    slot = xxhash.xxh64_intdigest(seed.encode()) % CLAIM_JITTER_STEPS
+    slot = _hash(node) % CLAIM_JITTER_STEPS
     age_s = min(OLD_INSTANCE_S, at.now_s - node.process_start_s)
     weakness = node.identity.weakness
     weakness_s = MIN_WEAKNESS_DELAY_S + weakness * (MAX_WEAKNESS_DELAY_S - MIN_WEAKNESS_DELAY_S)
@@ -148,6 +156,13 @@
     )
 
 
+def _hash(node: Node) -> int:
+    """
+    Return a hash of the instance and the epoch, from which its jitter is derived.
+    """
+    return xxhash.xxh64_intdigest(f"{node.identity.producer}/{node.replicated.epoch}".encode())
+
+
 def on_claim_appended(node: Node, at: Moment, event: events.Appended) -> None:
     """
     Handle the outcome of appending a claim. Whether the claim won is only decided by reading it.
@@ -241,6 +256,7 @@
     if not ownership.is_owner:
         return
     ownership.is_owner = False
+    ownership.ended_s = at.now_s
     ownership.has_released = False
     ownership.reload_wanted = True
     _journal.reset(node, 0)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -76,7 +76,7 @@
     _intake.expire(node, at)
     if node.ownership.reload_wanted and not node.ownership.is_owner:
         _tail.reload(node, at, "ownership_lost")
-    _ownership.claim_if_owner_timed_out(node, at)
+    _ownership.claim_if_due(node, at)
     if node.ownership.is_owner and not node.is_stopping:
         _ownership.release_if_unread(node, at)
     if node.ownership.is_owner:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -10,6 +10,7 @@
     _ownership,
     _replicated_state,
     _snapshot,
+    _takeover,
     effects,
     events,
 )
@@ -99,6 +100,7 @@
     is_current = is_latest or was_caught_up
     if node.replicated.offset >= event.end:
         tail.complete_s = max(tail.complete_s, event.sent_s)
+    _takeover.note_read(tail, at.now_s, event.sent_s)
     tail.is_caught_up = is_current and node.replicated.offset >= event.end
     tail.has_caught_up = tail.has_caught_up or tail.is_caught_up
     if tail.is_caught_up and not was_caught_up:
@@ -181,6 +183,7 @@
 def _mark_unreadable(node: Node, at: Moment, reason: str) -> None:
     if node.tail.readable_since_s <= at.now_s:
         log_line(node, "store.log_unreadable", reason=reason, offset=node.replicated.offset)
+    _takeover.note_failure(node.tail)
     # Later than any time, until a read succeeds.
     node.tail.readable_since_s = 1e18
 
@@ -197,7 +200,7 @@
     node.ownership.reload_wanted = False
     node.ownership.is_claim_awaited = False
     node.replicated = _replicated_state.ReplicatedState()
-    node.tail = Tail(owner_record_s=at.now_s)
+    node.tail = Tail(owner_record_s=at.now_s, claim_read_s=at.now_s)
 
 
 def on_snapshot(node: Node, at: Moment, event: events.SnapshotRead) -> None:
@@ -253,7 +256,7 @@
         return
     if isinstance(record, Claimed):
         _fold.apply(node.replicated, record, at.now_s, at.wall_ms)
-        node.tail.owner_record_s = at.now_s
+        node.tail.owner_record_s = node.tail.claim_read_s = at.now_s
         if _ownership.on_claimed(node, at, record):
             _instances.resume_orders(node, at)
         _intake.on_owner_changed(node)
