--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -509,3 +509,50 @@
     at = Moment(10.0, WALL_MS)
     interval_s = _tail.WAIT_S + _tail.READER_INTERVAL_S
     assert claim_delay_s(weak, at) > claim_delay_s(strong, at) + interval_s
+
+
+# Guards against an owner with a slow link, as only strong instances remember a slow store.
+def test_a_weak_instance_claims_after_strong_ones_whatever_they_remember():
+    """
+    An instance with few resources claims the log later than a strong one, whatever either of them
+    has seen of the store and of the owner.
+    """
+    interval_s = _tail.WAIT_S + _tail.READER_INTERVAL_S
+    delays_s = (0.0, 0.2, 1.0)
+    gaps_s = (0.0, 0.6, 2.2)
+
+    def claimed_s(weakness, age_s, delay_s, gap_s):
+        node = make_node(f"entry-{weakness}")
+        node.identity = node.identity._replace(weakness=weakness)
+        node.process_start_s = 200.0 - age_s
+        read(node, 200.0, [Claimed(1, "other", 5)])
+        for step in range(1, 100):
+            now_s = 200.0 + 0.05 * step
+            read(node, now_s, [])
+            node.tail.store_delay_s, node.tail.owner_gap_s = delay_s, gap_s
+            if claims(feed(node, now_s, events.Ticked())):
+                return now_s
+        raise AssertionError("no claim")
+
+    strong_s = [claimed_s(0.0, 100.0, delay_s, gap_s) for delay_s in delays_s for gap_s in gaps_s]
+    for age_s in (1.0, 6.0, 100.0):
+        for delay_s in delays_s:
+            for gap_s in gaps_s:
+                weak_s = claimed_s(0.1, age_s, delay_s, gap_s)
+                assert weak_s > max(strong_s) + interval_s, (age_s, delay_s, gap_s)
+
+
+# Guards against long pauses without an owner where all instances have slow links.
+def test_weak_instances_claim_without_a_further_delay_where_none_is_stronger(node):
+    """
+    If no claimant so far was stronger than an instance, its timeout follows the store's speed.
+    """
+    node.identity = node.identity._replace(weakness=0.5)
+    read(node, 0.1, [Claimed(1, "other", 5, "", 0.5)])
+    for step in range(1, 50):
+        read(node, 0.1 + 0.2 * step, [OwnerHeartbeat(1)])
+    last_s = node.tail.owner_record_s
+    claimed_s = first_claim_s(node, last_s, last_s + 5.0)
+    assert claimed_s is not None
+    delay_s = claim_delay_s(node, Moment(claimed_s, WALL_MS))
+    assert claimed_s <= last_s + OWNER_TIMEOUT_S + delay_s + 0.1
