Log runs that their answering worker does not list

Cause: work.unconfirmed covered only workers that don't answer.

Change: such runs are counted by the state of their order, or as lists_late if the worker's latest list is old. worker.runs_lost has the time since the worker failed, since it last answered, and since this owner's claim. The number of lines stays one a second and pool.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_members.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_members.py
@@ -8,6 +8,7 @@
 from ._candidates import Candidate
 from ._instances import MOVE
 from ._node import Moment, Node, Worker
+from ._replicated_state import Task
 from ._runs import runs_on
 from .model import Resources
 
@@ -24,10 +25,21 @@
 INSTANCE_DOWN = "instance_down"
 INSTANCE_MOVING = "instance_moving"
 INSTANCE_MAINTAINED = "instance_maintained"
+# Runs that an answering worker does not list, by the state of their order. An order that was not
+# sent waits for the commit of its record or for answers to earlier ones.
+ORDER_MISSING = "order_missing"
+ORDER_NOT_SENT = "order_not_sent"
+ORDER_SENT = "order_sent"
+ORDER_UNANSWERED = "order_unanswered"
+ORDER_BARRED = "order_barred"
+# The latest list of an answering worker is too old to show what runs.
+LISTS_LATE = "lists_late"
 PAUSED = "paused"
 SLOW = "slow"
 SILENT_ZONE = "silent_zone"
 OVERDUE = "overdue"
+# Age of a worker's latest list, by the time of its request, beyond two holds in a row.
+MAX_LIST_AGE_S = 2 * _workers.HOLD_WAIT_S + 1.0
 STATES = (
     USABLE,
     FULL,
@@ -115,6 +127,29 @@
     return "" if worker.is_held else UNANSWERED
 
 
+def unconfirmed_run_state(worker: Worker, task: Task, now_s: float) -> str:
+    """
+    Return why a run on an answering worker is not confirmed by the worker's lists.
+
+    :param worker: the worker, which answers.
+    :param task: the task, which runs there by the log.
+    :param now_s: the current time.
+    :returns: the state, or an empty string if the run is confirmed.
+    """
+    row = worker.rows.get(task.key)
+    order = worker.orders.get(task.key)
+    is_listed = row is not None and row.run == task.run
+    if is_listed or (order is not None and order.answered_s):
+        return LISTS_LATE if now_s - worker.rows_s > MAX_LIST_AGE_S else ""
+    if order is None:
+        return ORDER_MISSING
+    if order.barred_s:
+        return ORDER_BARRED
+    if order.unanswered_s:
+        return ORDER_UNANSWERED
+    return ORDER_SENT if order.sent_s else ORDER_NOT_SENT
+
+
 def _exclusion(node: Node, at: Moment, worker: Worker) -> str:
     """
     Return why no task starts on a worker.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -477,14 +477,15 @@
     :param next_check_s: when the waiting work is next determined.
     :param steps: for each step with tasks that may start, by job, occurrence and step: since when
         none of them has started, and how many there are.
-    :param unconfirmed: since when each worker that has runs by the log can't confirm them.
+    :param unconfirmed: since when each run by the log is not confirmed by its worker, by worker,
+        task and whether the worker doesn't answer.
     :param next_line_s: earliest time of the next line, by action and pool.
     """
 
     epoch: int = 0
     next_check_s: float = 0.0
     steps: dict[tuple[str, int, int], tuple[float, int]] = {}
-    unconfirmed: dict[str, float] = {}
+    unconfirmed: dict[tuple[str, TaskKey, bool], float] = {}
     next_line_s: dict[tuple[str, str], float] = {}
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -253,11 +253,31 @@
     """
     runs = list(runs_on(node, worker.id).values())
     if runs:
-        log_line(node, "worker.runs_lost", worker=worker.id, reason=reason, runs=len(runs))
+        log_line(
+            node,
+            "worker.runs_lost",
+            worker=worker.id,
+            reason=reason,
+            runs=len(runs),
+            unreachable_s=since(at, worker.failing_since_s) if worker.is_failing else None,
+            answered_s_ago=since(at, worker.clock_at_s) if worker.clock_ms else None,
+            owned_s=since(at, node.ownership.claimed_s),
+        )
     for task in runs:
         end_run(node, at, worker, task, LOST, listed_checkpoint(worker, task))
 
 
+def since(at: Moment, earlier_s: float) -> float:
+    """
+    Return the time that has passed since an earlier one, for log lines.
+
+    :param at: the time.
+    :param earlier_s: the earlier time.
+    :returns: seconds, to the millisecond.
+    """
+    return round(at.now_s - earlier_s, 3)
+
+
 def listed_checkpoint(worker: Worker, task: Task) -> str:
     """
     Return the newest checkpoint that a worker has listed for the current run of a task.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
@@ -208,21 +208,24 @@
 
 def _log_unconfirmed(node: Node, at: Moment, work: WaitingWork) -> None:
     """
-    Log the runs on workers that have not confirmed them for too long; their tasks can't start
-    again until the runs are known to have ended.
+    Log the runs that their workers have not confirmed for too long; their tasks can't start again
+    until the runs are known to have ended.
     """
     known, work.unconfirmed = work.unconfirmed, {}
     by_pool: dict[str, list[tuple[float, str, str]]] = defaultdict(list)
     for worker_id, runs in node.replicated.running.items():
         worker = node.workers.get(worker_id)
-        state = _members.UNLISTED if worker is None else _members.unconfirmed_state(worker)
-        if not state or not runs:
-            continue
-        since_s = work.unconfirmed[worker_id] = known.get(worker_id, at.now_s)
-        if at.now_s - since_s < MIN_WAIT_S:
-            continue
-        for key in runs:
-            by_pool[node.replicated.jobs[key.job].service].append((since_s, key.job, state))
+        worker_state = _members.UNLISTED if worker is None else _members.unconfirmed_state(worker)
+        for key, task in runs.items():
+            state = worker_state
+            if worker is not None and not state:
+                state = _members.unconfirmed_run_state(worker, task, at.now_s)
+            if not state:
+                continue
+            place = (worker_id, key, bool(worker_state))
+            since_s = work.unconfirmed[place] = known.get(place, at.now_s)
+            if at.now_s - since_s >= MIN_WAIT_S:
+                by_pool[node.replicated.jobs[key.job].service].append((since_s, key.job, state))
     for service, rows in by_pool.items():
         if not _is_line_due(work, at, "work.unconfirmed", service):
             continue
--- a/packages/eelgrassdrum-core/tests/test_jobs_waiting.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_waiting.py
@@ -239,3 +239,39 @@
     assert 2 <= len(lines) <= 3
     assert (lines[0]["pool"], lines[0]["job"]) == ("service", "job")
     assert lines[0]["runs"] == {"unreachable": 2, "unlisted": 2}
+
+
+# Guards against tasks that wait for an order without an outcome, unseen in the log.
+def test_runs_that_their_answering_worker_does_not_list_are_logged():
+    """
+    Runs whose worker answers and does not list them are logged with the state of their orders.
+    """
+    node = owner_of([worker_entry("w")])
+    hand_in(node, one_job(one_step(4)))
+    first, second = commit(node, HANDED_IN_S)
+    worker = node.workers["w"]
+    feed(node, HANDED_IN_S + 1, events.StartAnswered("w", first.key, 1, events.UNKNOWN, "", 0))
+    commit(node, HANDED_IN_S + 1)
+    worker.orders[second.key].barred_s = HANDED_IN_S + 1
+    lines = logged(run_ticks(node, HANDED_IN_S + 4), "work.unconfirmed")
+    assert 2 <= len(lines) <= 4
+    assert lines[-1]["runs"] == {
+        "order_unanswered": 1,
+        "order_barred": 1,
+        "order_sent": 1,
+        "order_not_sent": 1,
+    }
+
+
+def test_runs_on_a_worker_whose_lists_are_late_are_logged():
+    """
+    Runs that a worker has confirmed are logged again when its latest list is too old.
+    """
+    node = owner_of([worker_entry("w")])
+    hand_in(node, one_job(one_step(1)))
+    (order,) = commit(node, HANDED_IN_S)
+    feed(node, HANDED_IN_S, events.StartAnswered("w", order.key, 1, events.OK, "", 6000))
+    node.workers["w"].rows_s = HANDED_IN_S
+    assert logged(run_ticks(node, HANDED_IN_S + 4), "work.unconfirmed") == []
+    lines = logged(run_ticks(node, HANDED_IN_S + 8, HANDED_IN_S + 4), "work.unconfirmed")
+    assert lines[0]["runs"] == {"lists_late": 1}
