--- a/packages/eelgrassdrum-core/tests/test_jobs_orders.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_orders.py
@@ -10,6 +10,7 @@
     commit,
     feed,
     hand_in,
+    logged,
     one_step,
     owner_of,
     read_to_end,
@@ -281,3 +282,23 @@
     holds = of_type(produced, effects.Hold)
     assert len(holds) >= 3
     assert {hold.acked for hold in holds} == {0}
+
+
+# Guards against tasks that wait for an order that is never sent.
+def test_a_queued_order_ends_with_the_unanswered_ones_before_it():
+    """
+    An order that waits for two others of a worker that becomes unreachable ends as unsent once the
+    first of them has timed out.
+    """
+    node = owner_of([worker_entry("w")])
+    hand_in(node, [("job", "usual", (one_step(3),), 0.0)])
+    first, second = commit(node, START_S + 3)
+    (queued,) = node.workers["w"].outbox
+    feed(node, START_S + 3.8, events.HoldFailed("w", "timeout", OWNER_TOKEN))
+    produced = feed(
+        node, START_S + 3.9, events.StartAnswered("w", first.key, 1, events.UNKNOWN, "timeout", 0)
+    )
+    ends = [(line["task"], line["how"]) for line in logged(produced, "run.ended")]
+    assert ends == [(".".join(map(str, queued.key[1:])), "unsent")]
+    assert not node.workers["w"].outbox
+    assert second.key in node.replicated.running["w"]
