Keep in the log when the leases of unreachable workers end

What callers saw: accepted jobs that could run and did not (LOST).

Cause: since when a worker is unreachable, and that nobody renewed its lease, only the present owner knew. Each successor counted the longest lease from its own claim, so changes of owner added up, and a task counted as running on a worker that was long gone. The class: knowledge of an owner that is not in the log.

Change: an owner that has not reached a worker with runs for half a second, or doesn't find it in the registry, appends how long any lease of its incarnation still lasts. A successor that can't reach it either counts from that record. Such a worker gets no lease, by a hold or an order, before a record that lifts the bound is committed; a bound that was not sent yet is withdrawn instead.

Why it works: the bound is what the owner itself would have waited for, and its age is taken from clocks that never run ahead of real time, so a successor gives up no earlier than the owner would have.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -6,7 +6,16 @@
 from typing import Any
 
 from . import _records, _replicated_state
-from ._replicated_state import InstanceOrder, Job, ReplicatedState, Task, find_task, occurrence_of
+from ._replicated_state import (
+    InstanceOrder,
+    Job,
+    LeaseBound,
+    ReplicatedState,
+    Task,
+    find_task,
+    latest_write_s,
+    occurrence_of,
+)
 from .model import NO_RESOURCES, Resources, TaskKey
 
 
@@ -26,7 +35,8 @@
 
 def confirm(replicated: ReplicatedState, record: _records.Record) -> None:
     """
-    Update the committed states of jobs, which callers are told, from a committed record.
+    Update what only committed records change: the states of jobs that callers are told, and whether
+    a worker may get leases again.
 
     :param replicated: the replicated state, modified in place.
     :param record: the record, which is in the log.
@@ -39,6 +49,10 @@
         job = replicated.jobs.get(record.job)
         if job is not None and job.committed_state == _replicated_state.QUEUED:
             job.committed_state = _replicated_state.RUNNING
+    elif isinstance(record, _records.LeaseLifted):
+        bound = replicated.lease_bounds.get(record.worker)
+        if bound is not None and bound.lifted_ms == record.clock_ms:
+            del replicated.lease_bounds[record.worker]
 
 
 def _submitted(
@@ -80,6 +94,8 @@
         replicated.epoch = record.epoch
         replicated.owner = (record.instance, record.incarnation)
         replicated.owner_address = record.address
+        if not record.keeps_bounds:
+            replicated.lease_bounds.clear()
 
 
 def _released(
@@ -90,10 +106,41 @@
 
 def _owner_heartbeat(
     replicated: ReplicatedState, record: _records.OwnerHeartbeat, now_s: float, _wall_ms: int
+) -> None:
+    _advance_clock(replicated, record, now_s)
+
+
+def _lease_bounded(
+    replicated: ReplicatedState, record: _records.LeaseBounded, now_s: float, _wall_ms: int
+) -> None:
+    _advance_clock(replicated, record, now_s)
+    if record.worker in replicated.running:
+        replicated.lease_bounds[record.worker] = LeaseBound(
+            record.incarnation, record.left_ms / 1000, now_s, replicated.log_s
+        )
+
+
+def _lease_lifted(
+    replicated: ReplicatedState, record: _records.LeaseLifted, now_s: float, _wall_ms: int
+) -> None:
+    _advance_clock(replicated, record, now_s)
+    bound = replicated.lease_bounds.get(record.worker)
+    if bound is not None:
+        bound.lifted_ms = record.clock_ms
+
+
+def _advance_clock(
+    replicated: ReplicatedState,
+    record: _records.OwnerHeartbeat | _records.LeaseBounded | _records.LeaseLifted,
+    now_s: float,
 ) -> None:
     epoch, clock_ms = replicated.newest_heartbeat
     if epoch == record.epoch:
         replicated.log_s += max(0, record.clock_ms - clock_ms) / 1000
+    else:
+        # The time between the records of two owners isn't part of the log's time.
+        for bound in replicated.lease_bounds.values():
+            bound.seen_s = latest_write_s(replicated, bound)
     replicated.newest_heartbeat = (record.epoch, record.clock_ms)
     replicated.log_read_s = now_s
 
@@ -195,6 +242,7 @@
     if not runs:
         del replicated.running[task.worker]
         del replicated.load[task.worker]
+        replicated.lease_bounds.pop(task.worker, None)
 
 
 def _closed(
@@ -267,4 +315,6 @@
     _records.InstanceOrdered: _instance_ordered,
     _records.InstanceDone: _instance_done,
     _records.WaveClosed: _wave_closed,
+    _records.LeaseBounded: _lease_bounded,
+    _records.LeaseLifted: _lease_lifted,
 }
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -11,7 +11,7 @@
 from ._journal import emit_after_commit, is_stalled, write
 from ._node import Moment, Node, Worker, emit, log_line
 from ._records import InstanceDone, InstanceOrdered
-from ._replicated_state import InstanceOrder
+from ._replicated_state import InstanceOrder, latest_write_s
 from .model import InstanceRow
 
 MAINTENANCE = "maintenance"
@@ -365,16 +365,12 @@
     """
     Return the least time that has passed since an order was given, independent of wall clocks.
 
-    An instance that has just started reads old and recent orders at the same moment. The time that
-    the log itself records therefore counts if it is longer than the time since the order was read.
-
     :param node: the instance.
     :param at: the time.
     :param order: the order.
     :returns: age in seconds.
     """
-    log_age_s = node.replicated.log_s - order.log_s + at.now_s - node.replicated.log_read_s
-    return max(at.now_s - order.seen_s, log_age_s)
+    return at.now_s - latest_write_s(node.replicated, order)
 
 
 def _order_instance(node: Node, at: Moment, instance: str, reason: str) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
@@ -6,8 +6,13 @@
 
 from . import _journal, _ownership
 from ._node import Moment, Node, Worker, log_line
-from ._records import Ended
-from ._runs import LOST, mark_all_lost, runs_on, since
+from ._records import Ended, LeaseBounded, LeaseLifted
+from ._replicated_state import latest_write_s
+from ._runs import LOST, bounded_s, mark_all_lost, runs_on, since
+
+# Time for which a worker is unreachable, or unlisted after a claim, before the log says when its
+# leases are over; most workers that miss one answer are reached again before.
+BOUND_DELAY_S = 0.5
 
 
 def clock_ms(worker: Worker, at_s: float) -> int:
@@ -24,23 +29,33 @@
 
 def expire_leases(node: Node, at: Moment) -> None:
     """
-    Record the runs on unreachable workers as lost once their leases have certainly expired.
+    Record the runs on unreachable workers as lost once their leases have certainly expired, and
+    until then when that will be.
 
     :param node: the instance, which owns the log.
     :param at: the current time.
     """
-    for worker_id in list(node.replicated.running):
+    for worker_id, runs in list(node.replicated.running.items()):
         worker = node.workers.get(worker_id)
         if worker is None:
             if node.registry.last_success_s < node.ownership.claimed_s:
                 continue
-            if at.now_s > _ownership.former_leases_end_s(node):
+            incarnation = max(task.worker_incarnation for task in runs.values())
+            over_s = _former_leases_end_s(node, worker_id, incarnation)
+            if at.now_s > over_s:
                 _lose_unlisted(node, at, worker_id)
+            else:
+                since_s = node.ownership.claimed_s
+                _bound_lease(node, at, worker_id, incarnation, over_s, since_s)
             continue
         if worker.is_held and not worker.is_failing:
             continue
-        if at.now_s > lease_over_s(node, worker):
+        over_s = lease_over_s(node, worker)
+        if at.now_s > over_s:
             mark_all_lost(node, at, worker, "lease_expired")
+        elif worker.is_failing:
+            since_s = worker.failing_since_s
+            _bound_lease(node, at, worker_id, worker.entry.incarnation, over_s, since_s)
 
 
 def lease_over_s(node: Node, worker: Worker) -> float:
@@ -54,7 +69,80 @@
     left_s = max(0, worker.granted_ms - worker.clock_ms) / 1000
     slowest_s = left_s * (1 + _ownership.CLOCK_DRIFT) + _ownership.LEASE_MARGIN_S
     own_s = worker.clock_at_s + slowest_s
-    return max(own_s, worker.other_leases_until_s, _ownership.former_leases_end_s(node))
+    former_s = _former_leases_end_s(node, worker.id, worker.entry.incarnation)
+    return max(own_s, worker.other_leases_until_s, former_s)
+
+
+def _former_leases_end_s(node: Node, worker_id: str, incarnation: int) -> float:
+    """
+    Return the time at which all leases that former owners granted to a worker have expired.
+
+    A bound in the log doesn't apply to a later incarnation: delayed orders may have reached it.
+    """
+    end_s = _ownership.former_leases_end_s(node)
+    bound = node.replicated.lease_bounds.get(worker_id)
+    if bound is None or bound.lifted_ms or bound.incarnation < incarnation:
+        return end_s
+    return min(end_s, latest_write_s(node.replicated, bound) + bound.left_s)
+
+
+def _bound_lease(
+    node: Node, at: Moment, worker_id: str, incarnation: int, over_s: float, since_s: float
+) -> None:
+    """
+    Record when the leases of a worker are over if it has been away for long enough, unless the log
+    says so already.
+    """
+    left_s = over_s - at.now_s
+    if at.now_s - since_s < BOUND_DELAY_S or not math.isfinite(left_s):
+        return
+    bound = node.replicated.lease_bounds.get(worker_id)
+    if bound is not None and not bound.lifted_ms and bound.incarnation >= incarnation:
+        return
+    left_ms, clock_ms = math.ceil(left_s * 1000), round(at.now_s * 1000)
+    record = LeaseBounded(node.ownership.epoch, worker_id, incarnation, left_ms, clock_ms)
+    batch = node.journal.next
+    unsent = batch.bounds.pop(worker_id, None)
+    if unsent is not None:
+        batch.records.remove(unsent)
+    if bound is None or unsent is not None:
+        batch.bounds[worker_id] = record
+    _journal.write(node, at, record)
+    log_line(node, "worker.lease_bounded", worker=worker_id, left_s=round(left_s, 3))
+
+
+def may_grant(node: Node, worker: Worker) -> bool:
+    """
+    Return whether a worker may get leases: no bound on them is in force by the committed log.
+
+    :param node: the instance, which owns the log.
+    :param worker: the worker.
+    :returns: whether a hold or an order may carry a lease.
+    """
+    return worker.id not in node.replicated.lease_bounds
+
+
+def lift_bound(node: Node, at: Moment, worker: Worker) -> None:
+    """
+    Record that a worker answers again, if its leases are bounded, or withdraw the bound if it was
+    not sent to the log.
+
+    :param node: the instance, which owns the log.
+    :param at: the current time.
+    :param worker: the worker, which has accepted this owner's newest fencing token.
+    """
+    bound = node.replicated.lease_bounds.get(worker.id)
+    if bound is None or bound.lifted_ms:
+        return
+    log_line(node, "worker.lease_lifted", worker=worker.id)
+    batch = node.journal.next
+    unsent = batch.bounds.pop(worker.id, None)
+    if unsent is not None:
+        batch.records.remove(unsent)
+        del node.replicated.lease_bounds[worker.id]
+        return
+    record = LeaseLifted(node.ownership.epoch, worker.id, round(at.now_s * 1000))
+    _journal.write(node, at, record)
 
 
 def extend_other_leases(node: Node, at: Moment, worker: Worker) -> None:
@@ -81,6 +169,7 @@
         worker=worker_id,
         reason="not_listed",
         runs=len(runs),
+        bounded_s=bounded_s(node, at, worker_id),
         owned_s=since(at, node.ownership.claimed_s),
     )
     for task in runs:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from . import effects
-from ._records import Record
+from ._records import LeaseBounded, Record
 from ._replicated_state import ReplicatedState
 from .model import Bounds, Config, InstanceRow, Resources, RunRow, TaskKey, Wave, WorkerEntry
 
@@ -72,12 +72,14 @@
 
     :param callers: callers' records, appended after the others.
     :param acks: by worker, its incarnation and the number of its latest recorded end of a run.
+    :param bounds: records that bound the leases of workers which had no bound before, by worker.
     """
 
     records: list[Record] = []
     callers: list[CallerRecords] = []
     effects: list[Any] = []
     acks: dict[str, tuple[int, int]] = {}
+    bounds: dict[str, LeaseBounded] = {}
 
 
 class Journal(msgspec.Struct, eq=False):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -79,9 +79,9 @@
     """
     Send an order whose record is committed, if it is still valid.
 
-    The run ends as unsent if the job is closed, the worker no longer takes tasks or the replicated
-    state has become too old to tell. The order is queued while the worker has the maximum of
-    unanswered orders.
+    The run ends as unsent if the job is closed, the worker no longer takes tasks or may get no
+    lease yet, or the replicated state has become too old to tell. The order is queued while the
+    worker has the maximum of unanswered orders.
 
     :param node: the instance.
     :param at: the time.
@@ -95,6 +95,7 @@
     job = node.replicated.jobs[effect.key.job]
     is_open = not job.cancelled and job.state not in _replicated_state.FINAL_STATES
     may_start = is_open and _freshness.may_order(node, at)
+    may_start = may_start and _leases.may_grant(node, worker)
     if not may_start or not worker.is_held or worker.is_failing or worker.entry.is_draining:
         end_run(node, at, worker, task, UNSENT)
         return
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -83,7 +83,7 @@
         ownership.claimed_epoch = epoch
         ownership.claim_since_s = at.now_s
     identity = node.identity
-    record = Claimed(epoch, identity.instance, identity.incarnation, identity.address)
+    record = Claimed(epoch, identity.instance, identity.incarnation, identity.address, True)
     log_line(
         node,
         "owner.claiming",
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
@@ -48,12 +48,14 @@
 
     :param incarnation: Unix time in milliseconds at which the instance started.
     :param address: address at which it accepts callers' records from other instances, or empty.
+    :param keeps_bounds: whether it lifts the bound on a worker's leases before it grants one.
     """
 
     epoch: int
     instance: str
     incarnation: int
     address: str = ""
+    keeps_bounds: bool = False
 
 
 class Released(_Record, frozen=True, tag="l"):
@@ -156,6 +158,34 @@
     wave: int
 
 
+class LeaseBounded(_Record, frozen=True, tag="k"):
+    """
+    The owner can't reach a worker: no lease of its incarnation, nor of an earlier one, lasts longer
+    than the given time, and none is granted until the bound is lifted.
+
+    :param left_ms: longest time that a lease may still last, by any instance's clock.
+    :param clock_ms: the owner's monotonic clock; only differences are meaningful.
+    """
+
+    epoch: int
+    worker: str
+    incarnation: int
+    left_ms: int
+    clock_ms: int
+
+
+class LeaseLifted(_Record, frozen=True, tag="u"):
+    """
+    The owner has reached a worker again and may grant it leases.
+
+    :param clock_ms: the owner's monotonic clock.
+    """
+
+    epoch: int
+    worker: str
+    clock_ms: int
+
+
 Record = (
     Submitted
     | Cancelled
@@ -168,6 +198,8 @@
     | InstanceOrdered
     | InstanceDone
     | WaveClosed
+    | LeaseBounded
+    | LeaseLifted
 )
 OwnerRecord = (
     Released
@@ -178,6 +210,8 @@
     | InstanceOrdered
     | InstanceDone
     | WaveClosed
+    | LeaseBounded
+    | LeaseLifted
 )
 OWNER_RECORDS = (
     Released,
@@ -188,6 +222,8 @@
     InstanceOrdered,
     InstanceDone,
     WaveClosed,
+    LeaseBounded,
+    LeaseLifted,
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -32,6 +32,7 @@
     events,
 )
 from ._node import Moment, Node
+from ._records import LeaseLifted
 
 # Interval at which jobs that ended long ago are dropped.
 PRUNE_INTERVAL_S = 5.0
@@ -118,7 +119,8 @@
         _ownership.step_down(node, at, "append_refused", outcome=event.outcome)
         return
     if node.journal.in_flight is None and in_flight is not None:
-        _workers.hold_acknowledged(node, at, list(in_flight.acks))
+        lifted = [item.worker for item in in_flight.records if isinstance(item, LeaseLifted)]
+        _workers.hold_acknowledged(node, at, [*in_flight.acks, *lifted])
         if event.outcome == events.OK:
             _ownership.note_commit(node, at)
             _tail.fold_callers_records(node, at, callers)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
@@ -102,6 +102,24 @@
     log_s: float = 0.0
 
 
+class LeaseBound(msgspec.Struct, eq=False):
+    """
+    The bound on the leases of a worker that an owner could not reach.
+
+    :param incarnation: latest incarnation of the worker that it applies to.
+    :param left_s: longest time that a lease lasted when the bound was written.
+    :param seen_s: latest time at which the bound may have been written, by this instance's clock.
+    :param log_s: `ReplicatedState.log_s` when the bound was written.
+    :param lifted_ms: clock of the owner's record that lifts it, while that is not committed, or 0.
+    """
+
+    incarnation: int
+    left_s: float
+    seen_s: float = 0.0
+    log_s: float = 0.0
+    lifted_ms: int = 0
+
+
 class ReplicatedState(msgspec.Struct, eq=False):
     """
     The state that results from applying every record of the job log in order.
@@ -118,10 +136,12 @@
     :param orders: latest order for each instance.
     :param maintained: instances whose maintenance has begun, by wave.
     :param pending: number of queued jobs without a schedule, by queue.
-    :param log_s: elapsed time by the log: the sum of the intervals between heartbeats of the same
-        owner. It doesn't depend on wall clocks and never runs ahead of real time.
-    :param log_read_s: when the latest heartbeat was read, by this instance's clock.
-    :param newest_heartbeat: epoch and owner's clock in milliseconds of the latest heartbeat.
+    :param log_s: elapsed time by the log: the sum of the intervals between records of the same
+        owner that carry its clock, such as heartbeats. It doesn't depend on wall clocks and never
+        runs ahead of real time.
+    :param log_read_s: when the latest of these records was read, by this instance's clock.
+    :param newest_heartbeat: epoch and owner's clock in milliseconds of the latest of them.
+    :param lease_bounds: bounds on leases, by worker with runs; such a worker gets no lease.
     """
 
     offset: int = 0
@@ -141,6 +161,21 @@
     log_s: float = 0.0
     log_read_s: float = 0.0
     newest_heartbeat: tuple[int, int] = (0, 0)
+    lease_bounds: dict[str, LeaseBound] = {}
+
+
+def latest_write_s(replicated: ReplicatedState, item: InstanceOrder | LeaseBound) -> float:
+    """
+    Return the latest time at which a record may have been written, independent of wall clocks.
+
+    An instance that has just started reads old and recent records at the same moment. The time that
+    the log itself records therefore counts if it is longer than the time since the record was read.
+
+    :param replicated: the replicated state.
+    :param item: what the record said.
+    :returns: time by this instance's clock, in seconds.
+    """
+    return min(item.seen_s, replicated.log_read_s - (replicated.log_s - item.log_s))
 
 
 def occurrence_of(job: Job, number: int) -> list[StepState]:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -261,6 +261,7 @@
             runs=len(runs),
             unreachable_s=since(at, worker.failing_since_s) if worker.is_failing else None,
             answered_s_ago=since(at, worker.clock_at_s) if worker.clock_ms else None,
+            bounded_s=bounded_s(node, at, worker.id),
             owned_s=since(at, node.ownership.claimed_s),
         )
     for task in runs:
@@ -278,6 +279,21 @@
     return round(at.now_s - earlier_s, 3)
 
 
+def bounded_s(node: Node, at: Moment, worker_id: str) -> float | None:
+    """
+    Return for how long the log has bounded the leases of a worker, for log lines.
+
+    :param node: the instance.
+    :param at: the time.
+    :param worker_id: the worker.
+    :returns: seconds, to the millisecond, or ``None`` if they are not bounded.
+    """
+    bound = node.replicated.lease_bounds.get(worker_id)
+    if bound is None:
+        return None
+    return since(at, _replicated_state.latest_write_s(node.replicated, bound))
+
+
 def listed_checkpoint(worker: Worker, task: Task) -> str:
     """
     Return the newest checkpoint that a worker has listed for the current run of a task.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -11,7 +11,7 @@
 
 from . import _fold, _journal, _replicated_state, effects, events
 from ._node import Moment, Node, emit, log_line
-from ._replicated_state import InstanceOrder, Job, ReplicatedState
+from ._replicated_state import InstanceOrder, Job, LeaseBound, ReplicatedState
 from .model import JobSpec
 
 # Number of new records after which a snapshot is due. They amount to about 1.5 MB, which takes
@@ -58,6 +58,7 @@
     closed_waves: list[int]
     log_s: float
     newest_heartbeat: tuple[int, int]
+    lease_bounds: dict[str, LeaseBound] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -85,6 +86,7 @@
         sorted(replicated.closed_waves),
         replicated.log_s,
         replicated.newest_heartbeat,
+        replicated.lease_bounds,
     )
     return zlib.compress(_encoder.encode(snapshot), 1)
 
@@ -117,6 +119,10 @@
         log_s=snapshot.log_s,
         log_read_s=now_s,
         newest_heartbeat=snapshot.newest_heartbeat,
+        lease_bounds={
+            worker: msgspec.structs.replace(bound, seen_s=now_s)
+            for worker, bound in snapshot.lease_bounds.items()
+        },
     )
     for row in snapshot.jobs:
         _restore_job(replicated, row, now_s, wall_ms)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -102,7 +102,8 @@
     wait_s = 0.0
     # A hold to an unreachable worker extends no lease, since nobody could tell when that lease
     # ends.
-    if worker.is_held and has_runs and not worker.is_failing:
+    is_reachable = worker.is_held and not worker.is_failing
+    if is_reachable and has_runs and _leases.may_grant(node, worker):
         end_s = _ownership.lease_end_s(node, node.bounds)
         lease_ms = _leases.clock_ms(worker, min(end_s, at.now_s + node.bounds.max_lease_s))
         worker.granted_ms = max(worker.granted_ms, lease_ms)
@@ -244,6 +245,7 @@
     worker.rows = {row.key: row for row in event.runs}
     worker.rows_s = event.sent_s
     _reconcile(node, at, worker, event)
+    _leases.lift_bound(node, at, worker)
     _schedule_hold(node, at, worker)
     if is_regained:
         # The failures of earlier holds are ignored, so another one has to show a loss.
@@ -263,8 +265,9 @@
 
 
 def _schedule_hold(node: Node, at: Moment, worker: Worker) -> None:
-    if worker.handled != worker.acked:
-        # The exits have to be committed first; the commit brings the next hold forward.
+    if worker.handled != worker.acked or not _leases.may_grant(node, worker):
+        # The exits, or the end of the bound on leases, have to be committed first; the commit
+        # brings the next hold forward.
         worker.next_hold_s = at.now_s + STALLED_HOLD_INTERVAL_S
     elif runs_on(node, worker.id):
         worker.next_hold_s = at.now_s
@@ -278,7 +281,8 @@
 
 def hold_acknowledged(node: Node, at: Moment, workers: list[str]) -> None:
     """
-    Schedule an immediate hold of the workers whose exits have been committed to the log.
+    Schedule an immediate hold of the workers whose exits, or the end of the bound on whose leases,
+    have been committed to the log.
 
     :param node: the instance.
     :param at: the time.
--- a/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
@@ -5,10 +5,18 @@
 from typing import NamedTuple
 
 from eelgrassdrum_core.jobs import Identity, Node, effects, events, model, new_node
+from eelgrassdrum_core.jobs import _fold as fold
 from eelgrassdrum_core.jobs import _snapshot as snapshot
 from eelgrassdrum_core.jobs._leases import lease_over_s
 from eelgrassdrum_core.jobs._ownership import CLOCK_DRIFT, LEASE_MARGIN_S
-from eelgrassdrum_core.jobs._records import Submitted, encode_records
+from eelgrassdrum_core.jobs._records import (
+    Claimed,
+    LeaseBounded,
+    LeaseLifted,
+    Submitted,
+    decode_record,
+    encode_records,
+)
 from eelgrassdrum_core.jobs._runs import fencing_token
 from eelgrassdrum_testing.jobs.owner import (
     BOUNDS,
@@ -257,3 +265,181 @@
     time_out(successor, claimed_s + 0.5)
     given_up_s = lost_s(pass_time(fleet, successor, claimed_s + 0.5, claimed_s + 12))
     assert over_s <= given_up_s <= over_s + LATE_S, (over_s, given_up_s)
+
+
+def lease_holds(produced):
+    """
+    Return the holds among effects that renew a lease.
+    """
+    return [item for item in produced if isinstance(item, effects.Hold) and item.lease_ms]
+
+
+def records_of(fleet, kind):
+    """
+    Return the records of a type in the log.
+    """
+    return [item for item in map(decode_record, fleet.log) if isinstance(item, kind)]
+
+
+# Guards against a second run beside one whose lease the log says is over.
+def test_a_regained_worker_gets_no_lease_until_its_bound_is_lifted(fleet):
+    """
+    A worker that answers again gets a lease once the end of its bound is committed, and then at
+    once.
+    """
+    owner = fleet.nodes[0]
+    fail(fleet)
+    pass_time(fleet, owner, FAILED_S, FAILED_S + 1)
+    row = model.RunRow(TASK, 1, "", 10, 0.0)
+    produced = answer(owner, FAILED_S + 1.05, (row,))
+    produced += answer(owner, FAILED_S + 1.1, (row,))
+    produced += feed(owner, FAILED_S + 2.2, events.Ticked())
+    produced += answer(owner, FAILED_S + 2.25, (row,))
+    assert lease_holds(produced) == []
+    assert len(lease_holds(commit(fleet, owner, FAILED_S + 2.3))) == 1
+    assert len(records_of(fleet, LeaseBounded)) == len(records_of(fleet, LeaseLifted)) == 1
+
+
+# Guards against the same by an order that was queued while the worker was reachable.
+def test_a_queued_order_is_not_sent_before_the_bound_is_lifted(fleet):
+    """
+    The runs of orders that were queued before their worker failed end as unsent.
+    """
+    owner = fleet.nodes[0]
+    steps = model.JobSpec("x", (one_step(3),))
+    now_s = START_S + 3
+    fleet.log.extend(encode_records([Submitted("more", "usual", "service", "a", steps, WALL_MS)]))
+    read(fleet, owner, now_s)
+    produced = commit(fleet, owner, now_s)
+    sent = [item for item in produced if isinstance(item, effects.StartTask)]
+    assert len(sent) == 2 and len(owner.workers["w"].outbox) == 1
+    time_out(owner, now_s + 1)
+    pass_time(fleet, owner, now_s + 1, now_s + 1.6)
+    answer(owner, now_s + 1.7, (model.RunRow(TASK, 1, "", 10, 0.0),))
+    failed = events.StartAnswered("w", sent[0].key, 1, events.UNKNOWN, "", 0)
+    produced = feed(owner, now_s + 1.8, failed)
+    assert not [item for item in produced if isinstance(item, effects.StartTask)]
+    assert [line["how"] for line in logged(produced, "run.ended")] == ["unsent"]
+
+
+# Guards against a second run beside one whose lease a former owner has renewed after all.
+def test_a_lifted_bound_does_not_count(fleet):
+    """
+    A successor waits for the longest lease if the former owner had reached the worker again.
+    """
+    owner = fleet.nodes[0]
+    successor = join(fleet, "second", START_S + 10)
+    fail(fleet)
+    pass_time(fleet, owner, FAILED_S, FAILED_S + 1)
+    answer(owner, FAILED_S + 1.05, (model.RunRow(TASK, 1, "", 10, 0.0),))
+    pass_time(fleet, owner, FAILED_S + 1.05, FAILED_S + 1.25)
+    end(fleet, owner)
+    claimed_s = claim(fleet, successor, FAILED_S + 1.3)
+    time_out(successor, claimed_s + 0.5)
+    given_up_s = lost_s(pass_time(fleet, successor, claimed_s + 0.5, claimed_s + 12))
+    assert claimed_s + LONGEST_S <= given_up_s <= claimed_s + LONGEST_S + LATE_S
+
+
+# Guards against the same if delayed orders may have reached the worker's next incarnation.
+def test_a_bound_does_not_count_for_a_later_incarnation(fleet):
+    """
+    A successor waits for the longest lease if the worker has restarted since.
+    """
+    owner = fleet.nodes[0]
+    successor = join(fleet, "second", START_S + 10)
+    fail(fleet)
+    pass_time(fleet, owner, FAILED_S, FAILED_S + 1)
+    end(fleet, owner)
+    claimed_s = claim(fleet, successor, FAILED_S + 1, incarnation=8)
+    time_out(successor, claimed_s + 0.5)
+    given_up_s = lost_s(pass_time(fleet, successor, claimed_s + 0.5, claimed_s + 12))
+    assert claimed_s + LONGEST_S <= given_up_s <= claimed_s + LONGEST_S + LATE_S
+
+
+# Guards against the same if an owner of a former version renews leases in spite of a bound.
+def test_an_owner_that_does_not_keep_bounds_ends_them(fleet):
+    """
+    No bound counts after the claim of an owner that doesn't lift bounds before it grants leases.
+    """
+    owner = fleet.nodes[0]
+    successor = join(fleet, "second", START_S + 10)
+    fail(fleet)
+    pass_time(fleet, owner, FAILED_S, FAILED_S + 1)
+    assert successor.replicated.lease_bounds
+    end(fleet, owner)
+    fleet.log.extend(encode_records([Claimed(2, "old", WALL_MS)]))
+    claimed_s = claim(fleet, successor, FAILED_S + 1)
+    time_out(successor, claimed_s + 0.5)
+    given_up_s = lost_s(pass_time(fleet, successor, claimed_s + 0.5, claimed_s + 12))
+    assert claimed_s + LONGEST_S <= given_up_s <= claimed_s + LONGEST_S + LATE_S
+
+
+# Guards against the same if the owner could append only a part of what it knew.
+def test_a_late_commit_does_not_lift_a_newer_bound(fleet):
+    """
+    Reading back the record that lifted a former bound doesn't allow leases under a newer one.
+    """
+    replicated = fleet.nodes[0].replicated
+    lifted = LeaseLifted(1, "w", 2000)
+    for record in (
+        LeaseBounded(1, "w", 7, 9000, 1000),
+        lifted,
+        LeaseBounded(1, "w", 7, 9000, 3000),
+    ):
+        fold.apply(replicated, record, START_S, WALL_MS)
+    fold.confirm(replicated, lifted)
+    fold.apply(replicated, LeaseLifted(1, "w", 4000), START_S, WALL_MS)
+    fold.confirm(replicated, lifted)
+    assert "w" in replicated.lease_bounds
+    fold.confirm(replicated, LeaseLifted(1, "w", 4000))
+    assert "w" not in replicated.lease_bounds
+
+
+# Guards against leases that run out while the store doesn't answer, and against needless records.
+def test_a_bound_that_was_not_sent_is_withdrawn(fleet):
+    """
+    While no append is answered, a worker that fails, restarts and answers again adds no record.
+    """
+    owner = fleet.nodes[0]
+    fail(fleet)
+    pass_time(fleet, owner, FAILED_S, FAILED_S + 0.8)
+    row = model.RunRow(TASK, 1, "", 10, 0.0)
+    answer(owner, FAILED_S + 0.9, (row,))
+    pass_time(fleet, owner, FAILED_S + 0.9, FAILED_S + 1.6)
+    counts = [len(records_of(fleet, kind)) for kind in (LeaseBounded, LeaseLifted)]
+    feed(owner, FAILED_S + 1.9, events.Ticked())
+    time_out(owner, FAILED_S + 2)
+    feed(owner, FAILED_S + 2.6, events.Ticked())
+    assert owner.journal.next.bounds
+    answer(owner, FAILED_S + 2.7, (row,), incarnation=8)
+    feed(owner, FAILED_S + 2.8, events.Ticked())
+    assert len(owner.journal.next.bounds) == 1
+    produced = answer(owner, FAILED_S + 2.9, (row,), incarnation=8, clock_ms=400)
+    assert len(lease_holds(produced)) == 1
+    pass_time(fleet, owner, FAILED_S + 2.9, FAILED_S + 3.4)
+    assert [len(records_of(fleet, kind)) for kind in (LeaseBounded, LeaseLifted)] == counts
+    assert not owner.replicated.lease_bounds
+
+
+def test_a_worker_that_misses_one_answer_adds_no_record(fleet):
+    """
+    The log doesn't mention a worker that is reached again at once.
+    """
+    owner = fleet.nodes[0]
+    fail(fleet)
+    pass_time(fleet, owner, FAILED_S, FAILED_S + 0.4)
+    answer(owner, FAILED_S + 0.45, (model.RunRow(TASK, 1, "", 10, 0.0),))
+    pass_time(fleet, owner, FAILED_S + 0.5, FAILED_S + 1)
+    assert records_of(fleet, LeaseBounded) == []
+
+
+def test_bounds_of_workers_without_runs_are_forgotten(fleet):
+    """
+    Once the runs of a worker have ended, its leases have no bound.
+    """
+    owner = fleet.nodes[0]
+    fail(fleet)
+    pass_time(fleet, owner, FAILED_S, FAILED_S + 1)
+    assert "w" in owner.replicated.lease_bounds
+    assert lost_s(pass_time(fleet, owner, FAILED_S + 1, FAILED_S + 12))
+    assert owner.replicated.lease_bounds == {}
--- a/packages/eelgrassdrum-core/tests/test_jobs_records.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_records.py
@@ -2,6 +2,9 @@
 Records of the job log, and snapshots of the replicated state that they result in.
 """
 
+import zlib
+
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -69,6 +72,20 @@
         st.just("pool"),
         st.just(WALL_MS),
     ),
+    st.builds(
+        records.LeaseBounded,
+        st.integers(1, 3),
+        st.sampled_from(["w1", "w2"]),
+        st.integers(1, 2),
+        st.integers(1, 10_000),
+        st.integers(1, 10_000),
+    ),
+    st.builds(
+        records.LeaseLifted,
+        st.integers(1, 3),
+        st.sampled_from(["w1", "w2"]),
+        st.integers(1, 10_000),
+    ),
 )
 
 
@@ -198,3 +215,16 @@
         fold.apply(state, record, 0.0, WALL_MS)
     (step,) = state.jobs["j1"].occurrences[0]
     assert step.waiting == 1
+
+
+# Guards against an update after which instances can't read what former versions have stored.
+def test_a_snapshot_and_a_claim_of_former_versions_can_be_read():
+    """
+    A snapshot without bounds on leases, and a claim without their announcement, are read.
+    """
+    replicated = apply_all([records.Claimed(2, "entry", 1)])
+    fields = msgspec.msgpack.decode(zlib.decompress(snapshot.encode(replicated, 10.0, WALL_MS)))
+    restored = snapshot.decode(zlib.compress(msgspec.msgpack.encode(fields[:-1])), 10.0, WALL_MS)
+    assert restored.epoch == 2 and restored.lease_bounds == {}
+    claim = msgspec.msgpack.encode(["o", 3, "entry", 1, ""])
+    assert records.decode_record(claim) == records.Claimed(3, "entry", 1)
