--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -93,7 +93,7 @@
         ownership.claim_since_s = at.now_s
     identity = node.identity
     record = Claimed(
-        epoch, identity.instance, identity.incarnation, identity.address, identity.weakness
+        epoch, identity.instance, identity.incarnation, identity.address, identity.weakness, True
     )
     log_line(
         node,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -253,11 +253,47 @@
     """
     runs = list(runs_on(node, worker.id).values())
     if runs:
-        log_line(node, "worker.runs_lost", worker=worker.id, reason=reason, runs=len(runs))
+        log_line(
+            node,
+            "worker.runs_lost",
+            worker=worker.id,
+            reason=reason,
+            runs=len(runs),
+            unreachable_s=since(at, worker.failing_since_s) if worker.is_failing else None,
+            answered_s_ago=since(at, worker.clock_at_s) if worker.clock_ms else None,
+            bounded_s=bounded_s(node, at, worker.id),
+            owned_s=since(at, node.ownership.claimed_s),
+        )
     for task in runs:
         end_run(node, at, worker, task, LOST, listed_checkpoint(worker, task))
 
 
+def since(at: Moment, earlier_s: float) -> float:
+    """
+    Return the time that has passed since an earlier one, for log lines.
+
+    :param at: the time.
+    :param earlier_s: the earlier time.
+    :returns: seconds, to the millisecond.
+    """
+    return round(at.now_s - earlier_s, 3)
+
+
+def bounded_s(node: Node, at: Moment, worker_id: str) -> float | None:
+    """
+    Return for how long the log has bounded the leases of a worker, for log lines.
+
+    :param node: the instance.
+    :param at: the time.
+    :param worker_id: the worker.
+    :returns: seconds, to the millisecond, or ``None`` if they are not bounded.
+    """
+    bound = node.replicated.lease_bounds.get(worker_id)
+    if bound is None:
+        return None
+    return since(at, _replicated_state.latest_write_s(node.replicated, bound))
+
+
 def listed_checkpoint(worker: Worker, task: Task) -> str:
     """
     Return the newest checkpoint that a worker has listed for the current run of a task.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -11,7 +11,7 @@
 
 from . import _fold, _journal, _replicated_state, effects, events
 from ._node import Moment, Node, emit, log_line
-from ._replicated_state import InstanceOrder, Job, ReplicatedState
+from ._replicated_state import InstanceOrder, Job, LeaseBound, ReplicatedState
 from .model import JobSpec
 
 # Number of new records after which a snapshot is due. They amount to about 1.5 MB, which takes
@@ -60,6 +60,7 @@
     newest_heartbeat: tuple[int, int]
     owner_weakness: float | None = None
     least_weakness: float | None = None
+    lease_bounds: dict[str, LeaseBound] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -89,6 +90,7 @@
         replicated.newest_heartbeat,
         replicated.owner_weakness,
         replicated.least_weakness,
+        replicated.lease_bounds,
     )
     return zlib.compress(_encoder.encode(snapshot), 1)
 
@@ -123,6 +125,10 @@
         newest_heartbeat=snapshot.newest_heartbeat,
         owner_weakness=snapshot.owner_weakness,
         least_weakness=snapshot.least_weakness,
+        lease_bounds={
+            worker: msgspec.structs.replace(bound, seen_s=now_s)
+            for worker, bound in snapshot.lease_bounds.items()
+        },
     )
     for row in snapshot.jobs:
         _restore_job(replicated, row, now_s, wall_ms)
--- a/packages/eelgrassdrum-core/tests/test_jobs_records.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_records.py
@@ -72,6 +72,20 @@
         st.just("pool"),
         st.just(WALL_MS),
     ),
+    st.builds(
+        records.LeaseBounded,
+        st.integers(1, 3),
+        st.sampled_from(["w1", "w2"]),
+        st.integers(1, 2),
+        st.integers(1, 10_000),
+        st.integers(1, 10_000),
+    ),
+    st.builds(
+        records.LeaseLifted,
+        st.integers(1, 3),
+        st.sampled_from(["w1", "w2"]),
+        st.integers(1, 10_000),
+    ),
 )
 
 
@@ -212,7 +226,7 @@
     assert records.decode_record(former) == records.Claimed(1, "entry", 5, "address")
     replicated = apply_all([records.Claimed(1, "entry", 5, "address", 0.5)])
     rows = msgspec.msgpack.decode(zlib.decompress(snapshot.encode(replicated, 10.0, WALL_MS)))
-    data = zlib.compress(msgspec.msgpack.encode(rows[:-2]))
+    data = zlib.compress(msgspec.msgpack.encode(rows[:-3]))
     restored = snapshot.decode(data, 10.0, WALL_MS)
     assert restored.owner == ("entry", 5)
     assert (restored.owner_weakness, restored.least_weakness) == (None, None)
@@ -232,3 +246,16 @@
     data = snapshot.encode(replicated, 10.0, WALL_MS)
     for state in (replicated, snapshot.decode(data, 10.0, WALL_MS)):
         assert (state.owner_weakness, state.least_weakness) == (0.5, 0.25)
+
+
+# Guards against an update after which instances can't read what former versions have stored.
+def test_a_snapshot_and_a_claim_of_former_versions_can_be_read():
+    """
+    A snapshot without bounds on leases, and a claim without their announcement, are read.
+    """
+    replicated = apply_all([records.Claimed(2, "entry", 1)])
+    fields = msgspec.msgpack.decode(zlib.decompress(snapshot.encode(replicated, 10.0, WALL_MS)))
+    restored = snapshot.decode(zlib.compress(msgspec.msgpack.encode(fields[:-1])), 10.0, WALL_MS)
+    assert restored.epoch == 2 and restored.lease_bounds == {}
+    claim = msgspec.msgpack.encode(["o", 3, "entry", 1, ""])
+    assert records.decode_record(claim) == records.Claimed(3, "entry", 1)
