--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -60,6 +60,9 @@
     (639, (*LOSSY, "cancel_some", "cut_owner_from_workers", "cancel_some")): "the same",
     (644, (*LOSSY, "kill_owner", "cut_owner_from_workers")): "the same",
 }
+# Schedules that held until holds were sent at other moments. An order that is held up starts a task
+# in its worker's next incarnation there.
+LATE_ORDER_SEEDS = (11, 14)
 PROMPT_CANCELS = ("cancel_promptly",) * 3
 # Beside prompt cancellations of jobs whose tasks last.
 CANCELLING_FAULTS = (
@@ -125,6 +128,17 @@
         assert result.violations == (), (seed, cause, result.violations[:3])
 
 
+# Guards against a task that starts again after its end, since its order reached its worker's next
+# incarnation.
+def test_schedules_of_reborn_workers_that_once_held_hold():
+    """
+    The schedules of workers that restart behind a cut that held once show no fault.
+    """
+    for seed in LATE_ORDER_SEEDS:
+        result = run_schedule(seed, REBORN_WORKERS)
+        assert result.violations == (), (seed, result.violations[:3])
+
+
 # Guards against a second run of a task, since the lease of a former owner counted as expired.
 def test_runs_last_as_long_as_the_leases_of_former_owners():
     """
