Let tasks crash their workers in the world of virtual time

A task may be marked as one that crashes each worker that starts it, some time after the start or before the worker answers. Calls to it fail at once meanwhile.

New rule crashing_task_has_a_budget: such a task isn't started three times more after three workers have crashed under it. A job counts as failed with cause too once two workers have crashed under a task of it that crashes them; one without such a task doesn't. A job with such a task isn't missed at the end.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -10,13 +10,12 @@
 from eelgrassdrum_core.jobs._intake import is_log_fresh
 
 from . import _rules
+from ._crashing import CRASHING_TASK_S, plan_crash
 from ._store import SILENT, UP, StoredRead
 from ._worker import JobWorker
 from ._world import (
     LINK_S,
     MOVE_S,
-    STANDBY,
-    START_UNIX_MS,
     STOP_S,
     TICK_S,
     TIMEOUT_S,
@@ -24,6 +23,7 @@
     World,
     advance_worker,
     advance_workers,
+    bring_back,
     cancel,
     fresh_node,
     kill,
@@ -246,13 +246,25 @@
     return worker
 
 
+def _is_closed(world: World, instance: Instance, worker_id: str) -> bool:
+    """
+    Give whether calls of an instance to a worker fail at once.
+    """
+    worker = world.workers.get(worker_id)
+    if worker is None or worker.is_cut or instance.is_cut_from_workers:
+        return False
+    return worker.is_closed
+
+
 def _hold(world: World, instance: Instance, effect: effects.Hold) -> None:
     sent_s = world.now_s
     due_s = world.now_s + effect.wait_s
 
     def fail() -> None:
-        event = events.HoldFailed(effect.worker, "timeout", effect.token, sent_s)
-        send_to(world, instance, TIMEOUT_S, event)
+        is_closed = _is_closed(world, instance, effect.worker)
+        reason, delay_s = ("closed", LINK_S) if is_closed else ("timeout", TIMEOUT_S)
+        event = events.HoldFailed(effect.worker, reason, effect.token, sent_s)
+        send_to(world, instance, delay_s, event)
 
     if _is_held_up(world, effect.worker):
         _carry_out_late(world, lambda: _take_late_hold(world, effect))
@@ -337,17 +349,28 @@
     if is_late:
         _carry_out_late(world, lambda: _start_late(world, effect))
     if is_late or _reach(world, instance, effect.worker) is None:
+        if not is_late and _is_closed(world, instance, effect.worker):
+            answer = _start_answer(effect, events.UNSENT, "connect", 0)
+            send_to(world, instance, LINK_S, answer)
+            return
         outcome, reason = events.UNKNOWN, "timeout"
         send_to(world, instance, TIMEOUT_S, _start_answer(effect, outcome, reason, 0))
         return
 
+    def fail() -> None:
+        is_closed = _is_closed(world, instance, effect.worker)
+        reason, delay_s = ("closed", LINK_S) if is_closed else ("timeout", TIMEOUT_S)
+        send_to(world, instance, delay_s, _start_answer(effect, events.UNKNOWN, reason, 0))
+
     def do() -> None:
         reached = _reach(world, instance, effect.worker)
         if reached is None:
-            answer = _start_answer(effect, events.UNKNOWN, "timeout", 0)
-            send_to(world, instance, TIMEOUT_S, answer)
+            fail()
             return
         reason = _do_start(world, effect)
+        if not reached.is_up:
+            fail()
+            return
         if _is_answer_lost(world, reached):
             answer = _start_answer(effect, events.UNKNOWN, "timeout", 0)
             send_to(world, instance, TIMEOUT_S, answer)
@@ -400,10 +423,13 @@
         return "old"
     step = world.judge.specs[effect.key.job].steps[effect.key.step]
     duration_s, how = world.durations(effect.key)
+    if effect.key in world.crash_after_s:
+        duration_s = CRASHING_TASK_S
     if worker.fails_all:
         duration_s, how = 0.05, "failed"
     run = worker.begin(effect.key, effect.run, step, world.now_s, duration_s, how)
     _rules.on_start(world.judge, world.now_s, world.workers, worker, run)
+    plan_crash(world, worker, run)
     return ""
 
 
@@ -507,7 +533,7 @@
     state = "upkeep" if effect.wave >= 0 else "moving"
     pool = effect.pool or row.pool
     world.rows[effect.instance] = row._replace(state=state, worker="", pool=pool)
-    later(world, MOVE_S, lambda: _bring_back(world, effect.instance, pool))
+    later(world, MOVE_S, lambda: bring_back(world, effect.instance, pool))
     return events.OK, ""
 
 
@@ -520,25 +546,6 @@
     )
 
 
-def _bring_back(world: World, instance: str, pool: str) -> None:
-    row = world.rows[instance]
-    if pool == STANDBY:
-        world.rows[instance] = row._replace(state="up", worker="", pool=pool)
-        return
-    worker_id = f"{instance}-{next(world.numbers)}"
-    world.rows[instance] = row._replace(state="up", worker=worker_id, pool=pool)
-    world.workers[worker_id] = JobWorker(
-        worker_id,
-        pool,
-        row.zone,
-        instance,
-        worker_id,
-        row.capacity,
-        START_UNIX_MS + round(world.now_s * 1000),
-        world.now_s,
-    )
-
-
 def _publish_wave(world: World, instance: Instance, effect: effects.PublishWave) -> None:
     event = events.WaveStatusAnswered(effect.wave, effect.state, events.OK)
     send_to(world, instance, LINK_S, event)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
@@ -6,8 +6,9 @@
 
 from eelgrassdrum_core.jobs import events, model
 
+from ._crashing import hand_in_crashing_jobs
 from ._store import REFUSING, SILENT, UP
-from ._world import World, cancel, disturb, kill, later, post, publish, remove
+from ._world import World, cancel, crash, disturb, kill, later, post, publish, remove
 
 # Time from which an owner reads nothing until jobs are cancelled.
 MISSED_CANCELS_S = 0.5
@@ -131,7 +132,7 @@
     names = _pick_workers(world, 0.25)
     for name in names:
         worker = world.workers[name]
-        worker.crash()
+        crash(world, worker)
         worker.is_up = False
     disturb(world)
 
@@ -153,7 +154,7 @@
     if len(up) < LEAST_WORKERS:
         return
     worker = world.workers[world.rng.choice(up)]
-    worker.crash()
+    crash(world, worker)
     worker.is_up = False
     disturb(world)
     if world.rng.random() < 0.5:
@@ -335,7 +336,7 @@
             worker = world.workers[name]
             worker.is_cut = True
             if worker.is_up:
-                worker.crash()
+                crash(world, worker)
                 worker.incarnation += round(world.now_s * 1000)
                 worker.born_s = world.now_s
 
@@ -388,6 +389,7 @@
     # An order that is held up may start a task in a worker's next incarnation, although the task
     # has run elsewhere meanwhile; an order can't name the incarnation that it is for.
     "reborn_workers": _reborn_workers,
+    "crashing_jobs": hand_in_crashing_jobs,
 }
 # Faults that the seeds recorded before the others were added were drawn from.
 FORMER_FAULTS = FAULTS.keys() - {
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
@@ -15,6 +15,12 @@
 
 # Attempts of every queue of this world.
 MAX_ATTEMPTS = 3
+# Crashes of workers under a task from which on its starts are counted, and the number of further
+# starts that breaks the rule.
+CRASHES_OF_BUDGET = 3
+STARTS_OVER_BUDGET = 3
+# Crashes of workers under a task that crashes them from which on it may be given up.
+CRASHES_OF_CULPRIT = 2
 # Longest time that a task may wait while there is room for it and all is calm.
 MAX_WAIT_S = 3.0
 # Interval at which waiting tasks are judged.
@@ -48,6 +54,9 @@
     :param refused: jobs of which every submission was refused.
     :param cancel_acked_s: when the cancellation of a job was first acknowledged.
     :param went_on: runs of cancelled jobs that went on too long.
+    :param crashing_tasks: tasks that crash the workers that start them.
+    :param crashed_under: how many workers have crashed while they ran a task.
+    :param starts_after_crashes: starts of a task after as many crashes as its budget allows.
     :param waiting_since_s: since when a task could start but did not.
     :param waited: tasks that waited too long.
     """
@@ -65,6 +74,9 @@
     cancel_acked_s: dict[str, float] = {}
     went_on: set[tuple[model.TaskKey, int]] = set()
     shown: dict[str, str] = {}
+    crashing_tasks: set[model.TaskKey] = set()
+    crashed_under: dict[model.TaskKey, int] = {}
+    starts_after_crashes: dict[model.TaskKey, int] = {}
     waiting_since_s: dict[model.TaskKey, float] = {}
     waited: set[model.TaskKey] = set()
     starts: int = 0
@@ -100,6 +112,7 @@
     if at_s - judge.cancel_acked_s.get(run.key.job, at_s) > CANCEL_S:
         _broken(judge, "cancelled_never_starts", at_s, name)
     _judge_twice(judge, at_s, workers, worker, run, name)
+    _judge_budget(judge, at_s, run, name)
     used = model.NO_RESOURCES
     for other in worker.runs.values():
         used = used.plus(other.resources)
@@ -142,6 +155,28 @@
             _broken(judge, "one_run_at_a_time", at_s, f"{name} {worker.id} {other.id}")
 
 
+def _judge_budget(judge: Judge, at_s: float, run: Run, name: str) -> None:
+    if run.key not in judge.crashing_tasks:
+        return
+    if judge.crashed_under.get(run.key, 0) < CRASHES_OF_BUDGET:
+        return
+    starts = judge.starts_after_crashes.get(run.key, 0) + 1
+    judge.starts_after_crashes[run.key] = starts
+    if starts == STARTS_OVER_BUDGET:
+        _broken(judge, "crashing_task_has_a_budget", at_s, name)
+
+
+def on_crash(judge: Judge, worker: JobWorker) -> None:
+    """
+    Take a crash of a worker, just before it.
+
+    :param judge: what was seen.
+    :param worker: the worker.
+    """
+    for key in worker.runs:
+        judge.crashed_under[key] = judge.crashed_under.get(key, 0) + 1
+
+
 def _judge_limit(judge: Judge, at_s: float, workers: dict[str, JobWorker], run: Run) -> None:
     workspace = judge.workspaces.get(run.key.job, "")
     limit = judge.limits.get(workspace)
@@ -252,6 +287,8 @@
         job = jobs.get(job_id)
         if job is None or job.committed_state in ("completed", "failed", "cancelled"):
             continue
+        if _has_crashing_task(judge, job_id):
+            continue
         for key in _startable(judge, workers, job_id):
             since_s = judge.waiting_since_s[key] = former.get(key, at_s)
             if at_s - since_s >= MAX_WAIT_S and key not in judge.waited:
@@ -321,7 +358,8 @@
             _broken(judge, "accepted_is_kept", at_s, job_id)
             continue
         is_over = job.committed_state in ("completed", "failed", "cancelled")
-        if not is_over and not job.is_long_running and not job.cancelled:
+        is_missed = not (job.is_long_running or job.cancelled or _has_crashing_task(judge, job_id))
+        if not is_over and is_missed:
             _broken(judge, "accepted_is_finished", at_s, f"{job_id} {job.committed_state}")
         if job.committed_state == "completed":
             _judge_completed(judge, at_s, job)
@@ -337,7 +375,13 @@
                 _broken(judge, "completed_is_done", at_s, ".".join(map(str, key)))
 
 
+def _has_crashing_task(judge: Judge, job_id: str) -> bool:
+    return any(key.job == job_id for key in judge.crashing_tasks)
+
+
 def _judge_failed(judge: Judge, at_s: float, job_id: str) -> None:
     failures = [count for key, count in judge.noted_failures.items() if key.job == job_id]
-    if not failures or max(failures) < MAX_ATTEMPTS:
-        _broken(judge, "failed_with_cause", at_s, f"{job_id} {failures}")
+    crashes = [judge.crashed_under.get(key, 0) for key in judge.crashing_tasks if key.job == job_id]
+    if max(failures, default=0) >= MAX_ATTEMPTS or max(crashes, default=0) >= CRASHES_OF_CULPRIT:
+        return
+    _broken(judge, "failed_with_cause", at_s, f"{job_id} {failures} {crashes}")
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
@@ -36,6 +36,7 @@
     What a schedule showed.
 
     :param moves: number of orders that moved an instance to another pool.
+    :param crashes_by_tasks: number of crashes of workers that a task brought about.
     """
 
     seed: int
@@ -45,6 +46,7 @@
     violations: tuple[Violation, ...]
     answered: Counter[str]
     moves: int
+    crashes_by_tasks: int
 
 
 def make_config(is_limited: bool = True) -> model.Config:
@@ -143,6 +145,7 @@
         tuple(world.judge.violations),
         Counter(world.answered),
         sum(wave < 0 for _at_s, _instance, _token, wave in world.upkeep),
+        world.crashes_by_tasks,
     )
 
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_worker.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_worker.py
@@ -44,6 +44,7 @@
     :param late_part: part of the starts that are carried out seconds later, without an answer.
     :param late_call_part: the same for stops and holds.
     :param lost_part: part of all calls that are carried out at once, without an answer.
+    :param is_closed: whether calls to it fail at once while it is down, instead of by timeout.
     :param newest_run: newest run that was stopped or ended, by task.
     :param ended_s: when each end came about, by its number.
     :param lapsed: numbers of the ends that were not noted before the lease ran out; the platform
@@ -65,6 +66,7 @@
     is_up: bool = True
     is_draining: bool = False
     is_cut: bool = False
+    is_closed: bool = False
     unheard_part: float = 0.0
     late_part: float = 0.0
     late_call_part: float = 0.0
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
@@ -82,6 +82,8 @@
     :param prompt_cancel_part: part of the jobs that are cancelled soon after their acceptance.
     :param store_disturbed_s: when the store was last disturbed.
     :param disturbed_s: when the store, an instance or a worker was last disturbed.
+    :param crash_after_s: seconds from the start of a task to the crash of its worker, by task.
+    :param crashes_by_tasks: how often a task has crashed its worker.
     :param effects: carries out the effects of an instance, by type.
     """
 
@@ -110,6 +112,8 @@
     prompt_cancel_part: float = 0.0
     store_disturbed_s: float = -1e9
     disturbed_s: float = -1e9
+    crash_after_s: dict[model.TaskKey, float] = {}
+    crashes_by_tasks: int = 0
     effects: dict[type, Callable[["World", Instance, Any], None]] = {}
 
 
@@ -400,3 +404,41 @@
         instance, service, "up", worker.zone, worker.rack, capacity, worker.id
     )
     return worker
+
+
+def crash(world: World, worker: JobWorker) -> None:
+    """
+    Let a worker lose everything at once, with no order to do so.
+
+    :param world: the world.
+    :param worker: the worker.
+    """
+    _rules.on_crash(world.judge, worker)
+    worker.crash()
+
+
+def bring_back(world: World, instance: str, pool: str, address: str = "") -> None:
+    """
+    Bring an instance up in a pool, with a new worker unless it is on standby.
+
+    :param world: the world.
+    :param instance: the instance.
+    :param pool: the pool.
+    :param address: address of the worker, if it isn't an own one.
+    """
+    row = world.rows[instance]
+    if pool == STANDBY:
+        world.rows[instance] = row._replace(state="up", worker="", pool=pool)
+        return
+    worker_id = f"{instance}-{next(world.numbers)}"
+    world.rows[instance] = row._replace(state="up", worker=worker_id, pool=pool)
+    world.workers[worker_id] = JobWorker(
+        worker_id,
+        pool,
+        row.zone,
+        instance,
+        address or worker_id,
+        row.capacity,
+        START_UNIX_MS + round(world.now_s * 1000),
+        world.now_s,
+    )
