Show that crashes of workers aren't counted across restarts

The test with losses of the owner ends its kills once the job is given up, which may be before the third crash.

--- a/packages/eelgrassdrum-testing/tests/test_jobs_crashing_tasks.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_crashing_tasks.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from eelgrassdrum_core.jobs import _runs, model
+from eelgrassdrum_core.jobs import _runs, _snapshot, model
 from eelgrassdrum_testing.jobs import _rules, make_world, run_schedule
 from eelgrassdrum_testing.jobs._crashing import submit_crashing
 from eelgrassdrum_testing.jobs._schedule import make_config
@@ -23,6 +23,10 @@
 # Time in which a task that crashes workers is given up, and the tasks beside it are done.
 SETTLED_S = 45.0
 OTHER_JOBS = 12
+# Records of the log after which a snapshot is due.
+FEW_RECORDS = 20
+# Time in which a crash is noted in the log and a snapshot written.
+NOTED_S = 0.7
 OWNERS_LOST = ("crashing_jobs", "kill_owner", "crashing_jobs", "stop_owner")
 WORKERS_LOST = ("crashing_jobs", "cut_workers", "crash_workers", "crashing_jobs")
 OTHER_FAULTS = (
@@ -73,12 +77,14 @@
 
 def run_until_crashes(world, count):
     """
-    Run a world until tasks have crashed a number of workers.
+    Run a world until tasks have crashed a number of workers or their job is given up, and return
+    whether it isn't.
     """
     until_s = world.now_s + SETTLED_S
-    while world.crashes_by_tasks < count and world.now_s < until_s:
+    while world.crashes_by_tasks < count and states_now(world).get(CRASHING_JOB) != "failed":
+        assert world.now_s < until_s, world.crashes_by_tasks
         run_until(world, world.now_s + 0.01)
-    assert world.crashes_by_tasks >= count
+    return states_now(world).get(CRASHING_JOB) != "failed"
 
 
 def owner_of(world):
@@ -113,14 +119,32 @@
     for seed, after_s in enumerate(CRASH_AFTER_S, start=1):
         world = world_with_crashing_jobs(seed, after_s)
         for crashes in (1, 2, 3):
-            run_until_crashes(world, crashes)
-            if states_now(world).get(CRASHING_JOB) != "failed":
+            if run_until_crashes(world, crashes):
                 kill(world, owner_of(world), 1.0)
         states = states_at_end(world)
         assert world.judge.violations == [], (after_s, world.judge.violations[:3])
         assert states[CRASHING_JOB] == "failed", after_s
 
 
+# Guards against crashes that a snapshot doesn't hold.
+def test_a_task_that_crashes_workers_is_given_up_across_restarts_from_snapshots():
+    """
+    The budget holds if all instances restart from a snapshot after each of the first crashes.
+    """
+    for seed, after_s in enumerate(CRASH_AFTER_S, start=1):
+        world = world_with_crashing_jobs(seed, after_s)
+        with mock.patch.object(_snapshot, "SNAPSHOT_INTERVAL_RECORDS", FEW_RECORDS):
+            for crashes in (1, 2, 3):
+                if run_until_crashes(world, crashes):
+                    run_until(world, world.now_s + NOTED_S)
+                    for name in world.instances:
+                        kill(world, name, 1.0)
+            states = states_at_end(world)
+        assert world.store.snapshot is not None
+        assert world.judge.violations == [], (after_s, world.judge.violations[:3])
+        assert states[CRASHING_JOB] == "failed", after_s
+
+
 # Guards against jobs that are never done, since their tasks share worker after worker with those
 # that crash them.
 def test_tasks_beside_those_that_crash_workers_complete():
