--- a/packages/eelgrassdrum-testing/tests/test_jobs_crashing_tasks.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_crashing_tasks.py
@@ -284,9 +284,9 @@
     """
     real = _runs.Ended
 
-    def as_failed(epoch, job, occurrence, step, index, run, how, saved):
-        how = "failed" if how == "lost" else how
-        return real(epoch, job, occurrence, step, index, run, how, saved)
+    def as_failed(epoch, job, occurrence, step, index, run, how, *rest):
+        how = "failed" if how in ("lost", "crashed") else how
+        return real(epoch, job, occurrence, step, index, run, how, *rest)
 
     with mock.patch.object(_runs, "Ended", as_failed):
         results = [run_schedule(seed, OWNERS_LOST) for seed in (1, 2)]
