Merge jobs that are given up because their tasks crash workers

Joined with bounds on leases: runs on workers that a new owner never saw end as crashed when the bound is over.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
@@ -4,11 +4,11 @@
 
 import math
 
-from . import _journal, _ownership
+from . import _crashes, _journal, _ownership
 from ._node import Moment, Node, Worker, log_line
-from ._records import Ended, LeaseBounded, LeaseLifted
+from ._records import LeaseBounded, LeaseLifted
 from ._replicated_state import latest_write_s
-from ._runs import LOST, bounded_s, mark_all_lost, runs_on, since
+from ._runs import bounded_s, mark_all_lost, runs_on, since
 
 # Time for which a worker is unreachable, or unlisted after a claim, before the log says when its
 # leases are over; most workers that miss one answer are reached again before.
@@ -172,7 +172,5 @@
         bounded_s=bounded_s(node, at, worker_id),
         owned_s=since(at, node.ownership.claimed_s),
     )
-    for task in runs:
-        record = Ended(node.ownership.epoch, *task.key, task.run, LOST, "")
-        _journal.write(node, at, record)
+    _crashes.end_unlisted(node, at, runs)
     node.plan_due = True
