Show starts on workers whose capacity has shrunk

The platform now lets the capacity of a worker shrink and grow while it runs, and a start must not bring the worker over it once the loss must be known. The worlds of virtual time get two faults for it, workers that lose and regain capacity and a registry that can't be read while the log can, and the check of room counts a loss after its notice. The bound is read from the settings; nothing uses it yet.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
@@ -300,6 +300,7 @@
     :param orders_per_s: rate of orders for instances that the machine service accepts.
     :param cancel_s: time after the acknowledgement of a cancellation from which no task of the job
         may start.
+    :param contact_s: time after which a worker's loss of capacity must be known.
     """
 
     max_lease_s: float
@@ -314,3 +315,4 @@
     upkeep_s: float
     orders_per_s: float = 64.0
     cancel_s: float = 3.0
+    contact_s: float = 3.0
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -207,7 +207,7 @@
 
 
 def _read_workers(world: World, instance: Instance, _effect: effects.ReadWorkers) -> None:
-    failure = _store_answers(world, instance)
+    failure = "refused" if world.is_registry_unreadable else _store_answers(world, instance)
     if failure is not None:
         event = events.WorkersReadFailed(failure, sent_s=world.now_s)
         send_to(world, instance, TIMEOUT_S, event)
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
@@ -169,6 +169,30 @@
     later(world, 2.0, restore)
 
 
+def _shrink_workers(world: World) -> None:
+    names = _pick_workers(world, 0.6)
+    for name in names:
+        world.workers[name].shrink(world.now_s, world.rng.uniform(0.0, 0.5))
+
+    def restore() -> None:
+        for name in names:
+            world.workers[name].grow()
+
+    later(world, world.rng.uniform(6.0, 12.0), restore)
+
+
+def _registry_unreadable(world: World) -> None:
+    """
+    Refuse all reads of the registry while the log answers.
+    """
+    world.is_registry_unreadable = True
+
+    def restore() -> None:
+        world.is_registry_unreadable = False
+
+    later(world, world.rng.uniform(6.0, 9.0), restore)
+
+
 def _wave(world: World) -> None:
     names = tuple(world.rng.sample(sorted(world.rows), k=max(1, len(world.rows) // 2)))
     world.waves.append(model.Wave(len(world.waves) + 1, names, 12.0, 1))
@@ -385,6 +409,8 @@
 NAMED_FAULTS: dict[str, Callable[[World], None]] = {
     **FAULTS,
     "lossy_workers": _lossy_workers,
+    "shrink_workers": _shrink_workers,
+    "registry_unreadable": _registry_unreadable,
     # An order that is held up may start a task in a worker's next incarnation, although the task
     # has run elsewhere meanwhile; an order can't name the incarnation that it is for.
     "reborn_workers": _reborn_workers,
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
@@ -24,6 +24,9 @@
 CANCEL_S = 3.0
 # Time that a stop takes at most.
 STOP_S = 0.4
+# Time after which a worker's loss of capacity must be known: the platform's bound and one heartbeat.
+CONTACT_S = 3.0
+SHRINK_NOTICE_S = CONTACT_S + 1.5
 
 
 class Violation(NamedTuple):
@@ -103,7 +106,7 @@
     used = model.NO_RESOURCES
     for other in worker.runs.values():
         used = used.plus(other.resources)
-    if not used.fits(worker.capacity):
+    if not used.fits(worker.binding_capacity(at_s, SHRINK_NOTICE_S)):
         _broken(judge, "room_holds", at_s, f"{worker.id} {used}")
     step = spec.steps[run.key.step]
     for earlier in step.after:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_worker.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_worker.py
@@ -46,6 +46,8 @@
     :param lost_part: part of all calls that are carried out at once, without an answer.
     :param newest_run: newest run that was stopped or ended, by task.
     :param ended_s: when each end came about, by its number.
+    :param former_capacity: its capacity before it last shrank.
+    :param shrunk_s: when it last shrank.
     :param lapsed: numbers of the ends that were not noted before the lease ran out; the platform
         takes them as never noted.
     """
@@ -71,6 +73,8 @@
     lost_part: float = 0.0
     fails_all: bool = False
     work_speed: float = 1.0
+    former_capacity: model.Resources | None = None
+    shrunk_s: float = -1e9
     runs: dict[model.TaskKey, Run] = {}
     ends: list[model.EndRow] = []
     end_number: int = 0
@@ -96,6 +100,35 @@
         """
         return self.born_s + clock_ms / 1000 / self.speed
 
+    def shrink(self, now_s: float, part: float) -> None:
+        """
+        Lose a part of the capacity.
+
+        :param now_s: time of the world.
+        :param part: the part that is left, from 0 to 1.
+        """
+        self.former_capacity, self.shrunk_s = self.capacity, now_s
+        self.capacity = model.Resources(*(round(amount * part) for amount in self.capacity))
+
+    def grow(self) -> None:
+        """
+        Have the capacity from before the last loss again.
+        """
+        if self.former_capacity is not None:
+            self.capacity = self.former_capacity
+
+    def binding_capacity(self, now_s: float, notice_s: float) -> model.Resources:
+        """
+        Return the capacity that starts must respect.
+
+        :param now_s: time of the world.
+        :param notice_s: time after which a loss of capacity must be known, in seconds.
+        :returns: the capacity before the last loss while that need not be known.
+        """
+        if self.former_capacity is not None and now_s - self.shrunk_s <= notice_s:
+            return self.former_capacity
+        return self.capacity
+
     def advance(self, now_s: float) -> list[Run]:
         """
         End the runs whose time has come.
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
@@ -40,6 +40,7 @@
     move_s=MOVE_S,
     upkeep_s=2.0,
     cancel_s=_rules.CANCEL_S,
+    contact_s=_rules.CONTACT_S,
 )
 
 
@@ -75,6 +76,7 @@
     :param waves: waves that the operator has asked for.
     :param upkeep: instances ordered down, with time, token and wave.
     :param is_registry_empty: whether the entries of workers have lapsed.
+    :param is_registry_unreadable: whether reads of the registry are refused.
     :param lost_order_part: part of the orders for instances that get no answer.
     :param unanswered_orders: instance, wave and pool of the orders that got no answer.
     :param are_machines_cut: whether the machine service answers nobody.
@@ -104,6 +106,7 @@
     durations: Callable[[model.TaskKey], tuple[float, str]] = lambda _key: (1.0, "done")
     answered: dict[str, int] = {}
     is_registry_empty: bool = False
+    is_registry_unreadable: bool = False
     lost_order_part: float = 0.0
     unanswered_orders: set[tuple[str, int, str]] = set()
     are_machines_cut: bool = False
