Start nothing from entries of workers that are too old

An owner that could read the log but not the registry went on starting tasks from the entries it had, of whatever age, so a start could bring a worker over a capacity that had shrunk meanwhile. An order that waited for its commit was sent although its worker had shrunk. Class: a decision from a state whose age has no bound.

An order is withdrawn if the runs on its worker no longer fit.

Tests that read the registry once set the bound out of reach.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -21,6 +21,7 @@
 from ._records import Started
 from ._replicated_state import Task
 from ._runs import UNSENT, end_run, fencing_token, runs_on
+from .model import NO_RESOURCES
 
 # Maximum lifetime of an order, after which a delayed order has no effect.
 ORDER_TTL_S = 2.5
@@ -79,9 +80,9 @@
     """
     Send an order whose record is committed, if it is still valid.
 
-    The run ends as unsent if the job is closed, the worker no longer takes tasks or the replicated
-    state has become too old to tell. The order is queued while the worker has the maximum of
-    unanswered orders.
+    The run ends as unsent if the job is closed, the worker no longer takes tasks or has lost the
+    capacity for it, or the replicated state has become too old to tell. The order is queued while
+    the worker has the maximum of unanswered orders.
 
     :param node: the instance.
     :param at: the time.
@@ -95,7 +96,8 @@
     job = node.replicated.jobs[effect.key.job]
     is_open = not job.cancelled and job.state not in _replicated_state.FINAL_STATES
     may_start = is_open and _freshness.may_order(node, at)
-    if not may_start or not worker.is_held or worker.is_failing or worker.entry.is_draining:
+    may_take = worker.is_held and not worker.is_failing and not worker.entry.is_draining
+    if not (may_start and may_take and _fits(node, worker)):
         end_run(node, at, worker, task, UNSENT)
         return
     if worker.outstanding >= MAX_OUTSTANDING:
@@ -120,6 +122,13 @@
     )
 
 
+def _fits(node: Node, worker: Worker) -> bool:
+    """
+    Return whether all runs on a worker, including those not ordered yet, fit its capacity.
+    """
+    return NO_RESOURCES.fits(_workers.free_resources(node, worker))
+
+
 def on_answered(node: Node, at: Moment, event: events.StartAnswered) -> None:
     """
     Process the outcome of an order, and send the queued orders that may go out now.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -7,7 +7,16 @@
 
 from collections import Counter
 
-from . import _advice, _candidates, _freshness, _journal, _orders, _ready, _replicated_state
+from . import (
+    _advice,
+    _candidates,
+    _freshness,
+    _journal,
+    _orders,
+    _ready,
+    _registry,
+    _replicated_state,
+)
 from ._candidates import Candidate
 from ._node import Moment, Node, log_line
 from ._ready import ReadyStep
@@ -86,9 +95,14 @@
 
     :param node: the instance, which owns the log.
     :param at: the time.
-    :returns: whether an append takes too long, or the log was not read to its end lately.
+    :returns: whether an append takes too long, or the log was not read to its end lately, or the
+        registry was not read.
     """
-    return _journal.is_stalled(node, at.now_s) or not _freshness.may_decide(node, at)
+    return (
+        _journal.is_stalled(node, at.now_s)
+        or not _freshness.may_decide(node, at)
+        or not _registry.is_current(node, at)
+    )
 
 
 def _candidates_of_pool(
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -22,11 +22,32 @@
     :param at: the current time.
     """
     registry = node.registry
-    if registry.is_reading or at.now_s < registry.next_read_s:
+    # Nothing starts while the entries are too old, so an unanswered read isn't waited for then. A
+    # read of all entries may take long on a slow link.
+    is_late = registry.cursor is not None and not is_current(node, at)
+    is_pending = registry.is_reading
+    if is_pending and is_late:
+        is_pending = at.now_s - registry.sent_s < REGISTRY_RETRY_S
+    if is_pending or at.now_s < registry.next_read_s:
         return
     registry.is_reading = True
     registry.sent_s = at.now_s
-    emit(node, effects.ReadWorkers(registry.cursor, REGISTRY_WAIT_S))
+    emit(node, effects.ReadWorkers(registry.cursor, 0.0 if is_late else REGISTRY_WAIT_S))
+
+
+def is_current(node: Node, at: Moment) -> bool:
+    """
+    Return whether the entries of workers are recent enough to start tasks.
+
+    A worker may have lost capacity, or may have begun to drain, since they were read.
+
+    :param node: the instance, which owns the log.
+    :param at: the current time.
+    :returns: whether a change that they lack need not be known yet.
+    """
+    # An answer may have been on its way for as long as a read waits.
+    max_age_s = node.bounds.contact_s - REGISTRY_WAIT_S
+    return at.now_s - node.registry.last_success_s <= max_age_s
 
 
 def on_registry(node: Node, at: Moment, event: events.WorkersRead) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
@@ -8,7 +8,7 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
-from . import _advice, _candidates, _freshness, _journal, _members, _planner, _ready
+from . import _advice, _candidates, _freshness, _journal, _members, _planner, _ready, _registry
 from ._candidates import Candidate
 from ._node import Moment, Node, WaitingWork, log_line
 from ._ready import ReadyStep
@@ -22,6 +22,7 @@
 
 STALLED = "append_stalled"
 OLD_STATE = "log_read_late"
+OLD_REGISTRY = "registry_read_late"
 LIMIT = "workspace_limit"
 FORMER_RUNS = "former_gang_runs"
 NO_MEMBERS = "no_members"
@@ -176,6 +177,8 @@
         return STALLED
     if not _freshness.may_decide(node, at):
         return OLD_STATE
+    if not _registry.is_current(node, at):
+        return OLD_REGISTRY
     if step.gang and waiting < step.count:
         return FORMER_RUNS
     needed = waiting if step.gang else 1
--- a/packages/eelgrassdrum-core/tests/test_jobs_capacity.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_capacity.py
@@ -77,6 +77,19 @@
     assert owner.started(produced) == [("b", "w")]
 
 
+# Issue 25: an order that waited for the store was sent to a worker that had shrunk meanwhile.
+def test_an_order_to_a_worker_that_has_shrunk_is_not_sent():
+    """
+    A decided start is withdrawn if its worker has lost the capacity for it before it is sent.
+    """
+    worker = worker_entry("w")
+    node = owner_of([worker])
+    assert hand_in(node, [("a", "urgent", (one_step(),), 0.0)]) == [("a", "w")]
+    feed(node, NOW_S, events.WorkersRead(1, True, {"w": shrunk(worker, 500)}, NOW_S))
+    assert commit(node, NOW_S + 0.1) == []
+    assert not node.replicated.running
+
+
 # Issue 25: an owner that can't read the registry starts tasks on workers that have shrunk.
 def test_nothing_starts_from_entries_that_are_too_old():
     """
--- a/packages/eelgrassdrum-core/tests/test_jobs_intake.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_intake.py
@@ -5,7 +5,7 @@
 from eelgrassdrum_core.jobs import Identity, Moment, effects, events, model, new_node, reduce
 from eelgrassdrum_core.jobs._records import Cancelled, Submitted, decode_record, encode_records
 
-BOUNDS = model.Bounds(10.0, 2.0, 5.0, 6.0, 0.4, 3.0, 0.25, 120.0, 1.5, 2.0)
+BOUNDS = model.Bounds(10.0, 2.0, 5.0, 6.0, 0.4, 3.0, 0.25, 120.0, 1.5, 2.0, contact_s=600.0)
 SPEC = model.JobSpec("payload", (model.Step(2, (500, 100, 0), 100),))
 WALL_MS = 1_700_000_000_000
 
--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -12,7 +12,7 @@
 from eelgrassdrum_core.jobs._records import Claimed, OwnerHeartbeat, Released, encode_records
 from eelgrassdrum_testing.jobs import owner
 
-BOUNDS = model.Bounds(10.0, 2.0, 5.0, 6.0, 0.4, 3.0, 0.25, 120.0, 1.5, 2.0)
+BOUNDS = model.Bounds(10.0, 2.0, 5.0, 6.0, 0.4, 3.0, 0.25, 120.0, 1.5, 2.0, contact_s=600.0)
 CONFIG = model.Config(1, {}, {}, {}, {}, 1000)
 WALL_MS = 1_700_000_000_000
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_owner.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_owner.py
@@ -8,7 +8,8 @@
 from eelgrassdrum_core.jobs import Identity, Moment, Node, effects, events, model, new_node, reduce
 from eelgrassdrum_core.jobs._records import Claimed, OwnerHeartbeat, Submitted, encode_records
 
-BOUNDS = model.Bounds(10.0, 2.0, 5.0, 6.0, 0.4, 3.0, 0.25, 120.0, 1.5, 2.0)
+# The registry is read once by most tests; those of its age set a bound of their own.
+BOUNDS = model.Bounds(10.0, 2.0, 5.0, 6.0, 0.4, 3.0, 0.25, 120.0, 1.5, 2.0, contact_s=600.0)
 WALL_MS = 1_700_000_000_000
 START_S = 10.0
 # Of the first owner, for workers that have not restarted.
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
@@ -24,7 +24,8 @@
 CANCEL_S = 3.0
 # Time that a stop takes at most.
 STOP_S = 0.4
-# Time after which a worker's loss of capacity must be known: the platform's bound and one heartbeat.
+# Time after which a worker's loss of capacity must be known, and the same and one heartbeat, from
+# which on it counts.
 CONTACT_S = 3.0
 SHRINK_NOTICE_S = CONTACT_S + 1.5
 
