Size pools by the capacity that their workers have

The size of a pool counted each worker as a whole instance, so a pool whose workers had shrunk stayed as it was while its tasks waited. What its workers have lost now counts as demand.

test_a_pool_grows_by_what_its_workers_have_lost failed before: the pool wanted 4 instances where 7 are needed.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -40,7 +40,8 @@
     Demand of the queues of a pool.
 
     :param long_running: number of workers that have long-running tasks.
-    :param millicores: processor demand of tasks that run, wait or wait for earlier steps.
+    :param millicores: processor demand of tasks that run, wait or wait for earlier steps, and what
+        the pool's workers have lost of their instances' capacity.
     """
 
     long_running: int
@@ -122,6 +123,9 @@
         queue = _ready.queue_of(node, job)
         if queue is not None:
             millicores[queue.service] += _waiting_millicores(job)
+    for worker in node.workers.values():
+        if worker.is_listed:
+            millicores[worker.entry.service] += _lost_millicores(node, worker)
     return defaultdict(
         lambda: PoolDemand(0, 0.0),
         {
@@ -134,6 +138,16 @@
     )
 
 
+def _lost_millicores(node: Node, worker: Worker) -> int:
+    """
+    Return how much smaller the capacity of a worker is than that of its instance.
+    """
+    row = node.fleet.rows.get(worker.entry.instance)
+    if row is None or row.worker != worker.id:
+        return 0
+    return max(0, row.capacity.millicores - worker.entry.capacity.millicores)
+
+
 def _waiting_millicores(job: _replicated_state.Job) -> float:
     """
     Return the processor demand of the waiting tasks of a job.
