--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
@@ -16,6 +16,7 @@
     _members,
     _planner,
     _ready,
+    _registry,
     _replicated_state,
 )
 from ._candidates import Candidate
@@ -32,6 +33,7 @@
 
 STALLED = "append_stalled"
 OLD_STATE = "log_read_late"
+OLD_REGISTRY = "registry_read_late"
 LIMIT = "workspace_limit"
 FORMER_RUNS = "former_gang_runs"
 NO_MEMBERS = "no_members"
@@ -187,6 +189,8 @@
         return STALLED
     if not _freshness.may_decide(node, at):
         return OLD_STATE
+    if not _registry.is_current(node, at):
+        return OLD_REGISTRY
     if step.gang and waiting < step.count:
         return FORMER_RUNS
     needed = waiting if step.gang else 1
