Show that a new owner gives up runs without asking their worker

An owner that claims the log after the bound on a worker's leases has expired records the runs there as lost at its first tick after reading the registry, while its first hold is in flight. A worker that only the former owner couldn't reach may list these runs as done, and they are run again. Without bounds, the owner waits for the longest lease from its claim and reads the worker's list first.

--- a/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
@@ -443,3 +443,18 @@
     assert "w" in owner.replicated.lease_bounds
     assert lost_s(pass_time(fleet, owner, FAILED_S + 1, FAILED_S + 12))
     assert owner.replicated.lease_bounds == {}
+
+
+# Guards against giving up finished runs because a new owner didn't ask their worker first.
+def test_a_new_owner_asks_a_worker_before_its_runs_are_given_up(fleet):
+    """
+    Runs whose bound has expired count until the worker has answered the new owner or failed to.
+    """
+    successor = join(fleet, "second", START_S + 10)
+    over_s = fail(fleet)
+    pass_time(fleet, fleet.nodes[0], FAILED_S, FAILED_S + 1)
+    end(fleet, fleet.nodes[0])
+    claimed_s = claim(fleet, successor, over_s)
+    assert lost_s(pass_time(fleet, successor, claimed_s, claimed_s + 0.3)) is None
+    time_out(successor, claimed_s + 0.3)
+    assert lost_s(pass_time(fleet, successor, claimed_s + 0.3, claimed_s + 0.8)) is not None
