Ask a worker before an expired bound ends its runs

Callers would have seen finished tasks run again after a change of owner. Cause: the new owner applied a bound from the log to a worker that it had not failed to reach, and its first hold had 0.3 s, the lease margin, to be answered. Without bounds it has the longest lease.

A bound now applies to a listed worker only once one of the new owner's holds has failed; until then the wait counts from the claim, as before bounds. The wait is never shorter than it was, so no lease outlives it, and a lost worker is given up as soon as its hold fails.

Measured: test_a_new_owner_asks_a_worker_before_its_runs_are_given_up failed before and passes now, as do the other 14 tests of the module and those of takeover, lost workers, succession, orders and ownership.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
@@ -69,7 +69,11 @@
     left_s = max(0, worker.granted_ms - worker.clock_ms) / 1000
     slowest_s = left_s * (1 + _ownership.CLOCK_DRIFT) + _ownership.LEASE_MARGIN_S
     own_s = worker.clock_at_s + slowest_s
-    former_s = _former_leases_end_s(node, worker.id, worker.entry.incarnation)
+    if worker.is_failing:
+        former_s = _former_leases_end_s(node, worker.id, worker.entry.incarnation)
+    else:
+        # Only the former owner may have failed to reach it; its list may show that runs are done.
+        former_s = _ownership.former_leases_end_s(node)
     return max(own_s, worker.other_leases_until_s, former_s)
 
 
