Show that throttled backfill can stay throttled for ever

A worker lets a run work at the speed that it was last set to, and its lists don't give that speed. The owner compares the wanted speed with the one that it has ordered itself, and takes full speed where it has ordered none. So a new owner sets no speed for the runs of its predecessor, also for those that stand still at zero, and an order that returns a run to full speed is not repeated after it failed.

--- a/packages/eelgrassdrum-core/tests/test_jobs_pacing.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_pacing.py
@@ -2,7 +2,18 @@
 Throttling of backfill next to serving tasks.
 """
 
+from eelgrassdrum_core.jobs import effects, events, model
 from eelgrassdrum_core.jobs._pacing import FULL_PERCENT, BackfillThrottle, next_percent
+from eelgrassdrum_testing.jobs.owner import (
+    OWNER_TOKEN,
+    START_S,
+    commit,
+    feed,
+    hand_in,
+    one_step,
+    owner_of,
+    worker_entry,
+)
 
 
 def simulate(throttle, worst_ratio, from_s, seconds):
@@ -56,3 +67,23 @@
     assert 0 < throttle.percent < FULL_PERCENT
     simulate(throttle, 0.3, at_s, 15.0)
     assert throttle.percent == FULL_PERCENT
+
+
+# Guards against backfill that stays slow, since the order of its last change of speed was lost.
+def test_failed_order_of_full_speed_is_repeated():
+    """
+    An order that returns a run to full speed is sent again after the next list if it failed.
+    """
+    node = owner_of([worker_entry("w")])
+    hand_in(node, [("job", "usual", (one_step(is_backfill=True),), 0.0)])
+    (order,) = commit(node, START_S + 3.1)
+    worker = node.workers["w"]
+    worker.pace = BackfillThrottle()
+    worker.throttles[order.key] = FULL_PERCENT
+    failed = events.PaceAnswered("w", order.key, order.run, FULL_PERCENT, events.UNKNOWN)
+    feed(node, START_S + 4, failed)
+    row = model.RunRow(order.key, order.run, "", 0, 0.0)
+    lists = events.HoldAnswered("w", OWNER_TOKEN, START_S + 4, 8000, 7, (row,), ())
+    produced = feed(node, START_S + 4.1, lists)
+    speeds = [item.percent for item in produced if isinstance(item, effects.PaceTask)]
+    assert speeds == [FULL_PERCENT]
