Set the speed of backfill that a former owner may have throttled

What callers could see: a job whose backfill task was throttled to zero when the log changed hands stays unfinished, with its task running at no speed.

Cause: the owner took full speed for each run for which it had ordered none, but a run keeps the speed that a former owner set, and the worker's lists don't show it. Nothing else notices, since progress of backfill isn't watched.

The speed of a run now counts as unknown unless this owner has started the run or has set its speed, so the first list of each worker orders it. After a takeover this takes one order for each backfill run that goes on. A run that was throttled starts the next owner at full speed and is throttled anew from the first list that shows a serving task at risk.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pacing.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pacing.py
@@ -71,11 +71,20 @@
         )
         throttle.percent, throttle.changed_s = new_percent, at.now_s
     for row in backfill_runs:
-        if worker.throttles.get(row.key, FULL_PERCENT) != throttle.percent:
+        if _ordered_percent(worker, row) != throttle.percent:
             worker.throttles[row.key] = throttle.percent
             _send_throttle(node, worker, row, throttle.percent)
 
 
+def _ordered_percent(worker: Worker, row: RunRow) -> int | None:
+    """
+    Return the speed that a run was last set to, or ``None`` if a former owner may have set it.
+    """
+    order = worker.orders.get(row.key)
+    is_own = order is not None and order.run == row.run
+    return worker.throttles.get(row.key, FULL_PERCENT if is_own else None)
+
+
 def _classify_runs(node: Node, worker: Worker) -> tuple[list[RunRow], float]:
     backfill_runs: list[RunRow] = []
     worst_ratio = 0.0
