Repeat an order of full speed that failed

What callers could see: a backfill task that goes on at the speed of the step before full speed, because the answer to the last order was lost.

Cause: a failed order was forgotten, and a run without an order of this owner counts as one at full speed. So every failed order was repeated except the one that returns a run to full speed.

A failed order now leaves the speed of its run unknown, which differs from any wanted speed, so the next list brings the order again.

The test failed before (no order after the failure) and passes now; the other tests of pacing, orders, the registry and changes of owner pass as well.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pacing.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pacing.py
@@ -24,6 +24,8 @@
 # Backfill speed is multiplied by this factor, and set to zero below the minimum.
 THROTTLE_FACTOR = 0.5
 MIN_PERCENT = 13
+# Recorded for a run whose latest order of a speed failed; differs from every speed.
+UNKNOWN_PERCENT = -1
 # Backfill speed is raised in steps of this size, each after a time with all tasks below the clear
 # ratio.
 RECOVERY_STEP_PERCENT = 20
@@ -158,5 +160,5 @@
     if worker is None or event.outcome == events.OK:
         return
     if worker.throttles.get(event.key) == event.percent:
-        del worker.throttles[event.key]
+        worker.throttles[event.key] = UNKNOWN_PERCENT
     log_line(node, "run.not_paced", worker=worker.id, run=event.run, outcome=event.outcome)
