Show that the wait for an open instance order starts anew with each owner

An order that isn't recorded as done keeps its instance drained until the new owner may send it again, order_lease_s and a margin after its own claim. An owner sends an order only once it is recorded in its own epoch, so one whose epoch has not recorded it hasn't sent it, and the wait could count from the first claim after the order's epoch. When owners change in a row the waits add up: the instance takes no tasks, and a move counts as a member of the pool to which it has not been sent yet.

The test fails on this code: 3.6 s after the claim of the second owner, the third one still waits.

--- a/packages/eelgrassdrum-core/tests/test_jobs_changes_of_owner.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_changes_of_owner.py
@@ -2,8 +2,15 @@
 State that a new owner of the log can't take over from the previous one.
 """
 
-from eelgrassdrum_core.jobs import Identity, effects, events, model, new_node
-from eelgrassdrum_core.jobs._records import Claimed, Started, Submitted, encode_records
+from eelgrassdrum_core.jobs import Identity, Moment, effects, events, model, new_node
+from eelgrassdrum_core.jobs._instances import ORDER_MARGIN_S, former_order_expired
+from eelgrassdrum_core.jobs._records import (
+    Claimed,
+    InstanceOrdered,
+    Started,
+    Submitted,
+    encode_records,
+)
 from eelgrassdrum_testing.jobs.owner import (
     BOUNDS,
     START_S,
@@ -61,3 +68,25 @@
     produced = feed(successor, CLAIM_S + 0.1, lists_backfill(CLAIM_S + 0.1))
     speeds = [item.percent for item in produced if isinstance(item, effects.PaceTask)]
     assert speeds == [100]
+
+
+# Guards against instances that stay reserved while owners change, since each waits from its claim.
+def test_wait_for_an_order_of_a_former_owner_ends_though_owners_change():
+    """
+    An owner sends an order only after recording it in its own epoch. So the order of epoch 1 may be
+    sent until the claim of epoch 2, and epoch 3 need not count from its own claim.
+    """
+    node = new_node(Identity("entry", WALL_MS, "zone"), BOUNDS)
+    feed(node, START_S, events.OperatorRead(1, make_owner_config(), (), START_S))
+    feed(node, START_S, events.SnapshotRead(None))
+    ordered = [Claimed(1, "first", 1), InstanceOrdered(1, "m-w", -1, "pool", WALL_MS)]
+    feed(node, START_S, events.LogRead(0, tuple(encode_records(ordered)), 2, START_S))
+    second = tuple(encode_records([Claimed(2, "second", 1)]))
+    feed(node, START_S + 1, events.LogRead(2, second, 3, START_S + 1))
+    claim_s = START_S + 1 + BOUNDS.order_lease_s + ORDER_MARGIN_S + 0.1
+    feed(node, claim_s, events.LogRead(3, (), 3, claim_s))
+    feed(node, claim_s, events.Ticked())
+    claim = tuple(encode_records([Claimed(3, "entry", WALL_MS)]))
+    feed(node, claim_s, events.LogRead(3, claim, 4, claim_s))
+    assert node.ownership.is_owner
+    assert former_order_expired(node, Moment(claim_s, WALL_MS), "m-w")
