--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pacing.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pacing.py
@@ -24,6 +24,8 @@
 # Backfill speed is multiplied by this factor, and set to zero below the minimum.
 THROTTLE_FACTOR = 0.5
 MIN_PERCENT = 13
+# Recorded for a run whose latest order of a speed failed; differs from every speed.
+UNKNOWN_PERCENT = -1
 # Backfill speed is raised in steps of this size, each after a time with all tasks below the clear
 # ratio.
 RECOVERY_STEP_PERCENT = 20
@@ -71,11 +73,20 @@
         )
         throttle.percent, throttle.changed_s = new_percent, at.now_s
     for row in backfill_runs:
-        if worker.throttles.get(row.key, FULL_PERCENT) != throttle.percent:
+        if _ordered_percent(worker, row) != throttle.percent:
             worker.throttles[row.key] = throttle.percent
             _send_throttle(node, worker, row, throttle.percent)
 
 
+def _ordered_percent(worker: Worker, row: RunRow) -> int | None:
+    """
+    Return the speed that a run was last set to, or ``None`` if a former owner may have set it.
+    """
+    order = worker.orders.get(row.key)
+    is_own = order is not None and order.run == row.run
+    return worker.throttles.get(row.key, FULL_PERCENT if is_own else None)
+
+
 def _classify_runs(node: Node, worker: Worker) -> tuple[list[RunRow], float]:
     backfill_runs: list[RunRow] = []
     worst_ratio = 0.0
@@ -149,5 +160,5 @@
     if worker is None or event.outcome == events.OK:
         return
     if worker.throttles.get(event.key) == event.percent:
-        del worker.throttles[event.key]
+        worker.throttles[event.key] = UNKNOWN_PERCENT
     log_line(node, "run.not_paced", worker=worker.id, run=event.run, outcome=event.outcome)
