--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -7,12 +7,12 @@
 """
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import NamedTuple
 
 import msgspec
 
-from . import _candidates, _ready, _replicated_state
+from . import _candidates, _isolation, _ready, _replicated_state
 from ._instances import MOVE, UP, former_order_expired, may_decide
 from ._node import Moment, Node, Worker, log_line
 from ._replicated_state import occurrence_of
@@ -40,11 +40,14 @@
     Demand of the queues of a pool.
 
     :param long_running: number of workers that have long-running tasks.
-    :param millicores: processor demand of tasks that run, wait or wait for earlier steps.
+    :param millicores: processor demand of tasks that run, wait or wait for earlier steps, and what
+        the pool's workers have lost of their instances' capacity.
+    :param isolating: number of workers that tasks in isolation need for themselves.
     """
 
     long_running: int
     millicores: float
+    isolating: int = 0
 
 
 class PoolState(msgspec.Struct, eq=False):
@@ -122,18 +125,45 @@
         queue = _ready.queue_of(node, job)
         if queue is not None:
             millicores[queue.service] += _waiting_millicores(job)
+    for worker in node.workers.values():
+        if worker.is_listed:
+            millicores[worker.entry.service] += _lost_millicores(node, worker)
+    isolating = _count_isolating(node)
     return defaultdict(
         lambda: PoolDemand(0, 0.0),
         {
             service: PoolDemand(
                 len(long_running[service]),
                 millicores[service],
+                isolating[service],
             )
-            for service in {*long_running, *millicores}
+            for service in {*long_running, *millicores, *isolating}
         },
     )
 
 
+def _count_isolating(node: Node) -> Counter[str]:
+    """
+    Count the workers that the isolated tasks of each pool need for themselves.
+    """
+    isolating: Counter[str] = Counter()
+    for name in node.replicated.suspects:
+        queue = _ready.queue_of(node, node.replicated.jobs[name])
+        if queue is not None:
+            isolating[queue.service] += _isolation.workers_wanted(node, name)
+    return isolating
+
+
+def _lost_millicores(node: Node, worker: Worker) -> int:
+    """
+    Return how much smaller the capacity of a worker is than that of its instance.
+    """
+    row = node.fleet.rows.get(worker.entry.instance)
+    if row is None or row.worker != worker.id:
+        return 0
+    return max(0, row.capacity.millicores - worker.entry.capacity.millicores)
+
+
 def _waiting_millicores(job: _replicated_state.Job) -> float:
     """
     Return the processor demand of the waiting tasks of a job.
@@ -184,7 +214,7 @@
     services = node.config.services if node.config else {}
     even_share = len(sizes) / max(1, len(services))
     reserve = max(MIN_RESERVE, math.ceil(even_share * RESERVE_FRACTION))
-    return math.ceil(demand.millicores / size) + reserve
+    return math.ceil(demand.millicores / size) + demand.isolating + reserve
 
 
 def _add_instance(node: Node, at: Moment, pool: str, standby: str, sizes: dict[str, int]) -> bool:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
@@ -40,6 +40,7 @@
     move_s=MOVE_S,
     upkeep_s=2.0,
     cancel_s=_rules.CANCEL_S,
+    contact_s=_rules.CONTACT_S,
 )
 
 
@@ -75,6 +76,7 @@
     :param waves: waves that the operator has asked for.
     :param upkeep: instances ordered down, with time, token and wave.
     :param is_registry_empty: whether the entries of workers have lapsed.
+    :param is_registry_unreadable: whether reads of the registry are refused.
     :param lost_order_part: part of the orders for instances that get no answer.
     :param unanswered_orders: instance, wave and pool of the orders that got no answer.
     :param are_machines_cut: whether the machine service answers nobody.
@@ -83,6 +85,8 @@
     :param store_disturbed_s: when the store was last disturbed.
     :param disturbed_s: when the store, an instance or a worker was last disturbed.
     :param weakness: fraction of the owner's load that an instance can't carry, by instance.
+    :param crash_after_s: seconds from the start of a task to the crash of its worker, by task.
+    :param crashes_by_tasks: how often a task has crashed its worker.
     :param effects: carries out the effects of an instance, by type.
     """
 
@@ -105,6 +109,7 @@
     durations: Callable[[model.TaskKey], tuple[float, str]] = lambda _key: (1.0, "done")
     answered: dict[str, int] = {}
     is_registry_empty: bool = False
+    is_registry_unreadable: bool = False
     lost_order_part: float = 0.0
     unanswered_orders: set[tuple[str, int, str]] = set()
     are_machines_cut: bool = False
@@ -112,6 +117,8 @@
     store_disturbed_s: float = -1e9
     disturbed_s: float = -1e9
     weakness: Mapping[str, float] = {}
+    crash_after_s: dict[model.TaskKey, float] = {}
+    crashes_by_tasks: int = 0
     effects: dict[type, Callable[["World", Instance, Any], None]] = {}
 
 
@@ -403,3 +410,41 @@
         instance, service, "up", worker.zone, worker.rack, capacity, worker.id
     )
     return worker
+
+
+def crash(world: World, worker: JobWorker) -> None:
+    """
+    Let a worker lose everything at once, with no order to do so.
+
+    :param world: the world.
+    :param worker: the worker.
+    """
+    _rules.on_crash(world.judge, worker)
+    worker.crash()
+
+
+def bring_back(world: World, instance: str, pool: str, address: str = "") -> None:
+    """
+    Bring an instance up in a pool, with a new worker unless it is on standby.
+
+    :param world: the world.
+    :param instance: the instance.
+    :param pool: the pool.
+    :param address: address of the worker, if it isn't an own one.
+    """
+    row = world.rows[instance]
+    if pool == STANDBY:
+        world.rows[instance] = row._replace(state="up", worker="", pool=pool)
+        return
+    worker_id = f"{instance}-{next(world.numbers)}"
+    world.rows[instance] = row._replace(state="up", worker=worker_id, pool=pool)
+    world.workers[worker_id] = JobWorker(
+        worker_id,
+        pool,
+        row.zone,
+        instance,
+        address or worker_id,
+        row.capacity,
+        START_UNIX_MS + round(world.now_s * 1000),
+        world.now_s,
+    )
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -367,9 +367,9 @@
     """
     real = _runs.Ended
 
-    def as_done(epoch, job, occurrence, step, index, run, how, saved):
-        how = "done" if how == "lost" else how
-        return real(epoch, job, occurrence, step, index, run, how, saved)
+    def as_done(epoch, job, occurrence, step, index, run, how, *rest):
+        how = "done" if how in ("lost", "crashed") else how
+        return real(epoch, job, occurrence, step, index, run, how, *rest)
 
     with replaced(_runs, "Ended", as_done):
         assert "completed_is_done" in broken_rules([3, 4], ("crash_workers", "crash_workers"))
