Show that a new owner does not ask a worker that only the registry can't reach

Callers see an accepted job whose next step never begins (LOST). The tasks of the former step have ended on a worker that is cut off from the registry and not from the instances; the owner that hears of it can't append, and its successors have no address of the worker, so they take the runs for running until the leases are over, and then start them again.

Measured: the test fails, no hold is sent.

--- a/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
@@ -458,3 +458,18 @@
     assert lost_s(pass_time(fleet, successor, claimed_s, claimed_s + 0.6)) is None
     time_out(successor, claimed_s + 0.6)
     assert lost_s(pass_time(fleet, successor, claimed_s + 0.6, claimed_s + 1.1)) is not None
+
+
+# Guards against a job whose next step never begins, since its tasks have ended on a worker that no
+# later owner asks: the log doesn't hold the worker's address.
+def test_a_new_owner_asks_a_worker_with_runs_that_the_registry_does_not_list(fleet):
+    """
+    A new owner requests the lists of a worker that only the registry can't reach, as its tasks may
+    have ended there.
+    """
+    successor = join(fleet, "second", FAILED_S)
+    end(fleet, fleet.nodes[0])
+    claimed_s = claim(fleet, successor, FAILED_S, listed=())
+    produced = pass_time(fleet, successor, claimed_s, claimed_s + 1.0)
+    holds = [item for _now_s, item in produced if isinstance(item, effects.Hold)]
+    assert any(item.worker == "w" for item in holds)
