Ask workers with runs that the registry does not list

Callers saw an accepted job whose next step never began (LOST), or its tasks run again. The tasks of the former step had ended on a worker that was cut off from the registry and not from the instances. Only the owner of that time knew the worker's address; it could not append, and its successors took the runs for running until the leases were over. Class: knowledge of an owner that is not in the log.

Its list shows what has ended; if it doesn't answer, the list of instances counts as evidence as for other workers.

test_a_new_owner_asks_a_worker_with_runs_that_the_registry_does_not_list failed before. Two tests of unlisted workers now let the owner's call fail, which it does without an answer; their bounds are as before.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -12,6 +12,7 @@
     LeaseBound,
     ReplicatedState,
     Task,
+    WorkerPlace,
     find_task,
     latest_write_s,
     occurrence_of,
@@ -170,6 +171,8 @@
     task.worker = record.worker
     task.worker_incarnation = record.worker_incarnation
     replicated.running.setdefault(record.worker, {})[key] = task
+    if record.address:
+        replicated.places[record.worker] = WorkerPlace(record.address, record.instance)
     add_run(replicated, job, task)
 
 
@@ -274,6 +277,7 @@
         del replicated.running[task.worker]
         del replicated.load[task.worker]
         replicated.lease_bounds.pop(task.worker, None)
+        replicated.places.pop(task.worker, None)
 
 
 def _closed(
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -46,7 +46,10 @@
     :param ticket: ticket of the advice service, or an empty string.
     """
     key = task.key
-    record = Started(node.ownership.epoch, *key, run, worker.id, worker.entry.incarnation)
+    entry = worker.entry
+    record = Started(
+        node.ownership.epoch, *key, run, worker.id, entry.incarnation, entry.address, entry.instance
+    )
     _journal.write(node, at, record)
     worker.orders[key] = Order(run, ticket=ticket)
     job = node.replicated.jobs[key.job]
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
@@ -82,6 +82,9 @@
 class Started(_Record, frozen=True, tag="r"):
     """
     A task is about to be started on a worker.
+
+    :param address: address of the worker, or empty if unknown.
+    :param instance: the instance that the worker runs on, or empty if unknown.
     """
 
     epoch: int
@@ -92,6 +95,8 @@
     run: int
     worker: str
     worker_incarnation: int
+    address: str = ""
+    instance: str = ""
 
 
 class Ended(_Record, frozen=True, tag="e"):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -13,7 +13,7 @@
     raise_token,
     runs_on,
 )
-from .model import WorkerEntry
+from .model import NO_RESOURCES, WorkerEntry
 
 # Poll interval of the registry; short enough that a draining worker gets no new work well before it
 # leaves.
@@ -90,6 +90,7 @@
     if event.is_full:
         for worker_id in node.workers.keys() - event.entries.keys():
             _unlist_worker(node, worker_id)
+        _add_unlisted_workers(node, at)
     node.plan_due = True
 
 
@@ -152,6 +153,35 @@
     )
 
 
+def _add_unlisted_workers(node: Node, at: Moment) -> None:
+    """
+    Add the workers that the log has runs on and the registry doesn't list.
+
+    They may be cut off from the registry only. Their lists then show which of the runs have ended.
+    """
+    for worker_id, runs in node.replicated.running.items():
+        place = node.replicated.places.get(worker_id)
+        if worker_id in node.workers or place is None:
+            continue
+        incarnation = max(task.worker_incarnation for task in runs.values())
+        service = node.replicated.jobs[next(iter(runs)).job].service
+        entry = WorkerEntry(
+            worker_id,
+            incarnation,
+            place.address,
+            service,
+            "",
+            place.instance,
+            "",
+            frozenset(),
+            NO_RESOURCES,
+            False,
+            0,
+        )
+        node.workers[worker_id] = Worker(entry, has_entry=False, clock_at_s=at.now_s)
+        log_line(node, "worker.not_listed", runs=len(runs), **_entry_fields(entry))
+
+
 def _entry_fields(entry: WorkerEntry) -> dict[str, str]:
     return {
         "worker": entry.id,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
@@ -2,6 +2,8 @@
 The replicated state of all jobs, which every instance computes from the job log.
 """
 
+from typing import NamedTuple
+
 import msgspec
 
 from .model import JobSpec, Resources, Step, TaskKey
@@ -106,6 +108,17 @@
     log_s: float = 0.0
 
 
+class WorkerPlace(NamedTuple):
+    """
+    Where a worker with runs can be reached.
+
+    :param instance: the instance that it runs on.
+    """
+
+    address: str
+    instance: str
+
+
 class LeaseBound(msgspec.Struct, eq=False):
     """
     The bound on the leases of a worker that an owner could not reach.
@@ -148,6 +161,7 @@
         runs ahead of real time.
     :param log_read_s: when the latest of these records was read, by this instance's clock.
     :param newest_heartbeat: epoch and owner's clock in milliseconds of the latest of them.
+    :param places: where the workers with runs can be reached, by worker.
     :param lease_bounds: bounds on leases, by worker with runs; such a worker gets no lease.
     """
 
@@ -171,6 +185,7 @@
     newest_heartbeat: tuple[int, int] = (0, 0)
     owner_weakness: float | None = None
     least_weakness: float | None = None
+    places: dict[str, WorkerPlace] = {}
     lease_bounds: dict[str, LeaseBound] = {}
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -11,7 +11,7 @@
 
 from . import _fold, _journal, _replicated_state, effects, events
 from ._node import Moment, Node, emit, log_line
-from ._replicated_state import InstanceOrder, Job, LeaseBound, ReplicatedState
+from ._replicated_state import InstanceOrder, Job, LeaseBound, ReplicatedState, WorkerPlace
 from .model import JobSpec
 
 # Number of new records after which a snapshot is due. They amount to about 1.5 MB, which takes
@@ -62,6 +62,7 @@
     owner_weakness: float | None = None
     least_weakness: float | None = None
     lease_bounds: dict[str, LeaseBound] = {}
+    places: dict[str, WorkerPlace] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -92,6 +93,7 @@
         replicated.owner_weakness,
         replicated.least_weakness,
         replicated.lease_bounds,
+        replicated.places,
     )
     return zlib.compress(_encoder.encode(snapshot), 1)
 
@@ -126,6 +128,7 @@
         newest_heartbeat=snapshot.newest_heartbeat,
         owner_weakness=snapshot.owner_weakness,
         least_weakness=snapshot.least_weakness,
+        places=snapshot.places,
         lease_bounds={
             worker: msgspec.structs.replace(bound, seen_s=now_s)
             for worker, bound in snapshot.lease_bounds.items()
--- a/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
@@ -11,6 +11,7 @@
 from eelgrassdrum_core.jobs._ownership import CLOCK_DRIFT, LEASE_MARGIN_S
 from eelgrassdrum_core.jobs._records import (
     Claimed,
+    Ended,
     LeaseBounded,
     LeaseLifted,
     Submitted,
@@ -228,7 +229,8 @@
     pass_time(fleet, fleet.nodes[0], FAILED_S, FAILED_S + 1)
     end(fleet, fleet.nodes[0])
     claimed_s = claim(fleet, successor, FAILED_S + 1, listed=())
-    given_up_s = lost_s(pass_time(fleet, successor, claimed_s, claimed_s + 12))
+    time_out(successor, claimed_s + 0.5)
+    given_up_s = lost_s(pass_time(fleet, successor, claimed_s + 0.5, claimed_s + 12))
     assert over_s <= given_up_s <= over_s + LATE_S, (over_s, given_up_s)
 
 
@@ -242,10 +244,12 @@
     end(fleet, fleet.nodes[0])
     claimed_s = claim(fleet, second, FAILED_S, listed=())
     over_s = claimed_s + LONGEST_S
-    assert lost_s(pass_time(fleet, second, claimed_s, claimed_s + 4)) is None
+    time_out(second, claimed_s + 0.5)
+    assert lost_s(pass_time(fleet, second, claimed_s + 0.5, claimed_s + 4)) is None
     end(fleet, second)
     claimed_s = claim(fleet, third, claimed_s + 4, listed=())
-    given_up_s = lost_s(pass_time(fleet, third, claimed_s, claimed_s + 12))
+    time_out(third, claimed_s + 0.5)
+    given_up_s = lost_s(pass_time(fleet, third, claimed_s + 0.5, claimed_s + 12))
     assert over_s <= given_up_s <= over_s + LATE_S, (over_s, given_up_s)
 
 
@@ -464,12 +468,32 @@
 # later owner asks: the log doesn't hold the worker's address.
 def test_a_new_owner_asks_a_worker_with_runs_that_the_registry_does_not_list(fleet):
     """
-    A new owner requests the lists of a worker that only the registry can't reach, as its tasks may
-    have ended there.
+    A new owner calls a worker that only the registry can't reach, and counts the tasks that have
+    ended there.
     """
     successor = join(fleet, "second", FAILED_S)
     end(fleet, fleet.nodes[0])
     claimed_s = claim(fleet, successor, FAILED_S, listed=())
-    produced = pass_time(fleet, successor, claimed_s, claimed_s + 1.0)
-    holds = [item for _now_s, item in produced if isinstance(item, effects.Hold)]
-    assert any(item.worker == "w" for item in holds)
+    worker = successor.workers["w"]
+    assert worker.holds == 1 and worker.entry.address == worker_entry("w").address
+    token = fencing_token(successor, worker)
+    ends = (model.EndRow(1, TASK, 1, "done", ""),)
+    now_s = claimed_s + 0.1
+    feed(successor, now_s, events.HoldAnswered("w", token, now_s, 30_000, 7, (), ends))
+    commit(fleet, successor, now_s)
+    assert successor.replicated.jobs["job"].committed_state == "completed"
+
+
+# Guards against a snapshot after which the address of such a worker is unknown.
+def test_a_snapshot_keeps_where_workers_with_runs_can_be_reached(fleet):
+    """
+    The place of a worker with runs is part of a snapshot, and is forgotten with its last run.
+    """
+    owner = fleet.nodes[0]
+    entry = worker_entry("w")
+    data = snapshot.encode(owner.replicated, FAILED_S, WALL_MS)
+    restored = snapshot.decode(data, FAILED_S, WALL_MS)
+    for replicated in (owner.replicated, restored):
+        assert replicated.places == {"w": (entry.address, entry.instance)}
+        fold.apply(replicated, Ended(1, *TASK, 1, "lost", ""), FAILED_S, WALL_MS)
+        assert replicated.places == {}
