Measure the progress of a resumed run after its checkpoint is restored

Cause: a run that resumes from a checkpoint makes no progress while its worker restores it, up to 600 ms on the new deployments, and then shows the restored part at once. The owner measured both: the pause counted as a stall, and the jump as the best rate of the step, against which every later window was slow. So the run was stopped, restored elsewhere and stopped again.

Change: the owner tracks a resumed run once the time for restoring has passed since the run was confirmed, and doesn't judge a run by the progress of the task's former run on the same worker. The time comes from the settings.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_progress.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_progress.py
@@ -55,7 +55,8 @@
     for key in worker.progress.keys() - keys:
         del worker.progress[key]
     for task, row in watched:
-        _update_rate(node, worker, task, row)
+        if not _is_restoring(node, at, worker, task):
+            _update_rate(node, worker, task, row)
     slow = [task for task, _row in watched if _is_slow(node, worker, task)]
     if not slow or len(slow) < SLOW_TASKS_FRACTION * len(watched):
         return
@@ -79,6 +80,14 @@
     return None if step.is_long_running or step.is_backfill else task
 
 
+def _is_restoring(node: Node, at: Moment, worker: Worker, task: Task) -> bool:
+    """
+    Return whether a run may still restore its checkpoint, whose progress then shows at once.
+    """
+    started_s = worker.started_s.get(task.key, at.now_s)
+    return bool(task.checkpoint) and at.now_s - started_s < node.bounds.restore_s
+
+
 def _update_rate(node: Node, worker: Worker, task: Task, row: RunRow) -> None:
     progress = worker.progress.get(task.key)
     # The worker's clock gives the time at which the list was made, however late it was read.
@@ -106,8 +115,8 @@
 
 
 def _is_slow(node: Node, worker: Worker, task: Task) -> bool:
-    progress = worker.progress[task.key]
-    if progress.rate is None:
+    progress = worker.progress.get(task.key)
+    if progress is None or progress.run != task.run or progress.rate is None:
         return False
     return (
         progress.no_progress_s >= STALLED_S
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
@@ -301,6 +301,8 @@
     :param cancel_s: time after the acknowledgement of a cancellation from which no task of the job
         may start.
     :param contact_s: time after which a worker's loss of capacity must be known.
+    :param restore_s: time that a worker takes to restore a checkpoint, in which its task makes no
+        progress.
     """
 
     max_lease_s: float
@@ -316,3 +318,4 @@
     orders_per_s: float = 64.0
     cancel_s: float = 3.0
     contact_s: float = 3.0
+    restore_s: float = 0.1
