Keep tasks that are larger than others of their step where they run

Cause: a task below 0.3 of the best rate in its step counted as slow, and a worker with one such task as a slow worker.

Change: the comparison with other tasks of the step needs evidence that size doesn't explain: two such tasks on the worker, a worker that was slow in the last 10 s, or a rate below 0.15 of the best. A task that was moved on that ground isn't moved on it again. The time that a task needs elsewhere follows from its own best rate where that is known.

Result: the two tests of a single large task failed before and pass now; those of a single task at a tenth of the rate, of two slow tasks and of a worker that was slow lately passed before and still do.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -525,6 +525,8 @@
     :param unreachable_zones: availability zones whose workers seem to be unreachable.
     :param best_rates: highest progress rate of a run in percent per second, by job, occurrence and
         step.
+    :param moved_rates: for tasks that were moved away from a slow worker, their own highest
+        progress rate so far.
     :param avoided_workers: workers to avoid for the next run of a task, by task.
     :param process_start_s: when the process started.
     :param plan_due: whether an event requires a new plan.
@@ -550,6 +552,7 @@
     fleet: Fleet = msgspec.field(default_factory=Fleet)
     advice: dict[tuple[str, int, int], StepAdvice] = {}
     best_rates: dict[tuple[str, int, int], float] = {}
+    moved_rates: dict[TaskKey, float] = {}
     unreachable_zones: frozenset[str] = frozenset()
     pools: dict[str, Any] = {}
     next_pools_s: float = 0.0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -226,6 +226,7 @@
     node.fleet = Fleet()
     node.advice = {}
     node.best_rates = {}
+    node.moved_rates = {}
     node.tail.next_read_s = 0.0
     node.plan_due = True
     for state in node.waves.values():
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_progress.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_progress.py
@@ -5,6 +5,9 @@
 and the time that it would need on another worker, at its own best rate or at that of other tasks of
 its step. A task is moved only if it would finish sooner elsewhere and another worker has the
 capacity.
+
+The tasks of a step differ in size, so a single task that is slower than the others of its step says
+little about its worker. A task that has been moved on that ground isn't moved on it again.
 """
 
 from . import _draining, _replicated_state, _runs
@@ -22,9 +25,16 @@
 STALLED_S = 0.6
 # A task is slow below this fraction of its own best rate.
 SLOW_FRACTION_OF_BEST = 0.4
-# A task is slow below this fraction of the best rate in its step. It is lower than the fraction
-# above, because the sizes of tasks in a step differ by some tenths.
+# A task is slow below this fraction of the best rate in its step if others on its worker are, or if
+# the worker was slow recently.
 SLOW_FRACTION_OF_STEP = 0.3
+# The same for a task without such evidence. The largest tasks of a step are some four times as
+# large as the smallest.
+SLOW_FRACTION_OF_STEP_ALONE = 0.15
+# Slow tasks on a worker from which their sizes no longer explain their rates.
+MIN_SLOW_TASKS = 2
+# Time since a worker was slow in which it counts as recent.
+RECENTLY_SLOW_S = 10.0
 # A worker is slow if at least this fraction of its tasks is slow.
 SLOW_TASKS_FRACTION = 0.5
 # A slow worker gets no new task for this time after it was last seen slow.
@@ -57,7 +67,7 @@
     for task, row in watched:
         if not _is_restoring(node, at, worker, task):
             _update_rate(node, worker, task, row)
-    slow = [task for task, _row in watched if _is_slow(node, worker, task)]
+    slow = _slow_tasks(node, at, worker, [task for task, _row in watched])
     if not slow or len(slow) < SLOW_TASKS_FRACTION * len(watched):
         return
     if at.now_s >= worker.slow_until_s:
@@ -114,15 +124,40 @@
     return occurrence_of(job, task.key.occurrence)[task.key.step]
 
 
-def _is_slow(node: Node, worker: Worker, task: Task) -> bool:
+def _slow_tasks(node: Node, at: Moment, worker: Worker, tasks: list[Task]) -> list[Task]:
+    """
+    Return the tasks of a worker that have become slow or are much slower than others of their step.
+    """
+    rated = [task for task in tasks if _rated_progress(worker, task) is not None]
+    compared = [task for task in rated if _is_slow_in_step(node, worker, task)]
+    was_slow = worker.slow_until_s > 0 and at.now_s < worker.slow_until_s + RECENTLY_SLOW_S
+    if len(compared) < MIN_SLOW_TASKS and not was_slow:
+        fraction = SLOW_FRACTION_OF_STEP_ALONE
+        compared = [task for task in compared if _is_slow_in_step(node, worker, task, fraction)]
+    return [task for task in rated if task in compared or _has_become_slow(worker, task)]
+
+
+def _rated_progress(worker: Worker, task: Task) -> RunProgress | None:
+    """
+    Return the progress of a task's present run, or ``None`` if it has no rate yet.
+    """
     progress = worker.progress.get(task.key)
     if progress is None or progress.run != task.run or progress.rate is None:
-        return False
-    return (
-        progress.no_progress_s >= STALLED_S
-        or progress.rate < SLOW_FRACTION_OF_BEST * progress.best_rate
-        or progress.rate < SLOW_FRACTION_OF_STEP * node.best_rates[task.key[:3]]
-    )
+        return None
+    return progress
+
+
+def _has_become_slow(worker: Worker, task: Task) -> bool:
+    progress = worker.progress[task.key]
+    is_slower = (progress.rate or 0.0) < SLOW_FRACTION_OF_BEST * progress.best_rate
+    return is_slower or progress.no_progress_s >= STALLED_S
+
+
+def _is_slow_in_step(
+    node: Node, worker: Worker, task: Task, fraction: float = SLOW_FRACTION_OF_STEP
+) -> bool:
+    rate = worker.progress[task.key].rate or 0.0
+    return task.key not in node.moved_rates and rate < fraction * node.best_rates[task.key[:3]]
 
 
 def _move_slow_tasks(node: Node, at: Moment, worker: Worker, slow: list[Task]) -> None:
@@ -148,6 +183,7 @@
             rate=round(progress.rate or 0.0, 1),
             best_rate=round(node.best_rates[task.key[:3]], 1),
         )
+        node.moved_rates[task.key] = _own_best_rate(node, worker, task)
         node.avoided_workers.setdefault(task.key, set()).add(worker.id)
         _runs.send_stop(node, at, worker, task.key, task.run)
 
@@ -155,6 +191,9 @@
 def _finishes_sooner_elsewhere(node: Node, worker: Worker, task: Task, state: StepState) -> bool:
     progress = worker.progress[task.key]
     best_rate = node.best_rates[task.key[:3]]
+    if task.key in node.moved_rates or _has_become_slow(worker, task):
+        # Its own rate is known, and others of its step may be much smaller.
+        best_rate = _own_best_rate(node, worker, task) or best_rate
     remaining = 100 - progress.percent
     remaining_here_s = remaining / max(MIN_PERCENT_PER_S, progress.rate or 0.0)
     if not best_rate:
@@ -165,11 +204,20 @@
     return remaining_here_s > GAIN_FACTOR * remaining_elsewhere_s + MOVE_COST_S
 
 
+def _own_best_rate(node: Node, worker: Worker, task: Task) -> float:
+    """
+    Return the best rate of a task in its present run and in the runs that were moved.
+    """
+    return max(worker.progress[task.key].best_rate, node.moved_rates.get(task.key, 0.0))
+
+
 def prune(node: Node) -> None:
     """
-    Drop the rates of steps whose jobs are no longer open.
+    Drop the rates of steps and tasks whose jobs are no longer open.
 
     :param node: the instance.
     """
     for key in [key for key in node.best_rates if key[0] not in node.replicated.open_jobs]:
         del node.best_rates[key]
+    for task in [key for key in node.moved_rates if key.job not in node.replicated.open_jobs]:
+        del node.moved_rates[task]
