--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_app.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_app.py
@@ -9,6 +9,7 @@
 
 from . import (
     _commands_config,
+    _commands_day,
     _commands_fleet,
     _commands_keys,
     _commands_maintenance,
@@ -51,6 +52,7 @@
     app.command(_commands_fleet.status)
     app.command(_commands_fleet.explain)
     app.command(_commands_trace.trace)
+    app.command(_commands_day.day)
     app.register_install_completion_command(name="--install-completion")
     return app
 
--- a/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_trace.py
+++ b/packages/eelgrassdrum-cli/src/eelgrassdrum_cli/_commands_trace.py
@@ -2,14 +2,11 @@
 Traces one job through the logs of several instances.
 """
 
-import sys
-from collections.abc import Iterable, Iterator
 from pathlib import Path
-from typing import Any, NamedTuple
-
-import msgspec
+from typing import Any
 
 from ._errors import CommandError, ExitCode
+from ._log_lines import Line, read_lines
 from ._output import print_rows
 from ._settings import NO_SETTINGS, Settings
 
@@ -24,19 +21,6 @@
 MEMBER_ACTIONS = ("worker.ended", "worker.ignored", "pool.move")
 
 
-class Line(NamedTuple):
-    """
-    A line of the structured log.
-
-    :param at_s: Unix time.
-    """
-
-    at_s: float
-    instance: str
-    action: str
-    fields: dict[str, Any]
-
-
 def trace(job: str, /, *files: Path, settings: Settings = NO_SETTINGS) -> int:
     """
     Show every decision about a job, with events of its workers and of the owner of the log, and why
@@ -45,7 +29,7 @@
     :param job: the job's id.
     :param files: logs of instances, in any order; standard input if there are none.
     """
-    lines = sorted(_read_all(files), key=lambda line: line.at_s)
+    lines = read_lines(files)
     job_lines = [line for line in lines if is_about(line, job)]
     if not job_lines:
         raise CommandError(ExitCode.NOT_FOUND, f"no line of these logs is about job {job}")
@@ -60,34 +44,6 @@
     return 0
 
 
-def _read_all(files: Iterable[Path]) -> Iterator[Line]:
-    texts = [path.read_text(encoding="utf-8", errors="replace") for path in files]
-    for text in texts or [sys.stdin.read()]:
-        for row in text.splitlines():
-            line = parse_line(row)
-            if line is not None:
-                yield line
-
-
-def parse_line(row: str) -> Line | None:
-    """
-    Parse a line of a log, skipping any prefix added by a log collector.
-
-    :param row: the line.
-    :returns: the line, or ``None`` when it is not a line of the structured log.
-    """
-    start = row.find("{")
-    if start < 0:
-        return None
-    try:
-        data = msgspec.json.decode(row[start:])
-        return Line(
-            data["timestamp"], data["instance"], data["message_type"], data.get("fields", {})
-        )
-    except (msgspec.MsgspecError, KeyError, TypeError):
-        return None
-
-
 def is_about(line: Line, job: str) -> bool:
     """
     Return whether a line is about a job.
