Read the log on demand where others claim it first

Change: such an instance reads once a second while none of its callers waits. A question that finds the state older than the usual interval waits for the read that it causes, 0.3 s at most (docs/design/platform.md).

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Callable
 
-from . import _forwarding, _replicated_state, effects, events
+from . import _forwarding, _on_demand, _replicated_state, effects, events
 from ._node import IntakeCall, Moment, Node, emit, log_line
 from ._records import Cancelled, Record, Submitted, encode_records
 from .events import CallReceived
@@ -39,6 +39,8 @@
 START_RETRY_S = 0.5
 # Maximum age of the latest read of the log for reporting that a job doesn't exist.
 MAX_LOG_AGE_S = 1.5
+# Time for which a question waits for a read of the log; many times what a read takes.
+MAX_QUESTION_S = 0.3
 # Time after which an accepted job that was never read back from the log is forgotten.
 ACCEPTED_RETENTION_S = 30.0
 
@@ -144,6 +146,8 @@
 def _look_up(
     node: Node, at: Moment, call: CallReceived, queue: Queue, workspace: str, job_id: str
 ) -> None:
+    if _is_deferred(node, at, call):
+        return
     job = node.replicated.jobs.get(job_id)
     if not node.tail.has_caught_up:
         # The replicated state is still that of a snapshot or of an earlier offset.
@@ -162,6 +166,8 @@
 def _count_pending(
     node: Node, at: Moment, call: CallReceived, queue: Queue, workspace: str, job_id: str
 ) -> None:
+    if _is_deferred(node, at, call):
+        return
     if not is_log_fresh(node, at.now_s):
         retry_s = store_retry_s(node, at, _due_s(at, call))
         _refuse(node, call, effects.UNAVAILABLE, "log_not_read", retry_s)
@@ -178,6 +184,35 @@
 }
 
 
+def _is_deferred(node: Node, at: Moment, call: CallReceived) -> bool:
+    """
+    Return whether a question waits for a read of the log, which it causes.
+    """
+    if node.intake.is_answering or _on_demand.is_current(node, at):
+        return False
+    node.intake.questions.append((call, at.now_s))
+    return True
+
+
+def answer_questions(node: Node, at: Moment, before_s: float = math.inf) -> None:
+    """
+    Answer the questions that waited for a read of the log, from the state as it is.
+
+    :param node: the instance.
+    :param at: the current time.
+    :param before_s: only questions that arrived before this time are answered.
+    """
+    questions = node.intake.questions
+    node.intake.is_answering = True
+    while questions and questions[0][1] < before_s:
+        call, _since_s = questions.popleft()
+        if call.token in node.intake.abandoned:
+            node.intake.abandoned.discard(call.token)
+        else:
+            on_call(node, at, call)
+    node.intake.is_answering = False
+
+
 def visible_state(job: _replicated_state.Job) -> str:
     """
     Return the state of a job that its caller is told.
@@ -452,6 +487,7 @@
     while intake.waiting and at.now_s - intake.waiting[0].since_s >= max_queued_s:
         _refuse_unavailable(node, at, intake.waiting.popleft())
     _expire_cancels(node, at)
+    answer_questions(node, at, at.now_s - MAX_QUESTION_S)
     if intake.accepted:
         old = [job for job, s in intake.accepted.items() if at.now_s - s > ACCEPTED_RETENTION_S]
         for job in old:
@@ -532,10 +568,11 @@
 
 def is_idle(node: Node) -> bool:
     """
-    Return whether no caller waits for an append or for the outcome of a cancellation.
+    Return whether no caller waits for an append, for the outcome of a cancellation or for a read.
 
     :param node: the instance.
     :returns: whether nothing is left to answer.
     """
     intake = node.intake
-    return not intake.batch and not intake.waiting and not intake.pending_cancels
+    is_appending = intake.batch or intake.waiting
+    return not (is_appending or intake.pending_cancels or intake.questions)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -11,6 +11,7 @@
 from ._records import LeaseBounded, Record
 from ._replicated_state import ReplicatedState
 from ._reserves import Bursts
+from .events import CallReceived
 from .model import Bounds, Config, InstanceRow, Resources, RunRow, TaskKey, Wave, WorkerEntry
 
 NEVER_S = 1e18
@@ -148,6 +149,8 @@
         their acceptance.
     :param pending_cancels: by job, tokens and due times of calls that wait until the log shows
         whether the job exists.
+    :param questions: calls that wait for a read of the log, with the time of their arrival.
+    :param is_answering: whether such calls are being answered from the state as it is.
     """
 
     waiting: deque[IntakeCall] = msgspec.field(default_factory=deque)
@@ -168,6 +171,8 @@
     abandoned: set[int] = set()
     accepted: dict[str, float] = {}
     pending_cancels: dict[str, list[tuple[int, float]]] = {}
+    questions: deque[tuple[CallReceived, float]] = msgspec.field(default_factory=deque)
+    is_answering: bool = False
 
 
 class Order(msgspec.Struct, eq=False):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -115,7 +115,7 @@
 
 
 def _owner_timeout_s(node: Node, at: Moment) -> float:
-    if _may_be_weaker(node):
+    if may_be_weaker(node):
         return WEAK_OWNER_TIMEOUT_S
     if node.identity.weakness > 0 and at.now_s - node.process_start_s < STORE_SEEN_S:
         return MAX_OWNER_TIMEOUT_S
@@ -127,9 +127,12 @@
     return min(MAX_OWNER_TIMEOUT_S, timeout_s)
 
 
-def _may_be_weaker(node: Node) -> bool:
+def may_be_weaker(node: Node) -> bool:
     """
     Return whether some claimant so far was stronger than this instance, as far as the log tells.
+
+    :param node: the instance.
+    :returns: whether this instance claims the log after others.
     """
     return node.identity.weakness > (node.replicated.least_weakness or 0.0)
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -6,6 +6,7 @@
     _fold,
     _instances,
     _intake,
+    _on_demand,
     _outage,
     _ownership,
     _replicated_state,
@@ -27,12 +28,10 @@
 
 # How long a read waits at the store for a new record; bounds the staleness of the replicated state.
 WAIT_S = 0.5
-# Poll interval of instances that don't own the log; limits the load on the store.
-READER_INTERVAL_S = 0.15
 # Delay before a failed read is retried.
 RETRY_S = 0.1
 # Factor by which a former maximum decays at each read: to a tenth after two seconds of reads at
-# `READER_INTERVAL_S`.
+# the usual interval.
 DECAY_FACTOR = 0.85
 # Minimum interval between log lines about failures of reads that were replaced by later ones.
 REPLACED_LOG_INTERVAL_S = 1.0
@@ -53,14 +52,15 @@
         is_pending = at.now_s - tail.sent_s < _outage.PROBE_INTERVAL_S
     else:
         is_pending = tail.is_reading
-    if is_pending or at.now_s < tail.next_read_s:
+    if is_pending or at.now_s < _on_demand.next_read_s(node, _intake.is_idle(node)):
         return
     tail.is_reading = True
     tail.sent_s = at.now_s
     if tail.needs_snapshot:
         emit(node, effects.ReadSnapshot())
     else:
-        tail.wait_s = WAIT_S if tail.is_caught_up and not is_probing else 0.0
+        is_awaited = is_probing or bool(node.intake.questions)
+        tail.wait_s = WAIT_S if tail.is_caught_up and not is_awaited else 0.0
         emit(node, effects.ReadLog(node.replicated.offset, tail.wait_s))
 
 
@@ -109,9 +109,10 @@
         )
         tail.owner_record_s = max(tail.owner_record_s, at.now_s)
     if tail.is_caught_up and not node.ownership.is_owner:
-        tail.next_read_s = at.now_s + READER_INTERVAL_S
+        tail.next_read_s = at.now_s + _on_demand.READER_INTERVAL_S
     if event.records:
         node.plan_due = True
+    _intake.answer_questions(node, at)
     if node.ownership.reload_wanted:
         reload(node, at, "another_instance_claimed")
 
