Move instances ahead of the bursts that are due

Cause: a burst needs its instances within the time that one move takes, and moves that follow the demand come 1.5 s late for its first work, whatever the usual reserve holds.

Ruled out: a period for each pool, since it takes two bursts of one pool to learn it; a share of reserve for the pool in its burst, which serves no more.

Change: the owner remembers what a pool needed in the first two seconds of its latest burst. That much is moved to a pool when its burst begins, and where bursts rotate, to the pool whose burst is due ahead of it. Demand that is there goes before reserves when instances are given out.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -31,6 +31,9 @@
 # instance costs as much as moving it away and back.
 SURPLUS_DELAY_S = 2.0
 MOVING = "moving"
+# Time from the demand for an instance to the order for it, beside the move itself: the decision,
+# its record in the log, and the worker's first list.
+DECISION_S = 0.4
 # Interval between decisions on the pool sizes.
 RESIZE_INTERVAL_S = 0.1
 
@@ -88,19 +91,31 @@
     sizes: dict[str, int] = {}
     names = [service.name for service in node.config.services.values() if not service.is_standby]
     short = {name: demands[name].short_millicores for name in names}
-    _reserves.note_demand(node.bursts, at.now_s, short, _mean_size(node))
+    size, usual = _mean_size(node), _usual_reserve(node)
+    _reserves.note_demand(node.bursts, at.now_s, short, size)
+    lead_s = node.bounds.move_s + DECISION_S
+    needed: dict[str, int] = {}
     for name in names:
-        state = node.pools.setdefault(name, PoolState())
-        usual = _usual_reserve(node)
-        reserve = _reserves.reserve(node.bursts, at.now_s, name, short, usual)
-        state.wanted = _wanted_size(node, demands[name], reserve)
+        needed[name] = math.ceil(demands[name].millicores / size) + demands[name].isolating
+        reserve = _reserves.reserve(node.bursts, at.now_s, name, short, usual, size, lead_s)
+        node.pools.setdefault(name, PoolState()).wanted = max(1, needed[name] + reserve)
         sizes[name] = members[name]
-    for name in sorted(sizes, key=lambda pool: sizes[pool] - node.pools[pool].wanted):
-        shortage = node.pools[name].wanted - sizes[name]
-        for _ in range(max(0, shortage)):
+    # What work needs now goes before the reserves.
+    _add_instances(node, at, standby, sizes, needed)
+    _add_instances(node, at, standby, sizes, {name: node.pools[name].wanted for name in names})
+    _release_surplus(node, at, standby, sizes)
+
+
+def _add_instances(
+    node: Node, at: Moment, standby: str, sizes: dict[str, int], wanted: dict[str, int]
+) -> None:
+    """
+    Move instances to the pools that are too small, the smallest by comparison first.
+    """
+    for name in sorted(sizes, key=lambda pool: sizes[pool] - wanted[pool]):
+        for _ in range(max(0, wanted[name] - sizes[name])):
             if not _add_instance(node, at, name, standby, sizes):
                 break
-    _release_surplus(node, at, standby, sizes)
 
 
 def _is_state_known(node: Node, at: Moment) -> bool:
@@ -238,14 +253,6 @@
     return max(MIN_RESERVE, math.ceil(even_share * RESERVE_FRACTION))
 
 
-def _wanted_size(node: Node, demand: PoolDemand, reserve: int) -> int:
-    """
-    Return the number of instances that a pool should have, including its reserve, one at least.
-    """
-    needed = math.ceil(demand.millicores / _mean_size(node))
-    return max(1, needed + demand.isolating + reserve)
-
-
 def _add_instance(node: Node, at: Moment, pool: str, standby: str, sizes: dict[str, int]) -> bool:
     """
     Move one instance to a pool, from standby or from another pool, and return whether one was
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reserves.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reserves.py
@@ -4,10 +4,14 @@
 An instance takes some time to move, so each pool needs a reserve when its demand rises. Holding it
 in all pools all the time costs more than the bursts do where the bursts rotate: each pool has one
 in turn. Then the pool that has been without a burst for longest is the next one, and only that
-pool, and the one whose burst is the latest, need the reserve.
+pool, and the one whose burst has just begun, need the reserve. Shortly before the burst is due, the
+reserve grows to what earlier bursts needed at their beginning, and so does that of any pool whose
+burst begins.
 """
 
 import math
+import statistics
+from collections import deque
 from collections.abc import Mapping
 
 import msgspec
@@ -16,6 +20,13 @@
 # highest demand of any pool so far, and has ended below half of that.
 MIN_BURST_INSTANCES = 2
 BURST_FRACTION = 0.3
+# Beginning of a burst, for which instances are moved ahead; about the time of a move and of the
+# decision about it.
+BEGINNING_S = 2.0
+# Instances that were moved ahead are given back if the burst is later than this.
+MAX_WAIT_S = 1.0
+# Intervals between bursts of which the mean is expected.
+MAX_INTERVALS = 8
 # A rotation has ended if the next burst is later than expected by this factor.
 LATE_FACTOR = 2.0
 # Reserve of pools whose burst isn't expected next.
@@ -33,7 +44,10 @@
     :param begun_s: when the latest burst of each pool began.
     :param bursting: pools whose latest burst has not ended.
     :param latest: pool with the latest burst, or empty.
-    :param interval_s: time between the beginnings of the latest two bursts.
+    :param intervals_s: times between the beginnings of the latest bursts while these rotate.
+    :param needs: highest demand of each pool in the beginning of its latest burst whose beginning
+        is over, in millicores.
+    :param rise: highest demand in the beginning of the latest burst, or 0 once that is over.
     :param is_rotating: whether the latest burst was that of a pool that was expected to be next.
     :param active_s: when any pool last had demand, or demand was last unknown; ``None`` before.
     """
@@ -42,7 +56,9 @@
     begun_s: dict[str, float] = {}
     bursting: set[str] = set()
     latest: str = ""
-    interval_s: float = 0.0
+    intervals_s: deque[float] = msgspec.field(default_factory=lambda: deque(maxlen=MAX_INTERVALS))
+    needs: dict[str, float] = {}
+    rise: float = 0.0
     is_rotating: bool = False
     active_s: float | None = None
 
@@ -66,6 +82,7 @@
         elif demand >= threshold and pool not in bursts.bursting:
             bursts.bursting.add(pool)
             _begin(bursts, now_s, pool, demands)
+    _note_rise(bursts, now_s, demands)
 
 
 def note_unknown(bursts: Bursts, now_s: float) -> None:
@@ -87,11 +104,29 @@
         # That it isn't the latest pool again shows no order.
         is_evidence = len(expected) < len(pools) - 1
         bursts.is_rotating = pool in expected and is_evidence
-        bursts.interval_s = now_s - bursts.begun_s[bursts.latest]
+        if pool not in expected:
+            bursts.intervals_s.clear()
+        bursts.intervals_s.append(now_s - bursts.begun_s[bursts.latest])
+        _end_beginning(bursts)
     bursts.begun_s[pool] = now_s
     bursts.latest = pool
 
 
+def _note_rise(bursts: Bursts, now_s: float, demands: Mapping[str, float]) -> None:
+    if not bursts.latest:
+        return
+    if now_s - bursts.begun_s[bursts.latest] <= BEGINNING_S:
+        bursts.rise = max(bursts.rise, demands.get(bursts.latest, 0.0))
+    else:
+        _end_beginning(bursts)
+
+
+def _end_beginning(bursts: Bursts) -> None:
+    if bursts.rise:
+        bursts.needs[bursts.latest] = bursts.rise
+        bursts.rise = 0.0
+
+
 def expected_pools(bursts: Bursts, pools: Mapping[str, float]) -> set[str]:
     """
     Return the pools that have been without a burst for longest, those without any burst first.
@@ -105,21 +140,49 @@
     return {pool for pool, begun_s in others.items() if begun_s == first_s}
 
 
-def reserve(bursts: Bursts, now_s: float, pool: str, pools: Mapping[str, float], usual: int) -> int:
+def reserve(
+    bursts: Bursts,
+    now_s: float,
+    pool: str,
+    pools: Mapping[str, float],
+    usual: int,
+    size: float,
+    lead_s: float,
+) -> int:
     """
     Return the number of empty instances that a pool should keep.
 
     :param bursts: the bursts.
     :param now_s: the current time.
     :param pool: the pool.
-    :param pools: all pools.
+    :param pools: demand of all pools as it was last noted.
     :param usual: the reserve of a pool about whose next burst nothing is known.
+    :param size: mean millicores of an instance.
+    :param lead_s: time from a decision until an instance has moved.
     :returns: the number.
     """
     if bursts.active_s is not None and now_s - bursts.active_s >= IDLE_S:
         return 0
-    since_s = now_s - bursts.begun_s.get(bursts.latest, now_s)
-    is_known = bursts.is_rotating and since_s < LATE_FACTOR * bursts.interval_s
-    if not is_known or pool == bursts.latest or pool in expected_pools(bursts, pools):
+    if not bursts.latest:
+        return usual
+    since_s = now_s - bursts.begun_s[bursts.latest]
+    if pool == bursts.latest and since_s <= BEGINNING_S:
+        return max(usual, math.ceil((_need(bursts, pool) - pools[pool]) / size))
+    if not bursts.is_rotating:
         return usual
-    return min(usual, UNEXPECTED_RESERVE)
+    interval_s = statistics.fmean(bursts.intervals_s)
+    if since_s >= LATE_FACTOR * interval_s:
+        return usual
+    expected = expected_pools(bursts, pools)
+    if pool not in expected:
+        return min(usual, UNEXPECTED_RESERVE)
+    if not -lead_s <= since_s - interval_s <= MAX_WAIT_S:
+        return usual
+    return max(usual, math.ceil(_need(bursts, pool) / size / len(expected)))
+
+
+def _need(bursts: Bursts, pool: str) -> float:
+    """
+    Return the demand to expect in the beginning of a pool's burst, in millicores.
+    """
+    return bursts.needs.get(pool) or statistics.fmean(bursts.needs.values() or (0.0,))
