Read often while the log may have no owner

Change: the long interval applies only while the latest read showed the owner.

Result: test_jobs_succession passes again, and a test shows the interval after a read without the owner.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_on_demand.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_on_demand.py
@@ -2,7 +2,7 @@
 Determines how often an instance reads the log.
 
 An instance that claims the log after others needs no recent state for itself. While none of its
-callers waits, it reads seldom; a question about a job causes a read.
+callers waits and the log has an owner, it reads seldom; a question about a job causes a read.
 """
 
 from . import _ownership
@@ -23,7 +23,7 @@
     :returns: time by this instance's clock, in seconds.
     """
     tail = node.tail
-    if not (is_idle and tail.is_caught_up and _claims_last(node)):
+    if not (is_idle and _reads_on_demand(node)):
         return tail.next_read_s
     return max(tail.next_read_s, tail.answered_s + IDLE_READER_INTERVAL_S)
 
@@ -39,11 +39,16 @@
     """
     tail = node.tail
     is_silent = node.store.silent_since_s is not None
-    if is_silent or not tail.is_caught_up or not _claims_last(node):
+    if is_silent or not _reads_on_demand(node):
         return True
     # A pending read returns as soon as there is a record.
     return tail.is_reading or at.now_s - tail.answered_s <= READER_INTERVAL_S
 
 
-def _claims_last(node: Node) -> bool:
-    return not node.ownership.is_owner and _ownership.may_be_weaker(node)
+def _reads_on_demand(node: Node) -> bool:
+    """
+    Return whether an instance claims the log after others, and its latest read showed the owner.
+    """
+    tail, is_owner = node.tail, node.ownership.is_owner
+    shows_owner = tail.is_caught_up and tail.owner_record_s >= tail.answered_s
+    return shows_owner and not is_owner and _ownership.may_be_weaker(node)
--- a/packages/eelgrassdrum-core/tests/test_jobs_on_demand.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_on_demand.py
@@ -83,12 +83,12 @@
     return [(item.outcome, item.detail) for item in produced if isinstance(item, effects.Reply)]
 
 
-def first_read_s(node):
+def first_read_s(node, from_s=READ_S):
     """
     Let time pass and return the time from the last read to the next.
     """
     for tick in range(1, 40):
-        if reads(feed(node, READ_S + tick * TICK_S, events.Ticked())):
+        if reads(feed(node, from_s + tick * TICK_S, events.Ticked())):
             return tick * TICK_S
     raise AssertionError("no read")
 
@@ -115,6 +115,14 @@
     assert first_read_s(weak) <= USUAL_S + TICK_S
 
 
+def test_an_instance_that_misses_the_owner_reads_often(weak):
+    """
+    After a read without a record of the owner, a weak instance may have to claim the log.
+    """
+    feed(weak, READ_S + 0.5, events.LogRead(2, (), 2, READ_S + 0.4))
+    assert first_read_s(weak, READ_S + 0.5) <= USUAL_S + TICK_S
+
+
 def test_a_question_waits_for_the_read_that_it_causes(weak):
     """
     A question that finds an old state is answered from the records that the read brings.
