Don't send a request past its time after a pause of the process

Cause: when a process was paused while a connection opened, the poller reported the connection before the timer of the request ran, and the request went out although its time was over.

Change: the pool checks the time before it sends the first byte.

--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_messages.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_messages.py
@@ -48,6 +48,8 @@
     :param body: the body.
     :param is_expected: returns whether a response belongs to this request; if not, the request
         fails and its connection is closed.
+    :param send_within_s: time after which the request fails if nothing of it was sent yet, or
+        ``None`` for its timeout.
     """
 
     address: str
@@ -58,6 +60,7 @@
     headers: Mapping[str, str] = {}
     body: bytes = b""
     is_expected: Callable[[HttpAnswer], bool] | None = None
+    send_within_s: float | None = None
 
 
 def encode_head(req: ClientRequest) -> bytes:
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
@@ -91,6 +91,8 @@
             conn.out.append(memoryview(req.body))
         expire = partial(self._fail, conn, "timeout")
         conn.deadline = self.scheduler.call_later(req.timeout_s, expire)
+        limits_s = (req.timeout_s, req.send_within_s)
+        conn.send_until_s = self.scheduler.clock() + min(s for s in limits_s if s is not None)
         if not conn.connecting:
             self._write_pending(conn)
         return conn
@@ -191,6 +193,10 @@
         return True
 
     def _write_pending(self, conn: ClientConn) -> None:
+        # After a pause of the process, the poller may report the socket before the timer runs.
+        if conn.out and not conn.sent_bytes and self.scheduler.clock() >= conn.send_until_s:
+            self._fail(conn, "not_sent_in_time")
+            return
         while conn.out:
             try:
                 sent = conn.sock.send(conn.out[0])
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_state.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_state.py
@@ -15,6 +15,8 @@
 class ClientConn(msgspec.Struct, eq=False):
     """
     A connection to a server, and its request in flight, if any.
+
+    :param send_until_s: time after which no first byte of the request is sent.
     """
 
     sock: socket.socket
@@ -28,6 +30,7 @@
     received_bytes: int = 0
     idle_since_s: float = 0.0
     deadline: Timer | None = None
+    send_until_s: float = 0.0
 
 
 class PoolCounters(msgspec.Struct):
--- a/packages/eelgrassdrum-daemon/tests/test_http_pool.py
+++ b/packages/eelgrassdrum-daemon/tests/test_http_pool.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterator
 from functools import partial
 
@@ -143,6 +144,26 @@
     assert (script.conns, script.received) == (1, BODY)
 
 
+def test_request_is_not_sent_after_a_pause_of_the_process(loop: Loop, server: Callable) -> None:
+    """
+    A process that is paused while a connection opens doesn't send the request past its time.
+    """
+    script = Script([ANSWER, ANSWER])
+    address = server(script)
+    outcomes: list[HttpOutcome] = []
+
+    def submit() -> None:
+        for limits in ({"timeout_s": SHORT_TIMEOUT_S}, {"send_within_s": SHORT_TIMEOUT_S}):
+            loop.pool.submit(post(address, **limits)(on_done=outcomes.append))
+        time.sleep(2 * SHORT_TIMEOUT_S)
+        loop.scheduler.call_later(2 * SHORT_TIMEOUT_S, loop.root.stop)
+
+    loop.scheduler.call_later(0, submit)
+    loop.root.run()
+    assert [outcome.sent for outcome in outcomes] == [False, False], outcomes
+    assert script.received == b""
+
+
 def test_large_body_arrives_whole(loop: Loop, server: Callable) -> None:
     """
     A body larger than the socket buffers arrives unchanged.
