Complete a wave although instances of it move between pools

Cause: a wave was closed only when none of its instances was down, and a move counts as down.

Change: only instances that are drained or down for maintenance count, for the end of a wave and for how many may be down at once.

Result: two new tests failed before and pass now; a third shows that a wave still waits for its last instance.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waves.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waves.py
@@ -75,7 +75,7 @@
     wave = state.wave
     remaining = _remaining_instances(node, state)
     if not remaining:
-        if not any(name in fleet.down for name in wave.instances):
+        if not any(_is_in_maintenance(node, name) for name in wave.instances):
             write(node, at, WaveClosed(node.ownership.epoch, wave.number))
             log_line(
                 node,
@@ -84,7 +84,7 @@
                 took_s=round(at.now_s - state.seen_s, 2),
             )
         return
-    in_progress = sum(name in fleet.draining or name in fleet.down for name in wave.instances)
+    in_progress = sum(_is_in_maintenance(node, name) for name in wave.instances)
     for row in sorted(remaining, key=lambda row: _load_key(node, row)):
         if in_progress >= wave.max_down:
             return
@@ -105,6 +105,13 @@
         )
 
 
+def _is_in_maintenance(node: Node, instance: str) -> bool:
+    """
+    Return whether an instance is drained or down for maintenance; one that moves is not.
+    """
+    return node.fleet.draining.get(instance) == MAINTENANCE
+
+
 def _load_key(node: Node, row: InstanceRow) -> tuple[float, int]:
     """
     Return the sort key by which the least loaded instances are drained first.
--- a/packages/eelgrassdrum-core/tests/test_jobs_instances.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_instances.py
@@ -124,6 +124,48 @@
     assert set(node.fleet.draining) == {"m-a"}
 
 
+def test_a_wave_is_over_although_its_instances_move():
+    """
+    A wave is completed once all its instances are maintained, whether or not some move meanwhile.
+    """
+    node = make_owner_with_wave(model.Wave(1, ("m-a", "m-b"), 30.0, 1))
+    node.replicated.maintained[1] = {"m-a", "m-b"}
+    move_away(node, "m-a")
+    list_instances(node, LISTED_S, ("a", "b"))
+    assert node.replicated.closed_waves == {1}
+
+
+def test_moves_do_not_count_against_the_limit_of_a_wave():
+    """
+    An instance that moves isn't down for the wave, so another one may be maintained.
+    """
+    node = make_owner_with_wave(model.Wave(1, ("m-a", "m-b"), 30.0, 1))
+    move_away(node, "m-a")
+    list_instances(node, LISTED_S, ("a", "b"))
+    assert node.fleet.draining == {"m-a": instances.MOVE, "m-b": instances.MAINTENANCE}
+
+
+def test_a_wave_is_not_over_while_an_instance_is_maintained():
+    """
+    A wave isn't completed before the last of its instances is back.
+    """
+    node = make_owner_with_wave(model.Wave(1, ("m-a", "m-b"), 30.0, 1))
+    node.replicated.maintained[1] = {"m-a", "m-b"}
+    node.fleet.draining["m-a"] = instances.MAINTENANCE
+    node.fleet.down["m-a"] = LISTED_S + 10.0
+    list_instances(node, LISTED_S, ("a", "b"))
+    assert not node.replicated.closed_waves
+
+
+def move_away(node, instance):
+    """
+    Let an instance be away for a move.
+    """
+    node.fleet.draining[instance] = instances.MOVE
+    node.fleet.pool_of[instance] = "service"
+    node.fleet.down[instance] = LISTED_S + 10.0
+
+
 def make_owner_with_wave(wave):
     """
     Return the owner of two instances that are to be maintained.
