Record the bursts of pools for later owners

Cause: what an owner had learned of the bursts was lost with it.

Change: the owner records a burst once its first two seconds are over, one record for each burst.

Result: three tests in virtual time.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -10,6 +10,7 @@
     InstanceOrder,
     Job,
     LeaseBound,
+    PoolBurst,
     ReplicatedState,
     Task,
     WorkerPlace,
@@ -317,6 +318,16 @@
     replicated.closed_waves.add(record.wave)
 
 
+def _burst_seen(
+    replicated: ReplicatedState, record: _records.BurstSeen, _now_s: float, _wall_ms: int
+) -> None:
+    epoch, clock_ms = replicated.newest_heartbeat
+    age_s = max(0, clock_ms - record.begun_ms) / 1000 if epoch == record.epoch else 0.0
+    replicated.bursts[record.pool] = PoolBurst(
+        replicated.log_s - age_s, record.millicores, record.is_in_turn
+    )
+
+
 def _remove_pending(replicated: ReplicatedState, job: Job) -> None:
     if not job.spec.repeats:
         replicated.pending[job.queue] -= 1
@@ -351,6 +362,7 @@
     _records.InstanceOrdered: _instance_ordered,
     _records.InstanceDone: _instance_done,
     _records.WaveClosed: _wave_closed,
+    _records.BurstSeen: _burst_seen,
     _records.LeaseBounded: _lease_bounded,
     _records.LeaseLifted: _lease_lifted,
 }
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from . import _freshness, _journal, _takeover, effects, events
+from . import _freshness, _journal, _reserves, _takeover, effects, events
 from ._node import Fleet, Moment, Node, Subscription, emit, log_line
 from ._records import Claimed, Released, encode_records
 from .model import Bounds
@@ -230,6 +230,9 @@
     node.advice = {}
     node.best_rates = {}
     node.moved_rates = {}
+    replicated = node.replicated
+    log_s = replicated.log_s + at.now_s - replicated.log_read_s
+    node.bursts = _reserves.restore(replicated.bursts, log_s, at.now_s)
     node.tail.next_read_s = 0.0
     node.plan_due = True
     for state in node.waves.values():
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_pools.py
@@ -14,7 +14,9 @@
 
 from . import _candidates, _isolation, _ready, _replicated_state, _reserves
 from ._instances import MOVE, UP, former_order_expired, may_decide
+from ._journal import write
 from ._node import Moment, Node, Worker, log_line
+from ._records import BurstSeen
 from ._replicated_state import occurrence_of
 from .model import Resources
 
@@ -92,7 +94,7 @@
     names = [service.name for service in node.config.services.values() if not service.is_standby]
     short = {name: demands[name].short_millicores for name in names}
     size, usual = _mean_size(node), _usual_reserve(node)
-    _reserves.note_demand(node.bursts, at.now_s, short, size)
+    _record_burst(node, at, _reserves.note_demand(node.bursts, at.now_s, short, size))
     lead_s = node.bounds.move_s + DECISION_S
     needed: dict[str, int] = {}
     for name in names:
@@ -106,6 +108,19 @@
     _release_surplus(node, at, standby, sizes)
 
 
+def _record_burst(node: Node, at: Moment, pool: str | None) -> None:
+    """
+    Record what a pool needed in the beginning of its burst, which is unknown to later owners.
+    """
+    if pool is None:
+        return
+    bursts = node.bursts
+    begun_ms, need = round(bursts.begun_s[pool] * 1000), round(bursts.needs[pool])
+    epoch = node.ownership.epoch
+    write(node, at, BurstSeen(epoch, pool, begun_ms, need, bursts.is_rotating))
+    log_line(node, "pool.burst", pool=pool, millicores=need, is_in_turn=bursts.is_rotating)
+
+
 def _add_instances(
     node: Node, at: Moment, standby: str, sizes: dict[str, int], wanted: dict[str, int]
 ) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
@@ -168,6 +168,22 @@
     wave: int
 
 
+class BurstSeen(_Record, frozen=True, tag="h"):
+    """
+    The demand of a pool had a burst, from which a later owner sizes the reserves of pools.
+
+    :param begun_ms: when it began, by the owner's monotonic clock.
+    :param millicores: highest demand in its beginning.
+    :param is_in_turn: whether the bursts of the pools rotate, as far as the owner knows.
+    """
+
+    epoch: int
+    pool: str
+    begun_ms: int
+    millicores: int
+    is_in_turn: bool
+
+
 class LeaseBounded(_Record, frozen=True, tag="k"):
     """
     The owner can't reach a worker: no lease of its incarnation, nor of an earlier one, lasts longer
@@ -208,6 +224,7 @@
     | InstanceOrdered
     | InstanceDone
     | WaveClosed
+    | BurstSeen
     | LeaseBounded
     | LeaseLifted
 )
@@ -220,6 +237,7 @@
     | InstanceOrdered
     | InstanceDone
     | WaveClosed
+    | BurstSeen
     | LeaseBounded
     | LeaseLifted
 )
@@ -232,6 +250,7 @@
     InstanceOrdered,
     InstanceDone,
     WaveClosed,
+    BurstSeen,
     LeaseBounded,
     LeaseLifted,
 )
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
@@ -108,6 +108,20 @@
     log_s: float = 0.0
 
 
+class PoolBurst(NamedTuple):
+    """
+    The latest burst of a pool's demand.
+
+    :param begun_s: when it began, by `ReplicatedState.log_s`.
+    :param millicores: highest demand in its beginning.
+    :param is_in_turn: whether bursts rotated over the pools.
+    """
+
+    begun_s: float
+    millicores: float
+    is_in_turn: bool
+
+
 class WorkerPlace(NamedTuple):
     """
     Where a worker with runs can be reached.
@@ -163,6 +177,7 @@
     :param newest_heartbeat: epoch and owner's clock in milliseconds of the latest of them.
     :param places: where the workers with runs can be reached, by worker.
     :param lease_bounds: bounds on leases, by worker with runs; such a worker gets no lease.
+    :param bursts: latest burst of each pool.
     """
 
     offset: int = 0
@@ -187,6 +202,7 @@
     least_weakness: float | None = None
     places: dict[str, WorkerPlace] = {}
     lease_bounds: dict[str, LeaseBound] = {}
+    bursts: dict[str, PoolBurst] = {}
 
 
 def latest_write_s(replicated: ReplicatedState, item: InstanceOrder | LeaseBound) -> float:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reserves.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reserves.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from ._replicated_state import PoolBurst
+
 # A burst begins when the demand of a pool exceeds this number of instances and this fraction of the
 # highest demand of any pool so far, and has ended below half of that.
 MIN_BURST_INSTANCES = 2
@@ -63,7 +65,32 @@
     active_s: float | None = None
 
 
-def note_demand(bursts: Bursts, now_s: float, demands: Mapping[str, float], size: float) -> None:
+def restore(seen: Mapping[str, PoolBurst], log_s: float, now_s: float) -> Bursts:
+    """
+    Return the bursts that former owners have seen.
+
+    :param seen: latest burst of each pool by the log.
+    :param log_s: the current time by the log.
+    :param now_s: the current time by this instance's clock.
+    :returns: the bursts.
+    """
+    bursts = Bursts()
+    for pool, burst in sorted(seen.items(), key=lambda item: item[1].begun_s):
+        begun_s = now_s - (log_s - burst.begun_s)
+        if bursts.latest:
+            bursts.intervals_s.append(begun_s - bursts.begun_s[bursts.latest])
+        bursts.begun_s[pool] = begun_s
+        bursts.needs[pool] = burst.millicores
+        bursts.peak = max(bursts.peak, burst.millicores)
+        bursts.latest, bursts.is_rotating = pool, burst.is_in_turn
+    # Which bursts have ended shows once their demand is below the threshold.
+    bursts.bursting = set(seen)
+    return bursts
+
+
+def note_demand(
+    bursts: Bursts, now_s: float, demands: Mapping[str, float], size: float
+) -> str | None:
     """
     Note the demand of the pools, and the bursts that it shows.
 
@@ -71,18 +98,20 @@
     :param now_s: the current time.
     :param demands: for each pool, millicores of tasks of finite duration that run or wait.
     :param size: mean millicores of an instance.
+    :returns: the pool whose need in the beginning of a burst has just become known, or ``None``.
     """
     if any(demands.values()):
         bursts.active_s = now_s
     bursts.peak = max(bursts.peak, *demands.values(), 0.0)
     threshold = max(MIN_BURST_INSTANCES * size, BURST_FRACTION * bursts.peak)
+    ended = None
     for pool, demand in sorted(demands.items()):
         if demand < threshold / 2:
             bursts.bursting.discard(pool)
         elif demand >= threshold and pool not in bursts.bursting:
             bursts.bursting.add(pool)
-            _begin(bursts, now_s, pool, demands)
-    _note_rise(bursts, now_s, demands)
+            ended = _begin(bursts, now_s, pool, demands) or ended
+    return _note_rise(bursts, now_s, demands) or ended
 
 
 def note_unknown(bursts: Bursts, now_s: float) -> None:
@@ -96,9 +125,10 @@
         bursts.active_s = now_s
 
 
-def _begin(bursts: Bursts, now_s: float, pool: str, pools: Mapping[str, float]) -> None:
+def _begin(bursts: Bursts, now_s: float, pool: str, pools: Mapping[str, float]) -> str | None:
+    ended = None
     if pool == bursts.latest:
-        return
+        return None
     if bursts.latest:
         expected = expected_pools(bursts, pools)
         # That it isn't the latest pool again shows no order.
@@ -107,24 +137,27 @@
         if pool not in expected:
             bursts.intervals_s.clear()
         bursts.intervals_s.append(now_s - bursts.begun_s[bursts.latest])
-        _end_beginning(bursts)
+        ended = _end_beginning(bursts)
     bursts.begun_s[pool] = now_s
     bursts.latest = pool
+    return ended
 
 
-def _note_rise(bursts: Bursts, now_s: float, demands: Mapping[str, float]) -> None:
+def _note_rise(bursts: Bursts, now_s: float, demands: Mapping[str, float]) -> str | None:
     if not bursts.latest:
-        return
+        return None
     if now_s - bursts.begun_s[bursts.latest] <= BEGINNING_S:
         bursts.rise = max(bursts.rise, demands.get(bursts.latest, 0.0))
-    else:
-        _end_beginning(bursts)
+        return None
+    return _end_beginning(bursts)
 
 
-def _end_beginning(bursts: Bursts) -> None:
-    if bursts.rise:
-        bursts.needs[bursts.latest] = bursts.rise
-        bursts.rise = 0.0
+def _end_beginning(bursts: Bursts) -> str | None:
+    if not bursts.rise:
+        return None
+    bursts.needs[bursts.latest] = bursts.rise
+    bursts.rise = 0.0
+    return bursts.latest
 
 
 def expected_pools(bursts: Bursts, pools: Mapping[str, float]) -> set[str]:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -11,7 +11,14 @@
 
 from . import _fold, _journal, _replicated_state, effects, events
 from ._node import Moment, Node, emit, log_line
-from ._replicated_state import InstanceOrder, Job, LeaseBound, ReplicatedState, WorkerPlace
+from ._replicated_state import (
+    InstanceOrder,
+    Job,
+    LeaseBound,
+    PoolBurst,
+    ReplicatedState,
+    WorkerPlace,
+)
 from .model import JobSpec
 
 # Number of new records after which a snapshot is due. They amount to about 1.5 MB, which takes
@@ -63,6 +70,7 @@
     least_weakness: float | None = None
     lease_bounds: dict[str, LeaseBound] = {}
     places: dict[str, WorkerPlace] = {}
+    bursts: dict[str, PoolBurst] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -94,6 +102,7 @@
         replicated.least_weakness,
         replicated.lease_bounds,
         replicated.places,
+        replicated.bursts,
     )
     return zlib.compress(_encoder.encode(snapshot), 1)
 
@@ -129,6 +138,7 @@
         owner_weakness=snapshot.owner_weakness,
         least_weakness=snapshot.least_weakness,
         places=snapshot.places,
+        bursts=snapshot.bursts,
         lease_bounds={
             worker: msgspec.structs.replace(bound, seen_s=now_s)
             for worker, bound in snapshot.lease_bounds.items()
--- a/packages/eelgrassdrum-core/tests/test_jobs_reserves.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_reserves.py
@@ -2,7 +2,9 @@
 Reserves of pools: which pools keep empty instances for their next burst.
 """
 
-from eelgrassdrum_core.jobs import _reserves
+from eelgrassdrum_core.jobs import _fold, _reserves, _snapshot
+from eelgrassdrum_core.jobs._records import BurstSeen, Claimed, OwnerHeartbeat
+from eelgrassdrum_core.jobs._replicated_state import ReplicatedState
 
 POOLS = ("a", "b", "c", "d")
 SIZE = 4000.0
@@ -162,3 +164,58 @@
     _reserves.note_demand(bursts, 1.0, {"a": 0.0, "b": PEAK}, SIZE)
     _reserves.note_demand(bursts, 2.0, {"a": 0.2 * PEAK, "b": PEAK}, SIZE)
     assert set(bursts.begun_s) == {"b"}
+
+
+def replicate(bursts, pools):
+    """
+    Return the replicated state after an owner has recorded bursts, two seconds after each began.
+    """
+    replicated = ReplicatedState()
+    records = [Claimed(1, "owner", 1, keeps_bounds=True), OwnerHeartbeat(1, 0)]
+    for pool in pools:
+        begun_ms = round(bursts.begun_s[pool] * 1000)
+        records.append(OwnerHeartbeat(1, begun_ms + 2000))
+        records.append(BurstSeen(1, pool, begun_ms, round(PEAK), bursts.is_rotating))
+    for record in records:
+        _fold.apply(replicated, record, 100.0, 0)
+    return replicated
+
+
+def test_a_new_owner_knows_the_bursts_of_former_owners():
+    """
+    The records of bursts tell a new owner which pool is next, when, and what it needs.
+    """
+    bursts = _reserves.Bursts()
+    rotate(bursts, 4.5)
+    replicated = replicate(bursts, ("b", "c", "d", "a"))
+    data = _snapshot.encode(replicated, 100.0, 0)
+    for state in (replicated, _snapshot.decode(data, 100.0, 0)):
+        # The latest burst began 2 s ago by the log's time, and the next one is due in 2.5 s.
+        restored = _reserves.restore(state.bursts, state.log_s, 500.0)
+        assert restored.latest == "a" and restored.is_rotating
+        assert reserves(restored, 500.1) == [1, USUAL, 1, 1]
+        assert reserves(restored, 501.0) == [1, PEAK / SIZE, 1, 1]
+
+
+def test_a_burst_that_goes_on_does_not_begin_again_for_a_new_owner():
+    """
+    Demand that is left of a recorded burst isn't taken for another one of the same pool.
+    """
+    bursts = _reserves.Bursts()
+    rotate(bursts, 4.5)
+    replicated = replicate(bursts, ("b", "c", "d", "a"))
+    restored = _reserves.restore(replicated.bursts, replicated.log_s, 500.0)
+    _reserves.note_demand(restored, 500.0, dict.fromkeys(POOLS, PEAK), SIZE)
+    assert restored.latest == "a" and restored.is_rotating
+
+
+def test_the_need_of_a_burst_is_told_once():
+    """
+    Noting demand returns the pool once the beginning of its burst is over, and never twice.
+    """
+    bursts = _reserves.Bursts()
+    told = []
+    for tenth in range(60):
+        demands = {"a": PEAK, "b": 0.0}
+        told.append(_reserves.note_demand(bursts, tenth / 10, demands, SIZE))
+    assert [(number, pool) for number, pool in enumerate(told) if pool] == [(21, "a")]
