Refuse what the log can't hold, and end every call

Cause: integers of JSON have any size, those of a record 64 bits. When a batch of callers' records could not be encoded, the data of the batch before it was appended once more for it, and all its callers were told that their jobs were accepted, which the log had never got. Rows of workers with a percentage that is no number, names with thousands of digits and bodies nested without end raised errors that left their calls without an outcome, so the worker was not called again. An infinite deadline and a schedule of 10^12 occurrences did as much harm at their instance.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -268,9 +268,9 @@
     if not intake.batch:
         if not intake.waiting:
             return
-        intake.batch = tuple(intake.waiting)
-        intake.waiting.clear()
-        intake.data = tuple(encode_records(call.record for call in intake.batch))
+        _take_batch(node)
+        if not intake.batch:
+            return
         intake.seq += 1
         intake.first_seq = intake.seq
         intake.is_uncertain = False
@@ -286,6 +286,33 @@
         _forwarding.send(node, at, intake.route, intake.seq, intake.data)
 
 
+def _take_batch(node: Node) -> None:
+    """
+    Make the waiting calls the next batch. Those whose records can't be encoded are refused.
+    """
+    intake = node.intake
+    batch: list[IntakeCall] = []
+    data: list[bytes] = []
+    while intake.waiting:
+        call = intake.waiting.popleft()
+        try:
+            data += encode_records([call.record])
+        except (OverflowError, TypeError, ValueError, RecursionError) as exc:
+            _reply(node, call, effects.MALFORMED, "malformed_job")
+            log_line(
+                node,
+                "call.refused",
+                reason="malformed_job",
+                error=str(exc),
+                **_call_fields(call),
+                waited_s=None,
+                retry_after_s=None,
+            )
+            continue
+        batch.append(call)
+    intake.batch, intake.data = tuple(batch), tuple(data)
+
+
 def take_outcomes(node: Node, at: Moment) -> None:
     """
     Handle the outcomes of the batches that this instance appended as the owner.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
@@ -141,12 +141,13 @@
     batch = journal.next
     if not batch.records and not batch.callers:
         return
+    # A record that can't be encoded must not leave the data of the former batch in flight.
+    _encode(journal, batch)
     journal.in_flight = batch
     journal.next = Batch()
     journal.seq += 1
     journal.sent_s = at.now_s
     journal.is_uncertain = False
-    _encode(journal, batch)
     _send(node, at)
 
 
