Log what is known of a worker whose runs are awaited

Cause: the log said that runs are unconfirmed, not why the evidence of the machine service was not used, nor from which event the wait for leases is counted. Change: worker.awaited names, once a second and worker, the registry entry, the state of the instance, the age of its list, and the longest lease with its source. No decision changes.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
@@ -3,6 +3,7 @@
 """
 
 import math
+from typing import NamedTuple
 
 from . import _crashes, _journal, _ownership
 from ._node import Moment, Node, Worker, log_line
@@ -14,6 +15,24 @@
 # leases are over; most workers that miss one answer are reached again before.
 BOUND_DELAY_S = 0.5
 
+# What the leases that last longest come from.
+OWN_LEASE = "own_lease"
+DELAYED_ORDERS = "delayed_orders"
+FORMER_OWNERS = "former_owners"
+BOUND = "bound"
+
+
+class LeaseEnd(NamedTuple):
+    """
+    When all leases of a worker have expired.
+
+    :param over_s: time by this instance's clock, in seconds.
+    :param source: what the leases that last longest come from.
+    """
+
+    over_s: float
+    source: str
+
 
 def clock_ms(worker: Worker, at_s: float) -> int:
     """
@@ -41,7 +60,7 @@
             if node.registry.last_success_s < node.ownership.claimed_s:
                 continue
             incarnation = max(task.worker_incarnation for task in runs.values())
-            over_s = _former_leases_end_s(node, worker_id, incarnation)
+            over_s, _source = _former_leases_end(node, worker_id, incarnation)
             if at.now_s > over_s:
                 _lose_unlisted(node, at, worker_id)
             else:
@@ -66,28 +85,53 @@
     :param worker: the worker.
     :returns: time by this instance's clock, in seconds.
     """
+    return lease_end(node, worker).over_s
+
+
+def lease_end(node: Node, worker: Worker) -> LeaseEnd:
+    """
+    Return when a worker's lease has expired, even on the slowest clock, and what it comes from.
+
+    :param node: the instance.
+    :param worker: the worker.
+    :returns: the end of the leases that last longest.
+    """
     left_s = max(0, worker.granted_ms - worker.clock_ms) / 1000
     slowest_s = left_s * (1 + _ownership.CLOCK_DRIFT) + _ownership.LEASE_MARGIN_S
-    own_s = worker.clock_at_s + slowest_s
+    own = LeaseEnd(worker.clock_at_s + slowest_s, OWN_LEASE)
+    delayed = LeaseEnd(worker.other_leases_until_s, DELAYED_ORDERS)
     if worker.is_failing:
-        former_s = _former_leases_end_s(node, worker.id, worker.entry.incarnation)
+        former = _former_leases_end(node, worker.id, worker.entry.incarnation)
     else:
         # Only the former owner may have failed to reach it; its list may show that runs are done.
-        former_s = _ownership.former_leases_end_s(node)
-    return max(own_s, worker.other_leases_until_s, former_s)
+        former = LeaseEnd(_ownership.former_leases_end_s(node), FORMER_OWNERS)
+    return max(own, delayed, former)
+
+
+def unlisted_lease_end(node: Node, worker_id: str) -> LeaseEnd:
+    """
+    Return when the leases of a worker have expired that this owner never saw in the registry.
+
+    :param node: the instance, which owns the log.
+    :param worker_id: the worker, which has runs by the log.
+    :returns: the end of the leases that last longest.
+    """
+    runs = node.replicated.running[worker_id]
+    incarnation = max(task.worker_incarnation for task in runs.values())
+    return _former_leases_end(node, worker_id, incarnation)
 
 
-def _former_leases_end_s(node: Node, worker_id: str, incarnation: int) -> float:
+def _former_leases_end(node: Node, worker_id: str, incarnation: int) -> LeaseEnd:
     """
     Return the time at which all leases that former owners granted to a worker have expired.
 
     A bound in the log doesn't apply to a later incarnation: delayed orders may have reached it.
     """
-    end_s = _ownership.former_leases_end_s(node)
+    former = LeaseEnd(_ownership.former_leases_end_s(node), FORMER_OWNERS)
     bound = node.replicated.lease_bounds.get(worker_id)
     if bound is None or bound.lifted_ms or bound.incarnation < incarnation:
-        return end_s
-    return min(end_s, latest_write_s(node.replicated, bound) + bound.left_s)
+        return former
+    return min(former, LeaseEnd(latest_write_s(node.replicated, bound) + bound.left_s, BOUND))
 
 
 def _bound_lease(
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
@@ -13,6 +13,7 @@
     _candidates,
     _freshness,
     _journal,
+    _leases,
     _members,
     _planner,
     _ready,
@@ -259,3 +260,43 @@
             waited_s=round(at.now_s - since_s, 3),
             runs=dict(Counter(state for _since_s, _job, state in rows)),
         )
+    _log_awaited(node, at, work)
+
+
+def _log_awaited(node: Node, at: Moment, work: WaitingWork) -> None:
+    """
+    Log for each worker that doesn't confirm its runs what the owner knows of its end: the registry
+    entry, its instance, and until when its leases count.
+    """
+    awaited = {
+        worker_id: since_s
+        for (worker_id, _key, is_of_worker), since_s in work.unconfirmed.items()
+        if is_of_worker
+    }
+    for worker_id, since_s in awaited.items():
+        is_long = at.now_s - since_s >= MIN_WAIT_S
+        if not is_long or not _is_line_due(work, at, "worker.awaited", worker_id):
+            continue
+        worker = node.workers.get(worker_id)
+        place = node.replicated.places.get(worker_id)
+        if worker is not None:
+            instance, end = worker.entry.instance, _leases.lease_end(node, worker)
+        else:
+            instance = place.instance if place is not None else ""
+            end = _leases.unlisted_lease_end(node, worker_id)
+        row = node.fleet.rows.get(instance)
+        log_line(
+            node,
+            "worker.awaited",
+            worker=worker_id,
+            runs=len(node.replicated.running[worker_id]),
+            waited_s=round(at.now_s - since_s, 3),
+            state=_members.UNLISTED if worker is None else _members.unconfirmed_state(worker),
+            is_listed=worker is not None and worker.is_listed,
+            instance=instance,
+            instance_state=row.state if row is not None else None,
+            instance_worker=row.worker if row is not None else None,
+            list_age_s=round(at.now_s - node.fleet.rows_s, 3) if node.fleet.rows else None,
+            lease_left_s=round(end.over_s - at.now_s, 3),
+            lease_source=end.source,
+        )
--- a/packages/eelgrassdrum-core/tests/test_jobs_waiting.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_waiting.py
@@ -241,6 +241,27 @@
     assert lines[0]["runs"] == {"unreachable": 2, "unlisted": 2}
 
 
+def test_what_is_known_of_an_awaited_worker_is_logged():
+    """
+    A worker that does not confirm its runs is logged with its instance and the end of its leases.
+    """
+    node = owner_of([worker_entry("a", 2000), worker_entry("b", 2000)])
+    hand_in(node, one_job(one_step(4)))
+    commit(node, HANDED_IN_S)
+    feed(node, HANDED_IN_S, events.HoldFailed("a", "timeout", OWNER_TOKEN))
+    capacity = model.Resources(2000, 64_000, 0)
+    row = model.InstanceRow("m-a", "service", "up", "z", "r1", capacity, "a")
+    feed(node, HANDED_IN_S, events.InstancesListed((row,), HANDED_IN_S))
+    lines = logged(run_ticks(node, HANDED_IN_S + 4), "worker.awaited")
+    assert 2 <= len(lines) <= 3
+    assert {(line["worker"], line["state"], line["runs"]) for line in lines} == {
+        ("a", "unreachable", 2)
+    }
+    assert (lines[0]["instance_state"], lines[0]["instance_worker"]) == ("up", "a")
+    assert lines[0]["lease_source"] in ("own_lease", "delayed_orders")
+    assert 0 < lines[-1]["lease_left_s"] < lines[0]["lease_left_s"]
+
+
 # Guards against tasks that wait for an order without an outcome, unseen in the log.
 def test_runs_that_their_answering_worker_does_not_list_are_logged():
     """
