Read a released log without waiting for records

Cause: an instance claims a released log once a read shows that it still has no owner, and that read waited for records at the store, up to half a second. Evidence: in virtual time an owner that stops at 12.35 s is followed by claims at 13.20 s; the first read after the release takes 0.7 s. Fix: reads don't wait while the log has no owner.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -59,7 +59,9 @@
     if tail.needs_snapshot:
         emit(node, effects.ReadSnapshot())
     else:
-        is_awaited = is_probing or bool(node.intake.questions)
+        # A released log is claimed once a read shows that it still has no owner.
+        is_ownerless = node.replicated.owner is None
+        is_awaited = is_probing or is_ownerless or bool(node.intake.questions)
         tail.wait_s = WAIT_S if tail.is_caught_up and not is_awaited else 0.0
         emit(node, effects.ReadLog(node.replicated.offset, tail.wait_s))
 
--- a/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_ownership.py
@@ -198,6 +198,19 @@
     assert claims(feed(node, 0.9, events.Ticked()))
 
 
+# Guards against a released log that stays without an owner until a read has waited for records.
+def test_reads_of_a_released_log_do_not_wait_for_records(node):
+    """
+    An instance that has read the release of the log reads again without waiting at the store.
+    """
+    read(node, 0.1, [Claimed(1, "other", 5)])
+    read(node, 0.5, [Released(1)])
+    (again,) = [
+        item for item in feed(node, 0.7, events.Ticked()) if isinstance(item, effects.ReadLog)
+    ]
+    assert again.wait_s == 0.0
+
+
 def test_a_fenced_owner_steps_down_and_reloads_its_state(node):
     """
     An append that is refused for its epoch ends the ownership and discards the replicated state.
