Grant leases that end in time for long-running tasks

Cause: a wait that is longer than the bound that it has to keep. Where nothing but its lease shows the end of a worker, an owner waited for up to 10.3 s after the last renewal, and a new owner for 10.51 s after its claim or after the first answer of the worker, since leases were granted for the platform's longest time. Evidence: by the record, the next run began 10.51 s and some 20 ms after a moment that is 40 to 50 ms after the end of the worker. Fix: an owner grants 7.7 s at most, so that slow clocks, the margin, the records and a change of owner fit into 9 s.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -20,6 +20,10 @@
 )
 from .model import NO_RESOURCES, Resources, TaskKey
 
+# Latest claims whose leases are known; more than can be made while a lease lasts.
+MAX_KNOWN_CLAIMS = 16
+FIRST_EPOCH = 1
+
 
 def apply(replicated: ReplicatedState, record: _records.Record, now_s: float, wall_ms: int) -> None:
     """
@@ -104,6 +108,11 @@
             )
         if not record.keeps_bounds:
             replicated.lease_bounds.clear()
+        known = replicated.lease_ms_by_claim
+        if not known and record.epoch > FIRST_EPOCH:
+            # The former claims have been trimmed, or a snapshot doesn't tell their leases.
+            known = (0,)
+        replicated.lease_ms_by_claim = (*known, record.lease_ms)[-MAX_KNOWN_CLAIMS:]
 
 
 def _released(
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
@@ -199,7 +199,7 @@
     delayed orders to its former incarnation.
 
     Until a worker accepts this owner's newest fencing token, it may carry out such orders, and it
-    shortens their leases only to the maximum.
+    shortens their leases only to the maximum: they end by the clock of a former incarnation.
 
     :param node: the instance.
     :param at: the current time.
@@ -209,6 +209,19 @@
     worker.other_leases_until_s = at.now_s + lease_s + _ownership.LEASE_MARGIN_S
 
 
+def extend_former_leases(node: Node, at: Moment, worker: Worker) -> None:
+    """
+    Account for leases that a worker may have taken until now from orders of former owners to its
+    present incarnation.
+
+    :param node: the instance.
+    :param at: the current time.
+    :param worker: the worker, which has accepted this owner's newest fencing token.
+    """
+    until_s = at.now_s + _ownership.former_lease_s(node)
+    worker.other_leases_until_s = max(worker.other_leases_until_s, until_s)
+
+
 def _lose_unlisted(node: Node, at: Moment, worker_id: str) -> None:
     runs = list(runs_on(node, worker_id).values())
     log_line(
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -59,6 +59,13 @@
 CLOCK_DRIFT = 0.021
 # Safety margin added to every wait for the expiry of a lease.
 LEASE_MARGIN_S = 0.3
+# Time within which a long-running task must run again after its run has ended, even if only the
+# lease of its worker shows that, and the part of it that records, the order and a change of owner
+# may take.
+MAX_RESTART_S = 9.0
+START_TIME_S = 0.8
+# Longest lease that an owner grants.
+MAX_GRANT_S = (MAX_RESTART_S - START_TIME_S - LEASE_MARGIN_S) / (1 + CLOCK_DRIFT)
 
 
 def claim_if_due(node: Node, at: Moment) -> None:
@@ -93,7 +100,13 @@
         ownership.claim_since_s = at.now_s
     identity = node.identity
     record = Claimed(
-        epoch, identity.instance, identity.incarnation, identity.address, identity.weakness, True
+        epoch,
+        identity.instance,
+        identity.incarnation,
+        identity.address,
+        identity.weakness,
+        keeps_bounds=True,
+        lease_ms=round(grant_s(node.bounds) * 1000),
     )
     log_line(
         node,
@@ -328,6 +341,16 @@
         release(node, at)
 
 
+def grant_s(bounds: Bounds) -> float:
+    """
+    Return the longest lease that an owner grants.
+
+    :param bounds: time limits of the platform.
+    :returns: seconds.
+    """
+    return min(bounds.max_lease_s, MAX_GRANT_S)
+
+
 def lease_end_s(node: Node, bounds: Bounds) -> float:
     """
     Return the latest time until which this owner may grant leases to workers.
@@ -339,7 +362,21 @@
     :param bounds: time limits of the platform.
     :returns: time by this instance's clock, in seconds.
     """
-    return node.ownership.confirmed_s + bounds.max_lease_s
+    return node.ownership.confirmed_s + grant_s(bounds)
+
+
+def former_lease_s(node: Node) -> float:
+    """
+    Return the longest time for which a lease that a former owner grants may last.
+
+    :param node: the instance, which owns the log.
+    :returns: seconds on the slowest clock, with the safety margin.
+    """
+    longest_s = node.bounds.max_lease_s
+    *former, _own = node.replicated.lease_ms_by_claim or (0,)
+    if former and all(former):
+        longest_s = min(longest_s, max(former) / 1000)
+    return longest_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
 
 
 def former_leases_end_s(node: Node) -> float:
@@ -349,5 +386,4 @@
     :param node: the instance.
     :returns: time by this instance's clock, in seconds.
     """
-    lease_s = node.bounds.max_lease_s * (1 + CLOCK_DRIFT)
-    return node.ownership.claimed_s + lease_s + LEASE_MARGIN_S
+    return node.ownership.claimed_s + former_lease_s(node)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
@@ -50,6 +50,7 @@
     :param address: address at which it accepts callers' records from other instances, or empty.
     :param weakness: 0 if it can carry the owner's load, up to 1 if it can't; ``None`` if unknown.
     :param keeps_bounds: whether it lifts the bound on a worker's leases before it grants one.
+    :param lease_ms: longest lease that the claimant grants, or 0 if unknown.
     """
 
     epoch: int
@@ -58,6 +59,7 @@
     address: str = ""
     weakness: float | None = None
     keeps_bounds: bool = False
+    lease_ms: int = 0
 
 
 class Released(_Record, frozen=True, tag="l"):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
@@ -161,6 +161,8 @@
     :param owner_address: address at which the owner accepts callers' records from other instances.
     :param owner_weakness: weakness of the latest claimant, or ``None`` if its claim doesn't tell.
     :param least_weakness: least weakness of any claimant so far, or ``None``.
+    :param lease_ms_by_claim: longest lease in milliseconds that each of the latest claimants
+        grants, the latest one last; 0 if unknown.
     :param running: tasks with a running run, by worker.
     :param load: resources taken up by these runs, by worker.
     :param used: resources requested by the running tasks of each workspace.
@@ -200,6 +202,7 @@
     newest_heartbeat: tuple[int, int] = (0, 0)
     owner_weakness: float | None = None
     least_weakness: float | None = None
+    lease_ms_by_claim: tuple[int, ...] = ()
     places: dict[str, WorkerPlace] = {}
     lease_bounds: dict[str, LeaseBound] = {}
     bursts: dict[str, PoolBurst] = {}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -71,6 +71,7 @@
     lease_bounds: dict[str, LeaseBound] = {}
     places: dict[str, WorkerPlace] = {}
     bursts: dict[str, PoolBurst] = {}
+    lease_ms_by_claim: tuple[int, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -103,6 +104,7 @@
         replicated.lease_bounds,
         replicated.places,
         replicated.bursts,
+        replicated.lease_ms_by_claim,
     )
     return zlib.compress(_encoder.encode(snapshot), 1)
 
@@ -139,6 +141,7 @@
         least_weakness=snapshot.least_weakness,
         places=snapshot.places,
         bursts=snapshot.bursts,
+        lease_ms_by_claim=snapshot.lease_ms_by_claim,
         lease_bounds={
             worker: msgspec.structs.replace(bound, seen_s=now_s)
             for worker, bound in snapshot.lease_bounds.items()
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -106,7 +106,7 @@
     is_reachable = worker.is_held and not worker.is_failing
     if is_reachable and has_runs and _leases.may_grant(node, worker):
         end_s = _ownership.lease_end_s(node, node.bounds)
-        lease_ms = _leases.clock_ms(worker, min(end_s, at.now_s + node.bounds.max_lease_s))
+        lease_ms = _leases.clock_ms(worker, min(end_s, at.now_s + _ownership.grant_s(node.bounds)))
         worker.granted_ms = max(worker.granted_ms, lease_ms)
         if worker.handled == worker.acked:
             wait_s = WATCHED_HOLD_WAIT_S if _is_watched(node, worker) else HOLD_WAIT_S
@@ -240,7 +240,10 @@
     worker.clock_at_s = at.now_s
     if not worker.is_held:
         worker.is_held = True
-        _leases.extend_other_leases(node, at, worker)
+        if _is_known_incarnation(node, worker):
+            _leases.extend_former_leases(node, at, worker)
+        else:
+            _leases.extend_other_leases(node, at, worker)
         node.plan_due = True
     _apply_exits(node, at, worker, event.ends)
     worker.rows = {row.key: row for row in event.runs}
@@ -254,6 +257,18 @@
     return worker
 
 
+def _is_known_incarnation(node: Node, worker: Worker) -> bool:
+    """
+    Return whether the log shows that an owner has started a task on this incarnation of a worker.
+
+    The worker had accepted a token by then that invalidates all orders to earlier incarnations.
+    """
+    incarnation = worker.entry.incarnation
+    return bool(incarnation) and any(
+        task.worker_incarnation == incarnation for task in runs_on(node, worker.id).values()
+    )
+
+
 def _note_regained(node: Node, at: Moment, worker: Worker) -> None:
     worker.is_failing = False
     forget_holds(worker, at)
--- a/packages/eelgrassdrum-core/tests/test_jobs_leases.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_leases.py
@@ -5,10 +5,18 @@
 import math
 
 from eelgrassdrum_core.jobs import Identity, Moment, effects, events, model, new_node
+from eelgrassdrum_core.jobs import _fold as fold
+from eelgrassdrum_core.jobs import _snapshot as snapshot
 from eelgrassdrum_core.jobs._leases import lease_over_s
-from eelgrassdrum_core.jobs._ownership import CLOCK_DRIFT, LEASE_MARGIN_S
+from eelgrassdrum_core.jobs._ownership import (
+    CLOCK_DRIFT,
+    LEASE_MARGIN_S,
+    former_lease_s,
+    grant_s,
+)
 from eelgrassdrum_core.jobs._records import Claimed, Started, Submitted, encode_records
 from eelgrassdrum_core.jobs._registry import end_incarnation, resume_incarnation
+from eelgrassdrum_core.jobs._replicated_state import ReplicatedState
 from eelgrassdrum_core.jobs._runs import fencing_token
 from eelgrassdrum_testing.jobs.owner import (
     BOUNDS,
@@ -30,6 +38,7 @@
 # Longest time that a lease lasts on the slowest clock, from when the worker takes it.
 LONGEST_S = BOUNDS.max_lease_s * (1 + CLOCK_DRIFT)
 FORMER_LEASES_END_S = CLAIMED_S + LONGEST_S + LEASE_MARGIN_S
+GRANT_MS = round(grant_s(BOUNDS) * 1000)
 TASK = model.TaskKey("job", 0, 0, 0)
 ROW = model.RunRow(TASK, 1, "", 10, 0.0)
 
@@ -278,10 +287,47 @@
     commit(node, granted_s)
     assert node.ownership.confirmed_s == granted_s
     lease_s = (worker.granted_ms - worker.clock_ms) / 1000
-    assert lease_s > 19 + BOUNDS.max_lease_s - 1
+    assert lease_s > 19 + grant_s(BOUNDS) - 1
     assert worker.clock_at_s + lease_s * (1 + CLOCK_DRIFT) <= granted_s + LONGEST_S
 
 
+def counted_lease_s(*former):
+    """
+    Return for how long a new owner counts the leases of the former claimants, the latest one last.
+    """
+    node = new_node(Identity("entry", WALL_MS, "zone"), BOUNDS)
+    own = Claimed(former[-1].epoch + 1, "entry", WALL_MS, lease_ms=GRANT_MS)
+    for record in (*former, own):
+        fold.apply(node.replicated, record, 0.0, WALL_MS)
+    return former_lease_s(node) - LEASE_MARGIN_S
+
+
+# Guards against two runs of a task while instances of a former release own the log in turn.
+def test_the_leases_of_a_former_release_count_until_they_are_over():
+    """
+    Leases count as long as the longest that one of the latest owners grants, or as the longest that
+    a worker takes if a claim doesn't tell.
+    """
+    new = [Claimed(epoch, "other", 1, lease_ms=GRANT_MS) for epoch in range(1, 4)]
+    unknown = Claimed(1, "former", 1)
+    assert math.isclose(counted_lease_s(*new), GRANT_MS / 1000 * (1 + CLOCK_DRIFT))
+    assert math.isclose(counted_lease_s(unknown, *new[1:]), LONGEST_S)
+    trimmed = new[2:]
+    assert math.isclose(counted_lease_s(*trimmed), LONGEST_S)
+
+
+def test_the_leases_that_claimants_grant_are_part_of_snapshots():
+    """
+    An instance that starts from a snapshot counts the leases of the former owners as others do.
+    """
+    replicated = ReplicatedState()
+    for epoch in (1, 2):
+        record = Claimed(epoch, "other", 1, lease_ms=GRANT_MS)
+        fold.apply(replicated, record, 0.0, WALL_MS)
+    restored = snapshot.decode(snapshot.encode(replicated, 0.0, WALL_MS), 0.0, WALL_MS)
+    assert restored.lease_ms_by_claim == (GRANT_MS, GRANT_MS)
+
+
 # Guards against leases beyond the claim of the next owner, whose start the former one has not seen.
 def test_an_append_that_may_have_been_done_before_confirms_its_first_attempt(successor):
     """
