Wait for records again where the log never had an owner

Cause: the reads that don't wait after a release of the log didn't wait before the first claim either. Change: only reads within half a second of a release don't wait.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -28,6 +28,8 @@
 
 # How long a read waits at the store for a new record; bounds the staleness of the replicated state.
 WAIT_S = 0.5
+# Time from the release of the log in which reads don't wait; instances usually claim it earlier.
+RELEASED_S = 0.5
 # Delay before a failed read is retried.
 RETRY_S = 0.1
 # Factor by which a former maximum decays at each read: to a tenth after two seconds of reads at
@@ -59,13 +61,19 @@
     if tail.needs_snapshot:
         emit(node, effects.ReadSnapshot())
     else:
-        # A released log is claimed once a read shows that it still has no owner.
-        is_ownerless = node.replicated.owner is None
-        is_awaited = is_probing or is_ownerless or bool(node.intake.questions)
+        is_awaited = is_probing or _is_just_released(node, at) or bool(node.intake.questions)
         tail.wait_s = WAIT_S if tail.is_caught_up and not is_awaited else 0.0
         emit(node, effects.ReadLog(node.replicated.offset, tail.wait_s))
 
 
+def _is_just_released(node: Node, at: Moment) -> bool:
+    """
+    Return whether the log was released lately and may be claimed once a read shows no new owner.
+    """
+    is_released = node.replicated.epoch > 0 and node.replicated.owner is None
+    return is_released and at.now_s - node.tail.owner_record_s < RELEASED_S
+
+
 def on_read(node: Node, at: Moment, event: events.LogRead) -> None:
     """
     Apply a part of the log to the replicated state.
