Count the longest lease for incarnations that no owner has used

Cause: counted what owners grant for a worker's next incarnation too, which takes the times of delayed orders by another clock, up to the platform's longest lease. Evidence: test_a_bound_does_not_count_for_a_later_incarnation failed with it. Change: the shorter time counts only for an incarnation on which a run was started by the log.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
@@ -104,7 +104,9 @@
         former = _former_leases_end(node, worker.id, worker.entry.incarnation)
     else:
         # Only the former owner may have failed to reach it; its list may show that runs are done.
-        former = LeaseEnd(_ownership.former_leases_end_s(node), FORMER_OWNERS)
+        is_known = is_known_incarnation(node, worker.id, worker.entry.incarnation)
+        former_s = _ownership.former_leases_end_s(node, is_known)
+        former = LeaseEnd(former_s, FORMER_OWNERS)
     return max(own, delayed, former)
 
 
@@ -121,13 +123,32 @@
     return _former_leases_end(node, worker_id, incarnation)
 
 
+def is_known_incarnation(node: Node, worker_id: str, incarnation: int) -> bool:
+    """
+    Return whether the log shows that an owner has started a task on this incarnation of a worker.
+
+    The worker had accepted a token by then that invalidates all orders to earlier incarnations.
+
+    :param node: the instance.
+    :param worker_id: the worker.
+    :param incarnation: its incarnation, or 0 if unknown.
+    :returns: whether an owner has started a task there that has not ended by the log.
+    """
+    return bool(incarnation) and any(
+        task.worker_incarnation == incarnation for task in runs_on(node, worker_id).values()
+    )
+
+
 def _former_leases_end(node: Node, worker_id: str, incarnation: int) -> LeaseEnd:
     """
     Return the time at which all leases that former owners granted to a worker have expired.
 
-    A bound in the log doesn't apply to a later incarnation: delayed orders may have reached it.
+    A bound in the log doesn't apply to a later incarnation, nor does the length of the leases that
+    owners grant: delayed orders may have reached it.
     """
-    former = LeaseEnd(_ownership.former_leases_end_s(node), FORMER_OWNERS)
+    is_known = is_known_incarnation(node, worker_id, incarnation)
+    former_s = _ownership.former_leases_end_s(node, is_known)
+    former = LeaseEnd(former_s, FORMER_OWNERS)
     bound = node.replicated.lease_bounds.get(worker_id)
     if bound is None or bound.lifted_ms or bound.incarnation < incarnation:
         return former
@@ -205,8 +226,7 @@
     :param at: the current time.
     :param worker: the worker.
     """
-    lease_s = node.bounds.max_lease_s * (1 + _ownership.CLOCK_DRIFT)
-    worker.other_leases_until_s = at.now_s + lease_s + _ownership.LEASE_MARGIN_S
+    worker.other_leases_until_s = at.now_s + _ownership.longest_lease_s(node)
 
 
 def extend_former_leases(node: Node, at: Moment, worker: Worker) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -365,25 +365,38 @@
     return node.ownership.confirmed_s + grant_s(bounds)
 
 
+def longest_lease_s(node: Node) -> float:
+    """
+    Return the longest time that a worker's lease may last, whoever grants it.
+
+    :param node: the instance.
+    :returns: seconds on the slowest clock, with the safety margin.
+    """
+    return node.bounds.max_lease_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
+
+
 def former_lease_s(node: Node) -> float:
     """
-    Return the longest time for which a lease that a former owner grants may last.
+    Return the longest time that a lease which a former owner granted may last.
 
     :param node: the instance, which owns the log.
     :returns: seconds on the slowest clock, with the safety margin.
     """
-    longest_s = node.bounds.max_lease_s
     *former, _own = node.replicated.lease_ms_by_claim or (0,)
-    if former and all(former):
-        longest_s = min(longest_s, max(former) / 1000)
-    return longest_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
+    if not former or not all(former):
+        return longest_lease_s(node)
+    granted_s = min(node.bounds.max_lease_s, max(former) / 1000)
+    return granted_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
 
 
-def former_leases_end_s(node: Node) -> float:
+def former_leases_end_s(node: Node, is_known_incarnation: bool) -> float:
     """
     Return the time at which all leases of former owners have expired, even on the slowest clock.
 
     :param node: the instance.
+    :param is_known_incarnation: whether former owners granted them to the worker's present
+        incarnation. To a later one their times mean nothing, so it takes the longest lease.
     :returns: time by this instance's clock, in seconds.
     """
-    return node.ownership.claimed_s + former_lease_s(node)
+    lease_s = former_lease_s(node) if is_known_incarnation else longest_lease_s(node)
+    return node.ownership.claimed_s + lease_s
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -240,7 +240,7 @@
     worker.clock_at_s = at.now_s
     if not worker.is_held:
         worker.is_held = True
-        if _is_known_incarnation(node, worker):
+        if _leases.is_known_incarnation(node, worker.id, worker.entry.incarnation):
             _leases.extend_former_leases(node, at, worker)
         else:
             _leases.extend_other_leases(node, at, worker)
@@ -257,18 +257,6 @@
     return worker
 
 
-def _is_known_incarnation(node: Node, worker: Worker) -> bool:
-    """
-    Return whether the log shows that an owner has started a task on this incarnation of a worker.
-
-    The worker had accepted a token by then that invalidates all orders to earlier incarnations.
-    """
-    incarnation = worker.entry.incarnation
-    return bool(incarnation) and any(
-        task.worker_incarnation == incarnation for task in runs_on(node, worker.id).values()
-    )
-
-
 def _note_regained(node: Node, at: Moment, worker: Worker) -> None:
     worker.is_failing = False
     forget_holds(worker, at)
