Wait in the tests of real processes until every instance votes

Seen: an instance that is killed right after the fixture was ready answers `unresolved` for more than 20 s, 2 of 2 plays at a load average of 14.

Cause: the fixture waited until each instance answered a keyed request, for which two voters of three suffice. The third may still be recovering its claims, and with the killed one two of three are then without memory, for which docs/design/at-most-once.md gives 300 s of `unresolved`. The tests were green since they sleep for 1 s first, so they depended on the machine's speed.

Change: the fixture and the start of a replacement wait for `claims.recovered` too.

--- a/packages/eelgrassdrum-testing/tests/test_process_faults.py
+++ b/packages/eelgrassdrum-testing/tests/test_process_faults.py
@@ -93,7 +93,7 @@
 
 def make_local() -> Iterator[LocalFleet]:
     """
-    Start the fleet and wait until every entry instance answers a keyed request.
+    Start the fleet and wait until every entry instance votes and answers a keyed request.
     """
     with contextlib.ExitStack() as stack, _process.processes() as start:
         platform = fleet.start_platform(start)
@@ -110,10 +110,20 @@
         for name in ENTRIES:
             start_entry(local, name)
         for name in ENTRIES:
-            wait_serving(local, name)
+            wait_started(local, name)
         yield local
 
 
+def wait_started(local: LocalFleet, name: str) -> None:
+    """
+    Wait until a new entry instance votes on claims and answers a keyed request.
+    """
+    output = local.daemons[name].output
+    # Without two voters of three, keyed work stops until all claims from before have expired.
+    wait_until(lambda: any('"claims.recovered"' in line for line in list(output)))
+    wait_serving(local, name)
+
+
 def wait_serving(local: LocalFleet, name: str) -> None:
     """
     Wait until an entry instance answers a keyed request.
@@ -163,7 +173,7 @@
         sleep(1.0)
         _process.kill(local.daemons["entry-a0"])
         start_entry(local, "entry-a0")
-        wait_serving(local, "entry-a0")
+        wait_started(local, "entry-a0")
         sleep(1.0)
     check_told(local, callers)
 
