Let daemons of the fault tests choose their ports themselves

Cause: the fixture picked a free port, closed it and let the daemon listen on it later, since the path in front of the daemon had to know where it leads. Anything that listened on the port or connected from it in between made the daemon fail.

Change: the path opens first and without a target, the daemon listens on port 0 and tells its port, and the path then leads there. No port is chosen before it is held.

Evidence: the new test takes each address in the daemon's settings before its start, once to listen and once to connect from it.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_link.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_link.py
@@ -21,7 +21,7 @@
     """
     One path.
 
-    :param target: ``IP:PORT`` that it leads to.
+    :param target: ``IP:PORT`` that it leads to; while it is empty, connections are reset.
     :param address: ``IP:PORT`` at which it takes connections.
     :param is_cut: whether nothing passes.
     :param generation: times that it was silenced; connections of earlier generations are silent.
@@ -36,11 +36,11 @@
 
 
 @contextlib.contextmanager
-def open_link(target: str) -> Iterator[Link]:
+def open_link(target: str = "") -> Iterator[Link]:
     """
     Open a path, and close it at the end.
 
-    :param target: ``IP:PORT`` that it leads to.
+    :param target: ``IP:PORT`` that it leads to; empty when `Link.target` is set later.
     :returns: the path.
     """
     link = Link(target)
@@ -107,7 +107,7 @@
 
 
 async def _forward(link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    if link.is_cut:
+    if link.is_cut or not link.target:
         writer.transport.abort()
         return
     host, _, port = link.target.rpartition(":")
--- a/packages/eelgrassdrum-testing/tests/test_process_faults.py
+++ b/packages/eelgrassdrum-testing/tests/test_process_faults.py
@@ -7,6 +7,8 @@
 import socket
 from collections import Counter
 from collections.abc import Iterator
+from functools import partial
+from itertools import pairwise
 from time import sleep
 
 import msgspec
@@ -30,6 +32,7 @@
     ],
     "teams": [{"name": "judges", "share": 1.0, "limit": 6}],
 }
+LOOPBACK = "127.0.0.1"
 OUTAGE_S = 5.0
 PAUSE_S = 4.0
 
@@ -50,33 +53,24 @@
     peer_links: dict[str, Link] = msgspec.field(default_factory=dict)
 
 
-def free_address() -> str:
-    """
-    Find a port that nobody listens on.
-    """
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 def start_entry(local: LocalFleet, name: str) -> None:
     """
     Start one entry instance behind its paths and list it.
     """
     zone = ENTRIES[name]
-    peer_address = free_address()
     log_link = local.stack.enter_context(open_link(local.platform.log.address))
-    peer_link = local.stack.enter_context(open_link(peer_address))
+    # The daemon chooses its port itself, and the path leads there once the daemon listens.
+    peer_link = local.stack.enter_context(open_link())
     daemon = fleet.start_daemon(
         local.start,
         local.platform,
         name,
         zone,
         log_url=f"http://{log_link.address}",
-        peer_listen=peer_address,
         peer_advertise=peer_link.address,
         list_interval_s=0.2,
     )
+    peer_link.target = daemon.peer_address
     local.daemons[name] = daemon
     local.log_links[name] = log_link
     local.peer_links[name] = peer_link
@@ -114,6 +108,30 @@
         yield local
 
 
+def start_among_others(
+    start: _process.Start,
+    stack: contextlib.ExitStack,
+    connects: bool,
+    name: str,
+    command: list[str],
+) -> _process.Process:
+    """
+    Start a process after others have taken each address that it is told to listen on, either to
+    listen there or to connect from there.
+    """
+    flags = dict(pairwise(command))
+    other = stack.enter_context(socket.create_server((LOOPBACK, 0)))
+    for flag in ("--listen", "--peer-listen"):
+        host, _, port = flags[flag].rpartition(":")
+        sock = stack.enter_context(socket.socket())
+        sock.bind((host, int(port)))
+        if connects:
+            sock.connect(other.getsockname())
+        else:
+            sock.listen()
+    return start(name, command)
+
+
 def wait_started(local: LocalFleet, name: str) -> None:
     """
     Wait until a new entry instance votes on claims and answers a keyed request.
@@ -165,6 +183,21 @@
 FIXTURES = {"local": make_local}
 
 
+# Guards against "AddressInUse" when a port is taken between its choice and the start of a daemon.
+def test_instance_starts_whoever_takes_the_ports_that_it_was_told(local: LocalFleet) -> None:
+    """
+    An instance starts and serves though others take each port in its settings, to listen on it or
+    to connect from it.
+    """
+    start = local.start
+    for connects in (False, True):
+        with contextlib.ExitStack() as stack:
+            local.start = partial(start_among_others, start, stack, connects)
+            _process.kill(local.daemons["entry-a0"])
+            start_entry(local, "entry-a0")
+            wait_started(local, "entry-a0")
+
+
 def test_killed_instance_is_replaced(local: LocalFleet) -> None:
     """
     A killed instance's requests never run twice, and its replacement serves.
