End the run of tests on SIGTERM after tests with an event loop

Cause: circuits replaces the handlers of SIGINT and SIGTERM in the main thread and never restores them, so after the tests of test_http_pool the runner ignored the signal. The time limit signals the whole process group: the stand-ins ended, and the test went on without them.

Change: the runner restores both handlers after each test.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/run_tests.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/run_tests.py
@@ -11,6 +11,7 @@
 import contextlib
 import importlib.util
 import inspect
+import signal
 import sys
 import unittest
 from collections.abc import Callable, Iterator
@@ -18,6 +19,7 @@
 from types import ModuleType
 
 REPOSITORY = Path(__file__).resolve().parents[4]
+ENDING_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 
 
 def load_module(path: Path) -> ModuleType:
@@ -49,12 +51,27 @@
     names = list(inspect.signature(function).parameters)
 
     def run() -> None:
-        with contextlib.ExitStack() as stack:
+        with restored_signals(), contextlib.ExitStack() as stack:
             function(**{name: enter(stack, fixtures[name]) for name in names})
 
     return run
 
 
+@contextlib.contextmanager
+def restored_signals() -> Iterator[None]:
+    """
+    Restore the handlers of the signals that end the run, which event loops of tests replace.
+
+    :returns: nothing.
+    """
+    former = {signo: signal.getsignal(signo) for signo in ENDING_SIGNALS}
+    try:
+        yield
+    finally:
+        for signo, signal_handler in former.items():
+            signal.signal(signo, signal_handler)
+
+
 def enter(stack: contextlib.ExitStack, fixture: Callable) -> object:
     """
     Build one fixture's value, and schedule its clean-up when it is a generator function.
--- a/packages/eelgrassdrum-testing/tests/test_run_tests.py
+++ b/packages/eelgrassdrum-testing/tests/test_run_tests.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import io
+import signal
 import sys
 import tempfile
 import unittest
@@ -21,14 +22,23 @@
     pass
 """
 
+REPLACING_HANDLERS = """
+import signal
 
-def run(tmp_path, red):
+
+def test_replaces_handlers():
+    for signo in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(signo, signal.SIG_IGN)
+"""
+
+
+def run(tmp_path, red, text=FAILING):
     """
     Run the tests of a file, of which those in `red` are expected to fail.
     """
     path = Path(tmp_path) / "package" / "tests" / "test_sample.py"
     path.parent.mkdir(parents=True)
-    path.write_text(FAILING)
+    path.write_text(text)
     result = unittest.TestResult()
     unittest.TestSuite(run_tests.collect([path], "", frozenset(red))).run(result)
     return result
@@ -94,3 +104,18 @@
         ):
             assert run_tests.main() == expected, (names, pattern)
         assert ("names no test: package/test_sample.test_gone" in output.getvalue()) == expected
+
+
+# Guards against a run that went on after SIGTERM, without the processes that had got it too.
+def test_signals_end_the_run_after_a_test_that_replaced_their_handlers(tmp_path):
+    """
+    The handlers of the signals that end a run are the same after a test that replaced them.
+    """
+    former = [signal.getsignal(signo) for signo in (signal.SIGINT, signal.SIGTERM)]
+    try:
+        assert run(tmp_path, [], REPLACING_HANDLERS).wasSuccessful()
+        found = [signal.getsignal(signo) for signo in (signal.SIGINT, signal.SIGTERM)]
+    finally:
+        signal.signal(signal.SIGINT, former[0])
+        signal.signal(signal.SIGTERM, former[1])
+    assert found == former
