Hold the port that the test of a refused connect uses

Cause: test_refused_connect_has_sent_nothing closed a port and then connected to it, so that a program which got the port meanwhile took the connection.

Change: the port stays bound without listening, which refuses connections and lets nobody else listen there. Not seen to fail; found by looking for the cause of the former AddressInUse.

--- a/packages/eelgrassdrum-daemon/tests/test_http_pool.py
+++ b/packages/eelgrassdrum-daemon/tests/test_http_pool.py
@@ -177,9 +177,11 @@
     """
     A refused connect fails with ``sent=False``.
     """
-    with socket.create_server(("127.0.0.1", 0)) as unused:
+    # Bound without listening, so that no one else can listen there.
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
         address = f"127.0.0.1:{unused.getsockname()[1]}"
-    assert exchange(loop, post(address)) == [HttpFailure("connect", sent=False)]
+        assert exchange(loop, post(address)) == [HttpFailure("connect", sent=False)]
 
 
 def test_silent_server_fails_at_the_deadline(loop: Loop, server: Callable) -> None:
