--- a/packages/eelgrassdrum-daemon/tests/test_recovery_processes.py
+++ b/packages/eelgrassdrum-daemon/tests/test_recovery_processes.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from eelgrassdrum_core import KEY_GRANTED
+from eelgrassdrum_core import KEY_GRANTED, digest_secret
 from eelgrassdrum_testing import _daemon as fleet
 from eelgrassdrum_testing._http_client import call
 from eelgrassdrum_testing._process import Process, Start, kill, processes, standin_command
@@ -17,6 +17,8 @@
 BATCH = 300
 RETENTION_RECORDS = 1500
 READY_TIMEOUT_S = 60.0
+ROOT_SECRET = "first"
+OPERATOR_HEADERS = {"Authorization": f"Bearer egd_root_{ROOT_SECRET}"}
 
 
 class Running(NamedTuple):
@@ -42,7 +44,8 @@
     """
     Start an entry instance and add it to the platform's instance list.
     """
-    daemon = fleet.start_daemon(start, platform, name, "a", list_interval_s=0.2)
+    options = {"list_interval_s": 0.2, "root_digest": digest_secret(ROOT_SECRET)}
+    daemon = fleet.start_daemon(start, platform, name, "a", **options)
     entry = {
         "id": name,
         "role": "entry",
@@ -58,7 +61,9 @@
 
 def append_many(running: Running, first: int, count: int) -> None:
     """
-    Append records of granted keys in batches.
+    Append records of granted keys in batches, each once the first instance has folded the former.
+
+    Otherwise the log may drop records that no instance has read and no snapshot covers.
     """
     path = "/v1/streams/control/records"
     for begin in range(first, first + count, BATCH):
@@ -81,6 +86,17 @@
         ]
         answer = call(running.platform.log.address, "POST", path, msgspec.json.encode(records))
         assert answer.status == 200
+        last = answer.json()["offsets"][-1]
+        wait_until(lambda last=last: folded_offset(running.daemon) >= last, READY_TIMEOUT_S)
+
+
+def folded_offset(daemon: Process) -> int:
+    """
+    Return the offset of the last record that an instance has folded.
+    """
+    return call(daemon.address, "GET", "/v1/operator/status", headers=OPERATOR_HEADERS).json()[
+        "revision"
+    ]
 
 
 def is_ready(daemon: Process) -> bool:
