Replace the instance of the demonstration under its id

Cause: the demonstration started the new instance under another id while the former one left. The new one waits for what the former one may know of claims, which has ended by then, so it votes only after 300 s. docs/design/at-most-once.md says that instances keep their ids when they are replaced, and docs/operators/overload.md that one is replaced after the other.

Change: the former one ends first, and the new one has its id and is waited for until it votes. What is checked stays as it was: its exit status, and that nothing is lost, doubled or wrong while one instance of nine is missing. The new test failed before.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_changes.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_changes.py
@@ -28,7 +28,7 @@
     What came of the changes.
 
     :param exit_code: of the entry instance that was replaced, ``None`` when it did not end.
-    :param replaced_s: seconds from the signal until its replacement was ready.
+    :param replaced_s: seconds from the signal until its replacement was ready and voted.
     :param drained_s: seconds from the signal until the replaced instance had ended.
     :param roll_out_s: seconds from the append until the last entry instance had it in force,
         ``None`` when one never had.
@@ -80,7 +80,9 @@
 
 async def replace_entry(made: Fleet, client: _http.Client, changes: Changes) -> None:
     """
-    Stop the first entry instance gracefully and start another in its zone.
+    Stop the first entry instance gracefully, and start it again under its id once it has ended.
+
+    An instance under another id would wait for claims of the one that leaves, which may have ended.
 
     :param made: the fleet, changed in place.
     :param client: keeps the connections.
@@ -92,13 +94,14 @@
     entry.is_leaving = True
     entry.process.popen.terminate()
     await asyncio.to_thread(list_entry, made, entry, "leaving")
-    new = await asyncio.to_thread(start_entry, made, f"{entry.id}-new", entry.zone)
-    while not await is_ready(client, new.process.address):
-        await asyncio.sleep(POLL_S)
-    changes.replaced_s = time.monotonic() - start_s
     changes.exit_code = await asyncio.to_thread(entry.process.popen.wait, EXIT_TIMEOUT_S)
     changes.drained_s = time.monotonic() - start_s
     made.replaced.append(made.entries.pop(entry.id))
+    new = await asyncio.to_thread(start_entry, made, entry.id, entry.zone)
+    while not await is_ready(client, new.process.address):
+        await asyncio.sleep(POLL_S)
+    await asyncio.to_thread(fleet.wait_voting, new.process)
+    changes.replaced_s = time.monotonic() - start_s
 
 
 async def publish_one(made: Fleet, client: _http.Client, changes: Changes) -> None:
--- a/packages/eelgrassdrum-testing/tests/test_demo.py
+++ b/packages/eelgrassdrum-testing/tests/test_demo.py
@@ -2,12 +2,13 @@
 The demonstration: when it sends its load, how it replaces an instance, and what it judges.
 """
 
+import asyncio
 from collections.abc import Iterator
 from time import sleep
 
 from eelgrassdrum_testing import _daemon, _process
 from eelgrassdrum_testing._scenario import GARTENSCHAU
-from eelgrassdrum_testing.demo import _fleet
+from eelgrassdrum_testing.demo import _changes, _fleet, _http
 
 ONE_ZONE = GARTENSCHAU._replace(zones=("a",), services=("entries",), executors=1, entries=3)
 LAST = "entry-a3"
@@ -43,3 +44,19 @@
     Once the fleet is started, each entry instance votes on claims.
     """
     assert [entry.id for entry in made.entries.values() if not votes(entry)] == []
+
+
+# Guards against a replacement that waits 300 s for claims of the instance that has left.
+def test_replacement_keeps_the_id_and_votes(made: _fleet.Fleet) -> None:
+    """
+    A replaced entry instance ends with 0, and the new one has its id and votes.
+    """
+    before = dict(made.entries)
+    changes = _changes.Changes()
+    asyncio.run(_changes.replace_entry(made, _http.Client(), changes))
+    assert changes.exit_code == 0
+    assert made.entries.keys() == before.keys()
+    [replaced] = made.replaced
+    assert replaced is before[replaced.id]
+    assert made.entries[replaced.id] is not replaced
+    assert votes(made.entries[replaced.id])
