Check the readiness of each instance by itself in the demonstration

Seen: 331 of 5408 requests lost, 298 of them refused by the port of the instance that had left, on two processors.

Cause: the balancer of the demonstration took over what it knew of all instances only once the slowest had answered, for which it waited up to 15 s. Meanwhile it sent callers to an instance that had left 1 s after telling that it was not ready.

Change: each instance is checked by a task of its own. The new test, in which one instance never answers, failed before.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_changes.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_changes.py
@@ -12,7 +12,7 @@
 from .. import _daemon as fleet
 from . import _http
 from ._callers import Balancer, choose
-from ._fleet import ROOT_KEY, Fleet, list_entry, start_entry, workspace_document
+from ._fleet import ROOT_KEY, Entry, Fleet, list_entry, start_entry, workspace_document
 
 POLL_S = 0.05
 BALANCER_CHECK_S = 0.2
@@ -51,16 +51,33 @@
     """
     Keep the balancer's list of ready entry instances, as the platform's balancer does.
 
+    Each is checked by itself, so that a slow one doesn't delay what is known of the others.
+
     :param made: the fleet.
     :param client: keeps the connections.
     :param balancer: changed in place.
     """
-    while True:
-        entries = list(made.entries.values())
-        ready = await asyncio.gather(*(is_ready(client, e.process.address) for e in entries))
-        pairs = zip(entries, ready, strict=True)
-        balancer.addresses = [entry.process.address for entry, ok in pairs if ok]
+    watched: set[str] = set()
+    async with asyncio.TaskGroup() as group:
+        while True:
+            for entry in list(made.entries.values()):
+                if entry.process.address not in watched:
+                    watched.add(entry.process.address)
+                    group.create_task(_watch_one(made, client, balancer, entry))
+            await asyncio.sleep(BALANCER_CHECK_S)
+
+
+async def _watch_one(made: Fleet, client: _http.Client, balancer: Balancer, entry: Entry) -> None:
+    address = entry.process.address
+    while made.entries.get(entry.id) is entry:
+        ready = await is_ready(client, address)
+        others = [other for other in balancer.addresses if other != address]
+        if not ready:
+            balancer.addresses = others
+        elif address not in balancer.addresses:
+            balancer.addresses = [*others, address]
         await asyncio.sleep(BALANCER_CHECK_S)
+    balancer.addresses = [other for other in balancer.addresses if other != address]
 
 
 async def is_ready(client: _http.Client, address: str) -> bool:
--- a/packages/eelgrassdrum-testing/tests/test_demo.py
+++ b/packages/eelgrassdrum-testing/tests/test_demo.py
@@ -3,15 +3,21 @@
 """
 
 import asyncio
+import contextlib
+import socket
+from collections import deque
 from collections.abc import Iterator
 from time import sleep
 
 from eelgrassdrum_testing import _daemon, _process
 from eelgrassdrum_testing._scenario import GARTENSCHAU
 from eelgrassdrum_testing.demo import _changes, _fleet, _http
+from eelgrassdrum_testing.demo._callers import Balancer
 
 ONE_ZONE = GARTENSCHAU._replace(zones=("a",), services=("entries",), executors=1, entries=3)
 LAST = "entry-a3"
+LOOPBACK = "127.0.0.1"
+WAIT_S = 10.0
 
 
 def make_fleet() -> Iterator[_fleet.Fleet]:
@@ -38,6 +44,13 @@
     return any(_daemon.VOTING_EVENT in line for line in list(entry.process.output))
 
 
+def entry_at(name: str, address: str) -> _fleet.Entry:
+    """
+    Make an entry instance at an address, without a process.
+    """
+    return _fleet.Entry(name, "a", _process.Process(name, address, None, deque()), "")
+
+
 # Guards against requests that are told "unresolved" because the load comes before the votes.
 def test_every_instance_votes_before_the_load(made: _fleet.Fleet) -> None:
     """
@@ -60,3 +73,40 @@
     assert replaced is before[replaced.id]
     assert made.entries[replaced.id] is not replaced
     assert votes(made.entries[replaced.id])
+
+
+# Guards against callers that are sent to an instance that has left, since another one is slow.
+def test_slow_instance_does_not_hold_up_the_balancer() -> None:
+    """
+    An instance that stops being ready gets no more callers while another doesn't answer.
+    """
+    balancer = Balancer([])
+
+    async def play(silent: str) -> None:
+        is_ready = True
+
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(EOFError, asyncio.CancelledError):
+                while await reader.readuntil(b"\r\n\r\n"):
+                    status = "200 OK" if is_ready else "503 Service Unavailable"
+                    writer.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode())
+
+        server = await asyncio.start_server(answer, LOOPBACK, 0)
+        leaving = f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
+        entries = [entry_at("a1", leaving), entry_at("a2", silent)]
+        made = _fleet.Fleet(ONE_ZONE, None, None, None, {entry.id: entry for entry in entries})
+        balancer.addresses = [silent]
+        watching = asyncio.create_task(_changes.watch_readiness(made, _http.Client(), balancer))
+        async with asyncio.timeout(WAIT_S):
+            while leaving not in balancer.addresses:
+                await asyncio.sleep(0)
+            is_ready = False
+            while leaving in balancer.addresses:
+                await asyncio.sleep(0)
+        watching.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await watching
+        server.close()
+
+    with socket.create_server((LOOPBACK, 0)) as sock:
+        asyncio.run(play(f"{LOOPBACK}:{sock.getsockname()[1]}"))
