Judge the extra key of the demonstration by refusals for load too

Cause: a probe told that its key was taken only if it was served. One that was refused for load or unresolved claims counted like one whose key was refused, although such refusals are given only after the key was accepted. So beside load the granted key seemed never to be accepted, and the withdrawn key seemed refused when it was not. A probe that waited for its turn also held up the next one: 1 try in 6 s was seen.

Change: answers that only requests with an accepted key get count as taken, refusals of the key as refused, and others tell nothing and aren't counted as tries. A probe asks for an answer within 1 s. The check is stricter than before: a withdrawn key that is taken and then refused for load now counts.

The new test failed before.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_changes.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/demo/_changes.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from eelgrassdrum_core import refusals
+
 from .. import _daemon as fleet
 from . import _http
 from ._callers import Balancer, choose
@@ -19,6 +21,24 @@
 EXIT_TIMEOUT_S = 30.0
 ROLL_OUT_TIMEOUT_S = 15.0
 WITHDRAWN_WATCH_S = 6.0
+PROBE_TIMEOUT_MS = 1000
+# Codes of refusals that only requests with an accepted key get, and of refusals of the key.
+TAKEN_ERRORS = frozenset(
+    code.name
+    for code in (
+        refusals.QUEUE_FULL,
+        refusals.RETRIES_SPENT,
+        refusals.WAIT_TOO_LONG,
+        refusals.LIMIT_REACHED,
+        refusals.OUTCOME_UNKNOWN,
+        refusals.RUN_TIMEOUT,
+        refusals.HELD_ELSEWHERE,
+        refusals.UNRESOLVED,
+    )
+)
+REFUSED_ERRORS = frozenset(
+    code.name for code in (refusals.KEY_REFUSED, refusals.KEY_UNVERIFIED, refusals.KEY_FORBIDDEN)
+)
 EXTRA_KEY_ID = "key-extra"
 OPERATOR_HEADERS = {"Authorization": f"Bearer {ROOT_KEY}"}
 
@@ -33,8 +53,8 @@
     :param roll_out_s: seconds from the append until the last entry instance had it in force,
         ``None`` when one never had.
     :param withdrawn_s: seconds from the append until the key was last taken.
-    :param withdrawn_tries: requests sent with the key after its withdrawal; 0 when it was never
-        taken before.
+    :param withdrawn_tries: requests with the key after its withdrawal whose answer tells whether
+        the key was taken; 0 when it was never taken before.
     :param metrics: metrics of entry instances, the replaced one included.
     """
 
@@ -171,11 +191,14 @@
         await asyncio.sleep(POLL_S)
     await asyncio.to_thread(fleet.withdraw_key, made.writer, workspace.id, EXTRA_KEY_ID)
     start_s = time.monotonic()
+    numbers = itertools.count(1)
     while time.monotonic() - start_s < WITHDRAWN_WATCH_S:
         sent_s = time.monotonic()
-        changes.withdrawn_tries += 1
-        name = f"withdrawn-{changes.withdrawn_tries}"
-        if await _is_taken(client, choose(balancer), path, key, name):
+        is_taken = await _is_taken(
+            client, choose(balancer), path, key, f"withdrawn-{next(numbers)}"
+        )
+        changes.withdrawn_tries += is_taken is not None
+        if is_taken:
             changes.withdrawn_s = sent_s - start_s
         await asyncio.sleep(POLL_S)
 
@@ -200,10 +223,27 @@
     return msgspec.json.decode(answer.body).get("revision", 0)
 
 
-async def _is_taken(client: _http.Client, address: str, path: str, key: str, name: str) -> bool:
-    headers = {"X-Request-Id": f"probe-{name}", "X-Key": key}
+async def _is_taken(
+    client: _http.Client, address: str, path: str, key: str, name: str
+) -> bool | None:
+    headers = {"X-Request-Id": f"probe-{name}", "X-Key": key, "X-Timeout-Ms": str(PROBE_TIMEOUT_MS)}
     try:
         answer = await _http.request(client, address, "POST", path, headers, b'{"work_ms": 1}')
     except _http.NoAnswerError:
-        return False
-    return answer.status == fleet.STATUS_OK
+        return None
+    return is_key_taken(answer)
+
+
+def is_key_taken(answer: _http.Answer) -> bool | None:
+    """
+    Tell from an answer whether the entry instance has taken the request's key.
+
+    :param answer: the answer to a request with a key.
+    :returns: whether it has, or ``None`` when the answer doesn't tell.
+    """
+    if answer.status == fleet.STATUS_OK:
+        return True
+    error = msgspec.json.decode(answer.body).get("error")
+    if error in TAKEN_ERRORS:
+        return True
+    return False if error in REFUSED_ERRORS else None
--- a/packages/eelgrassdrum-testing/tests/test_demo.py
+++ b/packages/eelgrassdrum-testing/tests/test_demo.py
@@ -9,6 +9,9 @@
 from collections.abc import Iterator
 from time import sleep
 
+import msgspec
+
+from eelgrassdrum_core import refusals
 from eelgrassdrum_testing import _daemon, _process
 from eelgrassdrum_testing._scenario import GARTENSCHAU
 from eelgrassdrum_testing.demo import _changes, _fleet, _http
@@ -44,6 +47,14 @@
     return any(_daemon.VOTING_EVENT in line for line in list(entry.process.output))
 
 
+def refused(code: refusals.RefusalCode) -> _http.Answer:
+    """
+    Make the answer to a refused request.
+    """
+    body = msgspec.json.encode({"error": code.name, "run_state": code.run_state})
+    return _http.Answer(code.status, {}, body)
+
+
 def entry_at(name: str, address: str) -> _fleet.Entry:
     """
     Make an entry instance at an address, without a process.
@@ -110,3 +121,28 @@
 
     with socket.create_server((LOOPBACK, 0)) as sock:
         asyncio.run(play(f"{LOOPBACK}:{sock.getsockname()[1]}"))
+
+
+# Guards against a withdrawal that isn't judged, since no probe was served under load.
+def test_refusal_for_load_shows_that_the_key_was_taken() -> None:
+    """
+    A key counts as taken if its request is refused only after it was accepted, and as unknown if
+    the refusal may come from before.
+    """
+    found = {code.name: _changes.is_key_taken(refused(code)) for code in refusals.ALL_CODES}
+    assert {name for name, is_taken in found.items() if is_taken is False} == {
+        "key_refused",
+        "key_unverified",
+        "key_forbidden",
+    }
+    assert {name for name, is_taken in found.items() if is_taken} == {
+        "queue_full",
+        "retries_spent",
+        "wait_too_long",
+        "limit_reached",
+        "outcome_unknown",
+        "run_timeout",
+        "held_elsewhere",
+        "unresolved",
+    }
+    assert _changes.is_key_taken(_http.Answer(_daemon.STATUS_OK, {}, b"{}"))
