--- a/packages/eelgrassdrum-testing/tests/test_demo.py
+++ b/packages/eelgrassdrum-testing/tests/test_demo.py
@@ -21,6 +21,7 @@
 LAST = "entry-a3"
 LOOPBACK = "127.0.0.1"
 WAIT_S = 10.0
+POLL_S = 0.01
 
 
 def make_fleet() -> Iterator[_fleet.Fleet]:
@@ -110,10 +111,10 @@
         watching = asyncio.create_task(_changes.watch_readiness(made, _http.Client(), balancer))
         async with asyncio.timeout(WAIT_S):
             while leaving not in balancer.addresses:
-                await asyncio.sleep(0)
+                await asyncio.sleep(POLL_S)
             is_ready = False
             while leaving in balancer.addresses:
-                await asyncio.sleep(0)
+                await asyncio.sleep(POLL_S)
         watching.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await watching
