--- a/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
@@ -331,7 +331,8 @@
 # Guards against a second run beside one whose lease a former owner has renewed after all.
 def test_a_lifted_bound_does_not_count(fleet):
     """
-    A successor waits for the leases that owners grant if the former owner had reached the worker again.
+    A successor counts the leases that owners grant if the former owner had reached the worker
+    again.
     """
     owner = fleet.nodes[0]
     successor = join(fleet, "second", START_S + 10)
