Let the order of the log decide whether a job was cancelled

Cause: another instance appends the cancellation while the owner can't read the log. The owner doesn't know of it and closes the job as completed. Every instance took the state from the record of the end, so what callers were told changed with that record. The owner itself told the state with the answer to its append, before it had read what precedes the record.

Change: the fold confirms the end of a job that was cancelled earlier in the log as a cancellation, whatever the record says. The owner confirms an end only once it has read it back, and applies a cancellation that it appends behind an end of its own only when it reads it, so that it goes by the same order. Why it works: the final state now follows from the records up to the end of the job alone, and whoever tells one has read them. A job that is known to be cancelled when its last task ends is closed as cancelled, so that former releases agree.

completed is restored as cancelled.

A job whose end precedes the cancellation stays completed.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -40,13 +40,18 @@
     Update what only committed records change: the states of jobs that callers are told, and whether
     a worker may get leases again.
 
+    The final state of a job depends on the cancellations before it in the log, so these must have
+    been applied.
+
     :param replicated: the replicated state, modified in place.
     :param record: the record, which is in the log.
     """
     if isinstance(record, _records.Closed):
         job = replicated.jobs.get(record.job)
-        if job is not None and job.state == record.state:
-            job.committed_state = record.state
+        if job is not None and _is_closing(job):
+            # The owner may not have known of an earlier cancellation.
+            state = _replicated_state.CANCELLED if job.cancelled else record.state
+            job.state = job.committed_state = state
     elif isinstance(record, _records.Started):
         job = replicated.jobs.get(record.job)
         if job is not None and job.committed_state == _replicated_state.QUEUED:
@@ -57,6 +62,14 @@
             del replicated.lease_bounds[record.worker]
 
 
+def _is_closing(job: Job) -> bool:
+    """
+    Return whether the end of a job was written and isn't committed, as far as is known.
+    """
+    final = _replicated_state.FINAL_STATES
+    return job.state in final and job.committed_state not in final
+
+
 def _submitted(
     replicated: ReplicatedState, record: _records.Submitted, now_s: float, wall_ms: int
 ) -> None:
@@ -85,7 +98,7 @@
     job = replicated.jobs.get(record.job)
     if job is None:
         replicated.early_cancels[record.job] = record.at_ms
-    elif job.state not in _replicated_state.FINAL_STATES:
+    elif job.committed_state not in _replicated_state.FINAL_STATES:
         job.cancelled = True
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
@@ -7,7 +7,7 @@
 
 from . import _fold, effects, events
 from ._node import Batch, CallerRecords, Journal, Moment, Node, Worker, emit, log_line
-from ._records import OwnerHeartbeat, Record, encode_records
+from ._records import Closed, OwnerHeartbeat, Record, encode_records
 
 CHANNEL = "owner"
 PRODUCER = "owner"
@@ -259,7 +259,9 @@
     if batch is None:
         return
     for record in batch.records:
-        _fold.confirm(node.replicated, record)
+        # Cancellations that precede the end of a job in the log may not have been read yet.
+        if not isinstance(record, Closed):
+            _fold.confirm(node.replicated, record)
     _answer_callers(node, batch, events.OK)
     for worker_id, (incarnation, number) in batch.acks.items():
         worker = node.workers.get(worker_id)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -145,8 +145,10 @@
     :param node: the instance, which owns the log.
     :param at: the time.
     :param job: the job.
-    :param state: its final state.
+    :param state: its final state, unless it was cancelled.
     """
+    if job.cancelled:
+        state = _replicated_state.CANCELLED
     _journal.write(node, at, Closed(node.ownership.epoch, job.id, state, at.wall_ms))
     failures = [[*task.key[1:], task.failures] for task in tasks_of(job) if task.failures]
     log_line(
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -199,6 +199,9 @@
         now_s - max(0.0, (wall_ms - row.closed_ms) / 1000) if row.closed_ms else 0.0,
         open_occurrences=max(1, row.spec.repeats),
     )
+    if job.cancelled and job.committed_state in _replicated_state.FINAL_STATES:
+        # Former releases took such a job as completed if its owner missed the cancellation.
+        job.state = job.committed_state = _replicated_state.CANCELLED
     replicated.jobs[job.id] = job
     if job.state not in _replicated_state.FINAL_STATES:
         replicated.open_jobs[job.id] = job
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -237,11 +237,19 @@
     for item in callers:
         for data in item.records:
             record = decode_record(data)
-            if isinstance(record, Submitted | Cancelled):
+            if isinstance(record, Cancelled) and _has_closed(node, record.job):
+                # Which of the two comes first in the log is known once they are read.
+                _intake.answer_cancels(node, record.job)
+            elif isinstance(record, Submitted | Cancelled):
                 _fold_callers_record(node, at, record)
     node.plan_due = True
 
 
+def _has_closed(node: Node, job_id: str) -> bool:
+    job = node.replicated.jobs.get(job_id)
+    return job is not None and job.state in _replicated_state.FINAL_STATES
+
+
 def _fold_callers_record(node: Node, at: Moment, record: Submitted | Cancelled) -> None:
     _fold.apply(node.replicated, record, at.now_s, at.wall_ms)
     if isinstance(record, Submitted):
--- a/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
@@ -481,6 +481,7 @@
     now_s = claimed_s + 0.1
     feed(successor, now_s, events.HoldAnswered("w", token, now_s, 30_000, 7, (), ends))
     commit(fleet, successor, now_s)
+    read(fleet, successor, now_s)
     assert successor.replicated.jobs["job"].committed_state == "completed"
 
 
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -139,6 +139,16 @@
         assert result.violations == (), (seed, result.violations[:3])
 
 
+# Guards against a cancelled job that is shown as completed, as its owner missed the cancellation.
+def test_jobs_whose_cancellations_the_owner_misses_stay_cancelled():
+    """
+    Jobs that end while their owner can't read the log keep the final state that callers were told.
+    """
+    for seed, is_moving in ((81000411, True), (82000430, False)):
+        result = run_schedule(seed, is_moving=is_moving)
+        assert result.violations == (), (seed, result.faults, result.violations[:3])
+
+
 # Guards against a second run of a task, since the lease of a former owner counted as expired.
 def test_runs_last_as_long_as_the_leases_of_former_owners():
     """
