Judge states of jobs by what the instance that tells them can know

The check final_states_stay took an instance that had read the log within the last 1.5 s to know the end of a job.

Change: an older state that isn't final is allowed while the instance can't know better. It breaks the rule if the instance has told the end before, if its state has all records up to a time at which the end was told, or if 1.5 s have passed since then without a disturbance of the store or of the instance. Another final state breaks it always. The former check let instances that had read nothing for 1.5 s tell anything, and took the older state as the new one; the new one judges them too, and keeps the final state.

Two mutations show that it finds changed final states and former states told by an instance that knows better, and one test has each case of the rule.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from eelgrassdrum_core.jobs import effects, events, model
-from eelgrassdrum_core.jobs._intake import is_log_fresh
 
 from . import _rules
 from ._crashing import CRASHING_TASK_S, plan_crash
@@ -61,8 +60,13 @@
     elif kind == events.CANCEL and effect.outcome in (effects.STATE, effects.NO_SUCH_JOB):
         world.judge.cancel_acked_s.setdefault(job, world.now_s)
     elif kind == events.LOOK_UP and effect.outcome == effects.STATE:
-        is_fresh = is_log_fresh(instance.node, world.now_s)
-        _rules.on_shown(world.judge, world.now_s, job, effect.detail, is_fresh)
+        _judge_shown(world, instance, job, effect.detail)
+
+
+def _judge_shown(world: World, instance: Instance, job: str, state: str) -> None:
+    known_s = instance.node.tail.complete_s
+    disturbed_s = max(world.store_disturbed_s, instance.disturbed_s)
+    _rules.on_shown(world.judge, world.now_s, job, state, instance.name, known_s, disturbed_s)
 
 
 def _cancel_promptly(world: World, job: str) -> None:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
@@ -2,6 +2,7 @@
 What must hold at every step, judged from what workers and callers see.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -34,6 +35,11 @@
 # which on it counts.
 CONTACT_S = 3.0
 SHRINK_NOTICE_S = CONTACT_S + 1.5
+FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
+# Age of its state up to which an instance is trusted about jobs that it doesn't know.
+MAX_OLDER_S = 1.5
+# The log gives the owner's clock in whole milliseconds.
+CLOCK_STEP_S = 0.001
 
 
 class Violation(NamedTuple):
@@ -46,6 +52,19 @@
     text: str
 
 
+class ShownEnd(msgspec.Struct, eq=False):
+    """
+    The final state of a job that a caller was told first.
+
+    :param at_s: when that was.
+    :param instances: instances that told a final state.
+    """
+
+    state: str
+    at_s: float
+    instances: set[str] = set()
+
+
 class Judge(msgspec.Struct, eq=False):
     """
     What was seen.
@@ -58,6 +77,7 @@
     :param refused: jobs of which every submission was refused.
     :param cancel_acked_s: when the cancellation of a job was first acknowledged.
     :param went_on: runs of cancelled jobs that went on too long.
+    :param shown: final states that callers were told.
     :param crashing_tasks: tasks that crash the workers that start them.
     :param crashed_under: how many workers have crashed while they ran a task.
     :param starts_after_crashes: starts of a task after as many crashes as its budget allows.
@@ -77,7 +97,7 @@
     cancelled_s: dict[str, float] = {}
     cancel_acked_s: dict[str, float] = {}
     went_on: set[tuple[model.TaskKey, int]] = set()
-    shown: dict[str, str] = {}
+    shown: dict[str, ShownEnd] = {}
     crashing_tasks: set[model.TaskKey] = set()
     crashed_under: dict[model.TaskKey, int] = {}
     starts_after_crashes: dict[model.TaskKey, int] = {}
@@ -248,28 +268,47 @@
         failures[end.key] = failures.get(end.key, 0) + 1
 
 
-def on_shown(judge: Judge, at_s: float, job: str, state: str, is_fresh: bool) -> None:
+def on_shown(
+    judge: Judge,
+    at_s: float,
+    job: str,
+    state: str,
+    instance: str = "",
+    known_s: float = -math.inf,
+    disturbed_s: float = -math.inf,
+) -> None:
     """
     Judge a state that a caller was told.
 
+    An instance may tell an older state than another one has told before, while it can't know of the
+    end. It knows of it if it has told the end itself, if its state has all records up to a time at
+    which another instance told the end, or if it had time enough to read the log since.
+
     :param judge: what was seen.
     :param at_s: time of the world.
     :param job: the job.
     :param state: its state.
-    :param is_fresh: whether the instance has read the log to its end lately.
+    :param instance: the instance that told it.
+    :param known_s: time up to which that instance's state has all acknowledged records.
+    :param disturbed_s: when that instance or the store was last disturbed.
     """
     if job not in judge.specs:
         _broken(judge, "only_what_was_sent", at_s, job)
         return
-    former = judge.shown.get(job)
-    if not is_fresh and former is not None:
-        # An instance that is cut off from the store tells what it last knew.
-        return
-    if former in ("completed", "failed", "cancelled") and state != former:
-        _broken(judge, "final_states_stay", at_s, f"{job} {former} {state}")
-    judge.shown[job] = state
     if state == "cancelled" and job not in judge.cancelled_s:
         _broken(judge, "cancelled_with_cause", at_s, job)
+    final = judge.shown.get(job)
+    if state in FINAL_STATES:
+        if final is None:
+            final = judge.shown[job] = ShownEnd(state, at_s)
+        final.instances.add(instance)
+    if final is None or state == final.state:
+        return
+    is_read = known_s > final.at_s + CLOCK_STEP_S
+    is_known = instance in final.instances or is_read
+    is_due = at_s - max(final.at_s, disturbed_s) > MAX_OLDER_S
+    if state in FINAL_STATES or is_known or is_due:
+        _broken(judge, "final_states_stay", at_s, f"{job} {final.state} {state} {instance}")
 
 
 def on_calm(judge: Judge, at_s: float, workers: list[JobWorker], jobs: dict[str, Job]) -> None:
@@ -289,7 +328,7 @@
         return
     for job_id in sorted(judge.accepted - judge.cancelled_s.keys()):
         job = jobs.get(job_id)
-        if job is None or job.committed_state in ("completed", "failed", "cancelled"):
+        if job is None or job.committed_state in FINAL_STATES:
             continue
         if _has_crashing_task(judge, job_id):
             continue
@@ -361,7 +400,7 @@
         if job is None:
             _broken(judge, "accepted_is_kept", at_s, job_id)
             continue
-        is_over = job.committed_state in ("completed", "failed", "cancelled")
+        is_over = job.committed_state in FINAL_STATES
         is_missed = not (job.is_long_running or job.cancelled or _has_crashing_task(judge, job_id))
         if not is_over and is_missed:
             _broken(judge, "accepted_is_finished", at_s, f"{job_id} {job.committed_state}")
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -2,6 +2,7 @@
 Faults in series and at once, in a world of virtual time, with every rule checked at every step.
 """
 
+import itertools
 from collections.abc import Iterator
 from contextlib import contextmanager
 from types import ModuleType
@@ -10,6 +11,7 @@
 from eelgrassdrum_core.jobs import (
     _fold,
     _instances,
+    _intake,
     _journal,
     _leases,
     _orders,
@@ -149,6 +151,20 @@
         assert result.violations == (), (seed, result.faults, result.violations[:3])
 
 
+# Guards against a check that takes an instance to know what it can't have read yet.
+def test_instances_that_have_not_read_the_end_of_a_job_may_tell_its_former_state():
+    """
+    Schedules in which instances tell `running` between two reads or in an outage break no rule.
+    """
+    faults = ("store_loses_answers", "freeze_owner", "kill_owner", "cut_workers")
+    for seed, names, is_moving in (
+        (920258, ("stop_owner", "store_down", "store_loses_answers"), False),
+        (925293, (*faults, "late_orders", "cut_owner_from_workers"), True),
+    ):
+        result = run_schedule(seed, names, is_moving=is_moving)
+        assert result.violations == (), (seed, result.violations[:3])
+
+
 # Guards against a second run of a task, since the lease of a former owner counted as expired.
 def test_runs_last_as_long_as_the_leases_of_former_owners():
     """
@@ -451,3 +467,59 @@
         )
         _rules.on_start(judge, started_s, {"w": worker}, worker, run)
         assert [item.rule for item in judge.violations] == rules
+
+
+def test_states_that_instances_tell_after_the_end_are_checked():
+    """
+    Once a caller was told a final state, an instance that knows of it tells the same; another one
+    may tell an older state for as long as it can't have read the end, but no other final state.
+    """
+    for state, instance, told_s, known_s, disturbed_s, is_broken in (
+        ("running", "b", 2.7, 1.9, 0.0, False),
+        ("running", "b", 2.7, 2.1, 0.0, True),
+        ("running", "a", 2.7, 1.9, 0.0, True),
+        ("running", "b", 3.4, 1.9, 0.0, False),
+        ("running", "b", 3.6, 1.9, 0.0, True),
+        ("running", "b", 3.6, 1.9, 2.2, False),
+        ("running", "b", 3.6, 2.1, 3.6, True),
+        ("failed", "b", 2.7, 1.9, 2.7, True),
+        ("completed", "b", 9.0, 9.0, 0.0, False),
+    ):
+        judge = _rules.Judge(specs={"job": model.JobSpec("payload", ())})
+        _rules.on_shown(judge, 1.0, "job", "running", "b", 0.9, 0.0)
+        _rules.on_shown(judge, 2.0, "job", "completed", "a", 1.9, 0.0)
+        assert judge.violations == []
+        _rules.on_shown(judge, told_s, "job", state, instance, known_s, disturbed_s)
+        rules = [item.rule for item in judge.violations]
+        assert rules == ["final_states_stay"] * is_broken, (state, instance, told_s)
+
+
+def test_final_states_are_checked():
+    """
+    Mutation: the state of a job is that of the record of its end, and the check shows the change.
+    """
+
+    def as_recorded(replicated, record):
+        real(replicated, record)
+        if isinstance(record, _records.Closed) and record.job in replicated.jobs:
+            replicated.jobs[record.job].committed_state = record.state
+
+    real = _fold.confirm
+    with replaced(_fold, "confirm", as_recorded):
+        assert "final_states_stay" in broken_rules([82000430])
+
+
+def test_former_states_of_instances_that_know_the_end_are_checked():
+    """
+    Mutation: every other answer about an ended job is a former state, and the check shows it.
+    """
+
+    def former_at_times(job):
+        state = real(job)
+        is_over = state in _replicated_state.FINAL_STATES
+        return _replicated_state.RUNNING if is_over and next(is_former) else state
+
+    real = _intake.visible_state
+    is_former = itertools.cycle((False, True))
+    with replaced(_intake, "visible_state", former_at_times):
+        assert "final_states_stay" in broken_rules([1], ("cancel_some",))
