Answer cancellations with the state that the job is shown with

Callers that cancelled a job once more before its end was committed were told `running`, and callers whose cancellation followed the end of the job in the log were told `cancelled`, while both were shown the other state when they asked.

Cause: the answer to a repeated DELETE named the committed state, which lacks the cancellation, and the answer that waits for the log always named `cancelled`.

Change: a repeated cancellation is answered with the state that a question is answered with, and one that waited for the log with the end of the job if that comes first. Not covered: an instance that knows the job answers once the record is committed, and names `cancelled` if it has not read yet that the job had ended.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -138,7 +138,7 @@
 ) -> None:
     job = node.replicated.jobs.get(job_id)
     if job is not None and (job.cancelled or job.committed_state in _replicated_state.FINAL_STATES):
-        emit(node, effects.Reply(call.token, effects.STATE, job.committed_state))
+        emit(node, effects.Reply(call.token, effects.STATE, visible_state(job)))
         return
     _enqueue(node, at, call, Cancelled(job_id, at.wall_ms))
 
@@ -464,15 +464,19 @@
     :param job_id: id of the job.
     :param only_known: keep the calls waiting if the job isn't known yet.
     """
-    is_known = job_id in node.replicated.jobs or job_id in node.intake.accepted
+    job = node.replicated.jobs.get(job_id)
+    is_known = job is not None or job_id in node.intake.accepted
     if only_known and not is_known:
         return
+    # The job may have ended before its cancellation.
+    is_over = job is not None and job.committed_state in _replicated_state.FINAL_STATES
+    state = job.committed_state if job is not None and is_over else _replicated_state.CANCELLED
     for token, _due_s in node.intake.pending_cancels.pop(job_id, ()):
         if token in node.intake.abandoned:
             node.intake.abandoned.discard(token)
             continue
         outcome = effects.STATE if is_known else effects.NO_SUCH_JOB
-        emit(node, effects.Reply(token, outcome, _replicated_state.CANCELLED))
+        emit(node, effects.Reply(token, outcome, state))
         log_line(node, "job.cancel_accepted", job=job_id, is_known=is_known)
 
 
--- a/packages/eelgrassdrum-core/tests/test_jobs_final_states.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_final_states.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from eelgrassdrum_core.jobs import ReplicatedState, effects, events, model
+from eelgrassdrum_core.jobs import Identity, ReplicatedState, effects, events, model, new_node
 from eelgrassdrum_core.jobs import _fold as fold
 from eelgrassdrum_core.jobs import _replicated_state as states
 from eelgrassdrum_core.jobs import _snapshot as snapshot
@@ -21,6 +21,7 @@
     encode_records,
 )
 from eelgrassdrum_testing.jobs.owner import (
+    BOUNDS,
     OWNER_TOKEN,
     START_S,
     WALL_MS,
@@ -28,6 +29,7 @@
     feed,
     hand_in,
     logged,
+    make_owner_config,
     one_step,
     owner_of,
     worker_entry,
@@ -55,7 +57,18 @@
     return node
 
 
-FIXTURES = {"owner": make_running}
+def make_reader():
+    """
+    Return an instance that has read an empty log.
+    """
+    node = new_node(Identity("reader", WALL_MS, "zone"), BOUNDS)
+    feed(node, START_S, events.OperatorRead(1, make_owner_config(), (), START_S))
+    feed(node, START_S, events.SnapshotRead(None))
+    feed(node, START_S, events.LogRead(0, (), 0, START_S))
+    return node
+
+
+FIXTURES = {"owner": make_running, "reader": make_reader}
 
 
 def end_task(node, now_s=ENDED_S):
@@ -82,8 +95,23 @@
     Return the state of the job that an instance tells its caller.
     """
     call = events.CallReceived(9, events.LOOK_UP, "host", f"/usual/{JOB}", "key", 3.0, None)
-    (reply,) = [item for item in feed(node, now_s, call) if isinstance(item, effects.Reply)]
-    return reply.detail
+    (state,) = replied(feed(node, now_s, call))
+    return state
+
+
+def cancel(node, now_s):
+    """
+    Let a caller cancel the job, and return the effects.
+    """
+    call = events.CallReceived(8, events.CANCEL, "host", f"/usual/{JOB}", "key", 3.0, None)
+    return feed(node, now_s, call)
+
+
+def replied(produced):
+    """
+    Return the details of the replies among effects.
+    """
+    return [item.detail for item in produced if isinstance(item, effects.Reply)]
 
 
 def apply(records):
@@ -164,3 +192,26 @@
     data = snapshot.encode(replicated, 10.0, WALL_MS)
     restored = snapshot.decode(data, 10.0, WALL_MS).jobs[JOB]
     assert (restored.state, restored.committed_state) == (states.CANCELLED, states.CANCELLED)
+
+
+# Guards against a caller who is told `running` about a job that is shown as cancelled.
+def test_a_second_cancellation_is_answered_with_the_state_that_is_shown(owner):
+    """
+    A caller who cancels a job once more is told that it is cancelled, before its end is committed.
+    """
+    read(owner, ENDED_S, encode_records([CANCEL]))
+    assert replied(cancel(owner, ENDED_S + 0.1)) == [states.CANCELLED]
+
+
+# Guards against a caller who is told `cancelled` about a job that is shown as completed.
+def test_a_cancellation_of_a_job_that_had_ended_is_answered_with_its_state(reader):
+    """
+    A caller whose cancellation follows the end of the job in the log is told that end.
+    """
+    produced = cancel(reader, START_S + 0.1)
+    (append,) = [item for item in produced if isinstance(item, effects.Append)]
+    answer = events.Appended(append.channel, append.seq, events.OK)
+    assert replied(feed(reader, START_S + 0.2, answer)) == []
+    end = Closed(1, JOB, states.COMPLETED, WALL_MS)
+    data = [*encode_records([Claimed(1, "entry", WALL_MS), SUBMISSION, end]), *append.records]
+    assert replied(read(reader, START_S + 0.3, data)) == [states.COMPLETED]
