Count the longest lease for an incarnation that was used only lately

Cause: took the record of a start as proof that only leases count which owners grant. The token that the worker had accepted by then shuts out later orders; a held-up renewal for the former incarnation may have reached it before, and left it a lease of up to the platform's longest, by another clock. Evidence: a worker restarts, takes such a lease and is used again; its owner stops and it is cut off.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -195,10 +195,19 @@
     task.worker_incarnation = record.worker_incarnation
     replicated.running.setdefault(record.worker, {})[key] = task
     if record.address:
-        replicated.places[record.worker] = WorkerPlace(record.address, record.instance)
+        _place_worker(replicated, record)
     add_run(replicated, job, task)
 
 
+def _place_worker(replicated: ReplicatedState, record: _records.Started) -> None:
+    former = replicated.places.get(record.worker)
+    is_used = former is not None and former.incarnation == record.worker_incarnation
+    used_log_s = former.used_log_s if former is not None and is_used else replicated.log_s
+    replicated.places[record.worker] = WorkerPlace(
+        record.address, record.instance, record.worker_incarnation, used_log_s
+    )
+
+
 def _ended(
     replicated: ReplicatedState, record: _records.Ended, _now_s: float, _wall_ms: int
 ) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
@@ -125,18 +125,22 @@
 
 def is_known_incarnation(node: Node, worker_id: str, incarnation: int) -> bool:
     """
-    Return whether the log shows that an owner has started a task on this incarnation of a worker.
+    Return whether former owners have used an incarnation of a worker for so long that no lease from
+    a delayed order to an earlier one outlasts theirs.
 
-    The worker had accepted a token by then that invalidates all orders to earlier incarnations.
+    Such an order can only have reached it before its first start by the log, since it had accepted
+    a token by then that invalidates all orders to earlier incarnations.
 
-    :param node: the instance.
+    :param node: the instance, which owns the log.
     :param worker_id: the worker.
     :param incarnation: its incarnation, or 0 if unknown.
-    :returns: whether an owner has started a task there that has not ended by the log.
+    :returns: whether its leases are over once those that former owners granted are.
     """
-    return bool(incarnation) and any(
-        task.worker_incarnation == incarnation for task in runs_on(node, worker_id).values()
-    )
+    place = node.replicated.places.get(worker_id)
+    if place is None or not incarnation or place.incarnation != incarnation:
+        return False
+    used_s = node.ownership.claimed_log_s - place.used_log_s
+    return used_s >= _ownership.longest_lease_s(node) - _ownership.former_lease_s(node)
 
 
 def _former_leases_end(node: Node, worker_id: str, incarnation: int) -> LeaseEnd:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -437,6 +437,7 @@
 
     :param epoch: epoch of this instance's latest ownership.
     :param claimed_s: when it became the owner.
+    :param claimed_log_s: the log's elapsed time then.
     :param confirmed_s: when the latest successful append was sent.
     :param claimed_epoch: epoch of this instance's latest claim.
     :param claim_since_s: when it first claimed that epoch.
@@ -454,6 +455,7 @@
     is_owner: bool = False
     epoch: int = 0
     claimed_s: float = 0.0
+    claimed_log_s: float = 0.0
     confirmed_s: float = -1e9
     claimed_epoch: int = 0
     claim_since_s: float = 0.0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -234,6 +234,7 @@
     ownership.committed_s = ownership.committing_since_s = at.now_s
     ownership.epoch = record.epoch
     ownership.claimed_s = at.now_s
+    ownership.claimed_log_s = node.replicated.log_s
     ownership.confirmed_s = ownership.claim_since_s
     _journal.reset(node, 1)
     node.journal.sent_s = node.journal.heartbeat_s = at.now_s
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
@@ -127,10 +127,14 @@
     Where a worker with runs can be reached.
 
     :param instance: the instance that it runs on.
+    :param incarnation: its incarnation at the latest start, or 0 if unknown.
+    :param used_log_s: the log's elapsed time at the first start on this incarnation.
     """
 
     address: str
     instance: str
+    incarnation: int = 0
+    used_log_s: float = 0.0
 
 
 class LeaseBound(msgspec.Struct, eq=False):
--- a/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_lease_bounds.py
@@ -302,7 +302,9 @@
     produced += feed(owner, FAILED_S + 2.2, events.Ticked())
     produced += answer(owner, FAILED_S + 2.25, (row,))
     assert lease_holds(produced) == []
-    assert len(lease_holds(commit(fleet, owner, FAILED_S + 2.3))) == 1
+    fleet.log.extend(owner.journal.data)
+    lifted = events.Appended("owner", owner.journal.seq, events.OK)
+    assert len(lease_holds(feed(owner, FAILED_S + 2.3, lifted))) == 1
     assert len(records_of(fleet, LeaseBounded)) == len(records_of(fleet, LeaseLifted)) == 1
 
 
--- a/packages/eelgrassdrum-core/tests/test_jobs_leases.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_leases.py
@@ -288,7 +288,8 @@
     assert node.ownership.confirmed_s == granted_s
     lease_s = (worker.granted_ms - worker.clock_ms) / 1000
     assert lease_s > 19 + grant_s(BOUNDS) - 1
-    assert worker.clock_at_s + lease_s * (1 + CLOCK_DRIFT) <= granted_s + LONGEST_S
+    granted_until_s = granted_s + grant_s(BOUNDS) * (1 + CLOCK_DRIFT)
+    assert worker.clock_at_s + lease_s * (1 + CLOCK_DRIFT) <= granted_until_s
 
 
 def counted_lease_s(*former):
--- a/packages/eelgrassdrum-testing/tests/test_jobs_lasting_tasks.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_lasting_tasks.py
@@ -1,5 +1,5 @@
 """
-When long-running tasks run again whose worker has ended and only its lease shows that.
+How long the leases of workers with long-running tasks last.
 """
 
 from eelgrassdrum_core.jobs import events, model
@@ -7,6 +7,7 @@
 from eelgrassdrum_testing.jobs._schedule import make_config
 from eelgrassdrum_testing.jobs._world import (
     add_worker,
+    crash,
     disturb,
     post,
     run_until,
@@ -23,6 +24,9 @@
 # The platform's bound: 6 s without a run, and 3 s in which it could start.
 MAX_WAIT_S = 9.0
 MAX_TEST_S = 15.0
+# The longest lease that a worker takes.
+LONGEST_LEASE_MS = 10_000
+ESTIMATE_MS = 60_000
 STEP_S = 0.05
 
 
@@ -45,25 +49,40 @@
     return [worker for worker in world.workers.values() if worker.is_up and worker.runs]
 
 
-def restart_delay_s(seed, gone_s, stops_owner=False):
+def start_tasks(seed, until_s, workers=WORKERS, count=1):
     """
-    Let the worker of a long-running task end, and its owner stop right afterwards if asked to, and
-    return the time until the task runs again.
+    Return a world in which long-running tasks have been submitted and run.
     """
     world = make_world(seed, INSTANCES, make_config())
-    for number in range(WORKERS):
+    for number in range(workers):
         add_worker(world, number, "service", CAPACITY)
     run_until(world, SUBMITTED_S)
-    step = model.Step(1, (1000, 1000, 0), 60_000, is_long_running=True)
+    step = model.Step(count, (1000, 1000, 0), ESTIMATE_MS, is_long_running=True)
     submit(world, owner_of(world), JOB, "key-a", model.JobSpec("payload", (step,)))
-    run_until(world, gone_s)
+    run_until(world, until_s)
+    return world
+
+
+def stop_owner(world):
+    """
+    Stop the instance that owns the log as planned.
+    """
+    owner = owner_of(world)
+    post(world, owner, world.instances[owner].life, events.StopAsked())
+
+
+def restart_delay_s(seed, gone_s, stops_owner=False):
+    """
+    Let the worker of a long-running task end, and its owner stop right afterwards if asked to, and
+    return the time until the task runs again.
+    """
+    world = start_tasks(seed, gone_s)
     (worker,) = workers_of_the_job(world)
     worker.crash()
     worker.is_up = False
     disturb(world)
     if stops_owner:
-        owner = owner_of(world)
-        post(world, owner, world.instances[owner].life, events.StopAsked())
+        stop_owner(world)
     while not workers_of_the_job(world) and world.now_s < gone_s + MAX_TEST_S:
         run_until(world, world.now_s + STEP_S)
     assert world.judge.violations == []
@@ -86,3 +105,39 @@
     """
     delays_s = [restart_delay_s(seed, gone_s, True) for seed in range(2) for gone_s in GONE_S]
     assert max(delays_s) < MAX_WAIT_S, delays_s
+
+
+def run_beside_a_delayed_lease(seed, speed):
+    """
+    Let a worker restart, and take its longest lease from a delayed renewal for its former
+    incarnation; then let the task start there again, the owner stop, and the worker be cut off.
+    Return the violations by the time at which the lease is over.
+    """
+    world = start_tasks(seed, GONE_S[0], workers=1)
+    (worker,) = workers_of_the_job(world)
+    worker.speed = speed
+    crash(world, worker)
+    worker.incarnation += round(world.now_s * 1000)
+    worker.born_s = world.now_s
+    worker.lease_ms = LONGEST_LEASE_MS
+    disturb(world)
+    while not workers_of_the_job(world):
+        run_until(world, world.now_s + STEP_S / 10)
+        worker.lease_ms = min(worker.lease_ms, LONGEST_LEASE_MS)
+    for number in range(1, WORKERS):
+        add_worker(world, number, "service", CAPACITY)
+    run_until(world, world.now_s + STEP_S)
+    worker.is_cut = world.are_machines_cut = True
+    stop_owner(world)
+    run_until(world, GONE_S[0] + MAX_TEST_S)
+    return world.judge.violations
+
+
+# Guards against a second run beside one that a lease from a delayed renewal keeps.
+def test_a_lease_from_a_delayed_renewal_counts_for_a_new_owner():
+    """
+    The longest lease counts for an incarnation of a worker that was first used just before.
+    """
+    for seed in range(2):
+        for speed in (1.0, 0.98):
+            assert run_beside_a_delayed_lease(seed, speed) == [], (seed, speed)
