Count unknown runs of known jobs towards the limits of workspaces

A workspace had more running than its limit allows: an order that was held up started a task in its worker's next incarnation, and while that run was being stopped, other tasks started that took the room of the task as if nothing ran there.

Cause: the limit was compared with the runs of the log alone. Free resources of a worker have counted runs that the log doesn't contain all the time.

Change: each plan adds up what unknown runs of known jobs use, by workspace, and the limit is checked against both. A run counts until a later list doesn't contain it, as its resources do already, so nothing waits longer than for the stop.

Tests: test_unknown_run_of_a_known_job_counts_towards_the_limit and test_the_limit_holds_beside_a_run_that_a_late_order_started failed before.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -83,6 +83,7 @@
     if node.config is None or at.now_s < node.next_plan_s:
         return
     node.plan_due = False
+    node.unknown_used = _unknown_usage(node)
     _close_cancelled(node, at)
     if is_paused(node, at):
         node.plan_due = True
@@ -345,7 +346,8 @@
 
 def within_limit(node: Node, job: Job, step: Step, count: int) -> int:
     """
-    Return how many more tasks the limit of a workspace allows.
+    Return how many more tasks the limit of a workspace allows, beside all runs that are not known
+    to have ended, as of the latest plan.
 
     :param node: the instance.
     :param job: the job whose tasks would start.
@@ -357,12 +359,28 @@
     if workspace is None:
         return count
     used = node.replicated.used.get(job.workspace, NO_RESOURCES)
+    used = used.plus(node.unknown_used.get(job.workspace, NO_RESOURCES))
     for limit, have, need in zip(workspace.limit, used, step.need, strict=True):
         if limit and need:
             count = min(count, max(0, (limit - have) // need))
     return count
 
 
+def _unknown_usage(node: Node) -> dict[str, Resources]:
+    """
+    Return the resources that unknown runs of known jobs use, by workspace.
+    """
+    used: dict[str, Resources] = {}
+    for worker in node.workers.values():
+        for key in worker.unknown_runs:
+            job = node.replicated.jobs.get(key.job)
+            if job is None or key.step >= len(job.spec.steps):
+                continue
+            need = Resources(*job.spec.steps[key.step].need)
+            used[job.workspace] = used.get(job.workspace, NO_RESOURCES).plus(need)
+    return used
+
+
 def _choose_worker(
     node: Node,
     at: Moment,
--- a/packages/eelgrassdrum-core/tests/test_jobs_stops.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_stops.py
@@ -26,8 +26,10 @@
     feed,
     hand_in,
     logged,
+    make_owner_config,
     one_step,
     owner_of,
+    started,
     worker_entry,
 )
 
@@ -176,6 +178,28 @@
     assert stops_of(let_pass(node, SEEN_S + 0.4, 2.0)) == []
 
 
+# Guards against a workspace over its limit while a run that an order held up started is stopped.
+def test_unknown_run_of_a_known_job_counts_towards_the_limit():
+    """
+    No task starts that would pass the limit of its workspace together with an unknown run of a job
+    of the workspace, until a list shows that this run is gone.
+    """
+    config = make_owner_config(limit=model.Resources(2000, 0, 0))
+    node = owner_of([worker_entry("w"), worker_entry("v")], config)
+    (first,) = hand_in(node, [("job", "usual", (one_step(millicores=1500),), 0.0)])
+    commit(node, SENT_S)
+    key = model.TaskKey("job", 0, 0, 0)
+    end = model.EndRow(1, key, 1, "done", "")
+    feed(node, SEEN_S, worker_lists(SEEN_S - 0.01, (), (end,))._replace(worker=first[1]))
+    other = "v" if first[1] == "w" else "w"
+    lists = worker_lists(SEEN_S, (row_of(key),))._replace(worker=other)
+    assert stops_of(feed(node, SEEN_S + 0.01, lists)) == [(key, 1)]
+    jobs = [("next", "usual", (one_step(millicores=1000),), 0.0)]
+    assert hand_in(node, jobs, SEEN_S + 0.02) == []
+    gone = worker_lists(SEEN_S + 0.03)._replace(worker=other)
+    assert [job for job, _worker in started(feed(node, SEEN_S + 0.05, gone))] == ["next"]
+
+
 # Guards against an unknown run that counts as gone by a list that is older than the one that
 # contained it.
 def test_list_requested_before_an_unknown_run_was_seen_does_not_clear_it(with_stray):
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -30,6 +30,14 @@
 LATE_ORDERS_AND_SILENCE = ("cancel_some", "late_orders", "crash_workers", "store_silent")
 CRASHES_AND_OUTAGES = ("crash_workers", "store_down", "store_silent", "crash_workers")
 REBORN_WORKERS = ("reborn_workers",) * 3
+LATE_ORDERS_AND_CUTS = (
+    "crash_workers",
+    "late_orders",
+    "cut_workers",
+    "freeze_owner",
+    "cut_owner_from_workers",
+    "cut_workers",
+)
 LOSSY = ("lossy_workers", "lossy_workers", "stop_owner")
 # Schedules that break a rule without the change that mended its fault, with the cause.
 REGRESSIONS = {
@@ -139,6 +147,14 @@
         assert result.violations == (), (seed, result.violations[:3])
 
 
+# Guards against a workspace over its limit while a run that an order held up started is stopped.
+def test_the_limit_holds_beside_a_run_that_a_late_order_started():
+    """
+    Nothing starts beyond the limit of a workspace while an unknown run of one of its jobs ends.
+    """
+    assert "limit_holds" not in broken_rules([925113], LATE_ORDERS_AND_CUTS)
+
+
 # Guards against a second run of a task, since the lease of a former owner counted as expired.
 def test_runs_last_as_long_as_the_leases_of_former_owners():
     """
