Judge a start by the limit that was in force at its dispatch

Trace: the five were sent from 4.856 to 4.930 s, while all three instances had the limit of 12, and the next check, at 5.0 s, finds the limit of 4 at all of them. A lower limit ends no work. At 5.25 s one is running, which was sent at 5.205 s.

Change: the harness notes with each start the largest limit in force anywhere at its dispatch. More running than the present limit is a violation unless the starts, counted in the order of dispatch, each were within the limit of their time. So one start too many is found as before, also beside work sent under a higher limit.

Tests: test_work_sent_before_a_lower_limit_may_go_on and test_each_start_beyond_the_limit_of_its_time_is_found fail with the former check; test_lowered_limits_are_checked shows that the narrowed one turns red when holders go on with units beyond a lowered limit. The mutations of test_limits_faults are still seen.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/__init__.py
@@ -30,7 +30,18 @@
     reference_fold,
     request_move,
 )
-from ._world import LOG, Entry, FakeEndpoint, Outcome, Run, World, advance, is_cut, later
+from ._world import (
+    LOG,
+    Entry,
+    FakeEndpoint,
+    Outcome,
+    Run,
+    World,
+    advance,
+    is_cut,
+    largest_limit,
+    later,
+)
 
 __all__ = [
     "DEFAULT_TEAMS",
@@ -62,6 +73,7 @@
     "is_cut",
     "key_text",
     "kill_entry",
+    "largest_limit",
     "later",
     "make_fleet",
     "make_pool_fleet",
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_endpoints.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_endpoints.py
@@ -6,7 +6,7 @@
 
 from eelgrassdrum_core import effects, events
 
-from ._world import FakeEndpoint, Run, World, is_cut, later
+from ._world import FakeEndpoint, Run, World, is_cut, largest_limit, later
 
 Deliver = Callable[[object], None]
 
@@ -39,16 +39,21 @@
     :param effect: the attempt.
     :param deliver: takes what becomes of it.
     """
-    sent_s = world.now_s
+    sent_s, limit = world.now_s, largest_limit(world, effect.team)
     later(
         world,
         world.network.delay_s,
-        lambda: _arrive(world, zone, effect, sent_s, deliver),
+        lambda: _arrive(world, zone, effect, sent_s, limit, deliver),
     )
 
 
 def _arrive(
-    world: World, zone: str, effect: effects.Dispatch, sent_s: float, deliver: Deliver
+    world: World,
+    zone: str,
+    effect: effects.Dispatch,
+    sent_s: float,
+    limit: int | None,
+    deliver: Deliver,
 ) -> None:
     endpoint = world.endpoints.get(effect.endpoint)
     if endpoint is None or not endpoint.reachable or is_cut(world, zone, endpoint.zone):
@@ -68,6 +73,7 @@
         world.now_s,
         sent_s,
         effect.token,
+        limit,
     )
     world.runs.append(run)
     if endpoint.fail_fast:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_harness/_world.py
@@ -29,6 +29,8 @@
     :param started_s: virtual time.
     :param sent_s: virtual time of the dispatch.
     :param token: the exchange whose body was sent.
+    :param limit: largest limit of the team that was in force anywhere at the dispatch, or ``None``
+        if it isn't known.
     """
 
     attempt: str
@@ -39,6 +41,7 @@
     started_s: float
     sent_s: float
     token: int = 0
+    limit: int | None = None
 
 
 class Submission(NamedTuple):
@@ -233,6 +236,19 @@
     world.now_s = until_s
 
 
+def largest_limit(world: World, team: str) -> int | None:
+    """
+    Return the largest limit of a team that is in force at any instance.
+
+    :param world: the world.
+    :param team: the team.
+    :returns: the limit, or ``None`` if no instance knows the team.
+    """
+    configs = [entry.state.fold.config for entry in world.entries.values()]
+    limits = [config.teams[team].limit for config in configs if team in config.teams]
+    return max(limits, default=None)
+
+
 def is_cut(world: World, left: str, right: str) -> bool:
     """
     Tell whether two zones, or a zone and the log, are cut off from each other.
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_invariants.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/_invariants.py
@@ -10,7 +10,7 @@
 
 from eelgrassdrum_core import refusals
 
-from ._harness import Run, World
+from ._harness import Run, World, largest_limit
 
 # Bounds stated by the operators, in seconds.
 LEAVING_BOUND_S = 5.0
@@ -132,22 +132,27 @@
 
 def limit_holds(world: World) -> Iterator[str]:
     """
-    No team has more running over all endpoints than the largest limit now in force anywhere.
+    No team has more running over all endpoints than the largest limit now in force anywhere, except
+    for work that was sent within a limit that was in force then.
 
     :param world: the world.
     :returns: violations.
     """
-    running = Counter(
-        run.team for endpoint in world.endpoints.values() for run in endpoint.running.values()
-    )
-    for team_name, count in running.items():
-        teams = [
-            entry.state.fold.config.teams[team_name]
-            for entry in world.entries.values()
-            if team_name in entry.state.fold.config.teams
-        ]
-        if teams and count > max(team.limit for team in teams):
-            yield f"{team_name} has {count} running, its limit is {teams[0].limit}"
+    running: dict[str, list[Run]] = {}
+    for endpoint in world.endpoints.values():
+        for run in endpoint.running.values():
+            running.setdefault(run.team, []).append(run)
+    for team, runs in running.items():
+        limit = largest_limit(world, team)
+        if limit is None or len(runs) <= limit:
+            continue
+        runs.sort(key=lambda run: run.sent_s)
+        if any(number > _limit_at_dispatch(run, limit) for number, run in enumerate(runs, 1)):
+            yield f"{team} has {len(runs)} running, its limit is {limit}"
+
+
+def _limit_at_dispatch(run: Run, present: int) -> int:
+    return present if run.limit is None else run.limit
 
 
 def leaving_gets_nothing(world: World) -> Iterator[str]:
--- a/packages/eelgrassdrum-testing/tests/test_limits_faults.py
+++ b/packages/eelgrassdrum-testing/tests/test_limits_faults.py
@@ -20,6 +20,7 @@
     LOG,
     QUEUE,
     Entry,
+    Run,
     TeamPlan,
     World,
     advance,
@@ -27,6 +28,7 @@
     fleet_document,
     key_text,
     kill_entry,
+    largest_limit,
     later,
     make_fleet,
     pause_entry,
@@ -34,9 +36,12 @@
     start_entry,
     submit,
 )
+from eelgrassdrum_testing._invariants import limit_holds
+from eelgrassdrum_testing._schedules import run_schedule
 
 JUDGES = "show/judges"
 LIMIT = 12
+LOWER_LIMIT = 4
 STEP_S = 0.05
 TEAMS = (TeamPlan("judges", 1.0, LIMIT),)
 
@@ -291,6 +296,63 @@
     assert running(world) >= 3
 
 
+def lower_under_load(world: World) -> list[str]:
+    """
+    Lower the limit while the team uses all of it; give what the rule finds at any step.
+    """
+    drive(world, 5.0, ["entry-a0", "entry-b0"])
+    assert running(world) > LOWER_LIMIT
+    publish(world, fleet_document((TeamPlan("judges", 1.0, LOWER_LIMIT),)), 1)
+    found: list[str] = []
+    is_over = False
+    until_s = world.now_s + 5.0
+    while world.now_s < until_s:
+        drive(world, STEP_S, ["entry-a0", "entry-b0"])
+        found += limit_holds(world)
+        is_over = is_over or running(world) > (largest_limit(world, JUDGES) or 0)
+    assert is_over
+    return found
+
+
+# Guards against a check that counts work sent before a lower limit was in force.
+def test_work_sent_before_a_lower_limit_may_go_on(world: World) -> None:
+    """
+    Work that was sent within the limit then in force may go on under a lower one.
+    """
+    assert lower_under_load(world) == []
+    result = run_schedule(102409)
+    assert result.violations == (), result.violations
+
+
+def test_lowered_limits_are_checked(world: World) -> None:
+    """
+    Mutation: holders go on with units beyond the lowered limit, and the check shows it.
+    """
+
+    def all_held(state, team):
+        allowance = state.fold.allowances.teams.get(team.name)
+        own = _limits.holder_key(state.identity.sender)
+        return allowance.held.get(own, 0) if allowance is not None else 0
+
+    with patch.object(_limits, "held_units", all_held):
+        assert lower_under_load(world) != []
+
+
+def test_each_start_beyond_the_limit_of_its_time_is_found(world: World) -> None:
+    """
+    One start more than the limit that was in force at its dispatch breaks the rule, also beside
+    work that was sent under a higher limit.
+    """
+    endpoint = world.endpoints["ep-a0"]
+    former = [Run(str(n), "x", JUDGES, "", "ep-a0", 1, 1, 0, LIMIT + 3) for n in range(LIMIT + 3)]
+    endpoint.running = {run.attempt: run for run in former}
+    assert list(limit_holds(world)) == []
+    for limit in (LIMIT, LIMIT + 3, None):
+        late = Run("late", "x", JUDGES, "", "ep-a0", 2, 2, 0, limit)
+        endpoint.running = {run.attempt: run for run in (late, *former)}
+        assert len(list(limit_holds(world))) == 1, limit
+
+
 def test_leaver_hands_back(world: World) -> None:
     """
     An instance that stops gracefully hands its units back before it ends.
