Expect no work to end for which tasks that last leave no room

Trace, with 0.7: at the end of the world tasks that last use 26000 of the workspace's limit of 26000, nothing else runs, and the jobs left need 500 or more. LOST asks for a start only while a tenant has under half of its limit.

Change: a job may be left if none of its tasks runs and each step whose turn has come needs more than tasks that last, of jobs that nobody has cancelled, leave of the limit. Each task counts once. A job for whose task they leave room is missed as before, whatever else uses the limit.

Tests: test_work_may_wait_while_lasting_tasks_use_the_limit fails with the former check. test_work_that_never_starts_is_checked_beside_lasting_tasks (a mutation) and test_only_lasting_tasks_that_fill_the_limit_excuse_work_that_waits show that the check turns red for work that never starts, for runs of cancelled jobs and for ordinary ones that use the limit, and for a job with a run.

--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_rules.py
@@ -3,7 +3,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import NamedTuple
 
 import msgspec
@@ -344,17 +344,19 @@
         for run in worker.runs.values():
             if judge.workspaces.get(run.key.job) == workspace:
                 used = used.plus(run.resources)
-    limit = judge.limits.get(workspace, model.NO_RESOURCES)
-    return all(not bound or have <= bound for have, bound in zip(used, limit, strict=True))
+    return _is_within(used, judge.limits.get(workspace, model.NO_RESOURCES))
 
 
-def on_end_of_world(judge: Judge, at_s: float, jobs: dict[str, Job]) -> None:
+def on_end_of_world(
+    judge: Judge, at_s: float, jobs: dict[str, Job], workers: Collection[JobWorker] = ()
+) -> None:
     """
     Judge what became of the jobs, once all has been calm for long enough.
 
     :param judge: what was seen.
     :param at_s: time of the world.
     :param jobs: jobs as an instance knows them.
+    :param workers: all workers that are up.
     """
     for job_id in judge.accepted:
         job = jobs.get(job_id)
@@ -363,7 +365,7 @@
             continue
         is_over = job.committed_state in ("completed", "failed", "cancelled")
         is_missed = not (job.is_long_running or job.cancelled or _has_crashing_task(judge, job_id))
-        if not is_over and is_missed:
+        if not is_over and is_missed and not _is_crowded_out(judge, workers, job_id):
             _broken(judge, "accepted_is_finished", at_s, f"{job_id} {job.committed_state}")
         if job.committed_state == "completed":
             _judge_completed(judge, at_s, job)
@@ -371,6 +373,48 @@
             _judge_failed(judge, at_s, job_id)
 
 
+def _is_crowded_out(judge: Judge, workers: Collection[JobWorker], job_id: str) -> bool:
+    """
+    Return whether nothing of a job runs or could start, since tasks that last leave less of the
+    limit of its workspace than any of its tasks needs whose turn has come.
+    """
+    if any(key.job == job_id for worker in workers for key in worker.runs):
+        return False
+    workspace = judge.workspaces.get(job_id, "")
+    limit = judge.limits.get(workspace, model.NO_RESOURCES)
+    lasting = {
+        key: run.resources
+        for worker in workers
+        for key, run in worker.runs.items()
+        if run.is_long_running
+        and judge.workspaces.get(key.job) == workspace
+        and key.job not in judge.cancelled_s
+    }
+    used = model.NO_RESOURCES
+    for resources in lasting.values():
+        used = used.plus(resources)
+    due = list(_due_steps(judge, job_id))
+    return bool(due) and not any(_is_within(used.plus(step.resources), limit) for step in due)
+
+
+def _due_steps(judge: Judge, job_id: str) -> Iterator[model.Step]:
+    """
+    Give the steps of a job that are not done while all earlier ones that they need are.
+    """
+    steps = judge.specs[job_id].steps
+    is_done = [
+        all(key in judge.done for key in _keys_of(job_id, index, step))
+        for index, step in enumerate(steps)
+    ]
+    for index, step in enumerate(steps):
+        if not is_done[index] and all(is_done[earlier] for earlier in step.after):
+            yield step
+
+
+def _is_within(used: model.Resources, limit: model.Resources) -> bool:
+    return all(not bound or have <= bound for have, bound in zip(used, limit, strict=True))
+
+
 def _judge_completed(judge: Judge, at_s: float, job: Job) -> None:
     for index, step in enumerate(job.spec.steps):
         for task in range(step.count):
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_schedule.py
@@ -208,5 +208,7 @@
 
 def _judge_end(world: World) -> None:
     up = [instance for instance in world.instances.values() if instance.is_up]
+    workers = [worker for worker in world.workers.values() if worker.is_up]
     for instance in up:
-        _rules.on_end_of_world(world.judge, world.now_s, instance.node.replicated.jobs)
+        jobs = instance.node.replicated.jobs
+        _rules.on_end_of_world(world.judge, world.now_s, jobs, workers)
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -428,6 +428,75 @@
     return worker, _rules.Judge(cancel_acked_s={"job": 1.0})
 
 
+# Guards against a check that expects work to end for which tasks that last leave no room.
+def test_work_may_wait_while_lasting_tasks_use_the_limit():
+    """
+    Jobs may be left at the end that no task can start of, since tasks that last use the limit.
+    """
+    for seed in (7310446, 7310447, 7310448):
+        result = run_schedule(seed, lasting_part=0.7)
+        assert result.violations == (), (seed, result.violations[:3])
+
+
+def test_work_that_never_starts_is_checked_beside_lasting_tasks():
+    """
+    Mutation: only tasks that last start, within the limit, and the check shows what is left.
+    """
+    real = _planner.within_limit
+
+    def lasting_only(node, job, step, count):
+        return real(node, job, step, count) if step.is_long_running else 0
+
+    with replaced(_planner, "within_limit", lasting_only):
+        for seed in (7310446, 7310447):
+            result = run_schedule(seed, lasting_part=0.4)
+            assert "accepted_is_finished" in {item.rule for item in result.violations}, seed
+
+
+def world_with_waiting_job(lasting, cancelled=(), ordinary=0, own=0):
+    """
+    Return the rules' state with a limit of 2000, a job that needs 1000 and isn't finished, and a
+    worker with runs of the given sizes: lasting and ordinary ones of others, and the job's own.
+    """
+    judge = _rules.Judge(limits={"a": model.Resources(2000, 0, 0)}, accepted={"waits"})
+    worker = JobWorker("w", "service", "zone", "m", "w", model.Resources(9000, 9000, 0), 1, 0.0)
+    sizes = {f"lasting-{number}": (size, True) for number, size in enumerate(lasting)}
+    sizes |= {"ordinary": (ordinary, False), "waits": (own or 1000, False)}
+    for job, (size, is_lasting) in sizes.items():
+        step = model.Step(2, (size, 100, 0), 500, is_long_running=is_lasting)
+        judge.specs[job] = model.JobSpec("payload", (step,))
+        judge.workspaces[job] = "a"
+        if size and (job != "waits" or own):
+            worker.begin(model.TaskKey(job, 0, 0, 0), 1, step, 0.0, 1.0, "done")
+    judge.cancelled_s.update(dict.fromkeys(cancelled, 1.0))
+    spec = judge.specs["waits"]
+    return (
+        judge,
+        {"waits": _replicated_state.Job("waits", "q", "service", "a", spec, 0, 0.0)},
+        [worker],
+    )
+
+
+def test_only_lasting_tasks_that_fill_the_limit_excuse_work_that_waits():
+    """
+    A job may wait if tasks that last leave less of the limit than it needs, and not if they leave
+    enough, are of a cancelled job, or other tasks use the limit, or a task of the job runs.
+    """
+    for arguments, is_excused in (
+        ({"lasting": (1500,)}, True),
+        ({"lasting": (1000, 500)}, True),
+        ({"lasting": (1000,)}, False),
+        ({"lasting": (1000,), "ordinary": 1000}, False),
+        ({"lasting": (1500,), "cancelled": ("lasting-0",)}, False),
+        ({"lasting": (1500,), "own": 1000}, False),
+        ({"lasting": ()}, False),
+    ):
+        judge, jobs, workers = world_with_waiting_job(**arguments)
+        _rules.on_end_of_world(judge, 60.0, jobs, workers)
+        broken = [item.rule for item in judge.violations]
+        assert broken == ([] if is_excused else ["accepted_is_finished"]), arguments
+
+
 def test_the_time_of_a_cancelled_run_is_counted_from_a_late_start():
     """
     A run that an order held up on the way has begun has its time from that start, others from the
