--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,8 @@
 capacity: $(VENV)/.ready
 	$(BIN)/python -m eelgrassdrum_testing.capacity
 
-# Runs the real programs under faults; SOAK_ARGS="--count 50 --seed 1" for more.
+# Runs the real programs under planned work and faults. By hand, with a large fleet in each tenth
+# soak: SOAK_ARGS="--count 50 --seed 100 --large-every 10 --large 60 --logs DIR".
 soak: $(VENV)/.ready
 	PYTHONPATH=platform $(BIN)/python -m eelgrassdrum_soak $(SOAK_ARGS)
 
