--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
@@ -258,6 +258,8 @@
             front=self.front.address,
             ready=self.ready.address,
         )
+        # The settings may have changed since they were read.
+        self._reload()
         self.post(events.Ticked())
         self.scheduler.repeat(TICK_INTERVAL_S, partial(self.post, events.Ticked()))
 
