--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -210,7 +210,7 @@
     """
     Count no holds that were sent to a worker so far, and ignore their failures.
 
-    :param worker: the worker, which has answered or restarted.
+    :param worker: the worker, which has answered, has restarted or is called anew.
     :param at: the time.
     """
     worker.holds, worker.holds_since_s = 0, at.now_s
