--- a/review/1/case.py
+++ b/review/1/case.py
@@ -70,4 +70,6 @@
         await asyncio.sleep(1.0)
 
 
-standins.run_case(Path(__file__).resolve().parent, play, limit_s=115 + max(0, KEEP_S - 20), keep_s=KEEP_S)
+standins.run_case(
+    Path(__file__).resolve().parent, play, limit_s=115 + max(0, KEEP_S - 20), keep_s=KEEP_S
+)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -94,8 +94,7 @@
                     data = json.dumps(data).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n".encode()
-                    + data
+                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
                 )
                 await writer.drain()
         except (Drop, asyncio.IncompleteReadError, ConnectionError, ValueError, OSError):
@@ -134,6 +133,79 @@
             writer.close()
 
 
+class Link:
+    """
+    A loopback proxy that stands for the network between a daemon and one server.
+
+    While it is cut, bytes in both directions are held up. After the cut they arrive, also when
+    their sender has closed its connection meanwhile, as TCP sends them again; they are lost if it
+    has reset it. A connection that is opened during the cut is not established before its end.
+    """
+
+    def __init__(self, target, on_bytes=None):
+        self.target = target
+        self.on_bytes = on_bytes
+        self.healed = None
+        self.server = None
+        self.writers = set()
+
+    async def start(self, ip):
+        self.server = await asyncio.start_server(self._serve, ip, 0, backlog=512)
+        return f"{ip}:{self.server.sockets[0].getsockname()[1]}"
+
+    def cut(self):
+        self.healed = self.healed or asyncio.Event()
+
+    def heal(self):
+        if self.healed is not None:
+            self.healed.set()
+            self.healed = None
+
+    def close(self):
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        other = None
+        try:
+            if self.healed is not None:
+                await self.healed.wait()
+                if reader.at_eof():
+                    return
+            ip, _, port = self.target.rpartition(":")
+            back, other = await asyncio.open_connection(ip, int(port))
+            self.writers.add(other)
+            await asyncio.gather(
+                self._pump(reader, other, self.on_bytes), self._pump(back, writer, None)
+            )
+        except OSError:
+            pass
+        finally:
+            for end in (writer, other):
+                if end is not None:
+                    self.writers.discard(end)
+                    end.transport.abort()
+
+    async def _pump(self, reader, writer, on_bytes):
+        while True:
+            data = await reader.read(65536)
+            if data and on_bytes is not None:
+                on_bytes(self, data)
+            while self.healed is not None:
+                await self.healed.wait()
+            if reader.exception() is not None:
+                raise ConnectionResetError
+            if not data:
+                with contextlib.suppress(OSError):
+                    writer.write_eof()
+                return
+            writer.write(data)
+            await writer.drain()
+
+
 class Partition:
     """One partition of a topic."""
 
@@ -281,9 +353,7 @@
             size += len(value)
             if items and size > 1_000_000:
                 break
-            items.append(
-                {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
-            )
+            items.append({"key": key, "value": base64.b64encode(value).decode(), "offset": offset})
         return 200, {"items": items, "has_more": len(items) < len(keys), "end": part.end}
 
 
@@ -312,8 +382,14 @@
         self.is_up = False
         self.cut = None  # an event that is set when the cut ends
         self.dead_since = None
+        self.is_moving = False
         self.seq = 0
 
+    def machine_state(self):
+        if self.is_moving:
+            return "moving"
+        return "up" if self.is_up else "down"
+
     async def start(self, kind=None):
         """Begin a new incarnation, which knows nothing of the former one."""
         self.kind = kind or self.kind
@@ -336,9 +412,30 @@
         self.advance()
         for run in self.running.values():
             self.fleet.note(f"gone {run.task} run {run.run} with {self.id}")
+            self.fleet.gone.append((self.id, run.task))
+        self.is_up, self.dead_since = False, time.monotonic()
+        self.running = {}
+        self.server.abort()
+
+    def lose_power(self):
+        """End what runs here, and answer nothing more: open and new connections hang."""
+        self.advance()
+        for run in self.running.values():
+            self.fleet.note(f"gone {run.task} run {run.run} with {self.id}")
+            self.fleet.gone.append((self.id, run.task))
         self.is_up, self.dead_since = False, time.monotonic()
         self.running = {}
+        self.cut = asyncio.Event()
+
+    async def restart_dark(self):
+        """Begin a new life on the same machine after a loss of power, under a new id."""
+        cut, self.cut = self.cut, None
         self.server.abort()
+        cut.set()
+        self.fleet.store.put("keyed.servers", self.id, None)
+        self.fleet.replaced += 1
+        self.id, self.port = f"i-{0xABC000 + self.fleet.replaced:08x}", 0
+        await self.start()
 
     def clock_ms(self):
         return 1000 + int((time.monotonic() - self.t0) * 1000)
@@ -398,6 +495,9 @@
         if headers.get("x-expect-instance", self.id) != self.id:
             return 421, {}
         req = json.loads(body) if body else {}
+        if self.fleet.hold_up(self, path, req):
+            await asyncio.sleep(60.0)
+            raise Drop
         if path == "/api/run-start":
             return self.run_start(req)
         if path == "/api/run-stop":
@@ -489,6 +589,7 @@
         self.fleet, self.name, self.zone = fleet, f"edge-{zone}-{number}", zone
         self.ip = fleet.ip(number)
         self.front, self.ready = f"{self.ip}:8340", f"{self.ip}:8343"
+        self.store_address, self.machines_address = fleet.store_address, fleet.machines_address
         self.settings = fleet.folder / f"{self.name}.toml"
         self.process = None
         self.started_s = None
@@ -506,12 +607,12 @@
             "[limits]\ncpu_share = 0.537\ncores = 2\nmemory_mb = 300\nmax_fds = 4100\n"
             "link_mbps = 1000.0\ndisk_mb = 0\n"
             f"[bounds]\n{bounds}"
-            f'[platform]\naddress = "{self.fleet.store_address}"\nform = "log"\n'
+            f'[platform]\naddress = "{self.store_address}"\nform = "log"\n'
             "writes_per_s = 800.0\nreads_per_s = 2000.0\nparts = 12\nappend_ms = 2.0\n"
             "part_mb_s = 20.0\nread_mb_s = 80.0\nrecord_bytes = 262144\n"
             f"call_bytes = 2097152\nkeep_s = {self.fleet.store.keep_s}\npart_mb = 200\n"
             "ttl_min_ms = 1000\n"
-            f'[cloud_api]\naddress = "{self.fleet.machines_address}"\nrate_per_s = 64.0\n'
+            f'[cloud_api]\naddress = "{self.machines_address}"\nrate_per_s = 64.0\n'
             "duty_per_s = 64.0\n"
         )
 
@@ -576,6 +677,10 @@
         self.ends = []  # dicts: time, executor, born, number, task, run, how, noted
         self.broken = []
         self.tasks = []
+        self.links = []
+        self.orders = []  # orders for machines, as they arrived
+        self.replaced = 0
+        self.gone = []  # worker and task of each run that ended with its worker
 
     def _free_net(self):
         import socket
@@ -598,6 +703,10 @@
         first = spec.split()[0]
         return None if first == "lasts" else float(first)
 
+    def hold_up(self, executor, path, req):
+        """Say whether a call to an executor gets no answer and isn't carried out now."""
+        return False
+
     # What executors tell.
 
     def on_start(self, executor, run):
@@ -625,16 +734,51 @@
 
     async def handle_machines(self, method, path, args, headers, body):
         await asyncio.sleep(0.002)
+        if path in ("/api/machine-move", "/api/machine-upkeep"):
+            return self.order_machine(path, headers, json.loads(body))
         if path != "/api/machines":
-            return 400, {"reason": "unknown"}
+            return 404, {}
         rows = [
-            {"machine": e.machine, "pool": e.service, "state": "up" if e.is_up else "down",
+            {"machine": e.machine, "pool": e.service, "state": e.machine_state(),
              "zone": e.zone, "labels": [e.kind, e.rack], "capacity": e.capacity,
              "id": e.id if e.is_up else None}
             for e in self.executors
         ]  # fmt: skip
         return 200, {"machines": rows, "next_token": None}
 
+    def order_machine(self, path, headers, req):
+        """Carry out an order for a machine; fencing tokens aren't checked."""
+        holder, token = headers["x-duty-holder"], int(headers["x-fencing-token"])
+        executor = next((e for e in self.executors if e.machine == req["machine"]), None)
+        status, reason = 200, ""
+        if executor is None:
+            status, reason = 400, "unknown"
+        elif path == "/api/machine-move" and executor.service == req["pool"]:
+            pass  # it is done already
+        elif not executor.is_up:
+            status, reason = 409, "busy"
+        else:
+            pool = req.get("pool", executor.service)
+            self.tasks.append(asyncio.create_task(self.replace(executor, pool)))
+        self.note(f"order {path} {req} by {holder} with token {token}: {status} {reason}")
+        self.orders.append(
+            dict(at=self.note.now(), machine=req["machine"], holder=holder, token=token,
+                 status=status, pool=req.get("pool"))
+        )  # fmt: skip
+        return status, {"reason": reason} if reason else {}
+
+    async def replace(self, executor, pool):
+        """End what runs on a machine, and let a new executor join the pool."""
+        executor.crash()
+        executor.dead_since = None
+        self.store.put("keyed.servers", executor.id, None)
+        executor.is_moving = True
+        await asyncio.sleep(self.bounds["migrate_s"])
+        executor.is_moving = False
+        self.replaced += 1
+        executor.id, executor.service = f"i-{0xABC000 + self.replaced:08x}", pool
+        await executor.start()
+
     # Set-up and end.
 
     async def start_platform(self):
@@ -703,10 +847,14 @@
         for number in range(1, daemons + 1):
             daemon = Daemon(self, number, self.zones[(number - 1) % len(self.zones)])
             self.daemons.append(daemon)
+            await self.before_start(daemon)
             daemon.start()
         for daemon in self.daemons:
             await daemon.wait_ready()
 
+    async def before_start(self, daemon):
+        """Prepare a daemon, such as by putting links between it and the platform."""
+
     async def call(self, daemon, method, job, body=None, queue="queue"):
         """Send a client's request; return its status and the decoded body."""
         data = json.dumps(body).encode() if body is not None else b""
@@ -744,6 +892,8 @@
             daemon.kill()
         for executor in self.executors:
             executor.server.abort()
+        for link in self.links:
+            link.close()
         self.store.server.abort()
         self.machines.abort()
         if os.environ.get("KEEP_LOGS"):
