Count crashes under a task only for workers that were up

Cause: each run whose worker had certainly ended counted as a crash under its task, also if the worker was dead before the order was sent. Idle workers are called every 20 s, so after the loss of a rack the task went to a second and a third dead worker, the last one in isolation.

Ruled out: one crash counted twice (job.given_up names three workers, each once); other jobs' runs on the same workers (there were none).

Now a run counts if the worker confirmed it or had just answered, which the record of the start tells a new owner. Other runs end as unconfirmed, and their task starts next on a worker that has just answered, so that a task which ends its workers at once keeps its budget across losses of the owner. The same belief is gone for restarted workers, runs of former owners and unlisted workers.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_crashes.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_crashes.py
@@ -2,10 +2,15 @@
 Attributes crashes of workers to the tasks that ran there, and gives up jobs whose tasks crash
 workers.
 
-A run ends as crashed if its worker's incarnation has certainly ended without a drain or an order.
-That alone is no proof: the worker may have crashed under another task or for reasons of its own. So
-a task with several crashes starts only where no task of another job can be the cause
-(`_isolation`), and its job is given up when a worker crashes under it there.
+A run ends as crashed if its worker's incarnation has certainly ended without a drain or an order,
+and was up when the run was decided: it confirmed the run, or had just answered. That alone is no
+proof: the worker may have crashed under another task or for reasons of its own. So a task with
+several crashes starts only where no task of another job can be the cause (`_isolation`), and its
+job is given up when a worker crashes under it there.
+
+Other runs end as unconfirmed: the worker may have ended before the order reached it. The task
+starts next on a worker that has just answered, so that a task which ends its workers before they
+can confirm it is counted all the same, also if its owner is lost with them.
 """
 
 from collections.abc import Iterable
@@ -19,9 +24,11 @@
     UNSENT,
     close_job,
     end_run,
+    is_confirmed,
     is_established,
     listed_checkpoint,
     runs_on,
+    since,
 )
 
 # Crashes under a task from which its job is given up, if the last one was in isolation.
@@ -103,8 +110,9 @@
     """
     Record the runs on a worker that this owner has never seen in the registry.
 
-    It has ended or is cut off, which can't be told apart. So they count as crashed, but not as
-    isolated. Long-running tasks, which are rarely recent, don't.
+    It has ended or is cut off, which can't be told apart. So those of workers that were up when the
+    run was decided count as crashed, but not as isolated. Long-running tasks, which are rarely
+    recent, don't.
 
     :param node: the instance, which owns the log.
     :param at: the time.
@@ -112,7 +120,9 @@
     """
     for task in tasks:
         step = node.replicated.jobs[task.key.job].spec.steps[task.key.step]
-        how = LOST if step.is_long_running else _replicated_state.CRASHED
+        how = _replicated_state.CRASHED if task.is_verified else _replicated_state.UNCONFIRMED
+        if step.is_long_running:
+            how = LOST
         _journal.write(node, at, Ended(node.ownership.epoch, *task.key, task.run, how, ""))
         if len(task.crashes) >= MAX_CRASHES:
             _give_up(node, at, task, is_isolated=False)
@@ -122,14 +132,17 @@
     node: Node, at: Moment, worker: Worker, tasks: Iterable[Task], reason: str
 ) -> None:
     suspects: list[Task] = []
+    unconfirmed: list[Task] = []
     for task in tasks:
         if is_established(node, worker, task):
             end_run(node, at, worker, task, LOST, listed_checkpoint(worker, task))
-        else:
+        elif task.is_verified or is_confirmed(worker, task):
             suspects.append(task)
-    if not suspects:
+        else:
+            unconfirmed.append(task)
+    if not suspects and not unconfirmed:
         return
-    jobs = {task.key.job for task in suspects}
+    jobs = {task.key.job for task in (*suspects, *unconfirmed)}
     log_line(
         node,
         "worker.crashed",
@@ -138,8 +151,12 @@
         instance=worker.entry.instance,
         reason=reason,
         runs=len(suspects),
+        unconfirmed=len(unconfirmed),
         jobs=len(jobs),
+        answered_s_ago=since(at, worker.clock_at_s),
     )
+    for task in unconfirmed:
+        end_run(node, at, worker, task, _replicated_state.UNCONFIRMED)
     for task in suspects:
         checkpoint = listed_checkpoint(worker, task)
         end_run(node, at, worker, task, _replicated_state.CRASHED, checkpoint)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -193,6 +193,7 @@
     task.run = record.run
     task.worker = record.worker
     task.worker_incarnation = record.worker_incarnation
+    task.is_verified = record.is_verified
     replicated.running.setdefault(record.worker, {})[key] = task
     if record.address:
         _place_worker(replicated, record)
@@ -238,6 +239,8 @@
     elif record.end_state == _replicated_state.CRASHED:
         task.crashes = (*task.crashes, task.worker)
         add_suspect(replicated, task)
+    elif record.end_state == _replicated_state.UNCONFIRMED:
+        task.needs_answer = True
 
 
 def add_suspect(replicated: ReplicatedState, task: Task) -> None:
@@ -254,6 +257,7 @@
 
 def _clear_suspicion(replicated: ReplicatedState, task: Task) -> None:
     task.crashes = ()
+    task.needs_answer = False
     tasks = replicated.suspects.get(task.key.job, {})
     if tasks.pop(task.key, None) is not None and not tasks:
         del replicated.suspects[task.key.job]
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -536,6 +536,7 @@
     :param moved_rates: for tasks that were moved away from a slow worker, their own highest
         progress rate so far.
     :param avoided_workers: workers to avoid for the next run of a task, by task.
+    :param is_awaiting_answers: whether a task waits for the answer of a worker to start there.
     :param unknown_used: resources that unknown runs of known jobs used at the latest plan, by
         workspace.
     :param process_start_s: when the process started.
@@ -568,6 +569,7 @@
     bursts: Bursts = msgspec.field(default_factory=Bursts)
     next_pools_s: float = 0.0
     avoided_workers: dict[TaskKey, set[str]] = {}
+    is_awaiting_answers: bool = False
     unknown_used: dict[str, Resources] = {}
     waiting_work: WaitingWork = msgspec.field(default_factory=WaitingWork)
     process_start_s: float = -1.0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -48,7 +48,14 @@
     key = task.key
     entry = worker.entry
     record = Started(
-        node.ownership.epoch, *key, run, worker.id, entry.incarnation, entry.address, entry.instance
+        node.ownership.epoch,
+        *key,
+        run,
+        worker.id,
+        entry.incarnation,
+        entry.address,
+        entry.instance,
+        _workers.has_just_answered(worker, at.now_s),
     )
     _journal.write(node, at, record)
     worker.orders[key] = Order(run, ticket=ticket)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -18,6 +18,7 @@
     _ready,
     _registry,
     _replicated_state,
+    _workers,
 )
 from ._candidates import Candidate
 from ._isolation import Isolation, must_isolate
@@ -31,6 +32,8 @@
 SUSPECT_INTERVAL_S = 2.0
 # Interval between plans while tasks wait for resources; a fiftieth of the slack of short jobs.
 REPLAN_INTERVAL_S = 0.02
+# Workers that are called at a time for a task that starts only on one that has just answered.
+MAX_CALLED_WORKERS = 4
 
 
 class PoolCandidates:
@@ -82,7 +85,7 @@
     """
     if node.config is None or at.now_s < node.next_plan_s:
         return
-    node.plan_due = False
+    node.plan_due = node.is_awaiting_answers = False
     node.unknown_used = _unknown_usage(node)
     _close_cancelled(node, at)
     if is_paused(node, at):
@@ -239,8 +242,10 @@
     """
     step = item.state.step
     only_capacity_decides = not step.max_per_worker and not item.queue.has_advice
-    is_preferred = task.key not in node.avoided_workers and not _candidates.is_suspect(
-        candidate.worker
+    is_preferred = (
+        task.key not in node.avoided_workers
+        and not task.needs_answer
+        and not _candidates.is_suspect(candidate.worker)
     )
     return only_capacity_decides and is_preferred and item.state.resources.fits(candidate.free[0])
 
@@ -406,6 +411,8 @@
             continue
         if item.queue.has_advice and not _advice.valid_ticket(node, at, item, worker.id):
             continue
+        if task.needs_answer and not _workers.has_just_answered(worker, at.now_s):
+            continue
         score = (
             worker.id not in avoid,
             not (task.crashes and _isolation.is_crash_site(node, task, worker)),
@@ -419,12 +426,28 @@
             best, best_score = candidate, score
     if not has_capacity:
         pool.unplaceable.append(resources)
-    elif best is None and item.queue.has_advice:
-        workers = _candidates.workers_with_capacity(item.state, pool.candidates)
-        _advice.request_tickets(node, at, item.job, item.occurrence, item.step_index, workers)
+    elif best is None:
+        _request_answers(node, at, item, task, pool)
     return best
 
 
+def _request_answers(
+    node: Node, at: Moment, item: ReadyStep, task: Task, pool: PoolCandidates
+) -> None:
+    """
+    Request what a task needs to start besides resources: tickets, or recent answers of workers.
+    """
+    if not item.queue.has_advice and not task.needs_answer:
+        return
+    workers = _candidates.workers_with_capacity(item.state, pool.candidates)
+    if item.queue.has_advice:
+        _advice.request_tickets(node, at, item.job, item.occurrence, item.step_index, workers)
+    if task.needs_answer:
+        node.is_awaiting_answers = True
+        called = [node.workers[worker_id] for worker_id in workers[:MAX_CALLED_WORKERS]]
+        _workers.request_answers(node, at, called)
+
+
 def _start(
     node: Node, at: Moment, item: ReadyStep, task: Task, candidate: Candidate, run: int
 ) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
@@ -87,6 +87,7 @@
 
     :param address: address of the worker, or empty if unknown.
     :param instance: the instance that the worker runs on, or empty if unknown.
+    :param is_verified: whether the worker had just answered.
     """
 
     epoch: int
@@ -99,6 +100,7 @@
     worker_incarnation: int
     address: str = ""
     instance: str = ""
+    is_verified: bool = False
 
 
 class Ended(_Record, frozen=True, tag="e"):
@@ -106,7 +108,7 @@
     A run has ended.
 
     :param end_state: how it ended, as reported by the worker (``done``, ``failed``, ``stopped``
-        and so on), or ``lost`` or ``crashed``.
+        and so on), or ``lost``, ``crashed`` or ``unconfirmed``.
     :param checkpoint: last checkpoint of the run, or empty.
     :param is_established: whether the run of a long-running task had been up for so long that it
         isn't suspected of crashing workers.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
@@ -14,6 +14,8 @@
 FAILED = "failed"
 # End state of a run whose worker crashed.
 CRASHED = "crashed"
+# End state of a run whose worker ended and may have done so before the order reached it.
+UNCONFIRMED = "unconfirmed"
 
 QUEUED = "queued"
 COMPLETED = "completed"
@@ -29,6 +31,10 @@
     :param failures: number of runs that failed.
     :param checkpoint: latest checkpoint, or empty.
     :param crashes: workers that crashed under it, oldest first.
+    :param is_verified: whether the worker of the latest run had just answered when that was
+        decided.
+    :param needs_answer: whether it starts only on a worker that has just answered, since a former
+        run was not confirmed.
     """
 
     key: TaskKey
@@ -39,6 +45,8 @@
     failures: int = 0
     checkpoint: str = ""
     crashes: tuple[str, ...] = ()
+    is_verified: bool = False
+    needs_answer: bool = False
 
 
 class StepState(msgspec.Struct, eq=False):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -95,6 +95,17 @@
     return row.run == task.run and row.percent >= 100 and has_run_for(worker, task, ESTABLISHED_S)
 
 
+def is_confirmed(worker: Worker, task: Task) -> bool:
+    """
+    Return whether a worker has confirmed a run: it answered the order, or listed the run.
+
+    :param worker: the worker.
+    :param task: the running task.
+    :returns: whether the run has certainly begun there.
+    """
+    return task.key in worker.started_s
+
+
 def has_run_for(worker: Worker, task: Task, seconds: float) -> bool:
     """
     Return whether the worker's latest list shows a run that started some time before it.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -38,6 +38,8 @@
     failures: int
     checkpoint: str
     crashes: tuple[str, ...] = ()
+    is_verified: bool = False
+    needs_answer: bool = False
 
 
 class _JobRow(msgspec.Struct, array_like=True):
@@ -164,6 +166,8 @@
                     task.failures,
                     task.checkpoint,
                     task.crashes,
+                    task.is_verified,
+                    task.needs_answer,
                 )
                 for task in state.tasks
             ]
@@ -233,6 +237,8 @@
     task.failures = row.failures
     task.checkpoint = row.checkpoint
     task.crashes = row.crashes
+    task.is_verified = row.is_verified
+    task.needs_answer = row.needs_answer
     _fold.add_suspect(replicated, task)
     if task.status != _replicated_state.WAITING:
         state.waiting -= 1
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -10,6 +10,7 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
 
 from . import (
     _crashes,
@@ -51,6 +52,8 @@
 # Time for an answer, in addition to the long-poll time; some hundred round trips. A worker whose
 # answer is overdue gets no new task.
 ANSWER_TIMEOUT_S = 0.2
+# Age of its latest answer up to which a worker counts as up when a run is decided.
+MAX_ANSWER_AGE_S = 0.05
 # A zone is silent if more than this fraction of its workers that were called are overdue, and at
 # least the minimum number of them.
 SILENT_FRACTION = 0.5
@@ -138,6 +141,21 @@
     _send_hold(node, at, worker, None, 0.0)
 
 
+def request_answers(node: Node, at: Moment, workers: Iterable[Worker]) -> None:
+    """
+    Request the lists of workers from which no answer is due soon.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    :param workers: the workers.
+    """
+    for worker in workers:
+        # A hold of a busy worker may wait for an exit.
+        max_holds = 2 if runs_on(node, worker.id) else 1
+        if worker.holds < max_holds:
+            request_lists(node, at, worker)
+
+
 def _send_hold(node: Node, at: Moment, worker: Worker, lease_ms: int | None, wait_s: float) -> None:
     if not worker.holds:
         worker.lists_due_s = at.now_s + wait_s + ANSWER_TIMEOUT_S
@@ -179,6 +197,17 @@
     return worker.is_failing or now_s > min(worker.lists_due_s, worker.answer_due_s)
 
 
+def has_just_answered(worker: Worker, now_s: float) -> bool:
+    """
+    Return whether a worker was certainly up just now.
+
+    :param worker: the worker.
+    :param now_s: the current time.
+    :returns: whether its latest answer is recent.
+    """
+    return now_s - worker.clock_at_s <= MAX_ANSWER_AGE_S
+
+
 def detect_silent_zones(node: Node, at: Moment) -> None:
     """
     Detect availability zones that seem to be cut off, because most of the workers there that should
@@ -238,6 +267,8 @@
         _note_regained(node, at, worker)
     worker.clock_ms = event.clock_ms
     worker.clock_at_s = at.now_s
+    if node.is_awaiting_answers:
+        node.plan_due = True
     if not worker.is_held:
         worker.is_held = True
         if _leases.is_known_incarnation(node, worker.id, worker.entry.incarnation):
