--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -143,6 +143,10 @@
 def _lease_bounded(
     replicated: ReplicatedState, record: _records.LeaseBounded, now_s: float, _wall_ms: int
 ) -> None:
+    if (record.epoch, record.clock_ms) < replicated.newest_heartbeat:
+        # A snapshot contains it and what followed: the owner applies its records before it reads
+        # them.
+        return
     _advance_clock(replicated, record, now_s)
     if record.worker in replicated.running:
         replicated.lease_bounds[record.worker] = LeaseBound(
@@ -171,7 +175,7 @@
         # The time between the records of two owners isn't part of the log's time.
         for bound in replicated.lease_bounds.values():
             bound.seen_s = latest_write_s(replicated, bound)
-    replicated.newest_heartbeat = (record.epoch, record.clock_ms)
+    replicated.newest_heartbeat = max(replicated.newest_heartbeat, (record.epoch, record.clock_ms))
     replicated.log_read_s = now_s
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -233,7 +233,9 @@
     :param now_s: the current time by this instance's clock.
     :returns: whether a job that is missing from the replicated state doesn't exist.
     """
-    return node.tail.is_caught_up and now_s - node.tail.last_success_s <= MAX_LOG_AGE_S
+    tail = node.tail
+    is_complete = tail.is_caught_up and not tail.is_incomplete
+    return is_complete and now_s - tail.last_success_s <= MAX_LOG_AGE_S
 
 
 def on_abandoned(node: Node, token: int) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
@@ -272,6 +272,18 @@
     node.out.extend(batch.effects)
 
 
+def has_pending_records(node: Node) -> bool:
+    """
+    Return whether the replicated state contains records of this owner that aren't committed.
+
+    :param node: the instance, which owns the log.
+    :returns: whether such a record is being appended or waits for that.
+    """
+    journal = node.journal
+    is_appending = journal.in_flight is not None and bool(journal.in_flight.records)
+    return is_appending or bool(journal.next.records)
+
+
 def is_idle(node: Node) -> bool:
     """
     Return whether all records of the journal are committed.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -400,6 +400,9 @@
     :param is_caught_up: whether the latest read reached the end of the log.
     :param has_caught_up: whether the end of the log was reached since the replicated state was
         created.
+    :param is_incomplete: whether records are missing from the replicated state that another
+        instance may know, since the log lost them before any snapshot.
+    :param read_bytes: size of all records that were read.
     :param sent_s: when the latest read was sent.
     :param last_success_s: when the latest successful read was sent.
     :param answered_s: when its response arrived.
@@ -418,6 +421,8 @@
     is_caught_up: bool = False
     has_caught_up: bool = False
     needs_snapshot: bool = True
+    is_incomplete: bool = False
+    read_bytes: int = 0
     sent_s: float = -1e9
     last_success_s: float = -1e9
     answered_s: float = -1e9
@@ -544,6 +549,10 @@
     :param last_cleanup_s: when expired jobs were last removed.
     :param next_snapshot_s: earliest time of the next snapshot.
     :param snapshot_offset: offset of the last snapshot that this instance stored, or 0.
+    :param snapshot_s: when the state of the last snapshot that this instance stored was encoded.
+    :param snapshot_bytes: value of `Tail.read_bytes` at that time.
+    :param snapshotting_s: when the state of the snapshot that is being stored was encoded.
+    :param snapshotting_bytes: value of `Tail.read_bytes` at that time.
     :param out: effects of the event that is being reduced.
     """
 
@@ -580,6 +589,10 @@
     last_cleanup_s: float = 0.0
     next_snapshot_s: float = 0.0
     snapshot_offset: int = 0
+    snapshot_s: float = -NEVER_S
+    snapshot_bytes: int = 0
+    snapshotting_s: float = 0.0
+    snapshotting_bytes: int = 0
     is_snapshotting: bool = False
     out: list[Any] = []
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -18,6 +18,7 @@
     _ready,
     _registry,
     _replicated_state,
+    _snapshot,
     _workers,
 )
 from ._candidates import Candidate
@@ -118,11 +119,12 @@
 
     :param node: the instance, which owns the log.
     :param at: the time.
-    :returns: whether an append takes too long, or the log was not read to its end lately, or the
-        registry was not read.
+    :returns: whether a snapshot is overdue, or an append takes too long, or the log was not read to
+        its end lately, or the registry was not read.
     """
     return (
-        _journal.is_stalled(node, at.now_s)
+        _snapshot.is_awaited(node, at)
+        or _journal.is_stalled(node, at.now_s)
         or not _freshness.may_decide(node, at)
         or not _registry.is_current(node, at)
     )
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -21,13 +21,20 @@
 )
 from .model import JobSpec
 
+# Fractions of the log's retention, by time and by size, after which a snapshot is due, and after
+# which no tasks are started until its state can be encoded. The rest is for failed attempts, for an
+# outage of the store and for instances that are still reading the records.
+DUE_FRACTION = 1 / 4
+OVERDUE_FRACTION = 1 / 2
 # Number of new records after which a snapshot is due. They amount to about 1.5 MB, which takes
 # 2.5 s over the slowest links observed, and half a second to apply.
 SNAPSHOT_INTERVAL_RECORDS = 20_000
 # Number of records before a snapshot that are kept for instances that are still reading them.
 RETAINED_RECORDS = 10_000
-# Minimum interval between two snapshots: each saturates the link of a small instance for a second.
+# Interval between attempts: each saturates the link of a small instance for a second. It is shorter
+# where the log's retention is short.
 RETRY_S = 10.0
+RETRY_FRACTION = 1 / 20
 
 
 class _TaskRow(msgspec.Struct, array_like=True):
@@ -154,7 +161,23 @@
     return replicated
 
 
+def _needs_tasks(job: Job) -> bool:
+    """
+    Return whether the tasks of a job may still matter: the log doesn't show that it is closed, or a
+    run has not ended.
+    """
+    if job.committed_state not in _replicated_state.FINAL_STATES:
+        return True
+    return any(
+        task.status == _replicated_state.RUNNING
+        for steps in job.occurrences.values()
+        for state in steps
+        for task in state.tasks
+    )
+
+
 def _job_row(job: Job, now_s: float, wall_ms: int) -> _JobRow:
+    needs_tasks = _needs_tasks(job)
     occurrences = {
         number: [
             [
@@ -174,6 +197,7 @@
             for state in steps
         ]
         for number, steps in job.occurrences.items()
+        if needs_tasks
     }
     closed_ms = wall_ms - round((now_s - job.closed_s) * 1000) if job.closed_s else 0
     return _JobRow(
@@ -181,7 +205,7 @@
         job.queue,
         job.service,
         job.workspace,
-        job.spec,
+        job.spec if needs_tasks else msgspec.structs.replace(job.spec, payload=""),
         job.at_ms,
         job.state,
         job.committed_state,
@@ -249,6 +273,45 @@
         _fold.add_run(replicated, job, task)
 
 
+def _may_store(node: Node, at: Moment) -> bool:
+    return not node.is_snapshotting and at.now_s >= node.next_snapshot_s
+
+
+def is_due(node: Node, at: Moment, fraction: float) -> bool:
+    """
+    Return whether the records since the last snapshot are many, or have come near the end of their
+    retention. A new owner, which doesn't know the last snapshot, counts all records.
+
+    :param node: the instance, which owns the log.
+    :param at: the current time.
+    :param fraction: fraction of the retention from which they count as near its end.
+    :returns: whether the state should be stored.
+    """
+    if node.replicated.offset == node.snapshot_offset:
+        return False
+    bounds = node.bounds
+    return (
+        node.replicated.offset - node.snapshot_offset >= SNAPSHOT_INTERVAL_RECORDS
+        or at.now_s - node.snapshot_s >= fraction * bounds.log_retention_s
+        or node.tail.read_bytes - node.snapshot_bytes >= fraction * bounds.log_retention_bytes
+    )
+
+
+def is_awaited(node: Node, at: Moment) -> bool:
+    """
+    Return whether starts should wait until a snapshot can be taken, since it is overdue and records
+    of the owner are always pending.
+
+    :param node: the instance, which owns the log.
+    :param at: the current time.
+    :returns: whether to decide no starts. While attempts fail it isn't awaited.
+    """
+    is_known = node.snapshot_s > node.ownership.claimed_s
+    since_s = node.snapshot_s if is_known else node.ownership.claimed_s
+    is_overdue = at.now_s - since_s >= OVERDUE_FRACTION * node.bounds.log_retention_s
+    return is_overdue and _may_store(node, at)
+
+
 def write_if_due(node: Node, at: Moment) -> None:
     """
     Store a snapshot if one is due and no record is pending.
@@ -256,13 +319,13 @@
     :param node: the instance, which owns the log.
     :param at: the current time.
     """
-    is_due = node.replicated.offset - node.snapshot_offset >= SNAPSHOT_INTERVAL_RECORDS
-    if not is_due or node.is_snapshotting or at.now_s < node.next_snapshot_s:
+    if not _may_store(node, at) or not is_due(node, at, DUE_FRACTION):
         return
     # The replicated state includes the owner's pending records, which must not be in a snapshot.
-    if not _journal.is_idle(node) or not node.tail.is_caught_up:
+    if _journal.has_pending_records(node) or not node.tail.is_caught_up:
         return
     node.is_snapshotting = True
+    node.snapshotting_s, node.snapshotting_bytes = at.now_s, node.tail.read_bytes
     data = encode(node.replicated, at.now_s, at.wall_ms)
     emit(node, effects.WriteSnapshot(node.replicated.offset, data))
 
@@ -276,11 +339,13 @@
     :param event: outcome of the write.
     """
     node.is_snapshotting = False
-    node.next_snapshot_s = at.now_s + RETRY_S
+    retry_s = min(RETRY_S, RETRY_FRACTION * node.bounds.log_retention_s)
+    node.next_snapshot_s = at.now_s + retry_s
     if event.outcome != events.OK:
         log_line(node, "snapshot.not_stored", offset=event.offset, outcome=event.outcome)
         return
     node.snapshot_offset = event.offset
+    node.snapshot_s, node.snapshot_bytes = node.snapshotting_s, node.snapshotting_bytes
     log_line(node, "snapshot.stored", offset=event.offset)
     before = event.offset - RETAINED_RECORDS
     if node.ownership.is_owner and before > 0:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -26,12 +26,16 @@
     decode_record,
 )
 
+# Instance and incarnation of an owner whose claim is missing.
+UNKNOWN_OWNER = ("", 0)
 # How long a read waits at the store for a new record; bounds the staleness of the replicated state.
 WAIT_S = 0.5
 # Time from the release of the log in which reads don't wait; instances usually claim it earlier.
 RELEASED_S = 0.5
 # Delay before a failed read is retried.
 RETRY_S = 0.1
+# Delay before the snapshot is read again for records that neither it nor the log contains.
+SNAPSHOT_RETRY_S = 1.0
 # Factor by which a former maximum decays at each read: to a tenth after two seconds of reads at
 # the usual interval.
 DECAY_FACTOR = 0.85
@@ -102,6 +106,7 @@
     for data in event.records:
         _fold_record(node, at, data)
         node.replicated.offset += 1
+        tail.read_bytes += len(data)
     if tail.owner_record_s > former_owner_record_s and not was_silent:
         node.intake.unheard_until_s = 0.0
     _update_delays(tail, at.now_s, event, former_owner_record_s)
@@ -125,6 +130,8 @@
     _intake.answer_questions(node, at)
     if node.ownership.reload_wanted:
         reload(node, at, "another_instance_claimed")
+    elif tail.is_incomplete and was_caught_up and tail.owner_record_s > former_owner_record_s:
+        _await_snapshot(node, at)
 
 
 def _update_delays(
@@ -160,12 +167,23 @@
     if is_replaced or event.offset not in (None, node.replicated.offset):
         log_line(node, "store.replaced_read_gap", first=event.first, offset=event.offset)
         return
-    if node.replicated.offset == 0 and not node.replicated.jobs:
-        # There is neither a snapshot nor replicated state, so the remaining log is all there is.
-        node.replicated.offset = event.first
-        log_line(node, "log.starts_late", first=event.first)
+    if tail.last_success_s >= 0.0:
+        reload(node, at, "log_was_trimmed")
         return
-    reload(node, at, "log_was_trimmed")
+    # The log has lost records that are in no snapshot, or in none yet. Only an owner that still
+    # lives knows them.
+    log_line(node, "log.records_missing", offset=node.replicated.offset, first=event.first)
+    tail.is_incomplete = True
+    node.replicated.offset = event.first
+
+
+def _await_snapshot(node: Node, at: Moment) -> None:
+    """
+    Read the snapshot again, because records are missing that a living owner knows, which will store
+    one.
+    """
+    reload(node, at, "owner_knows_missing_records")
+    node.tail.next_read_s = at.now_s + SNAPSHOT_RETRY_S
 
 
 def on_failed(node: Node, at: Moment, event: events.LogReadFailed) -> None:
@@ -276,6 +294,8 @@
     if isinstance(record, Claimed):
         _fold.apply(node.replicated, record, at.now_s, at.wall_ms)
         node.tail.owner_record_s = node.tail.claim_read_s = at.now_s
+        # No other instance knows more than the new owner.
+        node.tail.is_incomplete = False
         if _ownership.on_claimed(node, at, record):
             _instances.resume_orders(node, at)
         _intake.on_owner_changed(node)
@@ -287,6 +307,10 @@
 
 
 def _fold_owner_record(node: Node, at: Moment, record: OwnerRecord) -> None:
+    if record.epoch > node.replicated.epoch and node.tail.is_incomplete:
+        # The claim is among the missing records.
+        node.replicated.epoch, node.replicated.owner = record.epoch, UNKNOWN_OWNER
+        node.replicated.owner_address = ""
     if record.epoch != node.replicated.epoch:
         return
     if node.replicated.owner is not None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
@@ -2,6 +2,7 @@
 The types of jobs, workers and configuration that scheduling decisions are based on.
 """
 
+import math
 from typing import NamedTuple
 
 import msgspec
@@ -303,6 +304,8 @@
     :param contact_s: time after which a worker's loss of capacity must be known.
     :param restore_s: time that a worker takes to restore a checkpoint, in which its task makes no
         progress.
+    :param log_retention_s: age at which the store drops records of the log.
+    :param log_retention_bytes: size of the log from which the store drops its oldest records.
     """
 
     max_lease_s: float
@@ -319,3 +322,5 @@
     cancel_s: float = 3.0
     contact_s: float = 3.0
     restore_s: float = 0.1
+    log_retention_s: float = math.inf
+    log_retention_bytes: float = math.inf
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
@@ -237,7 +237,8 @@
         """
         node = self.node
         age_s = self.clock() - node.tail.last_success_s
-        is_loaded = node.config is not None and not node.tail.needs_snapshot
+        is_incomplete = node.tail.needs_snapshot or node.tail.is_incomplete
+        is_loaded = node.config is not None and not is_incomplete
         return is_loaded and not node.is_stopping and age_s < READINESS_MAX_AGE_S
 
     def _on_readiness_probe(self, exchange: Exchange) -> None:
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -185,7 +185,7 @@
 
 
 def _write_snapshot(world: World, instance: Instance, effect: effects.WriteSnapshot) -> None:
-    if _store_answers(world, instance) is not None:
+    if not world.store.takes_snapshots or _store_answers(world, instance) is not None:
         event = events.SnapshotWritten(effect.offset, events.REFUSED)
     else:
         world.store.snapshot = effect.data
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_store.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_store.py
@@ -31,6 +31,7 @@
 
     :param first: oldest offset that is left.
     :param epochs: newest epoch and number of each producer, with the answers to repeats.
+    :param takes_snapshots: whether it stores snapshots.
     :param state: `UP`, `REFUSING` or `SILENT`.
     :param refused: instances that it turns away.
     :param lost_part: part of the appends that are done and not answered.
@@ -44,6 +45,7 @@
     epochs: dict[str, tuple[int, int]] = {}
     snapshot: bytes | None = None
     snapshot_offset: int = 0
+    takes_snapshots: bool = True
     state: str = UP
     refused: set[str] = set()
     lost_part: float = 0.0
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
@@ -87,6 +87,7 @@
     :param weakness: fraction of the owner's load that an instance can't carry, by instance.
     :param crash_after_s: seconds from the start of a task to the crash of its worker, by task.
     :param crashes_by_tasks: how often a task has crashed its worker.
+    :param bounds: bounds of instances that start.
     :param effects: carries out the effects of an instance, by type.
     """
 
@@ -119,6 +120,7 @@
     weakness: Mapping[str, float] = {}
     crash_after_s: dict[model.TaskKey, float] = {}
     crashes_by_tasks: int = 0
+    bounds: model.Bounds = BOUNDS
     effects: dict[type, Callable[["World", Instance, Any], None]] = {}
 
 
@@ -132,7 +134,26 @@
     """
     incarnation = START_UNIX_MS + round(world.now_s * 1000) + number
     weakness = world.weakness.get(name, 0.0)
-    return new_node(Identity(name, incarnation, "zone", weakness, name), BOUNDS)
+    return new_node(Identity(name, incarnation, "zone", weakness, name), world.bounds)
+
+
+def keep_history(world: World, keep_s: float) -> None:
+    """
+    Let the store drop records of the log once they have reached an age, and tell all instances.
+
+    :param world: the world, before time has passed.
+    :param keep_s: the age.
+    """
+    world.bounds = world.bounds._replace(log_retention_s=keep_s)
+    for instance in world.instances.values():
+        instance.node.bounds = world.bounds
+    _drop_expired(world, keep_s)
+
+
+def _drop_expired(world: World, keep_s: float) -> None:
+    end = world.store.end
+    later(world, keep_s, lambda: world.store.trim(end))
+    later(world, TICK_S, lambda: _drop_expired(world, keep_s))
 
 
 def later(world: World, delay_s: float, action: Callable[[], None]) -> None:
