Take no run for lost from a part of a worker's lists

Cause: a worker lists 500 ends at a time, and runs that were neither among the running tasks nor on the first page counted as lost in the same step; a new owner did the same.

Ruled out: ends that were acknowledged too early (run.late_end shows them after run.ended with lost), leases that lapsed (the case leaves such workers out).

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -422,6 +422,17 @@
     """
     for key, row in worker.rows.items():
         _reconcile_listed_run(node, at, worker, key, row)
+    if not event.is_complete:
+        # The end of a run that is missing may be listed once these ends are acknowledged.
+        log_line(
+            node,
+            "worker.lists_incomplete",
+            worker=worker.id,
+            runs=len(event.runs),
+            ends=len(event.ends),
+            expected=len(runs_on(node, worker.id)),
+        )
+        return
     for key in list(worker.unknown_runs):
         if key not in worker.rows and _stops.is_gone(worker, key, event.sent_s):
             _stops.forget_unknown_run(worker, key)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/events.py
@@ -211,7 +211,8 @@
     :param sent_s: when the call was sent, by this instance's clock.
     :param clock_ms: the worker's monotonic clock.
     :param runs: the running runs.
-    :param ends: the ended runs that aren't acknowledged yet.
+    :param ends: the ended runs that aren't acknowledged yet, from the earliest on.
+    :param is_complete: whether the lists name all runs and all such ends.
     """
 
     worker: str
@@ -221,6 +222,7 @@
     incarnation: int
     runs: tuple[RunRow, ...]
     ends: tuple[EndRow, ...]
+    is_complete: bool = True
 
 
 class HoldFailed(NamedTuple):
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_answers.py
@@ -298,7 +298,8 @@
             worker.clock_ms(world.now_s),
             worker.incarnation,
             worker.rows(world.now_s),
-            tuple(worker.ends),
+            tuple(worker.ends[: world.ends_page]),
+            len(worker.ends) < world.ends_page,
         )
         send_to(world, instance, LINK_S, answer)
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_world.py
@@ -88,6 +88,7 @@
     :param crash_after_s: seconds from the start of a task to the crash of its worker, by task.
     :param crashes_by_tasks: how often a task has crashed its worker.
     :param bounds: bounds of instances that start.
+    :param ends_page: most ends that a worker lists at a time.
     :param effects: carries out the effects of an instance, by type.
     """
 
@@ -121,6 +122,7 @@
     crash_after_s: dict[model.TaskKey, float] = {}
     crashes_by_tasks: int = 0
     bounds: model.Bounds = BOUNDS
+    ends_page: int = 500
     effects: dict[type, Callable[["World", Instance, Any], None]] = {}
 
 
