--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -89,10 +89,7 @@
     if node.config is None or at.now_s < ownership.next_claim_s:
         return
     is_timeout = quiet_s >= wait_s
-    may_take_over = not node.tail.is_incomplete
-    if not is_timeout and not (
-        may_take_over and _takeover.is_due(node, at, _hash(node) / HASH_RANGE)
-    ):
+    if not is_timeout and not _takeover.is_due(node, at, _hash(node) / HASH_RANGE):
         return
     epoch = max(node.replicated.epoch, ownership.refused_epoch) + 1
     ownership.is_claiming = True
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -163,7 +163,7 @@
             if _ownership.is_confirmed_again(node, at, confirmed_s):
                 _workers.renew_leases(node, at)
             _tail.fold_callers_records(node, at, callers)
-        _snapshot.write_if_due(node, at)
+        _run_steps(node, at, (_snapshot.write_if_due,))
         # Orders whose records are now committed are checked once more before they are sent.
         produced, node.out = node.out, []
         for effect in produced:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_takeover.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_takeover.py
@@ -36,7 +36,7 @@
     :returns: whether to claim the next epoch.
     """
     replicated, ownership, tail = node.replicated, node.ownership, node.tail
-    if replicated.owner is None or replicated.owner_weakness is None:
+    if replicated.owner is None or replicated.owner_weakness is None or tail.is_incomplete:
         return False
     if replicated.owner_weakness - node.identity.weakness < MIN_GAIN:
         return False
