--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -548,6 +548,7 @@
     :param plan_due: whether an event requires a new plan.
     :param last_cleanup_s: when expired jobs were last removed.
     :param next_snapshot_s: earliest time of the next snapshot.
+    :param gap_offset: offset from which the log was last read in vain, since it begins later.
     :param snapshot_offset: offset of the last snapshot that this instance stored, or 0.
     :param snapshot_s: when the state of the last snapshot that this instance stored was encoded.
     :param snapshot_bytes: value of `Tail.read_bytes` at that time.
@@ -588,6 +589,7 @@
     next_plan_s: float = 0.0
     last_cleanup_s: float = 0.0
     next_snapshot_s: float = 0.0
+    gap_offset: int = -1
     snapshot_offset: int = 0
     snapshot_s: float = -NEVER_S
     snapshot_bytes: int = 0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -236,6 +236,8 @@
     ownership.claimed_s = at.now_s
     ownership.claimed_log_s = node.replicated.log_s
     ownership.confirmed_s = ownership.claim_since_s
+    # What this instance lacks, no owner can tell any more.
+    node.tail.is_incomplete = False
     _journal.reset(node, 1)
     node.journal.sent_s = node.journal.heartbeat_s = at.now_s
     node.workers = {}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_tail.py
@@ -167,7 +167,9 @@
     if is_replaced or event.offset not in (None, node.replicated.offset):
         log_line(node, "store.replaced_read_gap", first=event.first, offset=event.offset)
         return
-    if tail.last_success_s >= 0.0:
+    if tail.last_success_s >= 0.0 or node.gap_offset != node.replicated.offset:
+        # A later snapshot may have been stored since this one was read.
+        node.gap_offset = node.replicated.offset
         reload(node, at, "log_was_trimmed")
         return
     # The log has lost records that are in no snapshot, or in none yet. Only an owner that still
@@ -294,8 +296,6 @@
     if isinstance(record, Claimed):
         _fold.apply(node.replicated, record, at.now_s, at.wall_ms)
         node.tail.owner_record_s = node.tail.claim_read_s = at.now_s
-        # No other instance knows more than the new owner.
-        node.tail.is_incomplete = False
         if _ownership.on_claimed(node, at, record):
             _instances.resume_orders(node, at)
         _intake.on_owner_changed(node)
