Discard the bytes of requests that were given up

Cause: a request that times out closes its connection, and a closed or killed process's kernel goes on sending what it holds until the peer acknowledges it. A new owner waits 3.5 s and then relies on no former order being under way.

Outgoing connections now reset when they are closed. The option is set when the socket is created, so it holds for each way in which a call can end, also a process that is killed and runs no code. Connections of callers are not affected, so their answers are still delivered whole.

--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
@@ -38,7 +38,8 @@
     Sends requests over persistent connections that are reused.
 
     ``on_done`` of each request is called exactly once: with a complete response, or with a
-    failure that says whether any byte of the request may have been sent.
+    failure that says whether any byte of the request may have been sent. After a failure, bytes
+    that the peer's kernel has not received yet are discarded.
     """
 
     channel = "http-pool"
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_sockets.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_sockets.py
@@ -4,14 +4,21 @@
 
 import errno
 import socket
+import struct
 
 CONNECT_PENDING = frozenset({0, errno.EINPROGRESS})
+# Makes a close reset the connection: `l_onoff` and `l_linger` of `struct linger`.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def begin_connect(address: str) -> socket.socket | None:
     """
     Start a non-blocking connect.
 
+    When the socket is closed, or its process ends in any way, the kernel resets the connection and
+    discards what the peer has not acknowledged. It would otherwise go on sending these bytes, and a
+    request could arrive long after its sender has given it up.
+
     :param address: ``IP:PORT``.
     :returns: the socket, which becomes writable when the connect succeeds or fails, or ``None``
         if the address is invalid or the connect fails immediately.
@@ -20,6 +27,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     try:
         code = sock.connect_ex((host, int(port)))
     except (OSError, ValueError, OverflowError):
