Reset connections of orders whose bytes aren't acknowledged

Connections to workers, to the machine service and to the advice service now have TCP_USER_TIMEOUT, 1.5 s, which the kernel applies by itself. With the age of the confirmation (0.8 s) and the time until the first byte is sent (0.5 s) that is 2.8 s, less than a new owner waits. Connections to the store have none: their appends may be large, and the store refuses those of former epochs.

The test pauses a process after the kernel has taken a request that the peer doesn't read. Before the change the whole request arrived.

--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
@@ -51,6 +51,7 @@
         conns_per_address: int = DEFAULT_CONNS_PER_ADDRESS,
         max_answer_bytes: int = 16 * 1024 * 1024,
         max_buffered_bytes: int = 64 * 1024 * 1024,
+        ack_timeout_s: float | None = None,
         **_options: str,
     ) -> None:
         """
@@ -62,12 +63,15 @@
         :param max_answer_bytes: maximum size of a response; a larger one fails its request.
         :param max_buffered_bytes: maximum total size of incomplete responses; a request
             whose response exceeds it fails.
+        :param ack_timeout_s: time after which a connection is reset if its peer has not
+            acknowledged what was sent, also while the process is paused; ``None`` for the kernel's default.
         """
         self.poller = poller
         self.scheduler = scheduler
         self.conns_per_address = conns_per_address
         self.max_answer_bytes = max_answer_bytes
         self.max_buffered_bytes = max_buffered_bytes
+        self.ack_timeout_s = ack_timeout_s
         self.buffered_bytes = 0
         self.counters = PoolCounters()
         self._conns: dict[socket.socket, ClientConn] = {}
@@ -136,7 +140,7 @@
             self.counters.full += 1
             req.on_done(HttpFailure("pool_full", sent=False))
             return None
-        sock = begin_connect(req.address)
+        sock = begin_connect(req.address, self.ack_timeout_s)
         if sock is None:
             req.on_done(HttpFailure("connect", sent=False))
             return None
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_sockets.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_sockets.py
@@ -11,7 +11,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-def begin_connect(address: str) -> socket.socket | None:
+def begin_connect(address: str, ack_timeout_s: float | None = None) -> socket.socket | None:
     """
     Start a non-blocking connect.
 
@@ -20,6 +20,9 @@
     request could arrive long after its sender has given it up.
 
     :param address: ``IP:PORT``.
+    :param ack_timeout_s: time after which the kernel resets the connection if the peer has not
+        acknowledged what was sent, also while the process is paused; ``None`` for the default of
+        the kernel.
     :returns: the socket, which becomes writable when the connect succeeds or fails, or ``None``
         if the address is invalid or the connect fails immediately.
     """
@@ -28,6 +31,9 @@
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    if ack_timeout_s is not None:
+        ack_timeout_ms = round(ack_timeout_s * 1000)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ack_timeout_ms)
     try:
         code = sock.connect_ex((host, int(port)))
     except (OSError, ValueError, OverflowError):
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
@@ -44,6 +44,9 @@
 CONTROL_CONNS = 24
 # Connections to the owner; an instance sends one batch at a time.
 PEER_CONNS = 4
+# Orders to workers and for instances are small: their bytes are acknowledged at once, unless they are
+# held up. A new owner waits longer than this before it sends orders of its own.
+ORDER_ACK_TIMEOUT_S = 1.5
 MAX_CALLER_BODY_BYTES = 256 * 1024
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 READ_TIMEOUT_S = 10.0
@@ -108,8 +111,9 @@
         scheduler = self.scheduler = Scheduler().register(self)
         make_pool = partial(HttpPool, poller, scheduler)
         self.store_pool = make_pool(STORE_CONNS, channel="store").register(self)
-        self.worker_pool = make_pool(WORKER_CONNS, channel="workers").register(self)
-        self.control_pool = make_pool(CONTROL_CONNS, channel="control").register(self)
+        make_order_pool = partial(make_pool, ack_timeout_s=ORDER_ACK_TIMEOUT_S)
+        self.worker_pool = make_order_pool(WORKER_CONNS, channel="workers").register(self)
+        self.control_pool = make_order_pool(CONTROL_CONNS, channel="control").register(self)
         self.peer_pool = make_pool(PEER_CONNS, channel="peer-calls").register(self)
         limits = ServerLimits(
             MAX_CALLER_BODY_BYTES, MAX_BUFFERED_BYTES, READ_TIMEOUT_S, MAX_CALLER_CONNS
--- a/packages/eelgrassdrum-daemon/tests/test_http_pool_held_up.py
+++ b/packages/eelgrassdrum-daemon/tests/test_http_pool_held_up.py
@@ -42,11 +42,11 @@
     pool: HttpPool
 
 
-def make_loop() -> Loop:
+def make_loop(**options: float) -> Loop:
     root = Component()
     poller = EPoll().register(root)
     scheduler = Scheduler().register(root)
-    return Loop(root, scheduler, HttpPool(poller, scheduler, 2).register(root))
+    return Loop(root, scheduler, HttpPool(poller, scheduler, 2, **options).register(root))
 
 
 def make_peer() -> Iterator[socket.socket]:
@@ -152,6 +152,22 @@
     assert received_bytes(peer) < len(BODY)
 
 
+# Guards against an order of a paused process, whose timers don't run, that arrives after its time.
+def test_request_of_a_paused_process_does_not_arrive_later(peer: socket.socket) -> None:
+    """
+    Bytes that the peer doesn't acknowledge in time never reach it, though no timer runs meanwhile.
+    """
+    received: list[int] = []
+
+    def pause(_conn: ClientConn) -> None:
+        time.sleep(4 * TIMEOUT_S)
+        received.append(received_bytes(peer))
+
+    outcomes = send_whole(make_loop(ack_timeout_s=TIMEOUT_S), address_of(peer), LONG_S, pause)
+    assert received[0] < len(BODY)
+    assert outcomes == [HttpFailure("closed", sent=True)]
+
+
 def test_request_that_is_read_in_time_arrives_whole(loop: Loop, peer: socket.socket) -> None:
     """
     A peer that reads in time receives the whole request, and its answer is received whole.
