Count the time of a suspension towards the timeouts of calls

The timeouts of calls and the time until which the first byte of an order may be sent were measured by CLOCK_MONOTONIC, which stands still while a machine is suspended. The reducer's clock doesn't. An order that waited for its connection could leave after a suspension of any length, after another owner had ordered the same instance.

The scheduler of an instance now uses the reducer's clock.

--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
@@ -108,7 +108,7 @@
 
     def _open_sockets(self, front: str, ready: str, metrics: str, peers: str) -> None:
         poller = EPoll().register(self)
-        scheduler = self.scheduler = Scheduler().register(self)
+        scheduler = self.scheduler = Scheduler(self.clock).register(self)
         make_pool = partial(HttpPool, poller, scheduler)
         self.store_pool = make_pool(STORE_CONNS, channel="store").register(self)
         make_order_pool = partial(make_pool, ack_timeout_s=ORDER_ACK_TIMEOUT_S)
