Wait until former orders for instances are given up

A new owner waits for `lease_ms` and half a second before it orders an instance that a former owner has ordered. That covers an open order of the former owner only while `lease_ms` is at least 2.3 s: it may be sent 0.8 s after the last confirmation and is given up 2 s later.

The wait is now at least until the former owner's orders have been given up. The test has a `lease_ms` of 500; before the change the new owner could order after 1 s.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -35,6 +35,8 @@
 ORDER_BURST_S = 0.2
 # Age of the store's last confirmation of this owner up to which an order may be sent.
 MAX_CONFIRMATION_AGE_S = 0.8
+# Time from the last confirmation of an owner until all its orders are answered or given up.
+MAX_OPEN_ORDER_S = MAX_CONFIRMATION_AGE_S + effects.ORDER_TIMEOUT_S
 # Age of a decision from which a move is decided anew instead of being ordered; several times the
 # time that a commit takes at a store that does not count as stalled.
 MAX_DECISION_AGE_S = 1.5
@@ -179,7 +181,7 @@
         is_open = instance not in fleet.in_flight and instance not in fleet.down
         if row is None or row.state != UP or not is_open:
             continue
-        late_s = node.bounds.order_lease_s + ORDER_MARGIN_S
+        late_s = owner_gap_s(node)
         last_s = fleet.unanswered.get(instance, refused_s - late_s) + late_s
         # Only a list that was requested afterwards shows that none was carried out.
         if fleet.rows_s > max(refused_s, last_s):
@@ -363,7 +365,17 @@
     if not order.is_done:
         # The previous owner may have sent it at any time up to this owner's claim.
         age_s = min(age_s, at.now_s - node.ownership.claimed_s)
-    return age_s > node.bounds.order_lease_s + ORDER_MARGIN_S
+    return age_s > owner_gap_s(node)
+
+
+def owner_gap_s(node: Node) -> float:
+    """
+    Return the minimum time between orders of two owners for the same instance.
+
+    :param node: the instance.
+    :returns: seconds; at least until an order of the previous owner has been given up.
+    """
+    return max(node.bounds.order_lease_s, MAX_OPEN_ORDER_S) + ORDER_MARGIN_S
 
 
 def min_age_s(node: Node, at: Moment, order: InstanceOrder) -> float:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/effects.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/effects.py
@@ -219,10 +219,16 @@
     """
 
 
+# Time from sending an order for an instance until it is given up.
+ORDER_TIMEOUT_S = 2.0
+
+
 class OrderInstance(NamedTuple):
     """
     Order the machine service to maintain or to move an instance.
 
+    It is given up after `ORDER_TIMEOUT_S`, and must not be carried out from then on.
+
     :param wave: number of the wave, or -1 for a move.
     :param pool: target pool of a move, otherwise empty.
     """
--- a/packages/eelgrassdrum-core/tests/test_jobs_instances.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_instances.py
@@ -26,11 +26,11 @@
 DAY_MS = 86_400_000
 
 
-def make_restarted_owner(records):
+def make_restarted_owner(records, bounds=BOUNDS):
     """
     Return an instance that has just started, has read a whole log at one moment, and owns it.
     """
-    node = new_node(Identity("entry", WALL_MS, "zone"), BOUNDS)
+    node = new_node(Identity("entry", WALL_MS, "zone"), bounds)
     feed(node, START_S, events.OperatorRead(1, make_owner_config(), (), START_S))
     feed(node, START_S, events.SnapshotRead(None))
     data = tuple(encode_records(records))
@@ -78,6 +78,20 @@
     assert may_order(node, "late", after_s=BOUNDS.order_lease_s + instances.ORDER_MARGIN_S)
 
 
+# Guards against orders of two owners for one instance where the platform asks for a short wait.
+def test_a_new_owner_waits_until_former_orders_are_given_up():
+    """
+    A new owner orders no instance while a former owner may still have an open order for it, however
+    short the time between orders of two owners may be.
+    """
+    bounds = BOUNDS._replace(order_lease_s=0.5)
+    records = [Claimed(1, "former", 1), InstanceOrdered(1, "open", -1, "service", WALL_MS)]
+    node = make_restarted_owner(records, bounds)
+    given_up_s = instances.MAX_CONFIRMATION_AGE_S + effects.ORDER_TIMEOUT_S
+    assert not may_order(node, "open", after_s=given_up_s)
+    assert may_order(node, "open", after_s=given_up_s + instances.ORDER_MARGIN_S + 0.1)
+
+
 def test_wall_clock_jump_does_not_age_orders():
     """
     A wall clock that jumped by a day does not release an instance that was ordered recently.
