--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/_http_pool.py
@@ -64,7 +64,8 @@
         :param max_buffered_bytes: maximum total size of incomplete responses; a request
             whose response exceeds it fails.
         :param ack_timeout_s: time after which a connection is reset if its peer has not
-            acknowledged what was sent, also while the process is paused; ``None`` for the kernel's default.
+            acknowledged what was sent, also while the process is paused; ``None`` for the default
+            of the kernel.
         """
         self.poller = poller
         self.scheduler = scheduler
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_app.py
@@ -44,8 +44,8 @@
 CONTROL_CONNS = 24
 # Connections to the owner; an instance sends one batch at a time.
 PEER_CONNS = 4
-# Orders to workers and for instances are small: their bytes are acknowledged at once, unless they are
-# held up. A new owner waits longer than this before it sends orders of its own.
+# Orders to workers and for instances are small, so their bytes are acknowledged at once unless they
+# are held up. A new owner waits longer than this before it orders instances.
 ORDER_ACK_TIMEOUT_S = 1.5
 MAX_CALLER_BODY_BYTES = 256 * 1024
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
