--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,16 +1,15 @@
 """
-A task loses its executor twice. From then on it waits until some executor is empty of other jobs'
-work, while nearly all of the service's capacity is free.
+A new version removes a route that has unfinished jobs. They go on without the route's settings:
+without the tickets that its policy asks for, and with fewer attempts than the route allowed.
 """
 
 import asyncio
 
 from standins import Case, run_case
 
-LONG_S = 80.0
 FINISH_S = 14.0
-JUDGED_S = 3.0
-LONG_JOB = "a" * 16
+FAILURES = 3
+MAX_ATTEMPTS = 5
 
 
 def route(name: str, prefix: str, **fields):
@@ -31,66 +30,68 @@
     }  # fmt: skip
 
 
+ADVICE = {"decide_ms": 10, "per_worker_ms": 1, "valid_ms": 3000}
+
+
 async def play(case: Case, folder):
     world = case.world
     await world.start()
+    advised: set[str] = set()
+    failing: set[str] = set()
 
-    def work(task: str, _run: int) -> tuple[float, str]:
-        return (LONG_S if task.startswith(LONG_JOB) else 4.0), "done"
+    def work(task: str, run: int) -> tuple[float, str]:
+        if task.partition(".")[0] in failing:
+            return 1.0, "failed" if run <= FAILURES else "done"
+        return 3.0, "done"
 
     for number in range(1, 9):
-        await world.add_executor(f"i-{number}", f"m-{number}", "s-1", work)
-    case.publish(config(route("r-1", "/q/")))
+        executor = await world.add_executor(f"i-{number}", f"m-{number}", "s-1", work)
+        executor.needs_ticket = lambda task: task.partition(".")[0] in advised
+    kept = route("r-3", "/other/")
+    full = config(
+        route("r-1", "/advised/", advice=ADVICE),
+        route("r-2", "/many/", max_attempts=MAX_ATTEMPTS),
+        kept,
+    )
+    case.publish(full)
     if not await case.start_system(folder):
         return None
     await asyncio.sleep(4.0)
-    # One small task on each executor, which works for long.
-    phase = {"count": 8, "cpu": 1000, "mem_mb": 500, "estimate_ms": 80000, "anti_affinity": 1}
-    if not await case.submit("/q/", [phase], job=LONG_JOB):
-        return None
-    await asyncio.sleep(2.0)
-    phase = {"count": 1, "cpu": 2000, "mem_mb": 500, "estimate_ms": 4000}
-    job = await case.submit("/q/", [phase])
-    if not job:
+    step = {"cpu": 2000, "mem_mb": 500, "estimate_ms": 3000}
+    phases = [{"count": 4, **step}, {"count": 4, "depends_on": [0], **step}]
+    # The executors know from the id which tasks need a ticket, and which fail at first.
+    job_a, job_b = "a" * 16, "b" * 16
+    advised.add(job_a)
+    failing.add(job_b)
+    job_a = await case.submit("/advised/", phases, job=job_a)
+    job_b = await case.submit("/many/", [{"count": 1, **step}], job=job_b)
+    if not job_a or not job_b:
         return None
-    task = f"{job}.0.0.0"
-    for _ in range(2 if case.trouble else 0):
-        # An executor is lost for good, about a second after it has begun the task.
-        at = await _find(world, task)
-        if at is None:
-            return None
+    await asyncio.sleep(1.0)
+    if case.trouble:
+        case.publish(config(kept))
+    await asyncio.sleep(3.0 + 3.0 + FINISH_S)
+    # What callers and executors have seen so far; the first step's tasks worked for 3 s.
+    firsts = [f"{job_a}.0.0.{number}" for number in range(4)]
+    are_done = all(any(e[3] == "done" for e in world.ends.get(t, [])) for t in firsts)
+    has_begun = any(task.startswith(f"{job_a}.0.1.") for task in world.starts)
+    rejected = sum(1 for line in _lines(case) if '"start rejected"' in line)
+    ends_b = [how for _s, _id, _run, how in world.ends.get(f"{job_b}.0.0.0", [])]
+    if case.trouble:
+        # The state of a job is asked for where its route is: it comes back.
+        case.publish(full)
         await asyncio.sleep(1.0)
-        at.crash()
-    lost_s = world.record.now_s()
-    await asyncio.sleep(FINISH_S)
-    # For 3 s, nothing of the job runs.
-    idle_s = 0.0
-    while idle_s < JUDGED_S and not _runs(world, task):
-        await asyncio.sleep(0.1)
-        idle_s += 0.1
-    state = await case.state("/q/", job)
-    up = [executor for executor in world.executors if executor.is_up]
-    free = [32_000 - 1_000 * len(executor.runs) for executor in up]
-    starts = world.starts.get(task, [])
-    text = f"{job} is {state}; its last start was at {starts[-1][0]} s, the last executor was lost "
-    text += f"at {lost_s} s; {len(up)} executors are up, with {min(free)} of 32000 thousandths of a "
-    text += f"core free on each; nothing of it ran for {idle_s:.1f} s"
-    if state not in ("completed", "failed") and idle_s >= JUDGED_S:
-        return False, text
-    return True, text
-
-
-def _runs(world, task: str) -> bool:
-    return any(task in executor.runs for executor in world.executors if executor.is_up)
-
-
-async def _find(world, task: str):
-    for _ in range(200):
-        for executor in world.executors:
-            if executor.is_up and task in executor.runs:
-                return executor
-        await asyncio.sleep(0.05)
-    return None
+    state_b = await case.state("/many/", job_b)
+    text = f"{job_a}: first step done {are_done}, second has begun {has_begun}, "
+    text += f"starts rejected for want of a ticket {rejected}; "
+    text += f"{job_b} is {state_b}, with {MAX_ATTEMPTS} attempts, after the ends {ends_b}"
+    is_failed = state_b == "failed" and ends_b.count("failed") < MAX_ATTEMPTS
+    return not (is_failed or (are_done and not has_begun)), text
+
+
+def _lines(case: Case) -> list[str]:
+    with open(case.record.file.name, encoding="utf-8") as file:
+        return file.readlines()
 
 
 run_case(play)
