--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl, urlsplit
@@ -520,8 +521,8 @@
     The platform, its executors and what callers did.
     """
 
-    def __init__(self, folder: Path) -> None:
-        self.record = Record(folder / "record.txt")
+    def __init__(self, record_path: Path) -> None:
+        self.record = Record(record_path)
         self.store = Store(self.record)
         self.cloud = Cloud(self)
         self.advice = Advice(self.record)
@@ -673,8 +674,8 @@
     A run of a case: the platform, three processes of the system, and callers.
     """
 
-    def __init__(self, folder: Path, trouble: bool) -> None:
-        self.world = World(folder)
+    def __init__(self, record_path: Path, trouble: bool) -> None:
+        self.world = World(record_path)
         self.trouble = trouble
         self.instances: list[Instance] = []
         self.config: dict[str, Any] = {}
@@ -780,21 +781,23 @@
 
 def run_case(play: Any, limit_s: float = 110.0) -> None:
     """
-    Run a case and exit: 1 if its rule was broken, 0 if it held, 2 if it couldn't run.
+    Run a case and exit: 1 if its rule was broken, 0 if it held, 2 if it couldn't run. Arguments are
+    the path of the record, and 0 for a run without the disruption.
 
     :param play: coroutine function of the case and of a temporary folder, which returns whether the
         rule held and a line that says why; ``None`` if it couldn't run.
     """
-    folder = Path(sys.argv[0]).resolve().parent
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record_path, trouble = Path(sys.argv[1]), sys.argv[2] != "0"
 
     async def main() -> int:
-        case = Case(folder, trouble)
+        case = Case(record_path, trouble)
         with tempfile.TemporaryDirectory() as temporary:
             try:
                 async with asyncio.timeout(limit_s):
                     result = await play(case, Path(temporary))
-            except TimeoutError:
+            except Exception:
+                # Whatever goes wrong in the script itself says nothing about the rule.
+                traceback.print_exc()
                 result = None
             finally:
                 await case.end()
