Complete a wave only by a list that is newer than the wave

Cause: an instance that the latest list of instances lacks counted as gone, whenever that list had been requested. While nothing is drained it is up to 3 s old.

Evidence: wave.completed now tells what a wave was completed by. A wave of the same number that was maintained before, and orders that were refused, are ruled out by it and by the missing instance.order.

Change: an instance is gone only if a list lacks it that was requested after the wave was read, and no worker on it answers. While a wave names an instance that the list is too old to have, lists are requested every 0.5 s, so that new instances are drained and waves of instances that have left end in time.

Why it works: the operator names instances that exist, so whatever was requested after the wave was read lists them unless they have left since.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -9,7 +9,7 @@
 
 from . import _candidates, _crashes, _draining, _registry, _runs, effects, events
 from ._journal import emit_after_commit, is_stalled, write
-from ._node import Moment, Node, Worker, emit, log_line
+from ._node import Moment, Node, WaveState, Worker, emit, log_line
 from ._records import InstanceDone, InstanceOrdered
 from ._replicated_state import InstanceOrder, latest_write_s
 from .model import InstanceRow
@@ -63,7 +63,12 @@
     if _is_return_due(node, at):
         interval_s = RETURN_LIST_INTERVAL_S
         _read_registry_soon(node)
-    elif fleet.draining or fleet.down or _has_unreachable_workers(node):
+    elif (
+        fleet.draining
+        or fleet.down
+        or _has_unreachable_workers(node)
+        or _has_unlisted_instances(node)
+    ):
         interval_s = BUSY_LIST_INTERVAL_S
     if not fleet.is_listing and at.now_s - fleet.listed_s >= interval_s:
         fleet.is_listing = True
@@ -98,6 +103,45 @@
     return any(worker.is_failing for worker in node.workers.values())
 
 
+def _has_unlisted_instances(node: Node) -> bool:
+    """
+    Return whether a wave names instances that the latest list may be too old to have.
+    """
+    return any(
+        state.seen_s > node.fleet.rows_s and not node.fleet.rows.keys() >= set(state.wave.instances)
+        for number, state in node.waves.items()
+        if number not in node.replicated.closed_waves
+    )
+
+
+def unmaintained_instances(node: Node, state: WaveState) -> list[str]:
+    """
+    Return the instances of a wave that are not maintained yet and not known to be gone.
+
+    :param node: the instance, which owns the log.
+    :param state: the wave.
+    :returns: their names, in the order of the wave.
+    """
+    maintained = node.replicated.maintained.get(state.wave.number, set())
+    return [
+        name
+        for name in state.wave.instances
+        if name not in maintained and not _is_gone(node, state, name)
+    ]
+
+
+def _is_gone(node: Node, state: WaveState, instance: str) -> bool:
+    """
+    Return whether an instance of a wave has left the fleet.
+
+    It may have joined just before the wave was published, so only a list that was requested
+    afterwards is evidence, and none is while a worker on the instance answers.
+    """
+    fleet = node.fleet
+    is_evidence = fleet.rows_s >= state.seen_s
+    return is_evidence and instance not in fleet.rows and not _is_answering(node, instance)
+
+
 def on_listed(node: Node, at: Moment, event: events.InstancesListed) -> None:
     """
     Process the list of instances.
@@ -312,13 +356,19 @@
         order = node.replicated.orders.get(instance)
         if order is None or not order.is_done or order.epoch == node.ownership.epoch:
             continue
-        workers = _workers_on(node, instance)
-        if any(worker.is_held and not worker.is_failing for worker in workers):
+        if _is_answering(node, instance):
             del fleet.down[instance]
             fleet.draining.pop(instance, None)
             log_line(node, "instance.answers", instance=instance)
 
 
+def _is_answering(node: Node, instance: str) -> bool:
+    """
+    Return whether a worker on an instance answers this owner.
+    """
+    return any(w.is_held and not w.is_failing for w in _workers_on(node, instance))
+
+
 def _within_order_limits(node: Node, at: Moment) -> bool:
     """
     Return whether the limits of outstanding orders and of the order rate allow one more order.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waves.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waves.py
@@ -4,7 +4,7 @@
 """
 
 from . import _runs, effects, events
-from ._instances import MAINTENANCE, ORDER_RETRY_S, UP, may_decide
+from ._instances import MAINTENANCE, ORDER_RETRY_S, UP, may_decide, unmaintained_instances
 from ._journal import write
 from ._node import Moment, Node, WaveState, emit, log_line
 from ._records import WaveClosed
@@ -18,6 +18,8 @@
 # A wave ignores the pool load if its remaining work needs more than this fraction of its remaining
 # time.
 URGENT_FRACTION = 0.5
+# Instances that one log line names.
+MAX_LOGGED_INSTANCES = 6
 
 
 def advance(node: Node, at: Moment) -> None:
@@ -59,33 +61,20 @@
     log_line(node, "wave.published", wave=event.wave, state=event.state, outcome=event.outcome)
 
 
-def _remaining_instances(node: Node, state: WaveState) -> list[InstanceRow]:
-    """
-    Return the instances of a wave that are still listed and not maintained yet.
-    """
-    done = node.replicated.maintained.get(state.wave.number, set())
-    rows = (node.fleet.rows.get(name) for name in state.wave.instances if name not in done)
-    return [row for row in rows if row is not None]
-
-
 def _advance_wave(node: Node, at: Moment, state: WaveState) -> None:
     fleet = node.fleet
     if not fleet.rows:
         return
     wave = state.wave
-    remaining = _remaining_instances(node, state)
+    remaining = unmaintained_instances(node, state)
     if not remaining:
         if not any(_is_in_maintenance(node, name) for name in wave.instances):
             write(node, at, WaveClosed(node.ownership.epoch, wave.number))
-            log_line(
-                node,
-                "wave.completed",
-                wave=wave.number,
-                took_s=round(at.now_s - state.seen_s, 2),
-            )
+            _log_completed(node, at, state)
         return
     in_progress = sum(_is_in_maintenance(node, name) for name in wave.instances)
-    for row in sorted(remaining, key=lambda row: _load_key(node, row)):
+    listed = [fleet.rows[name] for name in remaining if name in fleet.rows]
+    for row in sorted(listed, key=lambda row: _load_key(node, row)):
         if in_progress >= wave.max_down:
             return
         if row.instance in fleet.draining or row.state != UP:
@@ -105,6 +94,24 @@
         )
 
 
+def _log_completed(node: Node, at: Moment, state: WaveState) -> None:
+    """
+    Log why a wave is completed: which of its instances were maintained, and which are not listed.
+    """
+    wave = state.wave
+    maintained = node.replicated.maintained.get(wave.number, set())
+    gone = [name for name in wave.instances if name not in maintained]
+    log_line(
+        node,
+        "wave.completed",
+        wave=wave.number,
+        took_s=round(at.now_s - state.seen_s, 2),
+        maintained=len(maintained),
+        gone=gone[:MAX_LOGGED_INSTANCES],
+        list_age_s=round(at.now_s - node.fleet.rows_s, 3),
+    )
+
+
 def _is_in_maintenance(node: Node, instance: str) -> bool:
     """
     Return whether an instance is drained or down for maintenance; one that moves is not.
--- a/packages/eelgrassdrum-core/tests/test_jobs_instances.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_instances.py
@@ -4,6 +4,7 @@
 
 from eelgrassdrum_core.jobs import Identity, _candidates, effects, events, model, new_node
 from eelgrassdrum_core.jobs import _instances as instances
+from eelgrassdrum_core.jobs._node import WaveState
 from eelgrassdrum_core.jobs._records import (
     Claimed,
     InstanceDone,
@@ -171,6 +172,64 @@
     assert not node.replicated.closed_waves
 
 
+# Guards against waves that are completed without maintenance since their instances are new.
+def test_a_wave_is_not_over_by_a_list_that_is_older_than_the_wave():
+    """
+    An instance that a list lacks isn't gone if the list was requested before the wave was read.
+    """
+    node = make_owner_with_wave(model.Wave(1, ("m-c",), 30.0, 1), listed=("a", "b"))
+    list_instances(node, LISTED_S + 0.2, ("a", "b"), sent_s=LISTED_S - 0.1)
+    assert not node.replicated.closed_waves
+    feed(node, LISTED_S + 0.6, events.InstancesListed(None, LISTED_S + 0.3))
+    list_instances(node, LISTED_S + 1.2, ("a", "b", "c"), sent_s=LISTED_S + 1)
+    assert set(node.fleet.draining) == {"m-c"} and not node.replicated.closed_waves
+
+
+def test_a_wave_is_over_without_instances_that_a_later_list_lacks():
+    """
+    An instance that left before the wave was read doesn't keep the wave open.
+    """
+    node = make_owner_with_wave(model.Wave(1, ("m-a", "m-c"), 30.0, 1), listed=("a", "b"))
+    node.replicated.maintained[1] = {"m-a"}
+    list_instances(node, LISTED_S + 1, ("a", "b"), sent_s=LISTED_S + 0.5)
+    assert node.replicated.closed_waves == {1}
+
+
+def test_a_wave_is_not_over_while_a_worker_on_an_unlisted_instance_answers():
+    """
+    An instance that lists lack isn't gone while its worker answers, and is once it doesn't.
+    """
+    node = make_owner_with_wave(model.Wave(1, ("m-b",), 30.0, 1), listed=("a", "b"))
+    list_instances(node, LISTED_S + 1, ("a",))
+    assert not node.replicated.closed_waves
+    node.workers["b"].is_failing = True
+    list_instances(node, LISTED_S + 1.2, ("a",))
+    assert node.replicated.closed_waves == {1}
+
+
+def test_a_new_owner_lists_the_instances_before_it_completes_a_wave():
+    """
+    A new owner that knew a wave before its claim completes it only by a list of its own.
+    """
+    node = make_restarted_owner([Claimed(1, "former", 1), OwnerHeartbeat(1, 50_000)])
+    node.waves[1] = WaveState(model.Wave(1, ("m-c",), 30.0, 1), START_S)
+    feed(node, START_S + 2.1, events.Ticked())
+    commit(node, START_S + 2.1)
+    assert not node.replicated.closed_waves
+    list_instances(node, START_S + 2.2, ("a", "c"))
+    assert set(node.fleet.draining) == {"m-c"}
+
+
+def test_instances_are_listed_soon_after_a_wave_of_unlisted_ones():
+    """
+    A wave that names an unlisted instance doesn't wait for the usual interval between lists.
+    """
+    node = make_owner_with_wave(model.Wave(1, ("m-a", "m-c"), 30.0, 1), listed=("a", "b"))
+    node.fleet.listed_s = LISTED_S - 1
+    produced = feed(node, LISTED_S + 0.1, events.Ticked())
+    assert any(isinstance(item, effects.ListInstances) for item in produced)
+
+
 def move_away(node, instance):
     """
     Let an instance be away for a move.
@@ -180,19 +239,22 @@
     node.fleet.down[instance] = LISTED_S + 10.0
 
 
-def make_owner_with_wave(wave):
+def make_owner_with_wave(wave, listed=()):
     """
-    Return the owner of two instances that are to be maintained.
+    Return the owner of two instances, which have been listed or not, that has just read a wave.
     """
     node = owner_of([worker_entry("a"), worker_entry("b")])
+    if listed:
+        list_instances(node, LISTED_S - 0.5, listed)
     feed(node, LISTED_S, events.OperatorRead(2, make_owner_config(), (wave,), LISTED_S))
     return node
 
 
-def list_instances(node, at_s, names, answers=True):
+def list_instances(node, at_s, names, answers=True, sent_s=None):
     """
     Let the store answer or not, list instances that are up, and let the owner act on it.
     """
+    sent_s = at_s if sent_s is None else sent_s
     if answers:
         commit(node, at_s)
         feed(node, at_s, events.Ticked())
@@ -203,7 +265,7 @@
         )
         for name in names
     )
-    feed(node, at_s, events.InstancesListed(rows, at_s))
+    feed(node, at_s, events.InstancesListed(rows, sent_s))
     feed(node, at_s, events.Ticked())
 
 
