Ignore lists of instances that are older than the claim or the order

What callers saw: nothing was reported.

Cause: a list that an instance requested in a former ownership may arrive after it owns the log again. What it lacked was no longer drained, although a former owner's order may still be carried out there, and tasks could be started on it. In the same way, an instance that was ordered down was taken for gone by a list that had been requested before the order was answered.

Change: lists that were requested before the claim are ignored (instances.outdated_list), and an instance that was ordered down is gone, as it is back, only by a list that was requested afterwards.

Why it works: each absence is now compared with the time of the question, the claim or the order.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -151,6 +151,10 @@
     :param event: the list.
     """
     fleet = node.fleet
+    if node.ownership.is_owner and event.sent_s < node.ownership.claimed_s:
+        # Requested during a former ownership, it may lack instances that are in use since.
+        log_line(node, "instances.outdated_list", age_s=round(at.now_s - event.sent_s, 3))
+        return
     fleet.is_listing = False
     if event.rows is None or not node.ownership.is_owner:
         return
@@ -158,7 +162,7 @@
     fleet.rows_s = event.sent_s
     for instance, since_s in list(fleet.down.items()):
         row = fleet.rows.get(instance)
-        if row is None or (row.state == UP and event.sent_s > since_s):
+        if event.sent_s > since_s and (row is None or row.state == UP):
             del fleet.down[instance]
             fleet.draining.pop(instance, None)
             fleet.pool_of.pop(instance, None)
--- a/packages/eelgrassdrum-core/tests/test_jobs_instances.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_instances.py
@@ -18,6 +18,7 @@
     WALL_MS,
     commit,
     feed,
+    logged,
     make_owner_config,
     owner_of,
     worker_entry,
@@ -230,6 +231,37 @@
     assert any(isinstance(item, effects.ListInstances) for item in produced)
 
 
+# Guards against a drain that is dropped by a list which lacks its instance since it is older.
+def test_a_list_that_was_requested_before_the_claim_is_ignored():
+    """
+    A new owner keeps an instance drained that a list of a former ownership doesn't have yet.
+    """
+    records = [
+        Claimed(1, "former", 1),
+        OwnerHeartbeat(1, 50_000),
+        InstanceOrdered(1, "m-1", -1, "service", WALL_MS),
+    ]
+    node = make_restarted_owner(records)
+    former = feed(node, START_S + 2.1, events.InstancesListed((make_row("m-2", ""),), START_S + 1))
+    assert set(node.fleet.draining) == {"m-1"} and not node.fleet.rows
+    assert logged(former, "instances.outdated_list")
+    list_rows(node, START_S + 2.2, make_row("m-2", ""))
+    assert not node.fleet.draining
+
+
+def test_an_instance_that_was_ordered_down_is_gone_only_by_a_later_list():
+    """
+    A list that was requested before an order was answered doesn't end the time that it is down.
+    """
+    node = make_owner_with_former_move()
+    assert sent_orders(node, START_S + 9) == ["m-1"]
+    answer_order(node, START_S + 9.2, "m-1", events.OK)
+    list_rows_sent(node, START_S + 9.3, START_S + 9.1, make_row("m-2", ""))
+    assert "m-1" in node.fleet.down
+    list_rows(node, START_S + 9.8, make_row("m-2", ""))
+    assert "m-1" not in node.fleet.down
+
+
 def move_away(node, instance):
     """
     Let an instance be away for a move.
@@ -281,7 +313,14 @@
     """
     Let the owner read a list of instances that was requested at that time.
     """
-    feed(node, at_s, events.InstancesListed(rows, at_s))
+    list_rows_sent(node, at_s, at_s, *rows)
+
+
+def list_rows_sent(node, at_s, sent_s, *rows):
+    """
+    Let the owner read a list of instances that was requested before.
+    """
+    feed(node, at_s, events.InstancesListed(rows, sent_s))
     feed(node, at_s, events.Ticked())
 
 
