Keep the limit of a removed workspace for its open jobs

What callers saw: nothing was reported.

Cause: the limit was looked up in the newest configuration, and its absence meant none.

Change: the policy of a job holds the limit of its workspace when it was accepted, and applies while the workspace isn't configured. While it is, the newest limit applies, as before.

Test: test_the_limit_of_a_removed_workspace_holds_for_its_jobs fails on the former code, which starts the other two of four tasks as soon as the workspace is gone.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_intake.py
@@ -147,7 +147,7 @@
     if job_id in node.replicated.jobs or job_id in node.intake.accepted:
         emit(node, effects.Reply(call.token, effects.ACCEPTED))
         return
-    policy = _policies.policy_of(queue)
+    policy = _policies.policy_of(node.config, queue, workspace) if node.config else None
     record = Submitted(job_id, queue.name, queue.service, workspace, call.spec, at.wall_ms, policy)
     _enqueue(node, at, call, record)
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -364,12 +364,9 @@
     :param count: number of tasks that would start.
     :returns: number of those tasks that the limit allows.
     """
-    workspace = node.config.workspaces.get(job.workspace) if node.config else None
-    if workspace is None:
-        return count
     used = node.replicated.used.get(job.workspace, NO_RESOURCES)
     used = used.plus(node.unknown_used.get(job.workspace, NO_RESOURCES))
-    for limit, have, need in zip(workspace.limit, used, step.need, strict=True):
+    for limit, have, need in zip(_policies.limit_of(node, job), used, step.need, strict=True):
         if limit and need:
             count = min(count, max(0, (limit - have) // need))
     return count
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_policies.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_policies.py
@@ -2,33 +2,38 @@
 Determines which settings apply to a job.
 
 A job keeps the policy under which it was accepted: its attempts, and whether its starts need
-tickets. The newest configuration decides how its queue is scheduled. Of a queue that has been
-removed since, the job keeps these settings as well.
+tickets. The newest configuration decides how its queue is scheduled, and what its workspace may
+use. Of a queue or a workspace that has been removed since, the job keeps these settings as well.
 """
 
 from ._journal import write
 from ._node import Moment, Node, log_line
 from ._records import PolicySet
 from ._replicated_state import Job
-from .model import JobPolicy, Queue
+from .model import NO_RESOURCES, Config, JobPolicy, Queue, Resources
 
 # Policy of a job whose submission doesn't tell it and whose queue is not configured.
 UNKNOWN_POLICY = JobPolicy(0, 3, 1.0, 0)
 
 
-def policy_of(queue: Queue) -> JobPolicy:
+def policy_of(config: Config, queue: Queue, workspace: str) -> JobPolicy:
     """
     Return the policy of a job that is accepted now.
 
+    :param config: the configuration.
     :param queue: the queue of the job.
+    :param workspace: the workspace of the job, or an empty string.
     :returns: the policy.
     """
+    known = config.workspaces.get(workspace)
+    limit = known.limit if known is not None else NO_RESOURCES
     return JobPolicy(
         queue.priority,
         queue.max_attempts,
         queue.slack_factor,
         queue.target_ms,
         queue.has_advice,
+        (limit.millicores, limit.memory_mb, limit.accelerators),
     )
 
 
@@ -76,6 +81,20 @@
     return queue.max_attempts if queue is not None else UNKNOWN_POLICY.max_attempts
 
 
+def limit_of(node: Node, job: Job) -> Resources:
+    """
+    Return what the running tasks of a job's workspace may use.
+
+    :param node: the instance.
+    :param job: the job.
+    :returns: the limit; 0 means no limit for the respective resource.
+    """
+    workspace = node.config.workspaces.get(job.workspace) if node.config is not None else None
+    if workspace is not None:
+        return workspace.limit
+    return Resources(*job.policy.limit) if job.policy is not None else NO_RESOURCES
+
+
 def record_missing(node: Node, at: Moment) -> None:
     """
     Record the policies of open jobs whose submissions, by a former release, don't tell them, while
@@ -89,7 +108,7 @@
     for job in [job for job in node.replicated.open_jobs.values() if job.policy is None]:
         queue = node.config.queues.get(job.queue)
         if queue is not None:
-            policy = policy_of(queue)
+            policy = policy_of(node.config, queue, job.workspace)
             _record(node, at, job, policy, "not_in_submission")
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
@@ -155,13 +155,15 @@
 
 class JobPolicy(msgspec.Struct, frozen=True, array_like=True):
     """
-    The settings of a job's queue when the job was accepted.
+    The settings of a job's queue and workspace when the job was accepted.
 
     :param priority: priority of the queue; 0 is the highest.
     :param max_attempts: number of failed runs of a task after which the job fails.
     :param slack_factor: multiple of the job's critical path that its objective allows.
     :param target_ms: additional time that the objective allows.
     :param has_advice: whether starts need a ticket of the advice service.
+    :param limit: millicores, memory in megabytes and accelerators that the running tasks of the
+        workspace may use; 0 means no limit for the respective resource.
     """
 
     priority: int
@@ -169,6 +171,7 @@
     slack_factor: float
     target_ms: int
     has_advice: bool = False
+    limit: tuple[int, int, int] = (0, 0, 0)
 
 
 class Workspace(NamedTuple):
--- a/packages/eelgrassdrum-core/tests/test_jobs_policies.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_policies.py
@@ -1,5 +1,5 @@
 """
-Jobs whose queue is changed or removed while they are open.
+Jobs whose queue or workspace is changed or removed while they are open.
 """
 
 import msgspec
@@ -196,6 +196,18 @@
     assert (queue.service, queue.slack_factor, queue.target_ms) == ("service", 1.6, 600)
 
 
+# Guards against jobs that use more than their workspace had, since the workspace is removed.
+def test_the_limit_of_a_removed_workspace_holds_for_its_jobs():
+    """
+    Open jobs of a removed workspace run within the limit under which they were accepted.
+    """
+    node, log = make_owner(make_config(limit=(2000, 0, 0)))
+    produced = submit(node, log, steps=(one_step(4),))
+    assert len(started(produced)) == 2
+    produced = publish(node, log, SUBMITTED_S + 0.1, make_config(2, workspaces=()))
+    assert started(produced) == []
+
+
 # Guards against settings that only the process which accepted the job knows.
 def test_the_next_owner_knows_the_policy_of_a_job_from_the_log():
     """
@@ -205,7 +217,7 @@
     submit(node, log)
     later = succeed(log, make_config(2, ("urgent",)))
     job = later.replicated.jobs["job"]
-    assert job.policy == policy_of(node.config.queues["usual"])
+    assert job.policy == policy_of(make_config(has_advice=True), node.config.queues["usual"], "a")
     assert queue_of(later, job).has_advice and queue_of(later, job).max_attempts == MAX_ATTEMPTS
 
 
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_owner.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_owner.py
@@ -122,7 +122,7 @@
             "a",
             model.JobSpec("x", steps),
             WALL_MS + round((now_s - age_s) * 1000),
-            policy_of(config.queues[queue]),
+            policy_of(config, config.queues[queue], "a"),
         )
         for job, queue, steps, age_s in jobs
     ]
