Ask for tickets once a worker has refused a start without one

Cause: beside the settings that were lost, a refusal for want of a ticket only dropped the ticket that the owner didn't have. If no version of the configuration that it knows tells of the advice (a job of a former release, or advice that came and went while the job was open), nothing else ends that.

Change: the owner records that the job needs tickets. All steps of the job ask for them from then on, at later owners as well.

Why it works: the worker knows whether the policy of the queue applies, whatever the owner has read.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -12,6 +12,7 @@
     _freshness,
     _journal,
     _leases,
+    _policies,
     _replicated_state,
     _workers,
     effects,
@@ -188,6 +189,8 @@
     if event.reason == TICKET:
         # It may be the ticket of a former incarnation.
         _advice.drop_ticket(node, event.key, worker.id)
+        if not order.ticket:
+            _policies.require_tickets(node, at, node.replicated.jobs[event.key.job])
     worker.no_starts_until_s = at.now_s + REFUSED_BACKOFF_S
     if event.outcome == events.UNSENT:
         worker.next_hold_s = at.now_s
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_policies.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_policies.py
@@ -6,6 +6,8 @@
 use. Of a queue or a workspace that has been removed since, the job keeps these settings as well.
 """
 
+import msgspec
+
 from ._journal import write
 from ._node import Moment, Node, log_line
 from ._records import PolicySet
@@ -112,6 +114,20 @@
             _record(node, at, job, policy, "not_in_submission")
 
 
+def require_tickets(node: Node, at: Moment, job: Job) -> None:
+    """
+    Record that the starts of a job need tickets, as a worker has refused one without.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    :param job: the job.
+    """
+    policy = job.policy or UNKNOWN_POLICY
+    if not policy.has_advice:
+        policy = msgspec.structs.replace(policy, has_advice=True)
+        _record(node, at, job, policy, "ticket_required")
+
+
 def _record(node: Node, at: Moment, job: Job, policy: JobPolicy, reason: str) -> None:
     write(node, at, PolicySet(node.ownership.epoch, job.id, policy))
     log_line(
--- a/packages/eelgrassdrum-core/tests/test_jobs_policies.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_policies.py
@@ -179,6 +179,22 @@
         assert [order.ticket for order in orders] == ["ticket"]
 
 
+# Guards against starts that are refused without end, since no configuration told of the advice.
+def test_a_start_that_is_refused_without_a_ticket_makes_the_job_ask_for_tickets():
+    """
+    A worker that refuses a start without a ticket shows that the starts of the job need tickets.
+    """
+    node, log = make_owner()
+    produced = submit(node, log, steps=TWO_STEPS)
+    (order,) = (item for item in produced if isinstance(item, effects.StartTask))
+    refusal = events.StartAnswered("w", order.key, order.run, events.REFUSED, "ticket", 0)
+    drive(node, log, SUBMITTED_S + 0.1, refusal)
+    read = events.LogRead(len(log), (), len(log), SUBMITTED_S + 0.7)
+    produced = drive(node, log, SUBMITTED_S + 0.7, read)
+    assert started(produced) == [] and node.advice[("job", 0, 0)].is_asking
+    assert succeed(log, make_config(2, ())).replicated.jobs["job"].policy.has_advice
+
+
 # Guards against jobs of a removed queue that go before all others.
 def test_a_job_keeps_the_priority_of_a_removed_queue():
     """
