Use workers that restart at an earlier time of day

What callers saw: an idle worker crashed and started again after the clock of its machine was set back.

Cause: an incarnation, the time of the start, counted as later only if its number is higher. Answers with a lower one were dropped as late ones of a former incarnation, while the worker stayed in use.

Change: incarnations of a worker follow each other, so the one that answers a call which was sent after the known one had begun is the next one, whatever its number. A lower entry is believed while the known incarnation is silent or not listed, and its next answer corrects that. A new owner takes the runs of any other incarnation than the answering one for those of a former one.

Why it works: no order of two clock readings is needed any more where the order of events is known.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_crashes.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_crashes.py
@@ -65,12 +65,14 @@
     """
     if worker.has_left or is_end_planned(node, worker):
         return []
+    present = worker.entry.incarnation
     return [
         task
         for task in runs_on(node, worker.id).values()
-        if task.key not in worker.rows
+        if present
+        and task.key not in worker.rows
         and task.key not in worker.orders
-        and 0 < task.worker_incarnation < worker.entry.incarnation
+        and task.worker_incarnation not in (0, present)
     ]
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -239,6 +239,8 @@
     :param ended_s: when it was last considered ended.
     :param ended_reason: reason for which it was last considered ended, or empty.
     :param ignored_reason: reason for which its entry was last logged as ignored, or empty.
+    :param incarnation_s: time by which its incarnation had certainly begun.
+    :param former_incarnations: its incarnations that are over, as far as this owner knows.
     :param token_raises: number of times this owner has raised its fencing token for the worker.
     :param other_leases_until_s: time until which leases may last that `granted_ms` doesn't count,
         because a former owner granted them or a delayed order to a former incarnation did.
@@ -275,6 +277,8 @@
     ended_s: float = 0.0
     ended_reason: str = ""
     ignored_reason: str = ""
+    incarnation_s: float = 0.0
+    former_incarnations: set[int] = set()
     token_raises: int = 0
     other_leases_until_s: float = 0.0
     outbox: deque[Any] = msgspec.field(default_factory=deque)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -115,11 +115,15 @@
 def _list_worker(node: Node, at: Moment, entry: WorkerEntry) -> None:
     worker = node.workers.get(entry.id)
     if worker is None:
-        worker = node.workers[entry.id] = Worker(entry, clock_at_s=at.now_s)
+        worker = Worker(entry, clock_at_s=at.now_s, incarnation_s=at.now_s)
+        node.workers[entry.id] = worker
         log_line(node, "worker.listed", **_entry_fields(entry))
         return
     if entry.incarnation and worker.entry.incarnation not in (0, entry.incarnation):
-        if entry.incarnation < worker.entry.incarnation:
+        # While the known incarnation doesn't answer, it may be over. If not, its next answer is
+        # that of yet another incarnation.
+        is_silent = worker.is_failing or not worker.has_entry
+        if not (is_silent or _is_after(worker, entry.incarnation)):
             _log_ignored(node, at, worker, entry, "older_incarnation")
             return
         reset_incarnation(node, at, worker, entry.incarnation)
@@ -178,7 +182,9 @@
             False,
             0,
         )
-        node.workers[worker_id] = Worker(entry, has_entry=False, clock_at_s=at.now_s)
+        node.workers[worker_id] = Worker(
+            entry, has_entry=False, clock_at_s=at.now_s, incarnation_s=at.now_s
+        )
         log_line(node, "worker.not_listed", runs=len(runs), **_entry_fields(entry))
 
 
@@ -246,6 +252,30 @@
     worker.next_hold_s = 0.0
 
 
+def is_next_incarnation(worker: Worker, incarnation: int, sent_s: float) -> bool:
+    """
+    Return whether an answer with another incarnation comes from one that began after the known one.
+
+    An incarnation is the time of its start, by a clock that may have been set back in between. The
+    incarnations of a worker follow each other, so one that answers a call which was sent after the
+    known one had begun is the next one, also if its number is lower.
+
+    :param worker: the worker.
+    :param incarnation: the incarnation of the answer.
+    :param sent_s: when the answered call was sent.
+    :returns: whether the known incarnation is over.
+    """
+    return _is_after(worker, incarnation) or sent_s > worker.incarnation_s
+
+
+def _is_after(worker: Worker, incarnation: int) -> bool:
+    """
+    Return whether an incarnation has a higher number than the known one and isn't a former one.
+    """
+    is_former = incarnation in worker.former_incarnations
+    return incarnation > worker.entry.incarnation and not is_former
+
+
 def reset_incarnation(node: Node, at: Moment, worker: Worker, incarnation: int) -> None:
     """
     Reset what is known of a worker that has restarted, and raise its fencing token.
@@ -274,7 +304,10 @@
     worker.orders.clear()
     worker.stops.clear()
     _leases.extend_other_leases(node, at, worker)
+    worker.former_incarnations.add(worker.entry.incarnation)
+    worker.former_incarnations.discard(incarnation)
     worker.entry = worker.entry._replace(incarnation=incarnation)
+    worker.incarnation_s = at.now_s
     worker.is_held = worker.has_ended = False
     worker.ended_reason = worker.ignored_reason = ""
     worker.clock_ms = worker.granted_ms = worker.handled = worker.acked = worker.ack_confirmed = 0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -256,7 +256,7 @@
         return None
     _count_answer(worker, at, event.sent_s)
     if event.incarnation and event.incarnation != worker.entry.incarnation:
-        if event.incarnation > worker.entry.incarnation:
+        if _registry.is_next_incarnation(worker, event.incarnation, event.sent_s):
             _registry.reset_incarnation(node, at, worker, event.incarnation)
         return None
     if event.token != fencing_token(node, worker):
--- a/packages/eelgrassdrum-core/tests/test_jobs_registry.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_registry.py
@@ -2,7 +2,8 @@
 Log lines about workers that the owner takes for ended.
 """
 
-from eelgrassdrum_core.jobs import effects, events
+from eelgrassdrum_core.jobs import effects, events, model
+from eelgrassdrum_core.jobs._runs import fencing_token
 from eelgrassdrum_testing.jobs.owner import (
     OWNER_TOKEN,
     START_S,
@@ -104,6 +105,79 @@
     assert logged(read_registry(node, ORDERED_S + 1, old), "worker.ignored") == []
 
 
+def answer_hold(node, at_s, incarnation, sent_s=None, ends=()):
+    """
+    Let an incarnation of the worker answer a hold with the present token, and return the effects.
+    """
+    token = fencing_token(node, node.workers["w"])
+    sent_s = at_s if sent_s is None else sent_s
+    return feed(node, at_s, events.HoldAnswered("w", token, sent_s, 100, incarnation, (), ends))
+
+
+# Guards against a worker whose ends are never recorded, as its clock was set back before its start.
+def test_a_worker_that_restarts_at_an_earlier_time_of_day_is_used():
+    """
+    An incarnation with a lower number than the former one is reset, gets tasks and is believed.
+    """
+    node = owner_of([worker_entry("w")])
+    restarted = answer_hold(node, START_S + 2.5, 6)
+    (line,) = logged(restarted, "worker.restarted")
+    assert (line["former"], line["incarnation"]) == (7, 6)
+    assert not node.workers["w"].is_held
+    answer_hold(node, START_S + 2.6, 6)
+    commit(node, START_S + 2.9)
+    assert hand_in(node, [("job", "usual", (one_step(),), 0.0)]) == [("job", "w")]
+    (order,) = commit(node, START_S + 3.1)
+    end = model.EndRow(1, order.key, order.run, "done", "")
+    answer_hold(node, START_S + 3.5, 6, ends=(end,))
+    assert node.replicated.jobs["job"].state == "completed"
+
+
+def test_entries_follow_a_worker_that_restarted_at_an_earlier_time_of_day():
+    """
+    The entry of the former incarnation is ignored, and that of the present one is not.
+    """
+    node = owner_of([worker_entry("w")])
+    for at_s in (START_S + 2.5, START_S + 2.6):
+        answer_hold(node, at_s, 6)
+    former = read_registry(node, START_S + 2.7, worker_entry("w"))
+    assert logged(former, "worker.ignored") and node.workers["w"].is_held
+    entry = worker_entry("w")._replace(incarnation=6, is_draining=True)
+    assert logged(read_registry(node, START_S + 2.8, entry), "worker.draining")
+    assert node.workers["w"].is_held and node.workers["w"].entry.is_draining
+    # The next start may be earlier than that of the first incarnation as well, or later.
+    for incarnation in (7, 9):
+        answer_hold(node, START_S + incarnation, incarnation)
+        answer_hold(node, START_S + incarnation + 0.1, incarnation)
+        assert node.workers["w"].is_held
+        assert node.workers["w"].entry.incarnation == incarnation
+
+
+def test_a_lower_entry_is_believed_while_the_worker_is_silent():
+    """
+    An entry with a lower number replaces an incarnation that doesn't answer, which its own answer
+    brings back.
+    """
+    node = owner_of([worker_entry("w")])
+    node.workers["w"].is_failing = True
+    lower = worker_entry("w")._replace(incarnation=6)
+    assert logged(read_registry(node, START_S + 4, lower), "worker.restarted")
+    for at_s in (START_S + 4.1, START_S + 4.2):
+        answer_hold(node, at_s, 7)
+    assert node.workers["w"].is_held and node.workers["w"].entry.incarnation == 7
+
+
+def test_an_answer_of_a_former_incarnation_does_not_replace_the_present_one():
+    """
+    A lower number in the answer to a call that was sent before the known start changes nothing.
+    """
+    node = owner_of([worker_entry("w")])
+    read_registry(node, START_S + 4, worker_entry("w")._replace(incarnation=8))
+    late = answer_hold(node, START_S + 4.2, 7, sent_s=START_S + 3.9)
+    assert logged(late, "worker.restarted") == []
+    assert node.workers["w"].entry.incarnation == 8
+
+
 # Guards against a worker that left and is listed again until the registry is read once more.
 def test_an_older_read_of_the_registry_does_not_replace_a_newer_one():
     """
--- a/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
+++ b/packages/eelgrassdrum-testing/src/eelgrassdrum_testing/jobs/_faults.py
@@ -129,6 +129,17 @@
 
 
 def _crash_workers(world: World) -> None:
+    _restart_workers(world, 1)
+
+
+def _crash_workers_and_set_clocks_back(world: World) -> None:
+    """
+    Crash workers that start again at an earlier time of day than before.
+    """
+    _restart_workers(world, -1)
+
+
+def _restart_workers(world: World, direction: int) -> None:
     names = _pick_workers(world, 0.25)
     for name in names:
         worker = world.workers[name]
@@ -143,7 +154,7 @@
             if world.rows[worker.instance].worker != name:
                 continue
             worker.is_up = True
-            worker.incarnation += round(world.now_s * 1000)
+            worker.incarnation += direction * round(world.now_s * 1000)
             worker.born_s = world.now_s
 
     later(world, world.rng.uniform(0.5, 8.0), restart)
@@ -315,6 +326,21 @@
     publish(world, world.config._replace(version=world.config.version + 3))
 
 
+def _remove_queues(world: World) -> None:
+    """
+    Remove all queues for some time.
+    """
+    former = world.config
+    assert former is not None
+    publish(world, former._replace(version=former.version + 3, queues={}))
+
+    def come_back() -> None:
+        version = world.config.version + 3 if world.config is not None else 0
+        publish(world, former._replace(version=version))
+
+    later(world, world.rng.uniform(2.0, 6.0), come_back)
+
+
 def _cancel_some(world: World) -> None:
     for job in world.rng.sample(sorted(world.judge.accepted), k=min(3, len(world.judge.accepted))):
         cancel(world, world.rng.choice(sorted(world.instances)), job, "key-a")
@@ -415,6 +441,8 @@
     # An order that is held up may start a task in a worker's next incarnation, although the task
     # has run elsewhere meanwhile; an order can't name the incarnation that it is for.
     "reborn_workers": _reborn_workers,
+    "set_clocks_back": _crash_workers_and_set_clocks_back,
+    "remove_queues": _remove_queues,
     "crashing_jobs": hand_in_crashing_jobs,
 }
 # Faults that the seeds recorded before the others were added were drawn from.
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -149,6 +149,27 @@
         assert result.violations == (), (seed, result.violations[:3])
 
 
+# Guards against workers that are never used again, as their clocks were set back before they start.
+def test_workers_that_restart_at_an_earlier_time_of_day_are_used():
+    """
+    Schedules in which crashed workers start again with a lower incarnation break no rule.
+    """
+    for faults in (("set_clocks_back", "kill_owner"), ("cut_workers", "set_clocks_back")):
+        for seed in range(4):
+            result = run_schedule(seed, (*faults, "set_clocks_back"), is_moving=seed % 2 == 1)
+            assert result.violations == (), (seed, faults, result.violations[:3])
+
+
+def test_jobs_of_queues_that_are_removed_for_a_while_keep_the_rules():
+    """
+    Schedules in which all queues are removed and come back break no rule.
+    """
+    for seed in range(4):
+        faults = ("remove_queues", "kill_owner", "worker_fails_all")
+        result = run_schedule(seed, faults, is_moving=seed % 2 == 1)
+        assert result.violations == (), (seed, result.violations[:3])
+
+
 # Guards against a cancelled job that is shown as completed, as its owner missed the cancellation.
 def test_jobs_whose_cancellations_the_owner_misses_stay_cancelled():
     """
