Let only answers after a list show that its instance stays

What callers would have seen: a wave that names an instance which has left stays running for ever.

Cause: an instance that lists lack counted as present while its worker counted as answering. A worker without runs that the registry no longer lists isn't called again, so it never stops counting as answering; idle workers that are listed are called every 20 s only.

Change: a worker shows that its instance is there only by an answer after the list was requested.

Why it works: an instance that was gone when the list was made has no worker that answers later.

Test: the test of an answering worker is replaced by one that asks for more: it keeps the case of an answer after the list, and requires that the next list ends the wave although the worker was never found to fail, which fails on the former code. The former test set that failure by hand.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_instances.py
@@ -135,11 +135,12 @@
     Return whether an instance of a wave has left the fleet.
 
     It may have joined just before the wave was published, so only a list that was requested
-    afterwards is evidence, and none is while a worker on the instance answers.
+    afterwards is evidence, unless a worker on the instance has answered since.
     """
     fleet = node.fleet
-    is_evidence = fleet.rows_s >= state.seen_s
-    return is_evidence and instance not in fleet.rows and not _is_answering(node, instance)
+    if fleet.rows_s < state.seen_s or instance in fleet.rows:
+        return False
+    return not any(w.is_held and w.clock_at_s > fleet.rows_s for w in _workers_on(node, instance))
 
 
 def on_listed(node: Node, at: Moment, event: events.InstancesListed) -> None:
@@ -360,19 +361,13 @@
         order = node.replicated.orders.get(instance)
         if order is None or not order.is_done or order.epoch == node.ownership.epoch:
             continue
-        if _is_answering(node, instance):
+        workers = _workers_on(node, instance)
+        if any(worker.is_held and not worker.is_failing for worker in workers):
             del fleet.down[instance]
             fleet.draining.pop(instance, None)
             log_line(node, "instance.answers", instance=instance)
 
 
-def _is_answering(node: Node, instance: str) -> bool:
-    """
-    Return whether a worker on an instance answers this owner.
-    """
-    return any(w.is_held and not w.is_failing for w in _workers_on(node, instance))
-
-
 def _within_order_limits(node: Node, at: Moment) -> bool:
     """
     Return whether the limits of outstanding orders and of the order rate allow one more order.
--- a/packages/eelgrassdrum-core/tests/test_jobs_instances.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_instances.py
@@ -196,15 +196,19 @@
     assert node.replicated.closed_waves == {1}
 
 
-def test_a_wave_is_not_over_while_a_worker_on_an_unlisted_instance_answers():
+# Guards against waves that stay open for an instance that is gone: nobody calls its worker again.
+def test_a_worker_that_answers_after_a_list_shows_that_its_instance_is_there():
     """
-    An instance that lists lack isn't gone while its worker answers, and is once it doesn't.
+    An instance that a list lacks isn't gone if its worker has answered since, and is by the next
+    list if it hasn't, although nothing else shows that the worker has ended.
     """
     node = make_owner_with_wave(model.Wave(1, ("m-b",), 30.0, 1), listed=("a", "b"))
-    list_instances(node, LISTED_S + 1, ("a",))
+    answer_holds(node, LISTED_S + 0.6, worker_entry("b"))
+    list_instances(node, LISTED_S + 0.7, ("a",), sent_s=LISTED_S + 0.5)
     assert not node.replicated.closed_waves
-    node.workers["b"].is_failing = True
-    list_instances(node, LISTED_S + 1.2, ("a",))
+    register(node, LISTED_S + 0.8, worker_entry("a"))
+    list_instances(node, LISTED_S + 1.2, ("a",), sent_s=LISTED_S + 1.1)
+    assert node.workers["b"].is_held and not node.workers["b"].is_failing
     assert node.replicated.closed_waves == {1}
 
 
