Use slow workers for labels that no other worker has

Cause: slow workers are left out of a pool unless they are most of it, although no other worker has the label. A task of 80 s makes its worker look slow, as progress is listed in whole percents.

Evidence: worker.slow comes over and over in the log of the case, and work.waiting says no_worker_with_label.

Change: a step whose label no worker in use has may use the slow ones that have it. Workers with an overdue answer or in a silent zone stay left out.

Why it works: whether a worker is left out by preference is now decided among those that can run the step.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_candidates.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_candidates.py
@@ -30,7 +30,22 @@
 
 def pool_candidates(node: Node, at: Moment, service: str) -> list[Candidate]:
     """
-    Return the workers of a pool that accept tasks.
+    Return the workers of a pool that accept tasks, as `split_candidates` does, without those that
+    are left out.
+
+    :param node: the instance.
+    :param at: the time.
+    :param service: name of the pool.
+    :returns: the workers with their free resources.
+    """
+    return split_candidates(node, at, service)[0]
+
+
+def split_candidates(
+    node: Node, at: Moment, service: str
+) -> tuple[list[Candidate], list[Candidate]]:
+    """
+    Return the workers of a pool that accept tasks, and those that are left out as slow.
 
     Slow workers, those with an overdue answer and those in silent zones are left out unless they
     are most of the pool.
@@ -38,7 +53,7 @@
     :param node: the instance.
     :param at: the time.
     :param service: name of the pool.
-    :returns: the workers with their free resources.
+    :returns: the workers with their free resources, and those that are only slow.
     """
     candidates = [
         Candidate(worker, [_workers.free_resources(node, worker)])
@@ -46,15 +61,20 @@
         if worker.entry.service == service and accepts_tasks(node, at, worker)
     ]
     healthy = [candidate for candidate in candidates if _is_healthy(node, at, candidate.worker)]
-    return healthy if len(healthy) >= MIN_HEALTHY_FRACTION * len(candidates) else candidates
+    if len(healthy) < MIN_HEALTHY_FRACTION * len(candidates):
+        return candidates, []
+    chosen = {candidate.worker.id for candidate in healthy}
+    left_out = (candidate for candidate in candidates if candidate.worker.id not in chosen)
+    return healthy, [item for item in left_out if _is_reachable(node, at, item.worker)]
 
 
 def _is_healthy(node: Node, at: Moment, worker: Worker) -> bool:
-    return (
-        at.now_s >= worker.slow_until_s
-        and worker.entry.zone not in node.unreachable_zones
-        and not _workers.is_overdue(worker, at.now_s)
-    )
+    return at.now_s >= worker.slow_until_s and _is_reachable(node, at, worker)
+
+
+def _is_reachable(node: Node, at: Moment, worker: Worker) -> bool:
+    is_silent = worker.entry.zone in node.unreachable_zones
+    return not is_silent and not _workers.is_overdue(worker, at.now_s)
 
 
 def accepts_tasks(node: Node, at: Moment, worker: Worker) -> bool:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -43,16 +43,19 @@
     The candidate workers of a pool in one plan.
 
     :param candidates: the workers that accept tasks.
+    :param slow: the workers that are left out as slow.
     :param isolating: the workers that accept only isolated tasks.
     :param unplaceable: resources that no worker had free; they stay unplaceable, since free
         resources only decrease during a plan.
     """
 
-    def __init__(self, candidates: list[Candidate]) -> None:
+    def __init__(self, candidates: list[Candidate], slow: Collection[Candidate] = ()) -> None:
         """
         :param candidates: the workers that accept tasks.
+        :param slow: the workers that are left out as slow.
         """
         self.candidates = candidates
+        self.slow = slow
         self.isolating: list[Candidate] = []
         self.unplaceable: list[Resources] = []
 
@@ -68,6 +71,19 @@
             unplaced.fits(resources) for unplaced in self.unplaceable
         )
 
+    def usable_for(self, step: Step) -> list[Candidate]:
+        """
+        Return the workers that accept tasks of a step. Slow ones do if no other has the label that
+        the step needs: the step would otherwise wait for as long as they are slow.
+
+        :param step: the step.
+        :returns: the workers; some of them may lack the label.
+        """
+        if not step.label or any(_candidates.has_label(step, c.worker) for c in self.candidates):
+            return self.candidates
+        labelled = [c for c in self.slow if _candidates.has_label(step, c.worker)]
+        return [*self.candidates, *labelled]
+
     def set_isolating(self, worker_ids: Collection[str]) -> None:
         """
         Let workers accept only isolated tasks.
@@ -142,7 +158,8 @@
     service = item.queue.service
     pool = pools.get(service)
     if pool is None:
-        pool = pools[service] = PoolCandidates(_candidates.pool_candidates(node, at, service))
+        candidates, slow = _candidates.split_candidates(node, at, service)
+        pool = pools[service] = PoolCandidates(candidates, slow)
         pool.set_isolating(isolation.isolated)
     return pool
 
@@ -288,7 +305,8 @@
         return
     if within_limit(node, item.job, item.state.step, len(waiting)) < len(waiting):
         return
-    assigned = _assign_gang(node, at, item, waiting, pool.candidates)
+    usable = pool.usable_for(item.state.step)
+    assigned = _assign_gang(node, at, item, waiting, usable)
     if len(assigned) < len(waiting):
         return
     run = _orders.next_run_number(waiting)
@@ -401,7 +419,7 @@
     best: Candidate | None = None
     best_score: tuple[float, ...] = ()
     has_capacity = False
-    for candidate in pool.candidates:
+    for candidate in pool.usable_for(step):
         worker = candidate.worker
         if not resources.fits(candidate.free[0]):
             continue
@@ -440,7 +458,8 @@
     """
     if not item.queue.has_advice and not task.needs_answer:
         return
-    workers = _candidates.workers_with_capacity(item.state, pool.candidates)
+    usable = pool.usable_for(item.state.step)
+    workers = _candidates.workers_with_capacity(item.state, usable)
     if item.queue.has_advice:
         _advice.request_tickets(node, at, item.job, item.occurrence, item.step_index, workers)
     if task.needs_answer:
--- a/packages/eelgrassdrum-core/tests/test_jobs_planner.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_planner.py
@@ -99,6 +99,37 @@
     assert names == ["good"] * 4
 
 
+# Guards against tasks that wait for as long as the only worker with their label looks slow.
+def test_a_slow_worker_is_used_if_no_other_has_the_label():
+    """
+    A slow worker takes tasks that need a label which no other worker has, and no others.
+    """
+    labelled = worker_entry("slow", labels=("b",))
+    node = owner_of([labelled, worker_entry("w1"), worker_entry("w2")])
+    node.workers["slow"].slow_until_s = START_S + 100
+    steps = {
+        "any": (one_step(),),
+        "one": (one_step(label="b"),),
+        "all": (one_step(2, label="b", gang=True),),
+    }
+    jobs = [(name, "usual", step, 0.0) for name, step in steps.items()]
+    names = dict(hand_in(node, jobs))
+    assert names["one"] == names["all"] == "slow" and names["any"] != "slow"
+
+
+def test_a_slow_worker_is_not_used_while_another_has_the_label():
+    """
+    Tasks that need a label go to workers with the label that aren't slow.
+    """
+    entries = [worker_entry(name, 1000, labels=("b",)) for name in ("slow", "w1", "w2")]
+    node = owner_of(entries)
+    node.workers["slow"].slow_until_s = START_S + 100
+    started_on = [
+        name for _job, name in hand_in(node, [("job", "usual", (one_step(3, label="b"),), 0.0)])
+    ]
+    assert sorted(started_on) == ["w1", "w2"]
+
+
 def test_draining_worker_takes_no_task():
     """
     No task starts on a draining worker.
