--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_policies.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_policies.py
@@ -41,7 +41,9 @@
 
 def queue_of(node: Node, job: Job) -> Queue | None:
     """
-    Return the queue of a job, with the settings that apply to the job.
+    Return the queue of a job, with the settings by which its tasks are placed.
+
+    A queue that has been removed is rebuilt from the policy. Attempts go by `max_attempts`.
 
     :param node: the instance.
     :param job: the job.
