--- a/review/lib-3/large.py
+++ b/review/lib-3/large.py
@@ -1,16 +1,20 @@
 """Large jobs are handed in; what becomes of the small jobs that follow is judged by `LOST`."""
 
 import asyncio
+import time
 
 import world as w
 
 SMALL_JOBS, SMALL_CPU = 20, 1_000
+# Jobs that are accepted before the large ones and whose time comes after them.
+TIMED_JOBS, TIMED_S = 5, 10.0
+LARGE_ATTEMPTS = 5
 FINISH_S = w.BOUNDS["finish_s"]
 
 
-async def hand_in(world, number, name, body):
+async def hand_in(world, number, name, body, attempts=3):
     """Hand a job in like a client: after no answer, a 503 or a 504 it comes again elsewhere."""
-    for attempt in range(5):
+    for attempt in range(attempts):
         instance = world.instances[(number + attempt) % len(world.instances)]
         status, _ = await instance.call("POST", f"/q/{name}", body)
         if status == 200:
@@ -27,10 +31,21 @@
     """
     room_cpu = sum(e.capacity["cpu"] for e in world.executors)
     large = {f"{0xD0 << 32 | n:016x}": body for n, body in enumerate(bodies)}
+    accepted = []
+    due_ms = int((time.time() + TIMED_S) * 1000)
+    for number in range(TIMED_JOBS):
+        name = f"{0xF0 << 32 | number:016x}"
+        world.works[name] = 0.3
+        body = w.job(1, SMALL_CPU, estimate_ms=300)
+        body |= {"repeat_count": 1, "start_at_ms": due_ms, "interval_ms": 1_000}
+        if await hand_in(world, number, name, body):
+            accepted.append(name)
     if w.has_trouble():
-        handing = (hand_in(world, n, *item) for n, item in enumerate(large.items()))
-        if not all(await asyncio.gather(*handing)):
-            raise w.CannotRunError("a large job was not accepted")
+        handing = (hand_in(world, n, *i, LARGE_ATTEMPTS) for n, i in enumerate(large.items()))
+        taken = [name for name, ok in zip(large, await asyncio.gather(*handing)) if ok]
+        # A large job is owed as well if there is capacity for it twice over.
+        needs = {n: large[n]["phases"][0]["cpu"] * large[n]["phases"][0]["count"] for n in taken}
+        accepted += [name for name, need in needs.items() if 2 * need <= room_cpu]
     await asyncio.sleep(1)
     names = [f"{0xA0 << 32 | n:016x}" for n in range(SMALL_JOBS)]
     handing = []
@@ -39,11 +54,7 @@
         world.works[name] = 0.3
         handing.append(asyncio.create_task(hand_in(world, number, name, small)))
         await asyncio.sleep(0.5)
-    accepted = [name for name, ok in zip(names, await asyncio.gather(*handing)) if ok]
-    if w.has_trouble():
-        # A large job is owed as well if there is capacity for it twice over.
-        needs = {n: b["phases"][0]["cpu"] * b["phases"][0]["count"] for n, b in large.items()}
-        accepted += [name for name, need in needs.items() if 2 * need <= room_cpu]
+    accepted += [name for name, ok in zip(names, await asyncio.gather(*handing)) if ok]
     if not accepted:
         raise w.CannotRunError("no job was accepted")
     world.record("traffic.ends", accepted=len(accepted))
@@ -56,9 +67,8 @@
         needs = [large[t[:16]]["phases"][0]["cpu"] if t[:16] in large else SMALL_CPU for t in runs]
         most_cpu = max(most_cpu, sum(needs))
         await asyncio.sleep(0.1)
-    states = {}
-    for name in accepted:
-        states[name] = await world.instances[0].call("GET", f"/q/{name}")
+    asked = (world.instances[0].call("GET", f"/q/{name}") for name in accepted)
+    states = dict(zip(accepted, await asyncio.gather(*asked)))
     begun = {task.split(".")[0] for _at, task, _run, _executor in world.starts} | seen
     owed = [name for name in accepted if name not in begun]
     world.record(
--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -306,6 +306,7 @@
         self.machine, self.labels = machine, ["a", rack]
         self.capacity = {"cpu": cpu, "mem_mb": mem_mb, "gpu": 0}
         self.is_up, self.state, self.mode, self.seq = True, "ready", "", 0
+        self.is_listed, self.down_s = True, 0.0
         self.server, self.address, self.unanswered = None, "", lambda req: False
         self.port = 0
         self.reset()
@@ -322,7 +323,7 @@
 
     def register(self):
         """Write the executor's entry to the store."""
-        self.seq += 1
+        self.seq, self.is_listed = self.seq + 1, True
         entry = {
             "service": self.service,
             "address": self.address,
@@ -463,7 +464,7 @@
         self.world.record("executor.crash", id=self.id, runs=list(self.runs))
         for task, run in list(self.runs.items()):
             self.world.note_end(self, task, run["run"], "crashed")
-        self.is_up = False
+        self.is_up, self.down_s = False, time.monotonic()
         self.runs = {}
         self.server.close()
         await asyncio.sleep(down_s)
@@ -677,6 +678,10 @@
                     executor.advance()
                     if ticks % 30 == 0:
                         executor.register()
+                elif executor.is_listed and time.monotonic() - executor.down_s > 4.5:
+                    # After three heartbeat intervals of silence its entry is removed.
+                    executor.is_listed = False
+                    self.store.put("keyed.servers", executor.id, None)
 
     def publish(self, version, limit_cpu=0, queues=("q",), keys=("key-a",), service="svc", **more):
         """Write a configuration; the store's answer is the acknowledgement."""
