--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -306,7 +306,7 @@
         self.machine, self.labels = machine, ["a", rack]
         self.capacity = {"cpu": cpu, "mem_mb": mem_mb, "gpu": 0}
         self.is_up, self.state, self.mode, self.seq = True, "ready", "", 0
-        self.is_listed, self.down_s = True, 0.0
+        self.is_listed, self.is_dark, self.down_s = True, False, 0.0
         self.server, self.address, self.unanswered = None, "", lambda req: False
         self.port = 0
         self.reset()
@@ -364,6 +364,8 @@
 
     async def handle(self, req):
         """Answer a call."""
+        if self.is_dark:
+            await asyncio.sleep(1_000)
         if not self.is_up:
             return None
         body = req.json()
@@ -371,8 +373,20 @@
             return 421, {"born": self.born_ms}
         if self.unanswered(req):
             self.world.record("executor.unanswered", id=self.id, path=req.path, body=body)
+            self.world.tasks.append(asyncio.create_task(self.carry_out_late(req)))
             await asyncio.sleep(30)
             return None
+        return await self.carry_out(req, body)
+
+    async def carry_out_late(self, req):
+        """Carry an order out 2 to 12 s later, by the state of then."""
+        await asyncio.sleep(random.uniform(2.0, 12.0))
+        if self.is_up:
+            status, answer = await self.carry_out(req, req.json())
+            self.world.record("executor.late", id=self.id, status=status, answer=answer)
+
+    async def carry_out(self, req, body):
+        """Carry a call out."""
         self.advance()
         if req.path == "/api/run-start" and self.mode == "unhealthy":
             self.world.record("executor.refuses", id=self.id, task=body["task"], run=body["run"])
@@ -446,6 +460,8 @@
                 left = min(0.05, until - time.monotonic())
                 await asyncio.wait_for(self.ended.wait(), max(0.001, left))
             self.advance()
+        if self.is_dark:
+            await asyncio.sleep(1_000)
         if not self.is_up or born != self.born_ms:
             return None
         now = self.clock()
@@ -459,6 +475,14 @@
             running.append([task, run["run"], "", percent, 0])
         return 200, self.said(running=running, finished=self.ends[:500])
 
+    def go_dark(self):
+        """Crash for good, and be silent: connections stay open and nothing answers."""
+        self.world.record("executor.dark", id=self.id, runs=list(self.runs))
+        for task, run in list(self.runs.items()):
+            self.world.note_end(self, task, run["run"], "crashed")
+        self.is_dark, self.is_up, self.down_s = True, False, time.monotonic()
+        self.runs = {}
+
     async def crash(self, down_s):
         """Crash, and start again under the same id."""
         self.world.record("executor.crash", id=self.id, runs=list(self.runs))
@@ -655,11 +679,12 @@
                 {
                     "machine": e.machine,
                     "pool": e.service,
-                    "state": "up" if e.is_up else "down",
+                    # The machine of a silent executor is up.
+                    "state": "up" if e.is_up or e.is_dark else "down",
                     "zone": e.zone,
                     "labels": e.labels,
                     "capacity": e.capacity,
-                    "id": e.id if e.is_up else "",
+                    "id": e.id if e.is_up or e.is_dark else "",
                 }
                 for e in self.executors
             ]
