--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,2 +1,4 @@
 #!/bin/sh
-exec python3 "$(dirname "$0")/scenario.py"
+# Writes what was sent, answered and run to record.txt beside this file.
+here=$(cd "$(dirname "$0")" && pwd)
+exec python3 "$here/scenario.py" "$here/record.txt"
--- a/review/15/scenario.py
+++ b/review/15/scenario.py
@@ -55,4 +55,5 @@
     return broken
 
 
-w.run(__file__, scenario, executors=EXECUTORS)
+# The argument is the path of record.txt.
+w.run(sys.argv[1], scenario, executors=EXECUTORS)
--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -597,8 +597,8 @@
 class World:
     """Everything of one run."""
 
-    def __init__(self, folder, instances=3):
-        self.record = Record(folder / "record.txt")
+    def __init__(self, record_path, instances=3):
+        self.record = Record(record_path)
         self.net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.ip = f"{self.net}.1"
         self.temp = tempfile.TemporaryDirectory()
@@ -806,15 +806,19 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run(script, scenario, instances=3, executors=6, limit_s=110.0):
+def run(record_path, scenario, instances=3, executors=6, limit_s=110.0):
     """
     Run a scenario and exit: 1 if it returns what broke the rule, 0 if it returns nothing, 2 if it
     could not run.
+
+    :param record_path: path of the case's ``record.txt``.
     """
-    folder = Path(script).resolve().parent
 
     async def main():
-        world = World(folder, instances)
+        world = World(Path(record_path), instances)
+        # The processes are ended also if the script is told to stop.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 await world.begin(executors)
@@ -831,7 +835,10 @@
                     Path(os.environ["KEEP_LOGS"], item.log.name).write_bytes(item.log.read_bytes())
             world.temp.cleanup()
 
-    world, broken = asyncio.run(main())
+    try:
+        world, broken = asyncio.run(main())
+    except asyncio.CancelledError:
+        sys.exit(2)
     if broken is None:
         sys.exit(2)
     for line in broken:
