Bound the work of one plan

Cause: a plan placed all tasks that fit in one event, and counted the tasks of the step anew for each. It took 3.3 s, in which the owner wrote no heartbeat. The next owner made the same plan.

Change: a plan decides a bounded number of starts and compares a bounded number of workers. Large steps start in parts and share a plan; the room and the limit that their rest needs are kept, so that the start order holds. Few orders of large steps wait at a worker. Gangs are placed at a lower cost, as a whole.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -261,6 +261,7 @@
         because a former owner granted them or a delayed order to a former incarnation did.
     :param outbox: orders to start tasks that wait for responses to earlier ones.
     :param outstanding: number of orders to start tasks without a response.
+    :param unsent_orders: number of orders that are decided and were not sent.
     :param is_held: whether it has accepted this owner's fencing token.
     :param clock_ms: its clock at `clock_at_s`.
     :param granted_ms: latest expiry of the leases that it was granted, by its own clock.
@@ -300,6 +301,7 @@
     other_leases_until_s: float = 0.0
     outbox: deque[Any] = msgspec.field(default_factory=deque)
     outstanding: int = 0
+    unsent_orders: int = 0
     is_held: bool = False
     is_failing: bool = False
     failing_since_s: float = 0.0
@@ -606,6 +608,7 @@
     :param is_awaiting_answers: whether a task waits for the answer of a worker to start there.
     :param unknown_used: resources that unknown runs of known jobs used at the latest plan, by
         workspace.
+    :param kept_used: resources that the latest plan kept for the rest of large steps, by workspace.
     :param process_start_s: when the process started.
     :param plan_due: whether an event requires a new plan.
     :param last_cleanup_s: when expired jobs were last removed.
@@ -663,6 +666,7 @@
     avoided_workers: dict[TaskKey, set[str]] = {}
     is_awaiting_answers: bool = False
     unknown_used: dict[str, Resources] = {}
+    kept_used: dict[str, Resources] = {}
     waiting_work: WaitingWork = msgspec.field(default_factory=WaitingWork)
     process_start_s: float = -1.0
     is_stopping: bool = False
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -61,6 +61,7 @@
     )
     _journal.write(node, at, record)
     worker.orders[key] = Order(run, ticket=ticket)
+    worker.unsent_orders += 1
     job = node.replicated.jobs[key.job]
     order = effects.StartTask(
         worker.id,
@@ -124,6 +125,7 @@
     if not worker.outstanding:
         worker.answer_due_s = at.now_s + _workers.ANSWER_TIMEOUT_S
     worker.outstanding += 1
+    worker.unsent_orders -= 1
     order.sent_s = at.now_s
     expiry_s = min(
         at.now_s + ORDER_TTL_S,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -2,7 +2,8 @@
 Chooses the workers on which tasks start.
 
 While the queues are long a plan is made many times a second. Therefore a plan skips each step that
-needs at least as much as another one for which no worker had the resources.
+needs at least as much as another one for which no worker had the resources. What it may decide is
+bounded by `_plan_part`.
 """
 
 from collections import Counter
@@ -18,6 +19,7 @@
     _isolation,
     _journal,
     _orders,
+    _plan_part,
     _policies,
     _ready,
     _registry,
@@ -32,6 +34,7 @@
 from ._data_racks import RackQueues
 from ._isolation import Isolation, must_isolate
 from ._node import Moment, Node, log_line
+from ._plan_part import PlanPart
 from ._ready import ReadyStep
 from ._replicated_state import Job, Task, occurrence_of
 from ._runs import close_job
@@ -56,6 +59,7 @@
     :param unplaceable: resources that no worker had free; they stay unplaceable, since free
         resources only decrease during a plan.
     :param rack_queues: tasks that wait for the racks of their data.
+    :param spare: what the rest of large steps leaves free; ``None`` if there are none.
     """
 
     def __init__(self, candidates: list[Candidate], slow: Collection[Candidate] = ()) -> None:
@@ -68,6 +72,7 @@
         self.isolating: list[Candidate] = []
         self.unplaceable: list[Resources] = []
         self.rack_queues = RackQueues()
+        self.spare: Resources | None = None
 
     def may_fit(self, resources: Resources) -> bool:
         """
@@ -81,6 +86,46 @@
             unplaced.fits(resources) for unplaced in self.unplaceable
         )
 
+    def leaves_spare(self, resources: Resources) -> bool:
+        """
+        Return whether resources are free beside those that are kept for large steps.
+
+        :param resources: the resources that tasks need.
+        :returns: whether the tasks may take them.
+        """
+        return self.spare is None or resources.fits(self.spare)
+
+    def keep(self, resources: Resources) -> None:
+        """
+        Keep free resources for the rest of a large step.
+
+        :param resources: what the rest needs.
+        """
+        if self.spare is None:
+            self.spare = NO_RESOURCES
+            for candidate in self.candidates:
+                self.spare = self.spare.plus(candidate.free[0])
+        self.spare = self.spare.minus(resources)
+
+    def take(self, resources: Resources) -> None:
+        """
+        Take resources for a task that starts.
+
+        :param resources: what it needs.
+        """
+        if self.spare is not None:
+            self.spare = self.spare.minus(resources)
+
+    def with_short_queues(self) -> "PoolCandidates":
+        """
+        Return the workers that may take tasks of large steps.
+
+        :returns: those with few orders that were not sent.
+        """
+        pool = PoolCandidates(_with_short_queues(self.candidates), _with_short_queues(self.slow))
+        pool.rack_queues = self.rack_queues
+        return pool
+
     def usable_for(self, step: Step) -> list[Candidate]:
         """
         Return the workers that accept tasks of a step. Slow ones do if no other has the label that
@@ -104,9 +149,17 @@
         self.candidates = [c for c in self.candidates if c.worker.id not in worker_ids]
 
 
+def _with_short_queues(candidates: Collection[Candidate]) -> list[Candidate]:
+    return [c for c in candidates if _has_short_queue(c)]
+
+
+def _has_short_queue(candidate: Candidate) -> bool:
+    return candidate.worker.unsent_orders < _plan_part.MAX_UNSENT_ORDERS
+
+
 def plan(node: Node, at: Moment) -> None:
     """
-    Start all tasks that can start now.
+    Start the tasks that can start now, as far as one plan may.
 
     :param node: the instance, which owns the log.
     :param at: the time.
@@ -114,7 +167,7 @@
     if node.config is None or at.now_s < node.next_plan_s:
         return
     node.plan_due = node.is_awaiting_answers = False
-    node.unknown_used = _unknown_usage(node)
+    node.unknown_used, node.kept_used = _unknown_usage(node), {}
     _close_cancelled(node, at)
     if is_paused(node, at):
         node.plan_due = True
@@ -129,17 +182,22 @@
         else:
             _prefetch(node, at, item, _candidates_of_pool(node, at, pools, item, isolation))
     ready = _start_order.in_start_order(node, at, ready)
+    part = PlanPart()
     for item in ready:
-        if item.job.id in node.replicated.suspects:
+        if item.job.id in node.replicated.suspects and part.starts:
             pool = _candidates_of_pool(node, at, pools, item, isolation)
-            _place_isolated(node, at, item, pool, isolation)
+            _place_isolated(node, at, item, pool, isolation, part)
     for item in ready:
+        if not part.starts:
+            part.is_cut = True
+            break
         pool = _candidates_of_pool(node, at, pools, item, isolation)
         if pool.may_fit(item.state.resources):
-            _place_step(node, at, item, pool, isolation)
+            _place_step(node, at, item, pool, isolation, part)
     scarce = frozenset(name for name, pool in pools.items() if pool.unplaceable)
     _start_order.note_scarce(node, scarce)
-    if scarce:
+    node.plan_due = node.plan_due or part.is_cut
+    if scarce or part.is_cut:
         node.next_plan_s = at.now_s + REPLAN_INTERVAL_S
 
 
@@ -188,7 +246,12 @@
 
 
 def _place_isolated(
-    node: Node, at: Moment, item: ReadyStep, pool: PoolCandidates, isolation: Isolation
+    node: Node,
+    at: Moment,
+    item: ReadyStep,
+    pool: PoolCandidates,
+    isolation: Isolation,
+    part: PlanPart,
 ) -> None:
     """
     Start the tasks of a step that must be isolated, or keep a worker free for them.
@@ -201,9 +264,9 @@
     usable = _isolation.isolating_candidates(node, isolation, item.job.id, members)
     chosen = PoolCandidates(usable)
     if item.state.step.gang:
-        _place_gang(node, at, item, waiting, chosen, isolation)
+        _place_gang(node, at, item, waiting, chosen, isolation, part)
     else:
-        _place_suspects(node, at, item, isolated, chosen, isolation)
+        _place_suspects(node, at, item, isolated, chosen, isolation, part)
     pool.set_isolating(isolation.isolated)
     is_waiting = any(task.status == _replicated_state.WAITING for task in isolated)
     is_full = len(pool.isolating) >= _isolation.max_isolating(members)
@@ -219,69 +282,140 @@
     waiting: list[Task],
     pool: PoolCandidates,
     isolation: Isolation,
+    part: PlanPart,
 ) -> None:
     """
     Start suspects of a step on one worker, or on any if a task of the step is done.
     """
     is_one_worker = item.state.unfinished == len(item.state.tasks) or must_isolate(waiting[0])
     allowed = within_limit(node, item.job, item.state.step, len(waiting))
-    for task in waiting[:allowed]:
-        candidate = _choose_worker(node, at, item, task, pool)
+    if allowed > part.starts:
+        part.is_cut = True
+    counts = _candidates.tasks_per_worker(item.state)
+    for task in waiting[: min(allowed, part.starts)]:
+        candidate = _choose_worker(node, at, item, task, pool, part, counts)
         if candidate is None:
             return
         _start(node, at, item, task, candidate, _orders.next_run_number([task]))
+        counts[candidate.worker.id] += 1
+        part.starts -= 1
         _isolation.add(isolation, task, candidate.worker)
         if is_one_worker:
             pool = PoolCandidates([candidate])
 
 
 def _place_step(
-    node: Node, at: Moment, item: ReadyStep, pool: PoolCandidates, isolation: Isolation
+    node: Node,
+    at: Moment,
+    item: ReadyStep,
+    pool: PoolCandidates,
+    isolation: Isolation,
+    part: PlanPart,
 ) -> None:
     waiting = [task for task in item.state.tasks if task.status == _replicated_state.WAITING]
     if item.state.step.gang:
         if not any(map(must_isolate, waiting)):
-            _place_gang(node, at, item, waiting, pool, isolation)
+            _place_gang(node, at, item, waiting, pool, isolation, part)
         return
     suspects = [task for task in waiting if task.crashes and not must_isolate(task)]
     if suspects:
         job = item.job.id
         usable = _isolation.trial_candidates(isolation, item.state, job, pool.candidates)
-        _place_suspects(node, at, item, suspects, PoolCandidates(usable), isolation)
+        _place_suspects(node, at, item, suspects, PoolCandidates(usable), isolation, part)
     others = [task for task in waiting if not task.crashes]
     if others:
-        _place_tasks(node, at, item, others, pool)
+        _place_tasks(node, at, item, others, pool, part)
 
 
 def _place_tasks(
-    node: Node, at: Moment, item: ReadyStep, waiting: list[Task], pool: PoolCandidates
+    node: Node,
+    at: Moment,
+    item: ReadyStep,
+    waiting: list[Task],
+    pool: PoolCandidates,
+    part: PlanPart,
 ) -> None:
     allowed = within_limit(node, item.job, item.state.step, len(waiting))
+    is_large = _plan_part.is_large(item)
+    tried = waiting[: min(allowed, part.starts_of(item))]
+    started, is_cut = _place_part(node, at, item, tried, pool, part)
+    part.note_started(started, is_large)
+    if not (is_cut or (started == len(tried) < allowed)):
+        return
+    part.is_cut = True
+    if is_large:
+        rest = allowed - started
+        pool.keep(_plan_part.times(item.state.resources, rest))
+        need = _plan_part.times(Resources(*item.state.step.need), rest)
+        kept = node.kept_used.get(item.job.workspace, NO_RESOURCES)
+        node.kept_used[item.job.workspace] = kept.plus(need)
+
+
+def _place_part(
+    node: Node,
+    at: Moment,
+    item: ReadyStep,
+    tasks: list[Task],
+    pool: PoolCandidates,
+    part: PlanPart,
+) -> tuple[int, bool]:
+    """
+    Start tasks of a step as long as there is room and the plan may compare workers for them.
+
+    :returns: how many were started, and whether others have room.
+    """
+    step, resources = item.state.step, item.state.resources
+    is_large = _plan_part.is_large(item)
+    counts = _candidates.tasks_per_worker(item.state) if step.max_per_worker else Counter[str]()
     preferred_zone = _preferred_zone(node, item, pool.candidates)
+    # A step that finds no worker again and again leaves others the same chance.
+    least_compared = part.compared // 2
     candidate: Candidate | None = None
-    for task in waiting[:allowed]:
-        if candidate is None or not _can_reuse_candidate(node, at, item, task, candidate):
-            candidate = _choose_worker(node, at, item, task, pool, preferred_zone)
+    started = 0
+    for number, task in enumerate(tasks):
+        if not pool.leaves_spare(resources):
+            pool.unplaceable.append(resources)
+            break
+        if (
+            candidate is None
+            or (is_large and not _has_short_queue(candidate))
+            or not _can_reuse_candidate(node, at, item, task, candidate, counts)
+        ):
+            if number and part.compared <= least_compared:
+                return started, True
+            usable = pool.with_short_queues() if is_large else pool
+            candidate = _choose_worker(node, at, item, task, usable, part, counts, preferred_zone)
+            if candidate is None and is_large and usable.unplaceable:
+                if any(resources.fits(c.free[0]) for c in pool.usable_for(step)):
+                    return started, True
+                pool.unplaceable.append(resources)
         if candidate is not None:
             _start(node, at, item, task, candidate, _orders.next_run_number([task]))
-        elif not item.state.step.data_rack or not pool.may_fit(item.state.resources):
-            return
+            pool.take(resources)
+            counts[candidate.worker.id] += 1
+            started += 1
+        elif not step.data_rack or not pool.may_fit(resources):
+            break
+    return started, False
 
 
 def _can_reuse_candidate(
-    node: Node, at: Moment, item: ReadyStep, task: Task, candidate: Candidate
+    node: Node,
+    at: Moment,
+    item: ReadyStep,
+    task: Task,
+    candidate: Candidate,
+    counts: Counter[str],
 ) -> bool:
     """
     Return whether the worker that took the last task is also the best one for the next task.
 
     The last worker has the least capacity left, so it is the best one as long as only capacity
-    decides.
+    decides, and the number of the step's tasks on it.
     """
     step = item.state.step
-    only_capacity_decides = (
-        not step.max_per_worker
-        and not item.queue.has_advice
-        and not _apart.depends_on_neighbours(node, step)
+    only_capacity_decides = not item.queue.has_advice and not _apart.depends_on_neighbours(
+        node, step
     )
     is_near = step.data_rack in ("", candidate.worker.entry.rack)
     is_preferred = (
@@ -291,6 +425,8 @@
         and _worker_health.rank(node, at, candidate.worker) == _worker_health.SOUND
     )
     is_best = only_capacity_decides and is_preferred and is_near
+    if step.max_per_worker and counts[candidate.worker.id] >= step.max_per_worker:
+        return False
     return is_best and item.state.resources.fits(candidate.free[0])
 
 
@@ -321,6 +457,7 @@
     waiting: list[Task],
     pool: PoolCandidates,
     isolation: Isolation,
+    part: PlanPart,
 ) -> None:
     # Members that still run belong to the previous attempt; the gang starts again once all of them
     # have exited.
@@ -328,8 +465,11 @@
         return
     if within_limit(node, item.job, item.state.step, len(waiting)) < len(waiting):
         return
+    resources = _plan_part.times(item.state.resources, len(waiting))
     usable = pool.usable_for(item.state.step)
-    assigned = _assign_gang(node, at, item, waiting, usable)
+    if not pool.leaves_spare(resources) or not _may_fit_gang(item, len(waiting), usable):
+        return
+    assigned = _assign_gang(node, at, item, waiting, usable, part)
     if len(assigned) < len(waiting):
         return
     run = _orders.next_run_number(waiting)
@@ -339,10 +479,31 @@
         _start(node, at, item, task, candidate, run)
         if task.crashes:
             _isolation.add(isolation, task, candidate.worker)
+    pool.take(resources)
+    part.note_started(len(waiting), is_large=False)
+
+
+def _may_fit_gang(item: ReadyStep, count: int, candidates: list[Candidate]) -> bool:
+    """
+    Return whether the free resources of workers are enough for a gang, whatever else decides.
+    """
+    step, places = item.state.step, 0
+    for candidate in candidates:
+        if not _candidates.has_label(step, candidate.worker):
+            continue
+        amounts = zip(item.state.resources, candidate.free[0], strict=True)
+        room = min((free // need for need, free in amounts if need), default=count)
+        places += min(room, step.max_per_worker) if step.max_per_worker else room
+    return places >= count
 
 
 def _assign_gang(
-    node: Node, at: Moment, item: ReadyStep, waiting: list[Task], candidates: list[Candidate]
+    node: Node,
+    at: Moment,
+    item: ReadyStep,
+    waiting: list[Task],
+    candidates: list[Candidate],
+    part: PlanPart,
 ) -> list[Candidate]:
     """
     Return a worker for each member of a gang, on one rack if the step asks for that and a rack has
@@ -356,7 +517,9 @@
             for candidate in candidates
             if rack in ("", candidate.worker.entry.rack)
         ]
-        assigned = _assign_members(node, at, item, waiting, trial)
+        if not _may_fit_gang(item, len(waiting), trial):
+            continue
+        assigned = _assign_members(node, at, item, waiting, trial, part)
         if len(assigned) == len(waiting):
             break
     by_id = {candidate.worker.id: candidate for candidate in candidates}
@@ -374,21 +537,23 @@
 
 
 def _assign_members(
-    node: Node, at: Moment, item: ReadyStep, waiting: list[Task], candidates: list[Candidate]
+    node: Node,
+    at: Moment,
+    item: ReadyStep,
+    waiting: list[Task],
+    candidates: list[Candidate],
+    part: PlanPart,
 ) -> list[Candidate]:
     assigned: list[Candidate] = []
-    assigned_per_worker: Counter[str] = Counter()
-    max_per_worker = item.state.step.max_per_worker
+    counts = Counter[str]()
+    pool = PoolCandidates(candidates)
+    candidate: Candidate | None = None
     for task in waiting:
-        usable = [
-            s
-            for s in candidates
-            if not max_per_worker or assigned_per_worker[s.worker.id] < max_per_worker
-        ]
-        candidate = _choose_worker(node, at, item, task, PoolCandidates(usable))
+        if candidate is None or not _can_reuse_candidate(node, at, item, task, candidate, counts):
+            candidate = _choose_worker(node, at, item, task, pool, part, counts)
         if candidate is None:
             break
-        assigned_per_worker[candidate.worker.id] += 1
+        counts[candidate.worker.id] += 1
         candidate.free[0] = candidate.free[0].minus(item.state.resources)
         assigned.append(candidate)
     return assigned
@@ -397,7 +562,7 @@
 def within_limit(node: Node, job: Job, step: Step, count: int) -> int:
     """
     Return how many more tasks the limit of a workspace allows, beside all runs that are not known
-    to have ended, as of the latest plan.
+    to have ended, and what is kept for tasks before them, as of the latest plan.
 
     :param node: the instance.
     :param job: the job whose tasks would start.
@@ -407,6 +572,7 @@
     """
     used = node.replicated.used.get(job.workspace, NO_RESOURCES)
     used = used.plus(node.unknown_used.get(job.workspace, NO_RESOURCES))
+    used = used.plus(node.kept_used.get(job.workspace, NO_RESOURCES))
     for limit, have, need in zip(_policies.limit_of(node, job), used, step.need, strict=True):
         if limit and need:
             count = min(count, max(0, (limit - have) // need))
@@ -434,10 +600,17 @@
     item: ReadyStep,
     task: Task,
     pool: PoolCandidates,
+    part: PlanPart,
+    counts: Counter[str],
     preferred_zone: str = "",
 ) -> Candidate | None:
+    """
+    Return the worker that a task starts on, or ``None`` if none may take it.
+
+    :param counts: running tasks of the step by worker, if the step limits them.
+    """
     step, resources = item.state.step, item.state.resources
-    counts = _candidates.tasks_per_worker(item.state) if step.max_per_worker else Counter[str]()
+    part.compared -= len(pool.candidates)
     placement = Placement(item, task, counts, preferred_zone)
     if step.data_rack and _waits_for_rack(node, at, placement, pool):
         placement = placement._replace(is_kept_on_rack=True)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -312,6 +312,7 @@
         task.key for task in runs_on(node, worker.id).values() if is_established(node, worker, task)
     )
     worker.orders.clear()
+    worker.unsent_orders = 0
     worker.stops.clear()
     _leases.extend_other_leases(node, at, worker)
     worker.former_incarnations.add(worker.entry.incarnation)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -51,7 +51,9 @@
     key = task.key
     established = is_established(node, worker, task)
     ran_ms = _run_times.ran_ms(node, at, worker, task) if how == _replicated_state.DONE else 0
-    worker.orders.pop(key, None)
+    order = worker.orders.pop(key, None)
+    if order is not None and not order.sent_s:
+        worker.unsent_orders -= 1
     worker.stops.pop(key, None)
     worker.throttles.pop(key, None)
     started_s = worker.started_s.pop(key, None)
