Give large steps equal parts of a plan, and stop their runs in parts

Cause: each large step got half of what the steps before it had left, also of the places in the workers' queues, so that the first two always filled them. On related paths, the stops of all runs of a cancelled job were sent in one event, a list of its runs sent them all again, and the runs on a restarted worker were compared with each other.

Change: large steps get equal parts of a plan and of the orders that may wait. Runs of a former incarnation are looked up by key. Work that waits for its next part says so in work.waiting.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_advice.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_advice.py
@@ -6,8 +6,6 @@
 requested once, and again only after it has expired or the worker has restarted or refused it.
 """
 
-from typing import Any
-
 from . import effects, events
 from ._node import Moment, Node, StepAdvice, emit, log_line
 from ._replicated_state import Job
@@ -23,17 +21,17 @@
 EXPIRY_MARGIN_S = 0.3
 
 
-def valid_ticket(node: Node, at: Moment, item: Any, worker_id: str) -> str:
+def valid_ticket(node: Node, at: Moment, step: tuple[str, int, int], worker_id: str) -> str:
     """
     Return the ticket of a step for a worker.
 
     :param node: the instance.
     :param at: the time.
-    :param item: the step to place.
+    :param step: job, occurrence and index of the step.
     :param worker_id: the worker.
     :returns: the ticket, or an empty string if there is no valid one.
     """
-    advice = node.advice.get((item.job.id, item.occurrence, item.step_index))
+    advice = node.advice.get(step)
     if advice is None:
         return ""
     ticket, expires_s = advice.tickets.get(worker_id, ("", 0.0))
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_data_racks.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_data_racks.py
@@ -79,7 +79,7 @@
         times_s = queues.times_s[step.data_rack, need] = room_times_s(node, at, need, local)
     ahead = queues.ahead[step.data_rack]
     wait_s = times_s[ahead] + TURNOVER_S if ahead < len(times_s) else math.inf
-    key = (item.job.id, item.occurrence, item.step_index)
+    key = item.id
     wait = node.rack_waits.get(key)
     waited_s = at.now_s - wait.since_s if wait is not None else 0.0
     is_waiting = is_worth_waiting(wait_s, waited_s, loss_s, item.sort_key[-1] - at.now_s)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -2,7 +2,7 @@
 The state of one instance.
 """
 
-from collections import deque
+from collections import Counter, deque
 from typing import Any, NamedTuple
 
 import msgspec
@@ -614,6 +614,8 @@
     :param last_cleanup_s: when expired jobs were last removed.
     :param next_snapshot_s: earliest time of the next snapshot.
     :param gap_offset: offset from which the log was last read in vain, since it begins later.
+    :param stops_sent: stops of runs that must end which were sent since `stops_since_s`.
+    :param unsent_by_step: number of orders that are decided and were not sent, by step.
     :param snapshot_offset: offset of the last snapshot that this instance stored, or 0.
     :param snapshot_s: when the state of the last snapshot that this instance stored was encoded.
     :param snapshot_bytes: value of `Tail.read_bytes` at that time.
@@ -673,6 +675,9 @@
     stop_asked_s: float = 0.0
     plan_due: bool = False
     next_plan_s: float = 0.0
+    unsent_by_step: Counter[tuple[str, int, int]] = msgspec.field(default_factory=Counter)
+    stops_since_s: float = -NEVER_S
+    stops_sent: int = 0
     last_cleanup_s: float = 0.0
     next_snapshot_s: float = 0.0
     gap_offset: int = -1
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -22,7 +22,7 @@
 from ._node import NEVER_S, Moment, Node, Order, Worker, emit, log_line
 from ._records import Started
 from ._replicated_state import Task
-from ._runs import UNSENT, end_run, fencing_token, runs_on, send_stop
+from ._runs import UNSENT, count_unsent, end_run, fencing_token, runs_on, send_stop
 from .model import NO_RESOURCES
 
 # Maximum lifetime of an order, after which a delayed order has no effect.
@@ -61,7 +61,7 @@
     )
     _journal.write(node, at, record)
     worker.orders[key] = Order(run, ticket=ticket)
-    worker.unsent_orders += 1
+    count_unsent(node, worker, key, 1)
     job = node.replicated.jobs[key.job]
     order = effects.StartTask(
         worker.id,
@@ -125,7 +125,7 @@
     if not worker.outstanding:
         worker.answer_due_s = at.now_s + _workers.ANSWER_TIMEOUT_S
     worker.outstanding += 1
-    worker.unsent_orders -= 1
+    count_unsent(node, worker, effect.key, -1)
     order.sent_s = at.now_s
     expiry_s = min(
         at.now_s + ORDER_TTL_S,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -241,6 +241,7 @@
     _journal.reset(node, 1)
     node.journal.sent_s = node.journal.heartbeat_s = at.now_s
     node.workers = {}
+    node.unsent_by_step.clear()
     node.registry = Subscription()
     node.fleet = Fleet()
     node.advice = {}
@@ -284,6 +285,7 @@
     ownership.reload_wanted = True
     _journal.reset(node, 0)
     node.workers = {}
+    node.unsent_by_step.clear()
     node.fleet = Fleet()
     log_line(
         node,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_plan_part.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_plan_part.py
@@ -7,6 +7,10 @@
 it: the steps behind it take what they would have been left by a plan without bounds.
 """
 
+from collections import Counter
+from collections.abc import Iterable
+
+from ._node import Node
 from ._ready import ReadyStep
 from .model import Resources
 
@@ -34,34 +38,32 @@
     :param is_cut: whether a step has more to start than the plan reached.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, ready: Iterable[ReadyStep]) -> None:
+        """
+        :param ready: the steps that may start.
+        """
         self.starts = MAX_STARTS
         self.compared = MAX_COMPARED
         self.is_cut = False
-        self._large_starts = MAX_LARGE_STARTS
+        self._large_steps = Counter(item.queue.service for item in ready if is_large(item))
 
-    def starts_of(self, item: ReadyStep) -> int:
+    def starts_of(self, node: Node, item: ReadyStep, workers: int) -> int:
         """
-        Return how many tasks of a step may start. Half of what is left goes to each large step, in
-        their order.
+        Return how many tasks of a step may start. Large steps get equal parts of a plan, and of the
+        orders that may wait at the workers of their pool.
 
+        :param node: the instance, which owns the log.
         :param item: the step.
+        :param workers: number of workers of its pool.
         :returns: number of tasks.
         """
         if not is_large(item):
             return self.starts
-        return min(self.starts, max(MIN_PART, self._large_starts // 2))
-
-    def note_started(self, count: int, is_large: bool) -> None:
-        """
-        Count tasks that were started.
-
-        :param count: number of tasks of one step.
-        :param is_large: whether the step was large.
-        """
-        self.starts = max(0, self.starts - count)
-        if is_large:
-            self._large_starts = max(0, self._large_starts - count)
+        part = max(MIN_PART, MAX_LARGE_STARTS // self._large_steps.total())
+        pool_steps = self._large_steps[item.queue.service]
+        may_wait = max(MIN_PART, workers * MAX_UNSENT_ORDERS // pool_steps)
+        unsent = node.unsent_by_step.get(item.id, 0)
+        return max(0, min(self.starts, part, may_wait - unsent))
 
 
 def is_large(item: ReadyStep) -> bool:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -182,7 +182,7 @@
         else:
             _prefetch(node, at, item, _candidates_of_pool(node, at, pools, item, isolation))
     ready = _start_order.in_start_order(node, at, ready)
-    part = PlanPart()
+    part = PlanPart(ready)
     for item in ready:
         if item.job.id in node.replicated.suspects and part.starts:
             pool = _candidates_of_pool(node, at, pools, item, isolation)
@@ -337,9 +337,10 @@
 ) -> None:
     allowed = within_limit(node, item.job, item.state.step, len(waiting))
     is_large = _plan_part.is_large(item)
-    tried = waiting[: min(allowed, part.starts_of(item))]
+    may_start = part.starts_of(node, item, len(pool.candidates))
+    tried = waiting[: min(allowed, may_start)]
     started, is_cut = _place_part(node, at, item, tried, pool, part)
-    part.note_started(started, is_large)
+    part.starts -= started
     if not (is_cut or (started == len(tried) < allowed)):
         return
     part.is_cut = True
@@ -480,7 +481,7 @@
         if task.crashes:
             _isolation.add(isolation, task, candidate.worker)
     pool.take(resources)
-    part.note_started(len(waiting), is_large=False)
+    part.starts = max(0, part.starts - len(waiting))
 
 
 def _may_fit_gang(item: ReadyStep, count: int, candidates: list[Candidate]) -> bool:
@@ -691,8 +692,8 @@
     node: Node, at: Moment, item: ReadyStep, task: Task, candidate: Candidate, run: int
 ) -> None:
     worker = candidate.worker
-    ticket = _advice.valid_ticket(node, at, item, worker.id) if item.queue.has_advice else ""
-    _orders.start(node, at, worker, task, run, ticket)
+    ticket = _advice.valid_ticket(node, at, item.id, worker.id) if item.queue.has_advice else ""
+    order = _orders.decide(node, at, worker, task, run, ticket)
     candidate.free[0] = candidate.free[0].minus(item.state.resources)
     if _candidates.is_suspect(worker):
         worker.no_starts_until_s = at.now_s + SUSPECT_INTERVAL_S
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ready.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ready.py
@@ -33,6 +33,13 @@
     critical_path_s: float = 0.0
     slack_s: float = 0.0
 
+    @property
+    def id(self) -> tuple[str, int, int]:
+        """
+        Job, occurrence and index of the step.
+        """
+        return (self.job.id, self.occurrence, self.step_index)
+
 
 def waiting_steps(node: Node, at: Moment) -> Iterator[tuple[ReadyStep, bool]]:
     """
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -6,6 +6,7 @@
 from ._node import NEVER_S, Moment, Node, Worker, emit, log_line
 from ._runs import (
     UNSENT,
+    count_unsent,
     end_run,
     forget_holds,
     is_established,
@@ -311,8 +312,10 @@
     worker.former_established = frozenset(
         task.key for task in runs_on(node, worker.id).values() if is_established(node, worker, task)
     )
+    for key, order in worker.orders.items():
+        if not order.sent_s:
+            count_unsent(node, worker, key, -1)
     worker.orders.clear()
-    worker.unsent_orders = 0
     worker.stops.clear()
     _leases.extend_other_leases(node, at, worker)
     worker.former_incarnations.add(worker.entry.incarnation)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -53,7 +53,7 @@
     ran_ms = _run_times.ran_ms(node, at, worker, task) if how == _replicated_state.DONE else 0
     order = worker.orders.pop(key, None)
     if order is not None and not order.sent_s:
-        worker.unsent_orders -= 1
+        count_unsent(node, worker, key, -1)
     worker.stops.pop(key, None)
     worker.throttles.pop(key, None)
     started_s = worker.started_s.pop(key, None)
@@ -89,6 +89,41 @@
 
     :param node: the instance.
     :param worker: the worker.
+def count_unsent(node: Node, worker: Worker, key: TaskKey, change: int) -> None:
+    """
+    Count an order that is decided and not sent, by its worker and its step.
+
+    :param node: the instance.
+    :param worker: the worker.
+    :param key: the task.
+    :param change: 1 for a decided order, -1 for one that is sent or will not be.
+    """
+    worker.unsent_orders += change
+    node.unsent_by_step[key[:3]] += change
+    if not node.unsent_by_step[key[:3]]:
+        del node.unsent_by_step[key[:3]]
+
+
+def _storable_checkpoint(node: Node, worker: Worker, task: Task, saved: str) -> str:
+    """
+    Return a checkpoint, or an empty string if it is too large for a record: the task then resumes
+    from its former one.
+    """
+    size_bytes = len(saved.encode(errors="replace"))
+    if size_bytes <= MAX_CHECKPOINT_BYTES:
+        return saved
+    log_line(
+        node,
+        "run.checkpoint_dropped",
+        job=task.key.job,
+        task=".".join(map(str, task.key[1:])),
+        run=task.run,
+        worker=worker.id,
+        size_bytes=size_bytes,
+    )
+    return ""
+
+
     :param task: the running task.
     :returns: whether it is established.
     """
@@ -172,7 +207,7 @@
         if task.status == _replicated_state.RUNNING and worker is not None:
             order = worker.orders.get(task.key)
             if order is None or order.sent_s:
-                send_stop(node, at, worker, task.key, task.run)
+                request_stop(node, at, worker, task.key, task.run)
 
 
 def tasks_of(job: Job) -> Iterator[Task]:
@@ -255,7 +290,7 @@
         task=".".join(map(str, key[1:])),
         run=run,
         worker=worker.id,
-        is_repeated=former is not None,
+        is_repeated=former is not None and former.sent_s > -NEVER_S,
     )
     address = worker.entry.address
     emit(node, effects.StopTask(worker.id, address, key, run, fencing_token(node, worker)))
@@ -268,6 +303,25 @@
     :param stop: the latest stop of the run.
     :param at: the time.
     :returns: whether the retry interval is over.
+def request_stop(node: Node, at: Moment, worker: Worker, key: TaskKey, run: int) -> None:
+    """
+    Order a stop of a run that must end, or leave it to the next due stops if many were just sent.
+
+    :param node: the instance.
+    :param at: the time.
+    :param worker: the worker on which the task runs.
+    :param key: the task, whose job has ended or which the log doesn't contain.
+    :param run: number of the run.
+    """
+    if at.now_s - node.stops_since_s >= STOPS_INTERVAL_S:
+        node.stops_since_s, node.stops_sent = at.now_s, 0
+    if node.stops_sent < MAX_STOPS_AT_ONCE:
+        node.stops_sent += 1
+        send_stop(node, at, worker, key, run)
+    elif not is_stopping(worker, key, run):
+        worker.stops[key] = Stop(run, -NEVER_S, at.now_s)
+
+
     """
     return at.now_s - stop.sent_s >= STOP_RETRY_S
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_scoring.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_scoring.py
@@ -78,7 +78,7 @@
         return False
     if step.max_per_worker and tasks_per_worker[worker.id] >= step.max_per_worker:
         return False
-    if item.queue.has_advice and not _advice.valid_ticket(node, at, item, worker.id):
+    if item.queue.has_advice and not _advice.valid_ticket(node, at, item.id, worker.id):
         return False
     return not task.needs_answer or _workers.has_just_answered(worker, at.now_s)
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_start_order.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_start_order.py
@@ -124,7 +124,7 @@
         return _by_ranks(former, items)
     order = _order_scarce(node, at, pool, items)
     ranks = {
-        _step_id(item): (group, float(place))
+        item.id: (group, float(place))
         for group, steps in enumerate(order)
         for place, item in enumerate(steps)
     }
@@ -140,17 +140,13 @@
     groups: list[list[tuple[float, ReadyStep]]] = [[], [], [], []]
     for item in items:
         unknown = (FIRST if _is_begun(item) else PUT_OFF, math.inf)
-        group, place = former.ranks.get(_step_id(item), unknown)
+        group, place = former.ranks.get(item.id, unknown)
         groups[group].append((place, item))
     for group_items in groups:
         group_items.sort(key=itemgetter(0))
     return _PoolOrder(*([item for _place, item in steps] for steps in groups))
 
 
-def _step_id(item: ReadyStep) -> StepId:
-    return (item.job.id, item.occurrence, item.step_index)
-
-
 def _order_scarce(node: Node, at: Moment, pool: str, items: list[ReadyStep]) -> _PoolOrder:
     """
     Order the steps of a pool that has less room than work.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stops.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_stops.py
@@ -5,14 +5,17 @@
 stop or its answer may be lost, and so may the list that would show the run.
 """
 
+from bisect import bisect_right
 from operator import itemgetter
 
 from . import _leases, _replicated_state, _runs
-from ._node import Moment, Node, Worker, log_line
+from ._node import NEVER_S, Moment, Node, Worker, log_line
 from .model import TaskKey
 
 # Stops that are repeated at one tick; each takes a connection.
 MAX_REPEATED_STOPS = 16
+# Stops that are sent for the first time at one tick.
+MAX_FIRST_STOPS = 128
 
 
 def forget_lapsed_runs(node: Node, at: Moment) -> None:
@@ -79,8 +82,8 @@
 
 def send_due_stops(node: Node, at: Moment) -> None:
     """
-    Send the stops again that the workers have not acknowledged in time, those sent first before the
-    others.
+    Send the stops that had to wait for others, and those again that the workers have not
+    acknowledged in time, the ones sent first before the others.
 
     Unreachable and ended workers are left out: their runs are stopped once they have listed them.
 
@@ -95,7 +98,9 @@
         if not stop.is_acked and _runs.is_stop_due(stop, at) and _must_end(node, worker, key)
     ]
     due.sort(key=itemgetter(0))
-    for _sent_s, worker, key, run in due[:MAX_REPEATED_STOPS]:
+    first = bisect_right(due, -NEVER_S, key=itemgetter(0))
+    chosen = due[: min(first, MAX_FIRST_STOPS)] + due[first : first + MAX_REPEATED_STOPS]
+    for _sent_s, worker, key, run in chosen:
         _runs.send_stop(node, at, worker, key, run)
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
@@ -16,6 +16,7 @@
     _journal,
     _leases,
     _members,
+    _plan_part,
     _planner,
     _ready,
     _registry,
@@ -49,6 +50,8 @@
 ISOLATION = "isolation"
 # Causes that may be due to an evacuation.
 TOO_FEW_WORKERS = (NO_MEMBERS, NO_USABLE_WORKER, NO_LABEL, NO_ROOM, SPREAD, GANG_ROOM)
+# The next plans start further tasks of a large step.
+NEXT_PART = "next_part"
 # No cause was found, so the plan that was just made should have started the task.
 NOT_PLANNED = "not_planned"
 
@@ -143,7 +146,7 @@
     for item, may_start in _ready.waiting_steps(node, at):
         if not may_start or item.job.cancelled:
             continue
-        key = (item.job.id, item.occurrence, item.step_index)
+        key = item.id
         since_s, count = known.get(key, (at.now_s, item.state.waiting))
         if item.state.waiting < count:
             since_s = at.now_s
@@ -268,11 +271,13 @@
     if not usable:
         return SPREAD
     if item.queue.has_advice:
-        usable = [c for c in usable if _advice.valid_ticket(node, at, item, c.worker.id)]
+        usable = [c for c in usable if _advice.valid_ticket(node, at, item.id, c.worker.id)]
     if not usable:
         return NO_TICKET
     if all(_is_suspect_or_started(task) for task in item.state.tasks):
         return ISOLATION
+    if _plan_part.is_large(item):
+        return NEXT_PART
     return GANG_ROOM if step.gang else NOT_PLANNED
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -34,6 +34,7 @@
     forget_holds,
     is_stopping,
     raise_token,
+    request_stop,
     runs_on,
     send_stop,
 )
@@ -442,8 +443,9 @@
             _stops.forget_unknown_run(worker, key)
             node.plan_due = True
     former = _crashes.former_runs(node, worker)
+    former_keys = {task.key for task in former}
     for task in list(runs_on(node, worker.id).values()):
-        if task.key in worker.rows or task in former:
+        if task.key in worker.rows or task.key in former_keys:
             continue
         _reconcile_missing_run(node, at, worker, task, event)
     _crashes.end_former_runs(node, at, worker, former)
@@ -471,7 +473,9 @@
         if worker.started_s.setdefault(key, at.now_s) == at.now_s:
             node.plan_due = True
         is_over = job.cancelled or job.state in _replicated_state.FINAL_STATES
-        if is_over or is_stopping(worker, key, row.run):
+        if is_over:
+            request_stop(node, at, worker, key, row.run)
+        elif is_stopping(worker, key, row.run):
             send_stop(node, at, worker, key, row.run)
         return
     resources = NO_RESOURCES
@@ -488,7 +492,7 @@
             known_worker=task.worker if task else None,
         )
     worker.unknown_runs[key] = resources
-    send_stop(node, at, worker, key, row.run)
+    request_stop(node, at, worker, key, row.run)
 
 
 def _reconcile_missing_run(
