Divide what waits for the log into appends of bounded size

Cause: all records that waited for the owner's append became one append, whatever its size. The store refuses more than 2 MiB with 400, and the append was sent again unchanged, with the heartbeat behind it, until another instance claimed the log and decided the same.

Change: records are encoded when they are written, and go into appends of at most 256 KiB in their order. What follows a record is tied to its append; the orders of a gang to the one with its last member. Nothing starts while four full appends wait. A checkpoint that no record could hold is dropped with a line.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/__init__.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/__init__.py
@@ -5,7 +5,7 @@
 `pool_views` and `distrusted_by_pool` give the state of the pools for metrics, `worst_excess` how
 much a neighbour slows a serving task down at worst, `config_age_s` the age of the configuration;
 `is_config_too_old` tells whether calls are refused for it. `evacuated_since_s` gives the evacuated
-availability zones.
+availability zones, `waiting_records` the number of the owner's records that wait to be appended.
 """
 
 from . import _records as records
@@ -13,6 +13,7 @@
 from ._apart import worst_excess
 from ._evacuation import evacuated_since_s
 from ._intake import CHANNEL as INTAKE_CHANNEL
+from ._journal import waiting_records
 from ._members import STATES as MEMBER_STATES
 from ._node import Identity, Moment, Node
 from ._operator import config_age_s, is_config_too_old
@@ -40,6 +41,7 @@
     "pool_views",
     "records",
     "reduce",
+    "waiting_records",
     "worst_excess",
 ]
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
@@ -1,13 +1,14 @@
 """
 Appends the owner's records in batches and emits the effects that depend on them once committed.
 
-One append is in flight at a time. A batch without a response is sent again with the same sequence
+One append is in flight at a time, and its size is bounded whatever waits: what the store can't take
+at once would be refused each time. A batch without a response is sent again with the same sequence
 number, so that retries are idempotent: the store repeats its first response.
 """
 
 from . import _fold, effects, events
 from ._node import Batch, CallerRecords, Journal, Moment, Node, Worker, emit, log_line
-from ._records import Closed, OwnerHeartbeat, Record, encode_records
+from ._records import Closed, LeaseBounded, OwnerHeartbeat, Record, encode_records
 
 CHANNEL = "owner"
 PRODUCER = "owner"
@@ -27,6 +28,11 @@
 # Age of the batch in flight from which no new decisions are made; several round trips to a store
 # without load.
 STALL_TIMEOUT_S = 0.4
+# Size of the records from which a further one goes into another append, so that a heartbeat waits
+# for little more than a link takes to carry this.
+MAX_APPEND_BYTES = 256 * 1024
+# Full appends that wait, from which no new decisions are made.
+MAX_FULL_APPENDS = 4
 # Time of the last attempt of an append that is to be sent at once.
 NEVER_SENT_S = -1e9
 
@@ -39,8 +45,93 @@
     :param at: the current time.
     :param record: the record.
     """
+    # Encoded first, as a record that can't be encoded must not be applied.
+    (data,) = encode_records([record])
     _fold.apply(node.replicated, record, at.now_s, at.wall_ms)
-    node.journal.next.records.append(record)
+    _add(node, record, data)
+
+
+def write_unapplied(node: Node, record: Record) -> None:
+    """
+    Append a record of the owner with the next batch, and apply it only once it is read.
+
+    :param node: the instance, which owns the log.
+    :param record: the record.
+    """
+    (data,) = encode_records([record])
+    _add(node, record, data)
+
+
+def _add(node: Node, record: Record, data: bytes) -> None:
+    batch = _batch_for(node, len(data))
+    batch.records.append(record)
+    batch.data.append(data)
+    batch.size_bytes += len(data)
+
+
+def _batch_for(node: Node, size_bytes: int) -> Batch:
+    """
+    Return the batch that records of a size are added to.
+    """
+    journal = node.journal
+    max_bytes = min(MAX_APPEND_BYTES, node.bounds.append_bytes)
+    if journal.next.size_bytes and journal.next.size_bytes + size_bytes > max_bytes:
+        journal.queue.append(journal.next)
+        journal.next = Batch()
+    return journal.next
+
+
+def waiting_batches(journal: Journal) -> tuple[Batch, ...]:
+    """
+    Return the batches that were not sent.
+
+    :param journal: the owner's appends.
+    :returns: the batches, in the order in which they will be appended.
+    """
+    return (*journal.queue, journal.next)
+
+
+def waiting_records(node: Node) -> int:
+    """
+    Return the number of the owner's records that were not sent.
+
+    :param node: the instance.
+    :returns: number of records.
+    """
+    return sum(len(batch.records) for batch in waiting_batches(node.journal))
+
+
+def write_bound(node: Node, at: Moment, record: LeaseBounded, is_first: bool) -> None:
+    """
+    Write a bound on the leases of a worker.
+
+    :param node: the instance, which owns the log.
+    :param at: the current time.
+    :param record: the bound.
+    :param is_first: whether the log has no bound of this worker, so that this one can be withdrawn
+        until it is sent.
+    """
+    write(node, at, record)
+    if is_first:
+        node.journal.next.bounds[record.worker] = record
+
+
+def withdraw_bound(node: Node, worker_id: str) -> bool:
+    """
+    Withdraw the first bound on the leases of a worker, unless it was sent.
+
+    :param node: the instance, which owns the log.
+    :param worker_id: the worker.
+    :returns: whether there was one.
+    """
+    for batch in waiting_batches(node.journal):
+        record = batch.bounds.pop(worker_id, None)
+        if record is not None:
+            place = batch.records.index(record)
+            del batch.records[place]
+            batch.size_bytes -= len(batch.data.pop(place))
+            return True
+    return False
 
 
 def emit_after_commit(node: Node, effect: object) -> None:
@@ -72,7 +163,10 @@
     :param records: the records.
     """
     if records.records:
-        node.journal.next.callers.append(records)
+        size_bytes = sum(map(len, records.records))
+        batch = _batch_for(node, size_bytes)
+        batch.callers.append(records)
+        batch.size_bytes += size_bytes
     else:
         _answer(node, records, events.OK)
 
@@ -83,10 +177,11 @@
 
     :param node: the instance.
     :param now_s: the current time by this instance's clock.
-    :returns: whether the append in flight is older than `STALL_TIMEOUT_S`.
+    :returns: whether the append in flight is older than `STALL_TIMEOUT_S`, or many others wait.
     """
     journal = node.journal
-    return journal.in_flight is not None and now_s - journal.sent_s > STALL_TIMEOUT_S
+    is_late = journal.in_flight is not None and now_s - journal.sent_s > STALL_TIMEOUT_S
+    return is_late or len(journal.queue) >= MAX_FULL_APPENDS
 
 
 def reset(node: Node, seq: int) -> None:
@@ -102,7 +197,8 @@
     former, node.journal = node.journal, Journal(seq=seq)
     if former.in_flight is not None:
         _answer_callers(node, former.in_flight, events.UNKNOWN)
-    _answer_callers(node, former.next, events.REFUSED)
+    for batch in waiting_batches(former):
+        _answer_callers(node, batch, events.REFUSED)
 
 
 def _answer_callers(node: Node, batch: Batch, outcome: str) -> None:
@@ -111,6 +207,7 @@
     """
     callers, batch.callers = batch.callers, []
     for item in callers:
+        batch.size_bytes -= sum(map(len, item.records))
         _answer(node, item, outcome)
 
 
@@ -141,35 +238,50 @@
     if at.now_s - journal.heartbeat_s >= HEARTBEAT_INTERVAL_S:
         journal.heartbeat_s = at.now_s
         write(node, at, OwnerHeartbeat(node.ownership.epoch, round(at.now_s * 1000)))
-    batch = journal.next
-    if not batch.records and not batch.callers:
+    batch = _take_batch(journal)
+    if batch is None:
         return
-    # A record that can't be encoded must not leave the data of the former batch in flight.
-    _encode(journal, batch)
     journal.in_flight = batch
-    journal.next = Batch()
+    journal.data = _data_of(batch)
     journal.seq += 1
     journal.sent_s = at.now_s
     journal.is_uncertain = False
     _send(node, at)
 
 
-def _encode(journal: Journal, batch: Batch) -> None:
-    own = encode_records(batch.records)
-    journal.data = (*own, *(data for item in batch.callers for data in item.records))
+def _take_batch(journal: Journal) -> Batch | None:
+    """
+    Remove the batch to append next. One that has lost its records to a withdrawal leaves what
+    depends on it to the batch behind.
+    """
+    while journal.queue:
+        batch = journal.queue.popleft()
+        if batch.records or batch.callers:
+            return batch
+        follower = journal.queue[0] if journal.queue else journal.next
+        follower.effects[:0] = batch.effects
+        follower.acks = {**batch.acks, **follower.acks}
+    batch = journal.next
+    if not batch.records and not batch.callers:
+        return None
+    journal.next = Batch()
+    return batch
+
+
+def _data_of(batch: Batch) -> tuple[bytes, ...]:
+    return (*batch.data, *(data for item in batch.callers for data in item.records))
 
 
 def _refuse_queued_callers(node: Node, at: Moment) -> None:
     """
     Refuse callers' records that have waited too long for the batch in flight.
     """
-    callers = node.journal.next.callers
-    if not callers or at.now_s - callers[0].since_s < MAX_QUEUED_S:
-        return
-    node.journal.next.callers = []
-    for item in callers:
-        _answer(node, item, events.REFUSED)
-    log_line(node, "records.given_back", exchanges=len(callers), reason="append_in_flight")
+    for batch in waiting_batches(node.journal):
+        exchanges = len(batch.callers)
+        if not exchanges or at.now_s - batch.callers[0].since_s < MAX_QUEUED_S:
+            continue
+        _answer_callers(node, batch, events.REFUSED)
+        log_line(node, "records.given_back", exchanges=exchanges, reason="append_in_flight")
 
 
 def _refuse_in_flight_callers(node: Node, at: Moment) -> None:
@@ -184,7 +296,7 @@
         return
     log_line(node, "records.given_back", exchanges=len(batch.callers), reason="store_refuses")
     _answer_callers(node, batch, events.REFUSED)
-    _encode(journal, batch)
+    journal.data = _data_of(batch)
     if not batch.records:
         journal.in_flight = None
         journal.seq -= 1
@@ -284,7 +396,7 @@
     """
     journal = node.journal
     is_appending = journal.in_flight is not None and bool(journal.in_flight.records)
-    return is_appending or bool(journal.next.records)
+    return is_appending or any(batch.records for batch in waiting_batches(journal))
 
 
 def is_idle(node: Node) -> bool:
@@ -295,4 +407,6 @@
     :returns: whether nothing is left to append.
     """
     journal = node.journal
-    return journal.in_flight is None and not journal.next.records and not journal.next.callers
+    return journal.in_flight is None and not any(
+        batch.records or batch.callers for batch in waiting_batches(journal)
+    )
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_leases.py
@@ -185,13 +185,8 @@
         return
     left_ms, clock_ms = math.ceil(left_s * 1000), round(at.now_s * 1000)
     record = LeaseBounded(node.ownership.epoch, worker_id, incarnation, left_ms, clock_ms)
-    batch = node.journal.next
-    unsent = batch.bounds.pop(worker_id, None)
-    if unsent is not None:
-        batch.records.remove(unsent)
-    if bound is None or unsent is not None:
-        batch.bounds[worker_id] = record
-    _journal.write(node, at, record)
+    is_first = _journal.withdraw_bound(node, worker_id) or bound is None
+    _journal.write_bound(node, at, record, is_first)
     log_line(node, "worker.lease_bounded", worker=worker_id, left_s=round(left_s, 3))
 
 
@@ -219,10 +214,7 @@
     if bound is None or bound.lifted_ms:
         return
     log_line(node, "worker.lease_lifted", worker=worker.id)
-    batch = node.journal.next
-    unsent = batch.bounds.pop(worker.id, None)
-    if unsent is not None:
-        batch.records.remove(unsent)
+    if _journal.withdraw_bound(node, worker.id):
         del node.replicated.lease_bounds[worker.id]
         return
     record = LeaseLifted(node.ownership.epoch, worker.id, round(at.now_s * 1000))
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -87,12 +87,16 @@
     """
     Records that are appended together, and the effects that follow once they are committed.
 
+    :param data: the encoded records, in the same order.
+    :param size_bytes: size of all encoded records, including those of callers.
     :param callers: callers' records, appended after the others.
     :param acks: by worker, its incarnation and the number of its latest recorded end of a run.
     :param bounds: records that bound the leases of workers which had no bound before, by worker.
     """
 
     records: list[Record] = []
+    data: list[bytes] = []
+    size_bytes: int = 0
     callers: list[CallerRecords] = []
     effects: list[Any] = []
     acks: dict[str, tuple[int, int]] = {}
@@ -103,7 +107,8 @@
     """
     The owner's appends.
 
-    :param next: batch to append after the one in flight.
+    :param queue: batches to append after the one in flight, in their order; they are full.
+    :param next: batch to append after those, to which records are added.
     :param data: encoded records of the batch in flight.
     :param seq: sequence number of the append in flight, or of the last one.
     :param sent_s: when the append in flight was first sent.
@@ -115,6 +120,7 @@
     :param is_uncertain: whether the append in flight may already be committed.
     """
 
+    queue: deque[Batch] = msgspec.field(default_factory=deque)
     next: Batch = msgspec.field(default_factory=Batch)
     in_flight: Batch | None = None
     data: tuple[bytes, ...] = ()
@@ -608,14 +614,14 @@
     :param is_awaiting_answers: whether a task waits for the answer of a worker to start there.
     :param unknown_used: resources that unknown runs of known jobs used at the latest plan, by
         workspace.
+    :param stops_sent: stops of runs that must end which were sent since `stops_since_s`.
+    :param unsent_by_step: number of orders that are decided and were not sent, by step.
     :param kept_used: resources that the latest plan kept for the rest of large steps, by workspace.
     :param process_start_s: when the process started.
     :param plan_due: whether an event requires a new plan.
     :param last_cleanup_s: when expired jobs were last removed.
     :param next_snapshot_s: earliest time of the next snapshot.
     :param gap_offset: offset from which the log was last read in vain, since it begins later.
-    :param stops_sent: stops of runs that must end which were sent since `stops_since_s`.
-    :param unsent_by_step: number of orders that are decided and were not sent, by step.
     :param snapshot_offset: offset of the last snapshot that this instance stored, or 0.
     :param snapshot_s: when the state of the last snapshot that this instance stored was encoded.
     :param snapshot_bytes: value of `Tail.read_bytes` at that time.
@@ -669,15 +675,15 @@
     is_awaiting_answers: bool = False
     unknown_used: dict[str, Resources] = {}
     kept_used: dict[str, Resources] = {}
+    unsent_by_step: Counter[tuple[str, int, int]] = msgspec.field(default_factory=Counter)
+    stops_since_s: float = -NEVER_S
+    stops_sent: int = 0
     waiting_work: WaitingWork = msgspec.field(default_factory=WaitingWork)
     process_start_s: float = -1.0
     is_stopping: bool = False
     stop_asked_s: float = 0.0
     plan_due: bool = False
     next_plan_s: float = 0.0
-    unsent_by_step: Counter[tuple[str, int, int]] = msgspec.field(default_factory=Counter)
-    stops_since_s: float = -NEVER_S
-    stops_sent: int = 0
     last_cleanup_s: float = 0.0
     next_snapshot_s: float = 0.0
     gap_offset: int = -1
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -36,9 +36,11 @@
 TICKET = "ticket"
 
 
-def start(node: Node, at: Moment, worker: Worker, task: Task, run: int, ticket: str) -> None:
+def decide(
+    node: Node, at: Moment, worker: Worker, task: Task, run: int, ticket: str
+) -> effects.StartTask:
     """
-    Record that a task starts on a worker, and order the start once the record is committed.
+    Record that a task starts on a worker.
 
     :param node: the instance, which owns the log.
     :param at: the time.
@@ -46,6 +48,8 @@
     :param task: the task.
     :param run: number of the run.
     :param ticket: ticket of the advice service, or an empty string.
+    :returns: the order, which is to be sent once the record is committed, and for a gang those of
+        all members: their records may be in several appends.
     """
     key = task.key
     entry = worker.entry
@@ -63,18 +67,6 @@
     worker.orders[key] = Order(run, ticket=ticket)
     count_unsent(node, worker, key, 1)
     job = node.replicated.jobs[key.job]
-    order = effects.StartTask(
-        worker.id,
-        worker.entry.address,
-        key,
-        run,
-        job.spec.payload,
-        0,
-        fencing_token(node, worker),
-        task.checkpoint,
-        ticket,
-    )
-    _journal.emit_after_commit(node, order)
     log_line(
         node,
         "run.decided",
@@ -87,6 +79,17 @@
         state_age_s=round(_freshness.state_age_s(node, at), 3),
         config=node.config.version if node.config else None,
     )
+    return effects.StartTask(
+        worker.id,
+        worker.entry.address,
+        key,
+        run,
+        job.spec.payload,
+        0,
+        fencing_token(node, worker),
+        task.checkpoint,
+        ticket,
+    )
 
 
 def send(node: Node, at: Moment, effect: effects.StartTask) -> None:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -305,7 +305,7 @@
     :param at: the current time.
     """
     node.ownership.has_released = True
-    node.journal.next.records.append(Released(node.ownership.epoch))
+    _journal.write_unapplied(node, Released(node.ownership.epoch))
     log_line(node, "owner.releasing", epoch=node.ownership.epoch)
 
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -29,6 +29,7 @@
     _start_order,
     _worker_health,
     _workers,
+    effects,
 )
 from ._candidates import Candidate
 from ._data_racks import RackQueues
@@ -296,7 +297,7 @@
         candidate = _choose_worker(node, at, item, task, pool, part, counts)
         if candidate is None:
             return
-        _start(node, at, item, task, candidate, _orders.next_run_number([task]))
+        _start(node, at, item, task, candidate)
         counts[candidate.worker.id] += 1
         part.starts -= 1
         _isolation.add(isolation, task, candidate.worker)
@@ -391,7 +392,7 @@
                     return started, True
                 pool.unplaceable.append(resources)
         if candidate is not None:
-            _start(node, at, item, task, candidate, _orders.next_run_number([task]))
+            _start(node, at, item, task, candidate)
             pool.take(resources)
             counts[candidate.worker.id] += 1
             started += 1
@@ -475,11 +476,14 @@
         return
     run = _orders.next_run_number(waiting)
     saved = next((task.checkpoint for task in waiting if task.checkpoint), "")
+    orders = []
     for task, candidate in zip(waiting, assigned, strict=True):
         task.checkpoint = saved
-        _start(node, at, item, task, candidate, run)
+        orders.append(_decide(node, at, item, task, candidate, run))
         if task.crashes:
             _isolation.add(isolation, task, candidate.worker)
+    for order in orders:
+        _journal.emit_after_commit(node, order)
     pool.take(resources)
     part.starts = max(0, part.starts - len(waiting))
 
@@ -688,9 +692,14 @@
         _workers.request_answers(node, at, called)
 
 
-def _start(
+def _start(node: Node, at: Moment, item: ReadyStep, task: Task, candidate: Candidate) -> None:
+    order = _decide(node, at, item, task, candidate, _orders.next_run_number([task]))
+    _journal.emit_after_commit(node, order)
+
+
+def _decide(
     node: Node, at: Moment, item: ReadyStep, task: Task, candidate: Candidate, run: int
-) -> None:
+) -> effects.StartTask:
     worker = candidate.worker
     ticket = _advice.valid_ticket(node, at, item.id, worker.id) if item.queue.has_advice else ""
     order = _orders.decide(node, at, worker, task, run, ticket)
@@ -698,3 +707,4 @@
     if _candidates.is_suspect(worker):
         worker.no_starts_until_s = at.now_s + SUSPECT_INTERVAL_S
         log_line(node, "worker.suspect", worker=worker.id, failed_jobs=list(worker.failed_jobs))
+    return order
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_refusals.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_refusals.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from . import _admission, _durations, _planner, _policies, _start_order
+from . import _admission, _durations, _journal, _planner, _policies, _start_order
 from ._admission import NewJob, PoolLoad, Verdict
 from ._node import Batch, Moment, Node, log_line
 from ._ready import critical_path_s
@@ -102,9 +102,10 @@
     @cache
     def pending() -> frozenset[str]:
         journal, intake = node.journal, node.intake
-        jobs = _jobs_of(journal.next)
+        batches = list(_journal.waiting_batches(journal))
         if journal.in_flight is not None:
-            jobs |= _jobs_of(journal.in_flight)
+            batches.append(journal.in_flight)
+        jobs = {job for batch in batches for job in _jobs_of(batch)}
         jobs |= {record.job for record in records if isinstance(record, Cancelled)}
         if intake.is_uncertain:
             own = (call.record for call in intake.batch)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -18,9 +18,15 @@
 ESTABLISHED_S = 2.0
 # A stop that had no effect is sent again after this time.
 STOP_RETRY_S = 0.8
+# Stops that are sent at once of runs which must end, and the interval until further ones are.
+MAX_STOPS_AT_ONCE = 256
+STOPS_INTERVAL_S = 0.05
 # Fencing tokens that one owner has for a worker.
 TOKENS_PER_EPOCH = 1000
 MAX_RAISES = TOKENS_PER_EPOCH - 1
+# Size of a checkpoint above which it is dropped, as no record could hold it, and of an end state.
+MAX_CHECKPOINT_BYTES = 128 * 1024
+MAX_END_STATE_CHARS = 64
 # Failed tasks that one log line names.
 MAX_LOGGED_FAILURES = 6
 
@@ -46,9 +52,10 @@
     :param worker: the worker on which it ran.
     :param task: its task.
     :param how: the end state.
-    :param checkpoint: its newest checkpoint, or an empty string.
+    :param saved: its newest checkpoint, or an empty string.
     """
     key = task.key
+    how, saved = how[:MAX_END_STATE_CHARS], _storable_checkpoint(node, worker, task, saved)
     established = is_established(node, worker, task)
     ran_ms = _run_times.ran_ms(node, at, worker, task) if how == _replicated_state.DONE else 0
     order = worker.orders.pop(key, None)
@@ -82,13 +89,6 @@
     _close_if_finished(node, at, job, task)
 
 
-def is_established(node: Node, worker: Worker, task: Task) -> bool:
-    """
-    Return whether a run is of a long-running task and has been up for long enough on a worker that
-    it isn't suspected of crashing workers.
-
-    :param node: the instance.
-    :param worker: the worker.
 def count_unsent(node: Node, worker: Worker, key: TaskKey, change: int) -> None:
     """
     Count an order that is decided and not sent, by its worker and its step.
@@ -124,6 +124,13 @@
     return ""
 
 
+def is_established(node: Node, worker: Worker, task: Task) -> bool:
+    """
+    Return whether a run is of a long-running task and has been up for long enough on a worker that
+    it isn't suspected of crashing workers.
+
+    :param node: the instance.
+    :param worker: the worker.
     :param task: the running task.
     :returns: whether it is established.
     """
@@ -296,13 +303,6 @@
     emit(node, effects.StopTask(worker.id, address, key, run, fencing_token(node, worker)))
 
 
-def is_stop_due(stop: Stop, at: Moment) -> bool:
-    """
-    Return whether a stop that had no effect may be sent again.
-
-    :param stop: the latest stop of the run.
-    :param at: the time.
-    :returns: whether the retry interval is over.
 def request_stop(node: Node, at: Moment, worker: Worker, key: TaskKey, run: int) -> None:
     """
     Order a stop of a run that must end, or leave it to the next due stops if many were just sent.
@@ -322,6 +322,13 @@
         worker.stops[key] = Stop(run, -NEVER_S, at.now_s)
 
 
+def is_stop_due(stop: Stop, at: Moment) -> bool:
+    """
+    Return whether a stop that had no effect may be sent again.
+
+    :param stop: the latest stop of the run.
+    :param at: the time.
+    :returns: whether the retry interval is over.
     """
     return at.now_s - stop.sent_s >= STOP_RETRY_S
 
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/model.py
@@ -344,6 +344,7 @@
     :param log_retention_bytes: size of the log from which the store drops its oldest records.
     :param remote_slowdown: factor by which a task takes longer on another rack than that of its
         data; 1 if it doesn't.
+    :param append_bytes: most that the records of one append to the store may total.
     :param evacuate_s: time after the acknowledgement of the evacuation of an availability zone from
         which no task may start there; infinite if there are no evacuations.
     """
@@ -366,6 +367,7 @@
     log_retention_bytes: float = math.inf
     remote_slowdown: float = 1.0
     evacuate_s: float = math.inf
+    append_bytes: int = 2 * 1024 * 1024
 
 
 class Refusal(NamedTuple):
--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_metrics.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_metrics.py
@@ -18,6 +18,7 @@
     effects,
     evacuated_since_s,
     pool_views,
+    waiting_records,
     worst_excess,
 )
 
@@ -166,7 +167,7 @@
         "workers": len(node.workers),
         "workers_failing": sum(worker.is_failing for worker in node.workers.values()),
         "intake_waiting": len(node.intake.waiting) + len(node.intake.batch),
-        "journal_waiting": len(node.journal.next.records),
+        "journal_waiting": waiting_records(node),
         "neighbour_pairs": len(node.neighbours.pairs),
         "neighbour_pairs_harmful": len(node.neighbours.harmful),
         "neighbour_worst_excess": round(worst_excess(node, at), 3),
