Check all conditions of a start again when its order is sent

Cause: a start was decided within the limit, and its order then waited for the answers to others. When it was sent, the job, the worker's room and some more were checked again, the limit was not.

Evidence: on the former code all run.decided lines name the former version, within 10 ms of the acceptance; the new version is in force at all instances within 0.02 s of its acknowledgement.

Change: _order_checks has all conditions under which a decided order may be sent: beside the former ones the limit, the label, the pool, the drain of the instance, the entry and the age of the registry, and the ticket. A gang is checked as a whole before its first order. What is withdrawn ends as unsent and starts in the next plan that may start it.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -206,6 +206,7 @@
     :param unanswered_s: when it timed out without a response, or 0.
     :param barred_s: when the worker confirmed that the run can no longer begin, or 0.
     :param ticket: ticket of the advice service, or empty.
+    :param gang_zones: availability zones of all members of its gang.
     """
 
     run: int
@@ -215,6 +216,7 @@
     unanswered_s: float = 0.0
     barred_s: float = 0.0
     ticket: str = ""
+    gang_zones: frozenset[str] = frozenset()
 
 
 class Stop(NamedTuple):
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -13,8 +13,8 @@
     _freshness,
     _journal,
     _leases,
+    _order_checks,
     _policies,
-    _replicated_state,
     _workers,
     effects,
     events,
@@ -23,7 +23,6 @@
 from ._records import Started
 from ._replicated_state import Task
 from ._runs import UNSENT, count_unsent, end_run, fencing_token, runs_on, send_stop
-from .model import NO_RESOURCES
 
 # Maximum lifetime of an order, after which a delayed order has no effect.
 ORDER_TTL_S = 2.5
@@ -92,36 +91,42 @@
     )
 
 
+def send_committed(node: Node, at: Moment, orders: list[effects.StartTask]) -> None:
+    """
+    Send orders whose records were just committed, as far as they are still valid.
+
+    :param node: the instance, which owns the log.
+    :param at: the time.
+    :param orders: the orders as they were recorded; for a gang, those of all members.
+    """
+    # A gang of which a member may not start isn't ordered in part.
+    for order in orders:
+        if _is_of_gang(node, order):
+            _withdraw_if_invalid(node, at, order)
+    for order in orders:
+        send(node, at, order)
+
+
+def _is_of_gang(node: Node, effect: effects.StartTask) -> bool:
+    job = node.replicated.jobs.get(effect.key.job)
+    return job is not None and job.spec.steps[effect.key.step].gang
+
+
 def send(node: Node, at: Moment, effect: effects.StartTask) -> None:
     """
     Send an order whose record is committed, if it is still valid.
 
-    The run ends as unsent if the job is closed, the worker no longer takes tasks, has lost the
-    capacity for it or may get no lease yet, its availability zone is evacuated, or what this
-    instance knows has become too old to tell. The order is queued while the worker has the maximum
-    of unanswered orders.
+    Otherwise the run ends as unsent, and the task may start again as soon as it may. The order is
+    queued while the worker has the maximum of unanswered orders.
 
     :param node: the instance.
     :param at: the time.
     :param effect: the order as it was recorded.
     """
-    worker = node.workers.get(effect.worker)
-    task = runs_on(node, effect.worker).get(effect.key)
-    order = worker.orders.get(effect.key) if worker is not None else None
-    if worker is None or task is None or order is None or order.run != effect.run:
-        return
-    job = node.replicated.jobs[effect.key.job]
-    is_open = not job.cancelled and job.state not in _replicated_state.FINAL_STATES
-    may_start = is_open and _freshness.may_order(node, at)
-    may_start = may_start and _leases.may_grant(node, worker)
-    may_take = worker.is_held and not worker.is_failing and not worker.entry.is_draining
-    if not (may_start and may_take and _fits(node, worker)):
-        end_run(node, at, worker, task, UNSENT)
-        return
-    reason = _reason_to_withdraw(node, at, task)
-    if reason:
-        _withdraw(node, at, task, reason)
+    found = _withdraw_if_invalid(node, at, effect)
+    if found is None:
         return
+    worker, order = found
     if worker.outstanding >= MAX_OUTSTANDING:
         worker.outbox.append(effect)
         return
@@ -145,23 +150,27 @@
             lease_ms=order.lease_ms,
             address=worker.entry.address,
             token=fencing_token(node, worker),
+            ticket=order.ticket,
         ),
     )
 
 
-def _reason_to_withdraw(node: Node, at: Moment, task: Task) -> str:
+def _withdraw_if_invalid(
+    node: Node, at: Moment, effect: effects.StartTask
+) -> tuple[Worker, Order] | None:
     """
-    Return why the order of a run may not be sent although its worker takes tasks, or an empty
-    string.
+    Return the worker and the state of an order, or ``None`` if it may not be sent.
     """
-    if not _evacuation.may_order(node, at):
-        return _evacuation.OLD_RECORDS
-    if node.evacuations and any(
-        _is_unsent(worker, member) and _evacuation.is_evacuated(node, worker.entry.zone)
-        for worker, member in _gang_of(node, task)
-    ):
-        return _evacuation.EVACUATED
-    return ""
+    worker = node.workers.get(effect.worker)
+    task = runs_on(node, effect.worker).get(effect.key)
+    order = worker.orders.get(effect.key) if worker is not None else None
+    if worker is None or task is None or order is None or order.run != effect.run:
+        return None
+    reason = _order_checks.reason_to_withdraw(node, at, worker, task, order)
+    if reason:
+        _withdraw(node, at, task, reason)
+        return None
+    return worker, order
 
 
 def _withdraw(node: Node, at: Moment, task: Task, reason: str) -> None:
@@ -179,44 +188,13 @@
         reason=reason,
         records_age_s=round(_evacuation.records_age_s(node, at), 3),
     )
-    for worker, member in _gang_of(node, task):
-        if _is_unsent(worker, member):
+    for worker, member in _order_checks.gang_of(node, task):
+        if _order_checks.is_unsent(worker, member):
             end_run(node, at, worker, member, UNSENT)
         else:
             send_stop(node, at, worker, member.key, member.run)
 
 
-def _is_unsent(worker: Worker, task: Task) -> bool:
-    """
-    Return whether the order of a run is recorded and was not sent.
-    """
-    order = worker.orders.get(task.key)
-    return order is not None and order.run == task.run and not order.sent_s
-
-
-def _gang_of(node: Node, task: Task) -> list[tuple[Worker, Task]]:
-    """
-    Return the running members of a task's gang that were started with it, with their workers; only
-    the task itself, if it isn't a member of one.
-    """
-    job = node.replicated.jobs[task.key.job]
-    state = _replicated_state.occurrence_of(job, task.key.occurrence)[task.key.step]
-    return [
-        (node.workers[member.worker], member)
-        for member in (state.tasks if state.step.gang else [task])
-        if member.status == _replicated_state.RUNNING
-        and member.run == task.run
-        and member.worker in node.workers
-    ]
-
-
-def _fits(node: Node, worker: Worker) -> bool:
-    """
-    Return whether all runs on a worker, including those not ordered yet, fit its capacity.
-    """
-    return NO_RESOURCES.fits(_workers.free_resources(node, worker))
-
-
 def on_answered(node: Node, at: Moment, event: events.StartAnswered) -> None:
     """
     Process the outcome of an order, and send the queued orders that may go out now.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -18,6 +18,7 @@
     _freshness,
     _isolation,
     _journal,
+    _limits,
     _orders,
     _plan_part,
     _policies,
@@ -37,7 +38,7 @@
 from ._node import Moment, Node, log_line
 from ._plan_part import PlanPart
 from ._ready import ReadyStep
-from ._replicated_state import Job, Task, occurrence_of
+from ._replicated_state import Task, occurrence_of
 from ._runs import close_job
 from ._scoring import Placement
 from .model import NO_RESOURCES, Resources, Step
@@ -168,7 +169,7 @@
     if node.config is None or at.now_s < node.next_plan_s:
         return
     node.plan_due = node.is_awaiting_answers = False
-    node.unknown_used, node.kept_used = _unknown_usage(node), {}
+    node.unknown_used, node.kept_used = _limits.unknown_usage(node), {}
     _close_cancelled(node, at)
     if is_paused(node, at):
         node.plan_due = True
@@ -259,7 +260,7 @@
     """
     waiting = [task for task in item.state.tasks if task.status == _replicated_state.WAITING]
     isolated = [task for task in waiting if must_isolate(task)]
-    if not isolated or not within_limit(node, item.job, item.state.step, 1):
+    if not isolated or not _limits.within_limit(node, item.job, item.state.step, 1):
         return
     members = [*pool.candidates, *pool.isolating]
     usable = _isolation.isolating_candidates(node, isolation, item.job.id, members)
@@ -289,7 +290,7 @@
     Start suspects of a step on one worker, or on any if a task of the step is done.
     """
     is_one_worker = item.state.unfinished == len(item.state.tasks) or must_isolate(waiting[0])
-    allowed = within_limit(node, item.job, item.state.step, len(waiting))
+    allowed = _limits.within_limit(node, item.job, item.state.step, len(waiting))
     if allowed > part.starts:
         part.is_cut = True
     counts = _candidates.tasks_per_worker(item.state)
@@ -336,7 +337,7 @@
     pool: PoolCandidates,
     part: PlanPart,
 ) -> None:
-    allowed = within_limit(node, item.job, item.state.step, len(waiting))
+    allowed = _limits.within_limit(node, item.job, item.state.step, len(waiting))
     is_large = _plan_part.is_large(item)
     may_start = part.starts_of(node, item, len(pool.candidates))
     tried = waiting[: min(allowed, may_start)]
@@ -465,7 +466,7 @@
     # have exited.
     if len(waiting) < item.state.step.count:
         return
-    if within_limit(node, item.job, item.state.step, len(waiting)) < len(waiting):
+    if _limits.within_limit(node, item.job, item.state.step, len(waiting)) < len(waiting):
         return
     resources = _plan_part.times(item.state.resources, len(waiting))
     usable = pool.usable_for(item.state.step)
@@ -482,7 +483,9 @@
         orders.append(_decide(node, at, item, task, candidate, run))
         if task.crashes:
             _isolation.add(isolation, task, candidate.worker)
-    for order in orders:
+    zones = frozenset(candidate.worker.entry.zone for candidate in assigned)
+    for task, candidate, order in zip(waiting, assigned, orders, strict=True):
+        candidate.worker.orders[task.key].gang_zones = zones
         _journal.emit_after_commit(node, order)
     pool.take(resources)
     part.starts = max(0, part.starts - len(waiting))
@@ -564,41 +567,6 @@
     return assigned
 
 
-def within_limit(node: Node, job: Job, step: Step, count: int) -> int:
-    """
-    Return how many more tasks the limit of a workspace allows, beside all runs that are not known
-    to have ended, and what is kept for tasks before them, as of the latest plan.
-
-    :param node: the instance.
-    :param job: the job whose tasks would start.
-    :param step: the step of the tasks.
-    :param count: number of tasks that would start.
-    :returns: number of those tasks that the limit allows.
-    """
-    used = node.replicated.used.get(job.workspace, NO_RESOURCES)
-    used = used.plus(node.unknown_used.get(job.workspace, NO_RESOURCES))
-    used = used.plus(node.kept_used.get(job.workspace, NO_RESOURCES))
-    for limit, have, need in zip(_policies.limit_of(node, job), used, step.need, strict=True):
-        if limit and need:
-            count = min(count, max(0, (limit - have) // need))
-    return count
-
-
-def _unknown_usage(node: Node) -> dict[str, Resources]:
-    """
-    Return the resources that unknown runs of known jobs use, by workspace.
-    """
-    used: dict[str, Resources] = {}
-    for worker in node.workers.values():
-        for key in worker.unknown_runs:
-            job = node.replicated.jobs.get(key.job)
-            if job is None or key.step >= len(job.spec.steps):
-                continue
-            need = Resources(*job.spec.steps[key.step].need)
-            used[job.workspace] = used.get(job.workspace, NO_RESOURCES).plus(need)
-    return used
-
-
 def _choose_worker(
     node: Node,
     at: Moment,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_reduce.py
@@ -173,10 +173,12 @@
         _run_steps(node, at, (_snapshot.write_if_due,))
         # Orders whose records are now committed are checked once more before they are sent.
         produced, node.out = node.out, []
+        starts = [effect for effect in produced if isinstance(effect, effects.StartTask)]
+        _orders.send_committed(node, at, starts)
         for effect in produced:
             if isinstance(effect, effects.StartTask):
-                _orders.send(node, at, effect)
-            elif isinstance(effect, effects.OrderInstance):
+                continue
+            if isinstance(effect, effects.OrderInstance):
                 _instances.send_order(node, at, effect)
             else:
                 node.out.append(effect)
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_registry.py
@@ -59,6 +59,17 @@
     return at.now_s - node.registry.last_success_s <= max_age_s
 
 
+def may_order(node: Node, at: Moment) -> bool:
+    """
+    Return whether the entries of workers are recent enough to order a start that was decided.
+
+    :param node: the instance, which owns the log.
+    :param at: the current time.
+    :returns: whether orders to start tasks may be sent.
+    """
+    return at.now_s - node.registry.last_success_s <= node.bounds.contact_s
+
+
 def on_registry(node: Node, at: Moment, event: events.WorkersRead) -> None:
     """
     Update the known workers from entries of the registry.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_waiting.py
@@ -15,6 +15,7 @@
     _freshness,
     _journal,
     _leases,
+    _limits,
     _members,
     _plan_part,
     _planner,
@@ -250,7 +251,7 @@
     if step.gang and waiting < step.count:
         return FORMER_RUNS
     needed = waiting if step.gang else 1
-    if _planner.within_limit(node, item.job, step, waiting) < needed:
+    if _limits.within_limit(node, item.job, step, waiting) < needed:
         return LIMIT
     if not candidates:
         return NO_USABLE_WORKER if has_members else NO_MEMBERS
--- a/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
+++ b/packages/eelgrassdrum-testing/tests/test_jobs_schedules.py
@@ -12,8 +12,8 @@
     _intake,
     _journal,
     _leases,
+    _limits,
     _orders,
-    _planner,
     _ready,
     _records,
     _registry,
@@ -345,7 +345,10 @@
     """
     Mutation: workspaces without limits pass theirs, and the check shows it.
     """
-    with replaced(_planner, "within_limit", lambda _node, _job, _step, count: count):
+    with (
+        replaced(_limits, "within_limit", lambda _node, _job, _step, count: count),
+        replaced(_limits, "is_exceeded", lambda *_: False),
+    ):
         assert "limit_holds" in broken_rules([1, 2, 3], ("cancel_some",))
 
 
@@ -543,12 +546,12 @@
     """
     Mutation: only tasks that last start, within the limit, and the check shows what is left.
     """
-    real = _planner.within_limit
+    real = _limits.within_limit
 
     def lasting_only(node, job, step, count):
         return real(node, job, step, count) if step.is_long_running else 0
 
-    with replaced(_planner, "within_limit", lasting_only):
+    with replaced(_limits, "within_limit", lasting_only):
         for seed in (7310446, 7310447):
             result = run_schedule(seed, lasting_part=0.4)
             assert "accepted_is_finished" in {item.rule for item in result.violations}, seed
