Take a job as begun once a worker confirms a start

Cause: the state and the count followed the record of the start, which is written before the order is sent. A refusal set the task back to waiting, but neither of the two.

Change: a Begun record names the jobs of which a worker has confirmed a first task. One record tells of all jobs since the last append, and goes with an append that is sent anyway. In the start order, a job whose starts were refused no longer counts as begun.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_fold.py
@@ -2,7 +2,7 @@
 Applies the records of the job log to the replicated state.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from . import _durations, _records, _replicated_state
@@ -56,16 +56,24 @@
             # The owner may not have known of an earlier cancellation.
             state = _replicated_state.CANCELLED if job.cancelled else record.state
             job.state = job.committed_state = state
+    elif isinstance(record, _records.Begun):
+        _confirm_begins(replicated, record.jobs)
     elif isinstance(record, _records.Started):
-        job = replicated.jobs.get(record.job)
-        if job is not None and job.committed_state == _replicated_state.QUEUED:
-            job.committed_state = _replicated_state.RUNNING
+        if not replicated.tells_begins:
+            _confirm_begins(replicated, (record.job,))
     elif isinstance(record, _records.LeaseLifted):
         bound = replicated.lease_bounds.get(record.worker)
         if bound is not None and bound.lifted_ms == record.clock_ms:
             del replicated.lease_bounds[record.worker]
 
 
+def _confirm_begins(replicated: ReplicatedState, names: Iterable[str]) -> None:
+    for name in names:
+        job = replicated.jobs.get(name)
+        if job is not None and job.committed_state == _replicated_state.QUEUED:
+            job.committed_state = _replicated_state.RUNNING
+
+
 def _is_closing(job: Job) -> bool:
     """
     Return whether the end of a job was written and isn't committed, as far as is known.
@@ -115,6 +123,7 @@
         replicated.owner = (record.instance, record.incarnation)
         replicated.owner_address = record.address
         replicated.owner_weakness = record.weakness
+        replicated.tells_begins = record.tells_begins
         if record.weakness is not None:
             least = replicated.least_weakness
             replicated.least_weakness = (
@@ -188,9 +197,8 @@
     if task is None or record.run <= task.run:
         return
     job = replicated.jobs[record.job]
-    if job.state == _replicated_state.QUEUED:
-        job.state = _replicated_state.RUNNING
-        _remove_pending(replicated, job)
+    if not replicated.tells_begins:
+        _begin(replicated, job)
     steps = occurrence_of(job, record.occurrence)
     if task.status == _replicated_state.WAITING:
         steps[record.step].waiting -= 1
@@ -205,6 +213,21 @@
     add_run(replicated, job, task)
 
 
+def _begun(
+    replicated: ReplicatedState, record: _records.Begun, _now_s: float, _wall_ms: int
+) -> None:
+    for name in record.jobs:
+        job = replicated.jobs.get(name)
+        if job is not None:
+            _begin(replicated, job)
+
+
+def _begin(replicated: ReplicatedState, job: Job) -> None:
+    if job.state == _replicated_state.QUEUED:
+        job.state = _replicated_state.RUNNING
+        _remove_pending(replicated, job)
+
+
 def _place_worker(replicated: ReplicatedState, record: _records.Started) -> None:
     former = replicated.places.get(record.worker)
     is_used = former is not None and former.incarnation == record.worker_incarnation
@@ -406,6 +429,7 @@
     _records.Released: _released,
     _records.OwnerHeartbeat: _owner_heartbeat,
     _records.Started: _started,
+    _records.Begun: _begun,
     _records.Ended: _ended,
     _records.Closed: _closed,
     _records.PolicySet: _policy_set,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_journal.py
@@ -6,9 +6,11 @@
 number, so that retries are idempotent: the store repeats its first response.
 """
 
+import itertools
+
 from . import _fold, effects, events
 from ._node import Batch, CallerRecords, Journal, Moment, Node, Worker, emit, log_line
-from ._records import Closed, LeaseBounded, OwnerHeartbeat, Record, encode_records
+from ._records import Begun, Closed, LeaseBounded, OwnerHeartbeat, Record, encode_records
 
 CHANNEL = "owner"
 PRODUCER = "owner"
@@ -31,6 +33,8 @@
 # Size of the records from which a further one goes into another append, so that a heartbeat waits
 # for little more than a link takes to carry this.
 MAX_APPEND_BYTES = 256 * 1024
+# Jobs that one record names as begun.
+MAX_BEGUN_JOBS = 500
 # Full appends that wait, from which no new decisions are made.
 MAX_FULL_APPENDS = 4
 # Time of the last attempt of an append that is to be sent at once.
@@ -238,6 +242,7 @@
     if at.now_s - journal.heartbeat_s >= HEARTBEAT_INTERVAL_S:
         journal.heartbeat_s = at.now_s
         write(node, at, OwnerHeartbeat(node.ownership.epoch, round(at.now_s * 1000)))
+    _write_begins(node, at)
     batch = _take_batch(journal)
     if batch is None:
         return
@@ -249,6 +254,19 @@
     _send(node, at)
 
 
+def _write_begins(node: Node, at: Moment) -> None:
+    """
+    Record which jobs have begun, with an append that is sent anyway: that of a heartbeat at the
+    latest.
+    """
+    if not node.begun_jobs or is_idle(node):
+        return
+    jobs = tuple(itertools.islice(node.begun_jobs, MAX_BEGUN_JOBS))
+    for job in jobs:
+        del node.begun_jobs[job]
+    write(node, at, Begun(node.ownership.epoch, jobs))
+
+
 def _take_batch(journal: Journal) -> Batch | None:
     """
     Remove the batch to append next. One that has lost its records to a withdrawal leaves what
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -617,6 +617,7 @@
     :param unknown_used: resources that unknown runs of known jobs used at the latest plan, by
         workspace.
     :param stops_sent: stops of runs that must end which were sent since `stops_since_s`.
+    :param begun_jobs: jobs that have begun, as far as no record tells so, in order.
     :param unsent_by_step: number of orders that are decided and were not sent, by step.
     :param kept_used: resources that the latest plan kept for the rest of large steps, by workspace.
     :param process_start_s: when the process started.
@@ -677,6 +678,7 @@
     is_awaiting_answers: bool = False
     unknown_used: dict[str, Resources] = {}
     kept_used: dict[str, Resources] = {}
+    begun_jobs: dict[str, None] = {}
     unsent_by_step: Counter[tuple[str, int, int]] = msgspec.field(default_factory=Counter)
     stops_since_s: float = -NEVER_S
     stops_sent: int = 0
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -22,7 +22,7 @@
 from ._node import NEVER_S, Moment, Node, Order, Worker, emit, log_line
 from ._records import Started
 from ._replicated_state import Task
-from ._runs import UNSENT, count_unsent, end_run, fencing_token, runs_on, send_stop
+from ._runs import UNSENT, count_unsent, end_run, fencing_token, note_begun, runs_on, send_stop
 
 # Maximum lifetime of an order, after which a delayed order has no effect.
 ORDER_TTL_S = 2.5
@@ -225,6 +225,7 @@
         order.answered_s = at.now_s
         worker.clock_ms, worker.clock_at_s = event.clock_ms, at.now_s
         worker.started_s.setdefault(event.key, at.now_s)
+        note_begun(node, task)
         return
     log_line(
         node,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_ownership.py
@@ -107,6 +107,7 @@
         identity.weakness,
         keeps_bounds=True,
         lease_ms=round(grant_s(node.bounds) * 1000),
+        tells_begins=True,
     )
     log_line(
         node,
@@ -242,6 +243,7 @@
     node.journal.sent_s = node.journal.heartbeat_s = at.now_s
     node.workers = {}
     node.unsent_by_step.clear()
+    node.begun_jobs.clear()
     node.registry = Subscription()
     node.fleet = Fleet()
     node.advice = {}
@@ -286,6 +288,7 @@
     _journal.reset(node, 0)
     node.workers = {}
     node.unsent_by_step.clear()
+    node.begun_jobs.clear()
     node.fleet = Fleet()
     log_line(
         node,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_records.py
@@ -54,6 +54,8 @@
     :param weakness: 0 if it can carry the owner's load, up to 1 if it can't; ``None`` if unknown.
     :param keeps_bounds: whether it lifts the bound on a worker's leases before it grants one.
     :param lease_ms: longest lease that the claimant grants, or 0 if unknown.
+    :param tells_begins: whether it records which jobs have begun; otherwise, a job counts as begun
+        at its first recorded start.
     """
 
     epoch: int
@@ -63,6 +65,7 @@
     weakness: float | None = None
     keeps_bounds: bool = False
     lease_ms: int = 0
+    tells_begins: bool = False
 
 
 class Released(_Record, frozen=True, tag="l"):
@@ -106,6 +109,17 @@
     is_verified: bool = False
 
 
+class Begun(_Record, frozen=True, tag="n"):
+    """
+    Workers have begun the first tasks of jobs.
+
+    :param jobs: ids of the jobs.
+    """
+
+    epoch: int
+    jobs: tuple[str, ...]
+
+
 class Ended(_Record, frozen=True, tag="e"):
     """
     A run has ended.
@@ -239,6 +253,7 @@
     | Released
     | OwnerHeartbeat
     | Started
+    | Begun
     | Ended
     | Closed
     | PolicySet
@@ -253,6 +268,7 @@
     Released
     | OwnerHeartbeat
     | Started
+    | Begun
     | Ended
     | Closed
     | PolicySet
@@ -267,6 +283,7 @@
     Released,
     OwnerHeartbeat,
     Started,
+    Begun,
     Ended,
     Closed,
     PolicySet,
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_replicated_state.py
@@ -70,7 +70,8 @@
     """
     The state of a job.
 
-    :param state: state by all records, including the owner's records that aren't committed yet.
+    :param state: state by all records, including the owner's records that aren't committed yet. It
+        is queued until a worker is known to have begun a task.
     :param committed_state: state by committed records only, which is what callers are told.
     :param seen_s: estimated time of submission, by this instance's clock.
     :param open_occurrences: number of occurrences with unfinished tasks.
@@ -199,6 +200,7 @@
     :param owner_address: address at which the owner accepts callers' records from other instances.
     :param owner_weakness: weakness of the latest claimant, or ``None`` if its claim doesn't tell.
     :param least_weakness: least weakness of any claimant so far, or ``None``.
+    :param tells_begins: whether the latest claimant records which jobs have begun.
     :param lease_ms_by_claim: longest lease in milliseconds that each of the latest claimants
         grants, the latest one last; 0 if unknown.
     :param running: tasks with a running run, by worker.
@@ -242,6 +244,7 @@
     owner_weakness: float | None = None
     least_weakness: float | None = None
     lease_ms_by_claim: tuple[int, ...] = ()
+    tells_begins: bool = False
     places: dict[str, WorkerPlace] = {}
     lease_bounds: dict[str, LeaseBound] = {}
     bursts: dict[str, PoolBurst] = {}
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_runs.py
@@ -142,6 +142,18 @@
     return row.run == task.run and row.percent >= 100 and has_run_for(worker, task, ESTABLISHED_S)
 
 
+def note_begun(node: Node, task: Task) -> None:
+    """
+    Note that a worker has begun a task, so that its job is no longer queued.
+
+    :param node: the instance, which owns the log.
+    :param task: the task.
+    """
+    job = node.replicated.jobs[task.key.job]
+    if job.state == _replicated_state.QUEUED:
+        node.begun_jobs[job.id] = None
+
+
 def is_confirmed(worker: Worker, task: Task) -> bool:
     """
     Return whether a worker has confirmed a run: it answered the order, or listed the run.
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_snapshot.py
@@ -84,6 +84,7 @@
     bursts: dict[str, PoolBurst] = {}
     lease_ms_by_claim: tuple[int, ...] = ()
     durations: dict[str, list[tuple[int, LearnedDuration]]] = {}
+    tells_begins: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -118,6 +119,7 @@
         replicated.bursts,
         replicated.lease_ms_by_claim,
         _durations_by_queue(replicated),
+        replicated.tells_begins,
     )
     return zlib.compress(_encoder.encode(snapshot), 1)
 
@@ -155,6 +157,7 @@
         places=snapshot.places,
         bursts=snapshot.bursts,
         lease_ms_by_claim=snapshot.lease_ms_by_claim,
+        tells_begins=snapshot.tells_begins,
         durations={
             (queue, step): learned
             for queue, steps in snapshot.durations.items()
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_start_order.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_start_order.py
@@ -301,7 +301,11 @@
 
 
 def _is_begun(item: ReadyStep) -> bool:
-    return item.job.state != QUEUED
+    """
+    Return whether a task of a job has begun or is ordered to.
+    """
+    states = occurrence_of(item.job, item.occurrence)
+    return item.job.state != QUEUED or any(state.waiting < state.unfinished for state in states)
 
 
 def work_s(node: Node, item: ReadyStep, room: Resources) -> float:
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -33,6 +33,7 @@
     fencing_token,
     forget_holds,
     is_stopping,
+    note_begun,
     raise_token,
     request_stop,
     runs_on,
@@ -378,6 +379,7 @@
         and task.run == end.run
         and task.worker == worker.id
     ):
+        note_begun(node, task)
         end_run(node, at, worker, task, end.end_state, end.checkpoint)
         return
     if task.status == _replicated_state.DONE:
@@ -464,13 +466,14 @@
         and task.worker == worker.id
         and task.run == row.run
     )
-    if is_expected:
+    if task is not None and is_expected:
         _stops.forget_earlier_run(node, worker, key, row.run)
         job = node.replicated.jobs[key.job]
         order = worker.orders.get(key)
         if order is not None and not order.answered_s:
             order.answered_s = at.now_s
         if worker.started_s.setdefault(key, at.now_s) == at.now_s:
+            note_begun(node, task)
             node.plan_due = True
         is_over = job.cancelled or job.state in _replicated_state.FINAL_STATES
         if is_over:
--- a/packages/eelgrassdrum-core/tests/test_jobs_records.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_records.py
@@ -226,7 +226,7 @@
     assert records.decode_record(former) == records.Claimed(1, "entry", 5, "address")
     replicated = apply_all([records.Claimed(1, "entry", 5, "address", 0.5)])
     rows = msgspec.msgpack.decode(zlib.decompress(snapshot.encode(replicated, 10.0, WALL_MS)))
-    data = zlib.compress(msgspec.msgpack.encode(rows[:-7]))
+    data = zlib.compress(msgspec.msgpack.encode(rows[:-8]))
     restored = snapshot.decode(data, 10.0, WALL_MS)
     assert restored.owner == ("entry", 5)
     assert (restored.owner_weakness, restored.least_weakness) == (None, None)
