Request long lists of runs at intervals, and start suspects in parts

Cause: a worker with thousands of runs lists them all in each answer, and was called again at once after each end of a run; the lists of a few such workers fill the owner's time. After a crash under a large job its suspected tasks were ordered of one worker without the bound on queues.

Change: beyond 500 listed runs, the next list is requested 50 microseconds later for each further run. Suspected tasks of a large step start while few orders wait at the worker.

Result: two new tests.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_node.py
@@ -283,6 +283,7 @@
     :param stops: latest order to stop a run, by task.
     :param rows: runs that it listed last, by task.
     :param rows_s: when the call that returned this list was sent.
+    :param next_list_s: its next list is not requested before this time, as the last one was long.
     :param unknown_runs: resources of runs that it lists but that the log doesn't contain, by task.
     :param throttles: percentage that each throttled task was last set to.
     :param pace: state of the throttling of its backfill, once there was any.
@@ -326,6 +327,7 @@
     stops: dict[TaskKey, Stop] = {}
     rows: dict[TaskKey, RunRow] = {}
     rows_s: float = 0.0
+    next_list_s: float = 0.0
     unknown_runs: dict[TaskKey, Resources] = {}
     throttles: dict[TaskKey, int] = {}
     pace: Any = None
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_orders.py
@@ -143,7 +143,7 @@
     order.lease_ms = _leases.clock_ms(worker, expiry_s)
     worker.granted_ms = max(worker.granted_ms, order.lease_ms)
     # The next hold renews the lease of the order and waits for the run's exit.
-    worker.next_hold_s = min(worker.next_hold_s, at.now_s)
+    worker.next_hold_s = min(worker.next_hold_s, max(at.now_s, worker.next_list_s))
     emit(
         node,
         effect._replace(
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -293,11 +293,15 @@
     allowed = _limits.within_limit(node, item.job, item.state.step, len(waiting))
     if allowed > part.starts:
         part.is_cut = True
+    is_large = _plan_part.is_large(item)
     counts = _candidates.tasks_per_worker(item.state)
     for task in waiting[: min(allowed, part.starts)]:
         candidate = _choose_worker(node, at, item, task, pool, part, counts)
         if candidate is None:
             return
+        if is_large and not _has_short_queue(candidate):
+            part.is_cut = True
+            return
         _start(node, at, item, task, candidate)
         counts[candidate.worker.id] += 1
         part.starts -= 1
--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_workers.py
@@ -45,6 +45,10 @@
 HOLD_WAIT_S = 1.5
 # Long-poll time if progress is tracked or backfill is throttled by the lists.
 WATCHED_HOLD_WAIT_S = 0.25
+# Least interval between holds of a worker for each run that it lists beyond a number: processing a
+# list of thousands takes a part of it.
+LONG_LIST_RUNS = 500
+LIST_INTERVAL_PER_RUN_S = 0.00005
 # Interval between holds of a worker that runs nothing.
 IDLE_HOLD_INTERVAL_S = 20.0
 # Minimum interval between holds of a worker that runs only unknown runs.
@@ -285,6 +289,8 @@
     _apply_exits(node, at, worker, event.ends)
     worker.rows = {row.key: row for row in event.runs}
     worker.rows_s = event.sent_s
+    long_by = max(0, len(event.runs) - LONG_LIST_RUNS)
+    worker.next_list_s = at.now_s + long_by * LIST_INTERVAL_PER_RUN_S
     _reconcile(node, at, worker, event)
     _leases.lift_bound(node, at, worker)
     _schedule_hold(node, at, worker)
@@ -311,7 +317,7 @@
         # brings the next hold forward.
         worker.next_hold_s = at.now_s + STALLED_HOLD_INTERVAL_S
     elif runs_on(node, worker.id):
-        worker.next_hold_s = at.now_s
+        worker.next_hold_s = worker.next_list_s
     elif worker.unknown_runs:
         # Their stops take `stop_s` at most.
         interval_s = max(node.bounds.stop_s, MIN_UNKNOWN_RUNS_HOLD_INTERVAL_S)
@@ -347,7 +353,7 @@
     for worker_id in workers:
         worker = node.workers.get(worker_id)
         if worker is not None:
-            worker.next_hold_s = min(worker.next_hold_s, at.now_s)
+            worker.next_hold_s = min(worker.next_hold_s, max(at.now_s, worker.next_list_s))
 
 
 def _apply_exits(node: Node, at: Moment, worker: Worker, ends: tuple[EndRow, ...]) -> None:
--- a/packages/eelgrassdrum-core/tests/test_jobs_large_jobs.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_large_jobs.py
@@ -2,6 +2,7 @@
 Jobs with thousands of tasks, beside others.
 """
 
+import math
 from unittest import mock
 
 from eelgrassdrum_core.jobs import _scoring, effects, events, model
@@ -255,3 +256,46 @@
         assert len(ticked) <= MAX_STARTS_PER_EVENT
         stopped += ticked
     assert set(stopped) == {row.key for row in rows}
+
+
+# Guards against lists of thousands of runs that are requested as fast as they can be processed.
+def test_long_lists_are_requested_at_intervals():
+    """
+    A worker that lists thousands of runs isn't called again at once, and one with few runs is.
+    """
+    node, now_s = make_owner_with_runs(), NOW_S + 50
+    rows = rows_of(node)
+    node.workers["w"].next_hold_s = math.inf
+    for listed, is_called in ((rows, False), (rows[:100], True)):
+        now_s += 1.0
+        read_to_end(node, now_s)
+        produced = feed(node, now_s, worker_lists(now_s, listed))
+        assert any(isinstance(item, effects.Hold) for item in produced) == is_called
+        now_s += 0.3
+        produced = feed(node, now_s, events.Ticked())
+        assert any(isinstance(item, effects.Hold) for item in produced) != is_called
+        node.workers["w"].holds = 0
+
+
+# Guards against thousands of suspected tasks that are ordered of one worker at once.
+def test_suspected_tasks_of_a_large_job_start_in_parts():
+    """
+    After a crash under a large job, its tasks start in parts, as they did before.
+    """
+    entries = [worker_entry(name, 1_000_000)._replace(capacity=LARGE) for name in ("v", "w")]
+    node = owner_of(entries)
+    first = hand_in(node, [("large", "usual", (small_step(2000),), 0.0)])
+
+    def all_sent(tasks):
+        unsent = sum(worker.unsent_orders for worker in node.workers.values())
+        return len(first) + len(tasks) >= 2000 and not unsent
+
+    play(node, NOW_S, all_sent)
+    used, runs = max(node.replicated.running.items(), key=lambda item: len(item[1]))
+    count, now_s, running = len(runs), NOW_S + 50, node.replicated.running
+    read_to_end(node, now_s)
+    feed(node, now_s, events.HoldFailed(used, "timeout", OWNER_TOKEN))
+    feed(node, now_s + 0.1, events.HoldFailed(used, "other_worker", OWNER_TOKEN + 1))
+    assert len(node.replicated.suspects["large"]) == count > 500
+    again = play(node, now_s + 0.2, lambda _: sum(map(len, running.values())) == 2000)
+    assert 0 < max(map(len, again)) <= MAX_STARTS_PER_EVENT
