Bound the lines about single runs that were lost or withdrawn

Cause: lines of run.ended for lost and unsent runs, and of withdrawn orders, had no limit; the end of a worker with thousands of runs wrote them all within one event of the owner.

Change: such lines are bounded to 1,000 a second together, and counted in log.left_out above that. The line about the worker or the job tells how many runs it concerns, as before.

--- a/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_logging.py
+++ b/packages/eelgrassdrum-daemon/src/eelgrassdrum_daemon/jobs/_logging.py
@@ -2,8 +2,10 @@
 The structured log on standard output, limited in volume.
 
 Lines are buffered and written without blocking the event loop, so a slow reader delays no decision.
-Lines of routine progress above a rate are suppressed and counted. Lines about anything refused,
-failed or cancelled, and about an instance's view of the system, are not suppressed.
+Lines of routine progress above a rate are suppressed and counted. So are lines about a single run
+that was refused, lost or stopped, above a higher one: thousands may end at once, and the line about
+their worker tells how many. Other lines about anything refused, failed or cancelled, and about an
+instance's view of the system, are not suppressed.
 """
 
 import os
@@ -25,8 +27,20 @@
 PROGRESS_ACTIONS = frozenset(
     {"job.accepted", "run.decided", "run.ended", "run.stop_sent", "call.answered"}
 )
-# Runs that end in these states are logged even above the rate limit.
-UNLIMITED_END_STATES = frozenset({"failed", "lost", "lapsed", "refused", "unsent"})
+# Lines per second about single runs that did not end as they should.
+RUN_LINES_PER_S = 1_000
+RUN_ACTIONS = frozenset(
+    {
+        "run.late_end",
+        "run.not_started",
+        "run.stop_unanswered",
+        "run.stray",
+        "run.unknown_end",
+        "run.withdrawn",
+    }
+)
+# Runs that end in these states are no routine progress.
+TROUBLED_END_STATES = frozenset({"failed", "lost", "lapsed", "refused", "unsent"})
 
 
 class LogBuffer(msgspec.Struct, eq=False):
@@ -36,6 +50,7 @@
     :param pending_lines: encoded lines, oldest first.
     :param second: second of the monotonic clock to which `progress_lines` applies.
     :param progress_lines: lines of routine progress in this second, including suppressed ones.
+    :param run_lines: the same for lines about single runs that did not end as they should.
     :param suppressed_lines: lines above the rate limit since the last report of them.
     :param dropped_lines: lines lost because the buffer was full or standard output failed.
     :param unsent_bytes: line, or the rest of one, that standard output didn't accept yet.
@@ -44,6 +59,7 @@
     pending_lines: deque[bytes] = msgspec.field(default_factory=deque)
     second: int = 0
     progress_lines: int = 0
+    run_lines: int = 0
     suppressed_lines: int = 0
     dropped_lines: int = 0
     unsent_bytes: bytes = b""
@@ -84,11 +100,15 @@
 
 
 def _should_write(log_buffer: LogBuffer, action: str, fields: dict[str, Any]) -> bool:
-    if action not in PROGRESS_ACTIONS or fields.get("how") in UNLIMITED_END_STATES:
+    is_troubled = action in RUN_ACTIONS or fields.get("how") in TROUBLED_END_STATES
+    if action not in PROGRESS_ACTIONS and not is_troubled:
         return True
     second = int(time.monotonic())
     if second != log_buffer.second:
-        log_buffer.second, log_buffer.progress_lines = second, 0
+        log_buffer.second, log_buffer.progress_lines, log_buffer.run_lines = second, 0, 0
+    if is_troubled:
+        log_buffer.run_lines += 1
+        return log_buffer.run_lines <= RUN_LINES_PER_S
     log_buffer.progress_lines += 1
     return log_buffer.progress_lines <= PROGRESS_LINES_PER_S
 
