Split the choice of a worker for a part of a step from its placement

Cause: one function decided about queues, room and comparisons. Change: the choice has a function of its own; the condition on queues is among those under which the last worker is used again.

--- a/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
+++ b/packages/eelgrassdrum-core/src/eelgrassdrum_core/jobs/_planner.py
@@ -369,10 +369,9 @@
     """
     Start tasks of a step as long as there is room and the plan may compare workers for them.
 
-    :returns: how many were started, and whether others have room.
+    :returns: how many were started, and whether others have room but have to wait.
     """
     step, resources = item.state.step, item.state.resources
-    is_large = _plan_part.is_large(item)
     counts = _candidates.tasks_per_worker(item.state) if step.max_per_worker else Counter[str]()
     preferred_zone = _preferred_zone(node, item, pool.candidates)
     # A step that finds no worker again and again leaves others the same chance.
@@ -383,19 +382,14 @@
         if not pool.leaves_spare(resources):
             pool.unplaceable.append(resources)
             break
-        if (
-            candidate is None
-            or (is_large and not _has_short_queue(candidate))
-            or not _can_reuse_candidate(node, at, item, task, candidate, counts)
-        ):
+        if candidate is None or not _can_reuse_candidate(node, at, item, task, candidate, counts):
             if number and part.compared <= least_compared:
                 return started, True
-            usable = pool.with_short_queues() if is_large else pool
-            candidate = _choose_worker(node, at, item, task, usable, part, counts, preferred_zone)
-            if candidate is None and is_large and usable.unplaceable:
-                if any(resources.fits(c.free[0]) for c in pool.usable_for(step)):
-                    return started, True
-                pool.unplaceable.append(resources)
+            candidate, is_queue_full = _choose_for_part(
+                node, at, item, task, pool, part, counts, preferred_zone
+            )
+            if is_queue_full:
+                return started, True
         if candidate is not None:
             _start(node, at, item, task, candidate)
             pool.take(resources)
@@ -406,6 +400,33 @@
     return started, False
 
 
+def _choose_for_part(
+    node: Node,
+    at: Moment,
+    item: ReadyStep,
+    task: Task,
+    pool: PoolCandidates,
+    part: PlanPart,
+    counts: Counter[str],
+    preferred_zone: str,
+) -> tuple[Candidate | None, bool]:
+    """
+    Return the worker that a task of a step starts on, and whether only the orders that wait at the
+    workers with room keep it from starting, since its step is large.
+    """
+    if not _plan_part.is_large(item):
+        return _choose_worker(node, at, item, task, pool, part, counts, preferred_zone), False
+    short = pool.with_short_queues()
+    candidate = _choose_worker(node, at, item, task, short, part, counts, preferred_zone)
+    if candidate is not None or not short.unplaceable:
+        return candidate, False
+    resources = item.state.resources
+    if any(resources.fits(c.free[0]) for c in pool.usable_for(item.state.step)):
+        return None, True
+    pool.unplaceable.append(resources)
+    return None, False
+
+
 def _can_reuse_candidate(
     node: Node,
     at: Moment,
@@ -434,6 +455,8 @@
     is_best = only_capacity_decides and is_preferred and is_near
     if step.max_per_worker and counts[candidate.worker.id] >= step.max_per_worker:
         return False
+    if _plan_part.is_large(item) and not _has_short_queue(candidate):
+        return False
     return is_best and item.state.resources.fits(candidate.free[0])
 
 
