--- a/packages/eelgrassdrum-core/tests/test_jobs_durations.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_durations.py
@@ -233,7 +233,7 @@
     log = Log()
     log.end(3.0, TRUE_S)
     fields = msgspec.msgpack.decode(zlib.decompress(snapshot.encode(log.replicated, 10.0, WALL_MS)))
-    data = zlib.compress(msgspec.msgpack.encode(fields[:-1]))
+    data = zlib.compress(msgspec.msgpack.encode(fields[:-2]))
     restored = snapshot.decode(data, 10.0, WALL_MS)
     assert restored.durations == {} and restored.epoch == 1
     assert "job-1" in restored.jobs
--- a/packages/eelgrassdrum-core/tests/test_jobs_records.py
+++ b/packages/eelgrassdrum-core/tests/test_jobs_records.py
@@ -255,7 +255,7 @@
     """
     replicated = apply_all([records.Claimed(2, "entry", 1)])
     fields = msgspec.msgpack.decode(zlib.decompress(snapshot.encode(replicated, 10.0, WALL_MS)))
-    restored = snapshot.decode(zlib.compress(msgspec.msgpack.encode(fields[:-3])), 10.0, WALL_MS)
+    restored = snapshot.decode(zlib.compress(msgspec.msgpack.encode(fields[:-4])), 10.0, WALL_MS)
     assert restored.epoch == 2 and restored.lease_bounds == restored.places == {}
     claim = msgspec.msgpack.encode(["o", 3, "entry", 1, ""])
     assert records.decode_record(claim) == records.Claimed(3, "entry", 1)
